Searches can be explained: /v1/searches, /v1/searches/ID, kelpctl explain

The plan that would be chosen now could be read; what was chosen could not. Each verdict and each defect of a search now names its id. Its root keeps a timeline that is folded from events: tree, windows, each round with the ranking it was chosen from, what spent or was refused budget, what was late. Partners keep their parts under the same id and hand them over when asked, so that nothing more travels with a query. Bounded: the newest 400 searches and the newest 200 that failed, were partial or slow.

--- a/kelpstage/base/defects.py
+++ b/kelpstage/base/defects.py
@@ -109,6 +109,14 @@
     record: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class UnknownSearch(Defect):
+    """Never begun at this node, or forgotten: only the newest are kept."""
+
+    status: ClassVar[int] = 404
+    search: str
+
+
 # --- what the fleet could not do ----------------------------------------------
 
 @dataclass(frozen=True, kw_only=True)
--- a/kelpstage/base/wire/http.py
+++ b/kelpstage/base/wire/http.py
@@ -23,8 +23,9 @@
     )
 
 
-def defect_reply(*, defect: Defect, headers: dict | None = None) -> HttpReply:
-    """The reply a defect asks for, with `Retry-After` where coming back helps.
+def defect_reply(*, defect: Defect, headers: dict | None = None, search: str = "") -> HttpReply:
+    """The reply a defect asks for, with `Retry-After` where coming back helps, and
+    the id of the search that came to it.
 
     >>> from kelpstage.base.defects import NotReady
     >>> reply = defect_reply(defect=NotReady(why="no grant"))
@@ -34,4 +35,5 @@
     extra = dict(headers or {})
     if defect.retry_after_s is not None:
         extra["Retry-After"] = str(defect.retry_after_s)
-    return json_reply(status=defect.status, body={"defect": defect.as_json()}, headers=extra)
+    body = {"defect": defect.as_json()} | ({"search": search} if search else {})
+    return json_reply(status=defect.status, body=body, headers=extra)
--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -300,6 +300,7 @@
     cluster: str = bp.string_field(12)
     due_us: int = bp.uint64_field(13)
     is_resumed: bool = bp.bool_field(14)
+    search: str = bp.string_field(15)
 
 
 @dataclass
@@ -368,12 +369,25 @@
     cluster: str = bp.string_field(8)
 
 
+@dataclass
+class AskTrail(Message):
+    """What became of a search at this node?"""
+
+    search: str = bp.string_field(1)
+
+
+@dataclass
+class Trail(Message):
+    is_found: bool = bp.bool_field(1)
+    body: bytes = bp.bytes_field(2)  # JSON
+
+
 TYPES: dict[int, type] = {
     1: AskVote, 2: VoteReply, 3: Append, 4: AppendReply, 5: CaptureOffer, 6: TimeoutNow,
     10: SeedProbe, 11: SeedState, 13: JoinCore, 14: Done,
     15: ProxyOperator, 16: ProxyOperatorReply, 17: FetchCapture, 18: FetchState, 19: Chunk,
     30: Meet, 31: MeetReply, 32: Renew, 33: GrantReply, 34: RelayRenew, 35: Announce,
     36: Witness, 37: WitnessReply,
-    50: Gather, 51: Gathered,
+    50: Gather, 51: Gathered, 52: AskTrail, 53: Trail,
 }
 NUMBERS: dict[type, int] = {kind: number for number, kind in TYPES.items()}
--- a/kelpstage/ctl/main.py
+++ b/kelpstage/ctl/main.py
@@ -12,6 +12,7 @@
 import secrets
 from dataclasses import asdict
 from typing import List, Optional
+from urllib.parse import quote
 
 import typer
 
@@ -29,6 +30,7 @@
 from kelpstage.core.salvage import salvage as salvage_core
 from kelpstage.ctl.client import ask, good_or_fail, need_addresses, read_file, write_whole
 from kelpstage.ctl.commands import drains
+from kelpstage.ctl.commands.searches import search_text, searches_text
 from kelpstage.ctl.commands.views import plan_text, roster_text, status_text
 from kelpstage.ctl.offline.diff import diff_of
 from kelpstage.ctl.offline.plan import any_root, changes, offline_plan
@@ -173,6 +175,33 @@
     show(body=body, is_json=is_json, text=plan_text(view=body))
 
 
+@app.command()
+def explain(
+    search: Optional[str] = typer.Argument(None, help="A search's id; none lists the newest."),
+    edge: Optional[List[str]] = EDGE,
+    only: Optional[str] = typer.Option(None, help="List only these: failed or partial."),
+    slower_than_us: Optional[int] = typer.Option(None, min=1, help="List only slower ones."),
+    limit: int = typer.Option(20, min=1, max=600, help="How many to list."),
+    is_json: bool = JSON,
+) -> None:
+    """Show what was chosen for a search and why, and what became of it, as a tree."""
+    addresses = need_addresses(given=edge or [], what="edge")
+    if search is None:
+        asked = {"only": only, "slower_than_us": slower_than_us, "limit": limit}
+        query = "&".join(f"{name}={value}" for name, value in asked.items() if value)
+        reply = ask(addresses=addresses, method="GET", path=f"/v1/searches?{query}")
+        body = good_or_fail(reply=reply, is_json=is_json)
+        show(body=body, is_json=is_json, text=searches_text(view=body))
+        return
+    path = f"/v1/searches/{quote(search, safe='')}"
+    for address in addresses:  # only the root of a search knows the whole of it
+        reply = ask(addresses=[address], method="GET", path=path)
+        if reply.status != 404:
+            break
+    body = good_or_fail(reply=reply, is_json=is_json)
+    show(body=body, is_json=is_json, text=search_text(view=body))
+
+
 def _plan_offline(
     *, file: str, collection: str, root: str | None, gone: list[str], is_json: bool
 ) -> None:
--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -25,6 +25,7 @@
 from kelpstage.edge.grant.task import GrantTask
 from kelpstage.edge.handlers import handle
 from kelpstage.edge.rounds.budget import Budget
+from kelpstage.edge.timelines import Timelines
 from kelpstage.edge.views import Searches
 from kelpstage.edge.web.callers import serve_callers
 
@@ -49,6 +50,9 @@
         self.journal = Journal(now=ports.clock.now_us)
         self.searches = Searches()
         self.journal.view(fold=self.searches.fold)
+        self.timelines = Timelines()
+        self.trail = Journal(now=ports.clock.now_us, limit=1)  # its view is what is kept
+        self.trail.view(fold=self.timelines.fold)
         self.lines = Lines(ports=ports, counts=self.counts)
         self.server = LineServer(
             ports=ports, address=self.own, on_message=self._on_message, counts=self.counts
@@ -79,6 +83,7 @@
             paces=Paces(),
             budget=Budget(),
             journal=self.journal,
+            trail=self.trail,
             next_round=ports.rand.getrandbits(40),
         )
         self.swim.on_silent = lambda name: self._on_gossip(name=name, is_silent=True)
--- a/kelpstage/edge/events.py
+++ b/kelpstage/edge/events.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import Any
 
 from kelpstage.base.journal import Event
 
@@ -69,3 +70,91 @@
 @dataclass(frozen=True, kw_only=True)
 class Leaving(Event):
     pass
+
+
+# --- what became of one search; these go to a journal of their own ----------------------
+
+@dataclass(frozen=True, kw_only=True)
+class SearchEvent(Event):
+    """Something that a search, or this node's part of it, came to."""
+
+    search: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Began(SearchEvent):
+    part: str  # root, child or single
+    collection: str
+    limit: int | None
+    time_left_us: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class Planned(SearchEvent):
+    version: int
+    branch: Any  # the tree from this node down; none for a single record
+
+
+@dataclass(frozen=True, kw_only=True)
+class OmissionSet(SearchEvent):
+    after_us: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class RoundSent(SearchEvent):
+    shard: str
+    number: int
+    backend: str
+    window_us: int
+    why: str
+    ranked: tuple  # all backends of the shard as the choice saw them, best first
+
+
+@dataclass(frozen=True, kw_only=True)
+class RoundRefused(SearchEvent):
+    shard: str
+    why: str
+    ranked: tuple
+
+
+@dataclass(frozen=True, kw_only=True)
+class RoundEnded(SearchEvent):
+    shard: str
+    number: int
+    backend: str
+    outcome: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class PartnerAsked(SearchEvent):
+    node: str
+    shards: tuple[str, ...]
+    window_us: int
+    is_resumed: bool
+
+
+@dataclass(frozen=True, kw_only=True)
+class PartnerLate(SearchEvent):
+    node: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class PartnerEnded(SearchEvent):
+    node: str
+    outcome: str
+    shards_in: tuple[str, ...]
+    missing: tuple[tuple[str, str, str], ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class BeganAgain(SearchEvent):
+    was: int
+    why: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Ended(SearchEvent):
+    outcome: str
+    shards_in: int
+    shards: int
+    detail: str
--- a/kelpstage/edge/gather/passes/admit.py
+++ b/kelpstage/edge/gather/passes/admit.py
@@ -9,7 +9,7 @@
     UnknownShard,
 )
 from kelpstage.base.wire.messages import Gathered
-from kelpstage.edge.events import Restarted
+from kelpstage.edge.events import BeganAgain, Restarted
 from kelpstage.edge.gather.messages import KidReply, WantState
 from kelpstage.edge.gather.record import AWAITS, CHILD, DONE, GATHERS, NEW, ROOT, SINGLE, Gathering
 from kelpstage.edge.gather.world import World
@@ -65,12 +65,16 @@
     if record.kind == CHILD:
         end(record=record, outcome=KidReply(message=_stale(world=world)))
         return
-    world.journal.add(
-        Restarted(collection=record.collection, was=record.version, why="blueprint moved on")
-    )
+    note_again(record=record, world=world, why="blueprint moved on")
     record.begin_again()
 
 
+def note_again(*, record: Gathering, world: World, why: str) -> None:
+    """A search begins again under a newer blueprint."""
+    world.journal.add(Restarted(collection=record.collection, was=record.version, why=why))
+    world.trail.add(BeganAgain(search=record.search, was=record.version, why=why))
+
+
 def _admit_child(*, record: Gathering, world: World) -> None:
     keeper = world.keeper
     if keeper.has_moved_on(version=record.version, now_us=world.now_us):
--- a/kelpstage/edge/gather/passes/merge.py
+++ b/kelpstage/edge/gather/passes/merge.py
@@ -8,10 +8,10 @@
 from kelpstage.base.defects import BadReply, ConnectRefused, Defect, WaitOver
 from kelpstage.base.wire.messages import Gathered, PartMsg
 from kelpstage.edge.backend.reply import SealedPart
-from kelpstage.edge.events import BadPart, Restarted
+from kelpstage.edge.events import BadPart, PartnerEnded, RoundEnded
 from kelpstage.edge.gather.messages import BackendSaid, KidReply, KidSaid, WantState
 from kelpstage.edge.gather.order import lowest_cut, sort_and_cut, unpack_records
-from kelpstage.edge.gather.passes.admit import end
+from kelpstage.edge.gather.passes.admit import end, note_again
 from kelpstage.edge.gather.record import (
     AWAITS,
     CHILD,
@@ -46,6 +46,12 @@
 
 @take.register
 def _(said: BackendSaid, record: Gathering, world: World) -> None:
+    world.trail.add(
+        RoundEnded(
+            search=record.search, shard=said.shard, number=said.number, backend=said.backend,
+            outcome=_name_of(outcome=said.outcome),
+        )
+    )
     cell = record.cells.get(said.shard)
     if cell is None:
         return
@@ -72,6 +78,28 @@
     _backend_failed(said=said, cell=cell, record=record, world=world)
 
 
+def _name_of(*, outcome: Any) -> str:
+    if isinstance(outcome, BadReply):
+        return f"bad_reply: {outcome.part}: {outcome.why}"
+    return outcome.kind if isinstance(outcome, Defect) else "in"
+
+
+def _note_kid(*, kid: Kid, outcome: Any, record: Gathering, world: World) -> None:
+    parts: tuple = ()
+    missing: tuple = ()
+    name = outcome.kind if isinstance(outcome, Defect) else "in"
+    if isinstance(outcome, Gathered):
+        name = "stale" if outcome.is_stale else "partly in" if outcome.is_open else "in"
+        parts = tuple(part.shard for part in outcome.parts)
+        missing = tuple((m.shard, m.cause, m.detail) for m in outcome.missing)
+    world.trail.add(
+        PartnerEnded(
+            search=record.search, node=kid.branch.node, outcome=name, shards_in=parts,
+            missing=missing,
+        )
+    )
+
+
 def _backend_failed(*, said: BackendSaid, cell: Cell, record: Gathering, world: World) -> None:
     outcome: Defect = said.outcome
     detail = outcome.kind
@@ -97,9 +125,10 @@
 @take.register
 def _(said: KidSaid, record: Gathering, world: World) -> None:
     kid = record.kids[said.slot]
+    outcome = said.outcome
+    _note_kid(kid=kid, outcome=outcome, record=record, world=world)
     if kid.state != WAITING:
         return
-    outcome = said.outcome
     if isinstance(outcome, Gathered) and outcome.is_stale:
         _kid_is_elsewhere(reply=outcome, kid=kid, record=record, world=world)
         return
@@ -146,9 +175,7 @@
         stale = Gathered(is_stale=True, version=reply.version)
         end(record=record, outcome=KidReply(message=stale))
         return
-    world.journal.add(
-        Restarted(collection=record.collection, was=record.version, why="a partner moved on")
-    )
+    note_again(record=record, world=world, why="a partner moved on")
     if world.keeper.blueprint.version >= reply.version:
         record.begin_again()
         return
--- a/kelpstage/edge/gather/passes/plan.py
+++ b/kelpstage/edge/gather/passes/plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from kelpstage.edge.events import Planned
 from kelpstage.edge.gather.record import GATHERS, ROOT, SINGLE, Cell, Gathering, Kid
 from kelpstage.edge.gather.tree import Branch, grow
 from kelpstage.edge.gather.world import World
@@ -12,6 +13,7 @@
     if record.stage != GATHERS or record.cells or record.kids:
         return
     if record.kind == SINGLE:
+        world.trail.add(Planned(search=record.search, version=record.version, branch=None))
         record.cells = {record.shard: Cell(shard=record.shard)}
         record.omit_us = record.due_us
         return
@@ -21,6 +23,7 @@
             name: member.info.address for name, member in world.swim.members.items()
         }
     branch = record.branch
+    world.trail.add(Planned(search=record.search, version=record.version, branch=branch))
     record.cells = {
         shard: Cell(
             shard=shard, is_extra=record.is_repeated, is_forced=record.is_repeated
--- a/kelpstage/edge/gather/passes/send.py
+++ b/kelpstage/edge/gather/passes/send.py
@@ -3,6 +3,13 @@
 from __future__ import annotations
 
 from kelpstage.edge.backend.choose import options
+from kelpstage.edge.events import (
+    OmissionSet,
+    PartnerAsked,
+    PartnerLate,
+    RoundRefused,
+    RoundSent,
+)
 from kelpstage.edge.gather.messages import AskBackend, AskKid
 from kelpstage.edge.gather.passes.merge import regather
 from kelpstage.edge.gather.record import (
@@ -56,15 +63,15 @@
     ] + [_kid_window_us(kid=kid, record=record, world=world) for kid in record.kids]
     longest = max(windows, default=record.route.window_us)
     record.omit_us = min(record.due_us, world.now_us + 2 * longest)
+    world.trail.add(OmissionSet(search=record.search, after_us=record.omit_us - world.now_us))
 
 
 # --- sends --------------------------------------------------------------------------
 
 def _send_round(*, cell: Cell, record: Gathering, world: World, is_hedge: bool) -> None:
     tried = {one.backend for one in cell.rounds}
-    choices = [
-        option
-        for option in options(
+    ranked = tuple(
+        options(
             blueprint=record.blueprint,
             book=world.book,
             paces=world.paces,
@@ -74,14 +81,25 @@
             now_us=world.now_us,
             rand=world.rand,
         )
-        if not option.refusal and option.backend not in tried
+    )
+    choices = [
+        option for option in ranked if not option.refusal and option.backend not in tried
     ]
     cell.wants_round = False
+
+    def refuse(why: str) -> None:
+        world.trail.add(
+            RoundRefused(search=record.search, shard=cell.shard, why=why, ranked=ranked)
+        )
+
     if not choices:
+        refuse("no other backend may be asked" if tried else "no backend may be asked")
         if not is_hedge:
             cell.miss(cause=cell.cause or "no_backend", detail=cell.detail or "none may be asked")
         return
+    why = _why_of(cell=cell, is_hedge=is_hedge)
     if not _may_send(cell=cell, record=record, world=world):
+        refuse(f"{why}: the budget is spent")
         if not is_hedge:
             cell.miss(cause=cell.cause or "budget", detail=_spent(detail=cell.detail))
         return
@@ -96,6 +114,12 @@
             soft_us=world.now_us + window_us,
         )
     )
+    world.trail.add(
+        RoundSent(
+            search=record.search, shard=cell.shard, number=world.next_round, backend=backend,
+            window_us=window_us, why=why, ranked=ranked,
+        )
+    )
     entry = world.book.entry(name=backend)
     entry.in_flight += 1
     world.emit(
@@ -112,6 +136,16 @@
     )
 
 
+def _why_of(*, cell: Cell, is_hedge: bool) -> str:
+    if is_hedge:
+        return "past its window: a rival"
+    if cell.rounds:
+        return f"again after {cell.cause}"
+    if cell.is_forced:
+        return "begun again"
+    return f"instead of a partner ({cell.detail})" if cell.cause else "first"
+
+
 def _spent(*, detail: str) -> str:
     mark = "(budget spent)"
     return detail if detail.endswith(mark) else f"{detail} {mark}".strip()
@@ -137,6 +171,12 @@
     else:
         world.next_round += 1
         kid.ask_id = world.next_round
+    world.trail.add(
+        PartnerAsked(
+            search=record.search, node=kid.branch.node, shards=tuple(kid.branch.all_shards()),
+            window_us=kid.soft_us - world.now_us, is_resumed=kid.is_resumed,
+        )
+    )
     left_us = until_us - world.now_us
     wait_us = max(1_000, left_us - max(MARGIN_LEAST_US, left_us // 10))
     world.emit(
@@ -178,6 +218,7 @@
     for kid in late:
         if not kid.was_late:
             kid.was_late = True
+            world.trail.add(PartnerLate(search=record.search, node=kid.branch.node))
             world.note_late(name=kid.branch.node)
     in_time = record.waiting_shards() - {s for kid in late for s in kid.branch.all_shards()}
     if len(record.parts) + len(in_time) >= record.route.quorum:
--- a/kelpstage/edge/gather/passes/settle.py
+++ b/kelpstage/edge/gather/passes/settle.py
@@ -181,6 +181,7 @@
 def verdict_body(*, record: Gathering, coverage: float, records: list[bytes]) -> bytes:
     """The verdict's JSON; records stand in it byte for byte as they came."""
     head = {
+        "search": record.search,
         "collection": record.collection,
         "blueprint": record.version,
         "coverage": coverage,
--- a/kelpstage/edge/gather/record.py
+++ b/kelpstage/edge/gather/record.py
@@ -89,6 +89,7 @@
     addresses: dict[str, str] = field(default_factory=dict)
     is_extra: bool = False
     ask_id: int = 0
+    search: str = ""  # the id that the root gave it
     handed: frozenset = frozenset()
     is_partly_settled: bool = False
     is_resumed: bool = False
--- a/kelpstage/edge/gather/task.py
+++ b/kelpstage/edge/gather/task.py
@@ -15,6 +15,7 @@
 from kelpstage.base.wire.messages import BranchMsg, Gather, Gathered
 from kelpstage.edge.backend.book import DRAINING, GONE
 from kelpstage.edge.backend.reply import read_reply
+from kelpstage.edge.events import Began, Ended
 from kelpstage.edge.gather.messages import (
     Arrived,
     AskBackend,
@@ -27,6 +28,7 @@
     KidReply,
     KidSaid,
     Settled,
+    Verdict,
     WantState,
 )
 from kelpstage.edge.gather.record import CHILD, SINGLE, Gathering
@@ -124,7 +126,17 @@
 
     @_take.register
     def _(self, event: Arrived) -> None:
-        self.table.put(record=event.record)
+        record = event.record
+        self.table.put(record=record)
+        self.world.trail.add(
+            Began(
+                search=record.search,
+                part=record.kind,
+                collection=record.collection,
+                limit=record.limit,
+                time_left_us=record.due_us - record.arrived_us,
+            )
+        )
 
     @_take.register
     def _(self, event: Resumed) -> None:
@@ -209,6 +221,7 @@
 
     @_perform.register
     def _(self, effect: Settled) -> None:
+        self.world.trail.add(ended_event(record=effect.record))
         self._tell(key=effect.record.key, outcome=effect.record.outcome)
         self._children.pop((effect.record.root, effect.record.ask_id), None)
 
@@ -291,6 +304,7 @@
             is_resumed=ask.is_resumed,
             is_extra=record.is_repeated,
             cluster=self.world.keeper.cluster,
+            search=record.search,
         )
         self._ports.point("edge.before_kid_send")
         outcome: Any = ConnectRefused(address="unknown")
@@ -389,6 +403,31 @@
         branch=branch,
         addresses=addresses,
         is_extra=ask.is_extra,
+        search=ask.search,
+    )
+
+
+def ended_event(*, record: Gathering) -> Ended:
+    """How a search, or this node's part of one, came to its end.
+
+    >>> record = Gathering(key=1, kind=SINGLE, collection="c", arrived_us=0, due_us=9, search="n-1")
+    >>> record.outcome = ConnectRefused(address="a")
+    >>> ended_event(record=record).outcome
+    'connect_refused'
+    """
+    outcome, detail = record.outcome, ""
+    shards = 1 if record.branch is None else len(record.branch.all_shards())
+    if isinstance(outcome, Verdict):
+        name = "complete" if outcome.coverage == 1 else "partial"
+    elif isinstance(outcome, KidReply):
+        name = "stale" if outcome.message.is_stale else "partial"
+        if len(record.parts) == shards:
+            name = "complete"
+    else:
+        name, detail = outcome.kind, str(outcome.as_json())
+    return Ended(
+        search=record.search, outcome=name, shards_in=len(record.parts), shards=shards,
+        detail=detail,
     )
 
 
--- a/kelpstage/edge/gather/world.py
+++ b/kelpstage/edge/gather/world.py
@@ -38,6 +38,7 @@
     paces: Paces
     budget: Budget
     journal: Journal
+    trail: Journal = field(default_factory=lambda: Journal(now=lambda: 0, limit=1))
     now_us: int = 0
     effects: list[Any] = field(default_factory=list)
     late: dict[str, Lateness] = field(default_factory=dict)
--- a/kelpstage/edge/handlers.py
+++ b/kelpstage/edge/handlers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from functools import singledispatch
 from typing import Any
 
@@ -9,6 +10,7 @@
 from kelpstage.base.wire.chunks import cut_chunk
 from kelpstage.base.wire.messages import (
     Announce,
+    AskTrail,
     Chunk,
     FetchState,
     Gather,
@@ -16,10 +18,12 @@
     GrantReply,
     MissingMsg,
     RelayRenew,
+    Trail,
     Witness,
     WitnessReply,
 )
 from kelpstage.edge.gather.task import child_record, reply_of
+from kelpstage.edge.timelines import as_json
 
 RELAY_US = 700_000
 LONGEST_GATHER_US = 120_000_000
@@ -55,6 +59,14 @@
     )
 
 
+@handle.register
+async def _(message: AskTrail, edge: Any, source: str) -> Trail:
+    line = edge.timelines.find(search=message.search)
+    if line is None:
+        return Trail(is_found=False)
+    return Trail(is_found=True, body=json.dumps(as_json(line=line)).encode())
+
+
 @handle.register
 async def _(message: Witness, edge: Any, source: str) -> WitnessReply:
     keeper = edge.keeper
--- /dev/null
+++ b/kelpstage/edge/timelines.py
@@ -0,0 +1,165 @@
+"""What was chosen for the newest searches, and why: folded from their events.
+
+Bounded twice: the newest searches of any end, and beside them the newest that
+failed, were partial or were slow, which the ordinary ones would push out.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+from kelpstage.base.journal import Event
+from kelpstage.edge.events import Began, Ended, SearchEvent
+
+KEPT = 400
+MARKED_KEPT = 200
+EVENTS_AT_MOST = 300
+SLOW_US = 250_000
+
+
+@dataclass(kw_only=True)
+class Timeline:
+    """One search at this node, or this node's part of one."""
+
+    search: str
+    began: Began
+    began_us: int
+    events: list[tuple[int, SearchEvent]] = field(default_factory=list)
+    ended: Ended | None = None
+    took_us: int = 0
+    left_out: int = 0
+
+    @property
+    def is_marked(self) -> bool:
+        """Is it one that is looked for later?"""
+        return self.ended is not None and (
+            self.ended.outcome != "complete" or self.took_us >= SLOW_US
+        )
+
+
+class Timelines:
+    """The newest searches by id.
+
+    >>> view = Timelines()
+    >>> began = Began(search="n-1", part="root", collection="c", limit=None, time_left_us=9)
+    >>> view.fold(5, began)
+    >>> view.fold(7, Ended(search="n-1", outcome="partial", shards_in=1, shards=2, detail=""))
+    >>> [(row["search"], row["outcome"], row["took_us"]) for row in view.rows(only="partial")]
+    [('n-1', 'partial', 2)]
+    >>> view.rows(only="failed"), view.find(search="n-2")
+    ([], None)
+    """
+
+    def __init__(self) -> None:
+        self._newest: OrderedDict[str, Timeline] = OrderedDict()
+        self._marked: OrderedDict[str, Timeline] = OrderedDict()
+
+    def fold(self, at_us: int, event: Event) -> None:
+        if not isinstance(event, SearchEvent):
+            return
+        known = self._newest.get(event.search)
+        if isinstance(event, Began) and known is None:
+            line = Timeline(search=event.search, began=event, began_us=at_us)
+            _keep(kept=self._newest, line=line, limit=KEPT)
+            return
+        line = self.find(search=event.search)
+        if line is None:
+            return
+        if len(line.events) < EVENTS_AT_MOST:
+            line.events.append((at_us, event))
+        else:
+            line.left_out += 1
+        if isinstance(event, Ended):
+            line.ended, line.took_us = event, at_us - line.began_us
+            if line.is_marked:
+                _keep(kept=self._marked, line=line, limit=MARKED_KEPT)
+
+    def find(self, *, search: str) -> Timeline | None:
+        return self._newest.get(search) or self._marked.get(search)
+
+    def rows(
+        self, *, only: str = "", collection: str = "", slower_than_us: int = 0, limit: int = 50
+    ) -> list[dict[str, Any]]:
+        """Searches of which this node was the root, the newest first."""
+        lines = {**self._marked, **self._newest}
+        out = []
+        for line in sorted(lines.values(), key=lambda line: -line.began_us):
+            row = _row(line=line)
+            if line.began.part == "child" or collection not in ("", row["collection"]):
+                continue
+            if row["took_us"] < slower_than_us or only == "partial" != row["outcome"]:
+                continue
+            if only == "failed" and row["outcome"] in ("complete", "partial", "running"):
+                continue
+            out.append(row)
+            if len(out) == limit:
+                break
+        return out
+
+
+def _keep(*, kept: OrderedDict[str, Timeline], line: Timeline, limit: int) -> None:
+    kept[line.search] = line
+    kept.move_to_end(line.search)
+    if len(kept) > limit:
+        kept.popitem(last=False)
+
+
+def _row(*, line: Timeline) -> dict[str, Any]:
+    ended = line.ended
+    return {
+        "search": line.search,
+        "part": line.began.part,
+        "collection": line.began.collection,
+        "began_us": line.began_us,
+        "took_us": line.took_us,
+        "outcome": ended.outcome if ended else "running",
+        "shards_in": ended.shards_in if ended else 0,
+        "shards": ended.shards if ended else 0,
+    }
+
+
+def as_json(*, line: Timeline) -> dict[str, Any]:
+    """A whole timeline; times count from its beginning."""
+    return {
+        **_row(line=line),
+        "limit": line.began.limit,
+        "time_left_us": line.began.time_left_us,
+        "detail": line.ended.detail if line.ended else "",
+        "left_out": line.left_out,
+        "timeline": [
+            {"at_us": at_us - line.began_us, "event": event.kind, **_fields(event=event)}
+            for at_us, event in line.events
+        ],
+    }
+
+
+def _fields(*, event: SearchEvent) -> dict[str, Any]:
+    return {
+        one.name: _plain(value=getattr(event, one.name))
+        for one in fields(event)
+        if one.name != "search"
+    }
+
+
+def _plain(*, value: Any) -> Any:
+    """Trees and ranked backends as JSON has them."""
+    if hasattr(value, "children"):
+        return {
+            "node": value.node,
+            "shards": list(value.shards),
+            "children": [_plain(value=child) for child in value.children],
+        }
+    if hasattr(value, "rank"):
+        return {
+            "backend": value.backend,
+            "why_not": value.refusal,
+            "is_near": value.is_near,
+            "in_flight": value.in_flight,
+            "mean_us": value.mean_us,
+            "is_distrusted": value.is_distrusted,
+        }
+    if isinstance(value, (tuple, list)):
+        return [_plain(value=one) for one in value]
+    return value
--- a/kelpstage/edge/web/callers.py
+++ b/kelpstage/edge/web/callers.py
@@ -17,13 +17,14 @@
     Overloaded,
     UnknownCollection,
     UnknownResource,
+    UnknownSearch,
     WrongMethod,
 )
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from kelpstage.base.wire.http import JSON_TYPE, defect_reply, json_reply
 from kelpstage.edge.gather.messages import Verdict
 from kelpstage.edge.gather.record import ROOT, SINGLE, Gathering
-from kelpstage.edge.web.explain import plan_view, status_view
+from kelpstage.edge.web.explain import plan_view, search_view, status_view
 
 if TYPE_CHECKING:
     from kelpstage.edge.app import Edge
@@ -36,6 +37,9 @@
 SEARCH = re.compile(rf"/v1/collections/({NAME})/search")
 RECORD = re.compile(rf"/v1/collections/({NAME})/shards/({NAME})/records/([A-Za-z0-9._~%-]{{1,256}})")
 PLAN = re.compile(rf"/v1/plan/({NAME})")
+SEARCHES = re.compile(r"/v1/searches")
+ONE_SEARCH = re.compile(r"/v1/searches/([A-Za-z0-9._-]{1,160})")
+SEARCH_ID = "Kelp-Search"
 
 
 def read_time_left(*, headers: dict[str, str]) -> int | Defect:
@@ -103,6 +107,8 @@
         (SEARCH, "POST", _search),
         (RECORD, "GET", _record),
         (PLAN, "GET", _plan),
+        (SEARCHES, "GET", _searches),
+        (ONE_SEARCH, "GET", _one_search),
     ):
         found = pattern.fullmatch(url.path)
         if found is None:
@@ -154,8 +160,11 @@
     if edge.day is not None:
         edge.day.note(row=call_row(call=call, time_left_us=time_left_us))
     now_us = edge.ports.clock.now_us()
+    key = edge.gather.next_key()
+    search = f"{edge.name}-{edge.incarnation:x}-{key}"
     record = Gathering(
-        key=edge.gather.next_key(),
+        key=key,
+        search=search,
         arrived_us=now_us,
         due_us=now_us + time_left_us - reserve_us(time_left_us=time_left_us),
         **fields,
@@ -163,9 +172,9 @@
     outcome = await edge.gather.settle(record=record)
     edge.ports.point("edge.before_verdict")
     # A caller that keeps its connection is told to take another when we leave.
-    last = {"Connection": "close"} if edge.is_leaving else {}
+    last = {SEARCH_ID: search} | ({"Connection": "close"} if edge.is_leaving else {})
     if not isinstance(outcome, Verdict):
-        return defect_reply(defect=outcome, headers=last)
+        return defect_reply(defect=outcome, headers=last, search=search)
     return HttpReply(
         status=200,
         headers={
@@ -201,6 +210,41 @@
     return json_reply(body=view)
 
 
+async def _searches(edge: "Edge", call: HttpCall, query: str) -> HttpReply:
+    asked = read_filters(query=query)
+    if isinstance(asked, Defect):
+        return defect_reply(defect=asked)
+    return json_reply(body={"node": edge.name, "searches": edge.timelines.rows(**asked)})
+
+
+def read_filters(*, query: str) -> dict[str, Any] | Defect:
+    """Which of the newest searches are wanted.
+
+    >>> read_filters(query="only=failed&limit=5")
+    {'only': 'failed', 'limit': 5}
+    >>> read_filters(query="only=odd").kind, read_filters(query="x=1").kind
+    ('bad_request', 'bad_request')
+    """
+    out: dict[str, Any] = {}
+    for name, given in parse_qsl(query, keep_blank_values=True):
+        if name == "only" and given in ("failed", "partial"):
+            out[name] = given
+        elif name == "collection" and re.fullmatch(NAME, given):
+            out[name] = given
+        elif name in ("limit", "slower_than_us") and re.fullmatch(r"[1-9][0-9]{0,8}", given):
+            out[name] = int(given)
+        else:
+            return BadRequest(part="query string", why=f"{name[:40]}={given[:40]!r}")
+    return out
+
+
+async def _one_search(edge: "Edge", call: HttpCall, query: str, search: str) -> HttpReply:
+    view = await search_view(edge=edge, search=search)
+    if view is None:
+        return defect_reply(defect=UnknownSearch(search=search))
+    return json_reply(body=view)
+
+
 def _ready(edge: "Edge") -> HttpReply:
     refusal = edge.refusal()
     if refusal:
--- a/kelpstage/edge/web/explain.py
+++ b/kelpstage/edge/web/explain.py
@@ -2,16 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
+import json
 from typing import TYPE_CHECKING, Any
 
+from kelpstage.base.defects import Defect
+from kelpstage.base.wire.messages import AskTrail, Trail
 from kelpstage.edge.backend.book import STATE_NAMES
 from kelpstage.edge.backend.choose import options
 from kelpstage.edge.gather.tree import Branch, grow, last_fan_out, levels
 from kelpstage.edge.gossip.swim import STATUS_NAMES
+from kelpstage.edge.timelines import as_json
 
 if TYPE_CHECKING:
     from kelpstage.edge.app import Edge
 
+TRAIL_WAIT_US = 400_000
 
 def plan_view(*, edge: "Edge", collection: str) -> dict[str, Any] | None:
     """The gathering plan as it would be chosen now, lots aside."""
@@ -41,6 +47,31 @@
     }
 
 
+async def search_view(*, edge: "Edge", search: str) -> dict[str, Any] | None:
+    """What was chosen for a search and what became of it: this node's part, and the
+    parts of the partners that it asked, as far as they still know them."""
+    line = edge.timelines.find(search=search)
+    if line is None:
+        return None
+    view = {"node": edge.name, **as_json(line=line)}
+    asked = dict.fromkeys(row["node"] for row in view["timeline"] if row["event"] == "PartnerAsked")
+    parts = await asyncio.gather(*(_part_of(edge=edge, node=n, search=search) for n in asked))
+    view["partners"] = dict(zip(asked, parts))
+    return view
+
+
+async def _part_of(*, edge: "Edge", node: str, search: str) -> dict[str, Any]:
+    member = edge.swim.members.get(node)
+    if member is None:
+        return {"why_not": "no longer a partner"}
+    reply = await edge.lines.call(
+        address=member.info.address, message=AskTrail(search=search), wait_us=TRAIL_WAIT_US
+    )
+    if isinstance(reply, Trail):
+        return json.loads(reply.body) if reply.is_found else {"why_not": "forgotten there"}
+    return {"why_not": reply.kind if isinstance(reply, Defect) else "an odd reply"}
+
+
 def _branch_view(*, edge: "Edge", branch: Branch, collection: str) -> dict[str, Any]:
     domain = _domain_of(edge=edge, name=branch.node)
     return {
--- a/proof/sim/fleet.py
+++ b/proof/sim/fleet.py
@@ -146,7 +146,13 @@
         await stand_in.open()
         self.backends[name] = stand_in
 
+    def is_up(self, *, process: str) -> bool:
+        """Has another fault's story started it already?"""
+        return process in self.processes and self.processes[process].is_alive
+
     async def start_core(self, *, name: str, seeds: list[str] | None = None) -> None:
+        if self.is_up(process=f"core/{name}"):
+            return
         machine = self.world.machines[name]
         process = self._process(name=f"core/{name}", machine=machine)
         own = self.core_address[name]
@@ -165,6 +171,8 @@
         return self.core_address[name].replace(":7100", ":8100")
 
     async def start_edge(self, *, name: str, seeds: list[str] | None = None) -> None:
+        if self.is_up(process=f"edge/{name}"):
+            return
         machine = self.world.machines[name]
         process = self._process(name=f"edge/{name}", machine=machine)
         env = {
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -96,6 +96,9 @@
         (("remove-edge", "node-06", *core), 1, "", "edge_still_here"),
         (("remove-edge", "nobody", *core), 1, "", "unknown_edge"),
         (("status", *core, *edge), 0, "kelpd node-04", ""),
+        (("explain", *edge), 0, "complete", ""),
+        (("explain", "nobody-1-1", *edge), 1, "", "unknown_search"),
+        (("explain", "--only", "odd", *edge), 1, "", "bad_request"),
         (("plan", "nobody", *edge), 1, "", "unknown_collection"),
         (("status", "--core", "127.0.0.1:1"), 4, "", "connect_refused"),
         (("status", "--core", "host:1"), 2, "", "not IP:port"),
@@ -105,6 +108,10 @@
         got, out, err = await tool("ctl", *arguments)
         assert got == code and out_part in out and err_part in err, (arguments, got, out, err)
         assert "Traceback" not in err, err
+    listed = json.loads((await tool("ctl", "explain", "--json", *edge))[1])["searches"]
+    search = next(row["search"] for row in listed if row["part"] == "root")
+    got, out, err = await tool("ctl", "explain", search, *edge)
+    assert got == 0 and "planned under blueprint" in out and "first; window" in out, (out, err)
     day, result = str(fleet.folder / "a.day"), str(fleet.folder / "a.result")
     write_day(path=day, history=[r for r in fleet.history if r["event"] == "call"][-60:])
     got, out, err = await tool(
