--- a/kelpstage/base/journal.py
+++ b/kelpstage/base/journal.py
@@ -11,7 +11,7 @@
 from typing import Any, Callable
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Event:
     """The root of events; each kind is a class of its own.
 
--- a/kelpstage/edge/backend/choose.py
+++ b/kelpstage/edge/backend/choose.py
@@ -13,7 +13,7 @@
 FAR_US = 30_000
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Option:
     """One backend as the choice saw it; the least rank is chosen."""
 
--- a/kelpstage/edge/events.py
+++ b/kelpstage/edge/events.py
@@ -8,27 +8,27 @@
 from kelpstage.base.journal import Event
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Installed(Event):
     epoch: int
     version: int
     source: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class ServingChanged(Event):
     is_serving: bool
     why: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class PartnerChanged(Event):
     partner: str
     status: str
     why: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class BackendChanged(Event):
     backend: str
     state: str
@@ -36,7 +36,7 @@
     seen_by: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class BadPart(Event):
     backend: str
     shard: str
@@ -44,7 +44,7 @@
     why: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class SearchEnded(Event):
     collection: str
     version: int
@@ -54,34 +54,34 @@
     took_us: int
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Restarted(Event):
     collection: str
     was: int
     why: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class StateRefused(Event):
     epoch: int
     why: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Leaving(Event):
     pass
 
 
 # --- what became of one search; these go to a journal of their own ----------------------
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class SearchEvent(Event):
     """Something that a search, or this node's part of it, came to."""
 
     search: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Began(SearchEvent):
     part: str  # root, child or single
     collection: str
@@ -89,18 +89,18 @@
     time_left_us: int
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Planned(SearchEvent):
     version: int
     branch: Any  # the tree from this node down; none for a single record
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class OmissionSet(SearchEvent):
     after_us: int
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class RoundSent(SearchEvent):
     shard: str
     number: int
@@ -110,14 +110,14 @@
     ranked: tuple  # all backends of the shard as the choice saw them, best first
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class RoundRefused(SearchEvent):
     shard: str
     why: str
     ranked: tuple
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class RoundEnded(SearchEvent):
     shard: str
     number: int
@@ -125,7 +125,7 @@
     outcome: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class PartnerAsked(SearchEvent):
     node: str
     shards: tuple[str, ...]
@@ -133,12 +133,12 @@
     is_resumed: bool
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class PartnerLate(SearchEvent):
     node: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class PartnerEnded(SearchEvent):
     node: str
     outcome: str
@@ -146,13 +146,13 @@
     missing: tuple[tuple[str, str, str], ...]
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class BeganAgain(SearchEvent):
     was: int
     why: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Ended(SearchEvent):
     outcome: str
     shards_in: int
