--- a/proof/check/base.py
+++ b/proof/check/base.py
@@ -111,6 +111,8 @@
         row for row in sorted(history, key=lambda row: row.get("at_us", 0))
         if row["event"] == "core" or row["event"] in ("started", "ended") and "edge" in row
     ]
+    if not any(row["event"] == "core" for row in rows):
+        return []  # nobody said anything of cores: nothing to excuse
     cores: set = set()
     knowing: dict[str, bool] = {}  # edges that are up: have they had time for a grant?
     led_us: int | None = None
--- a/proof/fleet/day.py
+++ b/proof/fleet/day.py
@@ -63,6 +63,8 @@
     # Processes that were started anew count from their start alone.
     cpu_after = {n: p.cpu_us() for n, p in fleet.processes.all.items()}
     await fleet.drain_callers()
+    if has_faults:
+        await _last_fault(fleet=fleet, say=say)
     statuses = {}
     for node in fleet.deployment.nodes:
         statuses[node.name] = await fleet.edge_status(name=node.name)
@@ -146,22 +148,87 @@
         if node.has_disk:
             await fleet.restart_core(name=node.name)
     say("rolling restart done")
-    await until(0.80)
+    await until(0.72)
     fleet.fault(what="core replaced", excuses=[])
     lost = next(iter(fleet.core_http))
     fresh = await fleet.replace_core(name=lost)
     say(f"core {lost} lost with its disk, {fresh} has its place")
-    await until(0.92)
+    await until(0.78)
+    await _kill_herd(fleet=fleet, say=say)
+    await until(0.83)
+    await _kill_cores(fleet=fleet, say=say)
+    await until(0.87)
+    await put("before the disk is lost")
+    await _lose_disk(fleet=fleet, say=say)
+    await until(0.91)
     await put("last")
+    fleet.note({"event": "returned", "what": "everything"})
+
+
+async def _kill_herd(*, fleet: Fleet, say: Any) -> None:
+    """Most edges are killed at once, and started again."""
+    nodes = fleet.deployment.nodes
+    names = [node.name for node in nodes[1::2] + nodes[::4]]
+    number = fleet.fault(
+        what="edge herd", excuses=["edge", "away"], nodes=names, after_us=2_000_000
+    )
+    fleet.kill_edges(names=names)
+    await fleet.ports.clock.sleep(us=2_000_000)
+    for name in names:
+        fleet.start_edge(name=name)
+        fleet.note({"event": "started", "edge": name})
+    await fleet.wait_for(what="the herd", is_there=fleet.all_ready)
+    fleet.fault_end(fault=number)
+    fleet.note({"event": "returned", "what": "edge herd"})
+    say(f"{len(names)} edges killed at once, all are back")
+
+
+async def _kill_cores(*, fleet: Fleet, say: Any) -> None:
+    """Every core is killed at once; the fleet serves on."""
+    number = fleet.fault(what="all cores killed", excuses=["away"])
+    names = list(fleet.core_http)
+    for name in names:
+        fleet.kill_core(name=name)
+    await fleet.ports.clock.sleep(us=4_000_000)
+    for name in names:
+        fleet.start_core(name=name)
+    await fleet.wait_for(what="a leader again", is_there=fleet.has_leader)
+    fleet.fault_end(fault=number)
+    say("all cores killed at once, a leader is there again")
+
+
+async def _lose_disk(*, fleet: Fleet, say: Any) -> None:
+    """Right after a put was acknowledged, its leader's disk is lost."""
+    leader = await fleet.leader()
+    if leader is None:
+        return
+    number = fleet.fault(what="disk lost", excuses=[])
+    fleet.kill_core(name=leader)
+    fleet.lose_disk(name=leader)
+    fleet.start_core(name=leader)
+    await fleet.wait_for(what="three voters", is_there=fleet.has_three_voters)
+    fleet.fault_end(fault=number)
+    say(f"leader {leader} lost its disk after an acknowledgement, three voters again")
+
+
+async def _last_fault(*, fleet: Fleet, say: Any) -> None:
+    """One more fault at the close: the leader is killed; the blueprint is read back
+    from those that are left."""
+    leader = await fleet.leader()
+    if leader is None:
+        return
+    fleet.fault(what="leader killed at the close", excuses=[])
+    fleet.kill_core(name=leader)
+    del fleet.core_http[leader]
+    await fleet.wait_for(what="another leader", is_there=fleet.has_leader)
+    say(f"leader {leader} killed at the close")
 
 
 async def _kill_edge(*, fleet: Fleet, name: str, until: Any, back_at: float, say: Any) -> None:
     number = fleet.fault(
         what="edge killed", excuses=["edge"], nodes=[name], after_us=2_000_000
     )
-    fleet.signal_edge(name=name, number=signal.SIGKILL)
-    fleet.processes.all[f"edge-{name}"].reap()
-    fleet.note({"event": "ended", "edge": name})
+    fleet.kill_edges(names=[name])
     say(f"edge {name} killed")
     await until(back_at)
     fleet.start_edge(name=name)
--- a/proof/fleet/fleet.py
+++ b/proof/fleet/fleet.py
@@ -89,6 +89,7 @@
             self.start_core(name=node.name)
         for node in self.deployment.nodes:
             self.start_edge(name=node.name)
+            self.note({"event": "started", "edge": node.name})
         await self.wait_for(what="stand-ins", is_there=self._hosts_are_up)
         await self.wait_for(what="a leader", is_there=self.has_leader)
 
@@ -139,6 +140,7 @@
                 name=f"core-{name}", module="kelpstage.core.main", env=env, arguments=[]
             )
         process.start()
+        self.note({"event": "core", "core": name, "is_up": True})
         return process
 
     def start_edge(self, *, name: str) -> Process:
@@ -284,10 +286,38 @@
         )
         self.note({"event": "ready", "edge": name})
 
+    def kill_edges(self, *, names: list[str]) -> None:
+        """End edges at once, without a warning."""
+        for name in names:
+            self.signal_edge(name=name, number=signal.SIGKILL)
+        for name in names:
+            self.processes.all[f"edge-{name}"].reap()
+            self.note({"event": "ended", "edge": name})
+
+    def kill_core(self, *, name: str) -> None:
+        """End a core at once, without a warning."""
+        self.processes.all[f"core-{name}"].kill()
+        self.note({"event": "core", "core": name, "is_up": False})
+
+    def lose_disk(self, *, name: str) -> None:
+        """A core that has ended loses its folder; it will start empty."""
+        data = self.folder / f"data-{name}"
+        shutil.rmtree(data)
+        data.mkdir()
+
+    async def has_three_voters(self) -> bool:
+        """Does a leader have three voters, all heard of just now?"""
+        leader = await self.leader()
+        if leader is None:
+            return False
+        view = await self.get(address=self.core_http[leader], path="/v1/status")
+        voters = [m for m in (view or {}).get("members", []) if m["is_voter"]]
+        return len(voters) == 3 and all(m.get("heard_us_ago", 0) < 1_000_000 for m in voters)
+
     async def replace_core(self, *, name: str) -> str:
         """Kill a core, lose its folder, start an empty one at a new address; wait
         until the leader counts it among its voters."""
-        self.processes.all[f"core-{name}"].kill()
+        self.kill_core(name=name)
         fresh = f"{name}-new"
         take = self.processes.ports.take
         self.core_own[fresh], self.core_http[fresh] = take(), take()
--- a/proof/main.py
+++ b/proof/main.py
@@ -185,6 +185,7 @@
     choice: str = typer.Argument(help=f"One of: {', '.join(CHOICES)}."),
     deployment: str = typer.Option("senegal", help=f"One of: {', '.join(names())}."),
     seeds: str = typer.Option("1-8", help="Seeds: 7, 1-40 or 3,5,8-9."),
+    far_ms: int = typer.Option(0, min=0, max=500, help="Distance between domains, as in sim."),
     workers: int = typer.Option(8, min=1, max=64, help="Worlds run side by side."),
 ) -> None:
     """Compare the variants of a choice over the same seeds, in virtual time."""
@@ -199,7 +200,8 @@
     with ProcessPoolExecutor(max_workers=workers) as pool:
         waiting = [
             pool.submit(
-                run_variant, choice=choice, variant=v.name, deployment=deployment, seed=seed
+                run_variant, choice=choice, variant=v.name, deployment=deployment, seed=seed,
+                far_us=far_ms * 1000,
             )
             for seed in numbers
             for v in CHOICES[choice].variants
--- a/proof/measure/choices.py
+++ b/proof/measure/choices.py
@@ -261,7 +261,7 @@
                 name=f"one in {n}",
                 constants={"kelpstage.edge.rounds.budget:SERVICE_SHARE": n},
             )
-            for n in (5, 10, 20)
+            for n in (7, 10, 20)
         ),
         story=bad_day,
         rate=0.3,
@@ -324,7 +324,7 @@
 
 
 def run_variant(
-    *, choice: str, variant: str, deployment: str, seed: int
+    *, choice: str, variant: str, deployment: str, seed: int, far_us: int = 0
 ) -> tuple[str, int, Numbers]:
     """One seed of one variant."""
     chosen = CHOICES[choice]
@@ -341,6 +341,7 @@
             deployment=dataclasses.replace(shape, **one.fields),
             story=story,
             rate=chosen.rate,
+            far_us=far_us,
         )
     return variant, seed, numbers
 
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -31,8 +31,7 @@
     assert reply.status == 200, reply
     edge = "node-05"
     number = fleet.fault(what="edge_kill", excuses=["edge"], nodes=[edge], after_us=2_000_000)
-    fleet.signal_edge(name=edge, number=signal.SIGKILL)
-    fleet.processes.all[f"edge-{edge}"].reap()
+    fleet.kill_edges(names=[edge])
     fleet.platform.forget(name=edge)
     await call_until(fleet=fleet, count=CALLS)
     fleet.start_edge(name=edge)
