--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,49 @@
+"""The pages name every defect, setting and fault story that there is."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+import unittest
+
+from kelpstage.base import defects
+from kelpstage.base.env.read import CORE_FORM, EDGE_FORM
+from proof.check.register import CHECKERS
+from proof.sim.faults import FAULTS
+
+DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
+
+
+def page(*, name: str) -> str:
+    return (DOCS / name).read_text(encoding="utf-8")
+
+
+class Pages(unittest.TestCase):
+    def test_every_defect_is_explained(self) -> None:
+        text = page(name="callers.md") + page(name="operators.md")
+        kinds = [
+            defects.tag_of(name=name)
+            for name, kind in vars(defects).items()
+            if isinstance(kind, type) and issubclass(kind, defects.Defect) and name != "Defect"
+        ]
+        self.assertGreater(len(kinds), 30)
+        self.assertEqual([], [kind for kind in kinds if f"`{kind}`" not in text])
+
+    def test_every_setting_is_explained(self) -> None:
+        text = page(name="operate/settings.md")
+        names = {key.name for form in (CORE_FORM, EDGE_FORM) for key in form.keys}
+        self.assertGreater(len(names), 6)
+        self.assertEqual([], sorted(name for name in names if f"`{name}`" not in text))
+
+    def test_every_fault_and_checker_stands_in_the_table(self) -> None:
+        text = page(name="failures.md")
+        self.assertEqual([], [name for name in FAULTS if f"`{name}`" not in text])
+        self.assertEqual([], [name for name in CHECKERS if f".{name}`" not in text])
+
+    def test_links_between_pages_lead_somewhere(self) -> None:
+        broken = []
+        for path in [*DOCS.rglob("*.md"), DOCS.parent / "README.md"]:
+            for target in re.findall(r"\]\(([^)#]+)[^)]*\)", path.read_text(encoding="utf-8")):
+                if "://" not in target and not (path.parent / target).exists():
+                    broken.append(f"{path.name}: {target}")
+        self.assertEqual([], broken)
