--- a/kelpstage/edge/gather/passes/send.py
+++ b/kelpstage/edge/gather/passes/send.py
@@ -26,6 +26,7 @@
 from kelpstage.edge.gather.world import World
 
 LOOK_AGAIN_US = 100_000
+LAST_SEND_US = 3_000
 WINDOW_SHARE = 40  # per cent of the time left
 
 
@@ -94,6 +95,8 @@
         option for option in ranked if not option.refusal and option.backend not in tried
     ]
     cell.wants_round = False
+    if (cell.rounds or cell.is_extra) and record.due_us - world.now_us < LAST_SEND_US:
+        choices = []  # no answer could be in time
 
     def refuse(why: str) -> None:
         world.trail.add(
@@ -297,3 +300,5 @@
         if cell.is_extra and not cell.is_forced and not cell.rounds:
             del record.cells[cell.shard]
             record.missing[cell.shard] = (cell.cause, cell.detail)
+            for kid in record.kids:  # to be tried again when the budget has room
+                kid.is_regathered &= cell.shard not in kid.branch.all_shards()
--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -32,8 +32,10 @@
 RENEW_US = 500_000
 RETRY_US = 60_000
 RENEW_WAIT_US = 600_000
-RELAY_WAIT_US = 900_000
+RELAY_WAIT_US = 550_000
 RELAYS = 5
+RELAY_EVERY_US = 250_000
+PASSED_OVER_US = 2_000_000
 MEET_US = 2_000_000
 WITNESS_EVERY_US = 300_000
 WITNESS_WAIT_US = 500_000
@@ -68,6 +70,9 @@
         self.leader = ""
         self.last_why = "not asked yet"
         self._turn = 0
+        self._silent_until: dict[str, int] = {}
+        self._is_relaying = False
+        self._relayed_us = 0
         self._fetching = False
         self._wake = asyncio.Event()
         self.is_leaving = False
@@ -97,10 +102,13 @@
         )
 
     def _next_core(self) -> str:
-        """The leader if it is known, else the cores and seeds by turns."""
+        """The leader if it is known, else the cores and seeds by turns; one that gave no
+        answer a moment ago is passed over, since each wait for it costs grant."""
         if self.leader:
             return self.leader
         known = list(dict.fromkeys(self.cores + self._seeds))
+        now_us = self._ports.clock.now_us()
+        known = [one for one in known if now_us >= self._silent_until.get(one, 0)] or known
         self._turn += 1
         return known[self._turn % len(known)]
 
@@ -111,14 +119,26 @@
         self._ports.point("edge.before_renew")
         reply = await self._lines.call(address=target, message=message, wait_us=RENEW_WAIT_US)
         if isinstance(reply, GrantReply):
-            return self._take(reply=reply, sent_us=sent_us, target=target)
+            is_granted = self._take(reply=reply, sent_us=sent_us, target=target)
+            if not is_granted and not self.leader:
+                self._relay_soon(target=target)  # this core may be the one that is cut off
+            return is_granted
         self.last_why = f"{target}: {reply.kind if isinstance(reply, Defect) else 'odd reply'}"
         self.leader = ""
-        if sent_us - self.keeper.granted_us < RENEW_US:
-            return False
-        return await self._renew_through_partner(target=target)
+        self._silent_until[target] = self._ports.clock.now_us() + PASSED_OVER_US
+        self._relay_soon(target=target)
+        return False  # meanwhile the other cores are asked from here
+
+    def _relay_soon(self, *, target: str) -> None:
+        """Ask through partners, one wave at a time, if the grant is not fresh."""
+        now_us = self._ports.clock.now_us()
+        is_fresh = now_us - self.keeper.granted_us < RENEW_US
+        if is_fresh or self._is_relaying or now_us - self._relayed_us < RELAY_EVERY_US:
+            return
+        self._is_relaying, self._relayed_us = True, now_us
+        self._ports.spawn(self._renew_through_partner(target=target))
 
-    async def _renew_through_partner(self, *, target: str) -> bool:
+    async def _renew_through_partner(self, *, target: str) -> None:
         """A core that cannot be reached from here may be from elsewhere. Several
         partners are asked at once: some may be behind the same cut."""
         partners = sorted(
@@ -138,10 +158,12 @@
             reply = await call
             if not isinstance(reply, GrantReply):
                 continue
-            if reply.is_granted:
-                return self._take(reply=reply, sent_us=sent_us, target=target)
-            refused = reply
-        return refused is not None and self._take(reply=refused, sent_us=sent_us, target=target)
+            refused = None if reply.is_granted else reply
+            if reply.is_granted and self._take(reply=reply, sent_us=sent_us, target=target):
+                break
+        if refused is not None and not self.leader:
+            self._take(reply=refused, sent_us=sent_us, target=target)
+        self._is_relaying = False
 
     def _take(self, *, reply: GrantReply, sent_us: int, target: str) -> bool:
         keeper = self.keeper
--- a/kelpstage/edge/handlers.py
+++ b/kelpstage/edge/handlers.py
@@ -25,7 +25,7 @@
 from kelpstage.edge.gather.task import child_record, reply_of
 from kelpstage.edge.timelines import as_json
 
-RELAY_US = 700_000
+RELAY_US = 380_000
 LONGEST_GATHER_US = 120_000_000
 
 
