--- a/proof/fleet/day.py
+++ b/proof/fleet/day.py
@@ -206,7 +206,9 @@
     fleet.kill_core(name=leader)
     fleet.lose_disk(name=leader)
     fleet.start_core(name=leader)
-    await fleet.wait_for(what="three voters", is_there=fleet.has_three_voters)
+    await fleet.wait_for(
+        what="the lost core as a voter", is_there=lambda: fleet.is_made_good(name=leader)
+    )
     fleet.fault_end(fault=number)
     say(f"leader {leader} lost its disk after an acknowledgement, three voters again")
 
--- a/proof/fleet/fleet.py
+++ b/proof/fleet/fleet.py
@@ -305,14 +305,15 @@
         shutil.rmtree(data)
         data.mkdir()
 
-    async def has_three_voters(self) -> bool:
-        """Does a leader have three voters, all heard of just now?"""
+    async def is_made_good(self, *, name: str) -> bool:
+        """Is a core that lost its disk a voter again, as the replica that it is now?"""
         leader = await self.leader()
         if leader is None:
             return False
         view = await self.get(address=self.core_http[leader], path="/v1/status")
-        voters = [m for m in (view or {}).get("members", []) if m["is_voter"]]
-        return len(voters) == 3 and all(m.get("heard_us_ago", 0) < 1_000_000 for m in voters)
+        voters = [m["replica"] for m in (view or {}).get("members", []) if m["is_voter"]]
+        own = await self.get(address=self.core_http[name], path="/v1/status")
+        return len(voters) == 3 and (own or {}).get("replica") in voters
 
     async def replace_core(self, *, name: str) -> str:
         """Kill a core, lose its folder, start an empty one at a new address; wait
