--- a/proof/fleet/day.py
+++ b/proof/fleet/day.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from proof.check.register import judge
+from proof.check.serving import LOOK_US, RETURN_US
 from proof.fleet.deployment import load
 from proof.fleet.fleet import Fleet, start_callers
 from proof.fleet.machine import watch_machine
@@ -163,6 +164,7 @@
     await until(0.91)
     await put("last")
     fleet.note({"event": "returned", "what": "everything"})
+    await fleet.ports.clock.sleep(us=RETURN_US + LOOK_US + 1_000_000)  # so that it can be judged
 
 
 async def _kill_herd(*, fleet: Fleet, say: Any) -> None:
--- a/proof/fleet/fleet.py
+++ b/proof/fleet/fleet.py
@@ -18,6 +18,7 @@
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from proof.check.notes import Notes
 from proof.fleet.deployment import Deployment, blueprint_of, digest_of, facts_of
+from proof.fleet.machine import NOISY_LAG_US
 from proof.fleet.processes import Process, Processes
 from proof.standin.callers import Callers
 from proof.standin.platform import Platform
@@ -81,6 +82,8 @@
 
     async def start(self) -> None:
         """Start everything and wait until every edge that can be reached is known."""
+        # The rig itself may be late by what its watch of the machine does not yet call noise.
+        self.note({"event": "lines", "one_way_us": NOISY_LAG_US // 2})
         for cut in self.cuts.values():
             self.note({"event": "cut", "cut": cut.name, "shards": list(cut.shards)})
         self._start_hosts()
