--- a/proof/check/answers.py
+++ b/proof/check/answers.py
@@ -2,7 +2,14 @@
 
 from __future__ import annotations
 
-from proof.check.base import Violation, acknowledged, empty, good_calls, rows_of
+from proof.check.base import (
+    Violation,
+    acknowledged,
+    empty,
+    good_calls,
+    rows_of,
+    unsettled_puts,
+)
 
 
 def silent_omission(history: list[dict]) -> list[Violation]:
@@ -85,11 +92,15 @@
         for row in rows_of(history=history, event="put")
         if row.get("status") == 200 and row.get("quorum")
     }
+    # A put that its operator was not told the end of may be in force under a version
+    # that nobody knows; its cut tells what it demands.
+    unsettled = {row.get("cut"): row.get("quorum") for row in unsettled_puts(history=history)}
     return [
         _of(line=line, row=row, why=f"{len(row['parts'])} shards")
         for row in calls
         if not row.get("single")
-        and len(row["parts"]) < quorum_of.get(row["version"], row["quorum"])
+        and len(row["parts"])
+        < quorum_of.get(row["version"], unsettled.get(row.get("cut")) or row["quorum"])
     ]
 
 
--- a/tests/test_fleet_sim.py
+++ b/tests/test_fleet_sim.py
@@ -11,7 +11,7 @@
 from proof.fleet.deployment import load
 from proof.sim.faults import FAULTS
 from proof.sim.fleet import SimFleet, run_sim
-from proof.sim.story import Planned, run_plan
+from proof.sim.story import Planned, plan_combination, run_plan
 
 TIME = {"Kelp-Time-Left-Us": "1000000"}
 
@@ -308,6 +308,35 @@
         self.assertNotEqual(histories[0], other)
 
 
+class Combinations(unittest.TestCase):
+    """Days of four faults, and days far apart, that once broke a line."""
+
+    def judge_run(self, *, seed: int, deployment: str, names: str = "", far_us: int = 0) -> None:
+        plan = [Planned(at_us=100_000, name=name) for name in names.split()]
+        plan = plan or plan_combination(seed=seed, count=4)
+        outcome, _ = run_plan(seed=seed, deployment=deployment, plan=plan, far_us=far_us)
+        self.assertEqual([], outcome.violations)
+        self.assertGreater(outcome.good, 100)
+
+    def test_a_vanished_backend_and_a_fresh_edge(self) -> None:
+        self.judge_run(seed=312, deployment="senegal")
+
+    def test_an_edge_cut_one_way_while_the_lead_changes(self) -> None:
+        self.judge_run(seed=403, deployment="senegal")
+
+    def test_a_late_helper_without_budget(self) -> None:
+        self.judge_run(seed=427, deployment="netherlands")
+
+    def test_a_herd_while_cores_are_gone(self) -> None:
+        self.judge_run(seed=325, deployment="netherlands")
+
+    def test_a_domain_cut_off_far_away(self) -> None:
+        self.judge_run(seed=6, deployment="netherlands", names="domain_cut", far_us=60_000)
+
+    def test_moved_backends_far_away(self) -> None:
+        self.judge_run(seed=5, deployment="netherlands", names="put_moves", far_us=60_000)
+
+
 class EachFault(FixedSeeds):
     """One test for each fault, alone on the small fleet."""
 
