Merge: a lost kid takes one way, reached or not; one name for an outcome

Read over once more: the branch for a refused connection stood before its twin for every other loss, and the naming of outcomes was written twice.

--- a/kelpstage/edge/gather/passes/merge.py
+++ b/kelpstage/edge/gather/passes/merge.py
@@ -87,7 +87,7 @@
 def _note_kid(*, kid: Kid, outcome: Any, record: Gathering, world: World) -> None:
     parts: tuple = ()
     missing: tuple = ()
-    name = outcome.kind if isinstance(outcome, Defect) else "in"
+    name = _name_of(outcome=outcome)
     if isinstance(outcome, Gathered):
         name = "stale" if outcome.is_stale else "partly in" if outcome.is_open else "in"
         parts = tuple(part.shard for part in outcome.parts)
@@ -132,13 +132,11 @@
     if isinstance(outcome, Gathered) and outcome.is_stale:
         _kid_is_elsewhere(reply=outcome, kid=kid, record=record, world=world)
         return
-    if isinstance(outcome, ConnectRefused):
-        _kid_lost(kid=kid, why=outcome.kind, record=record, world=world, is_sent=False)
-        return
     records = unpack_records(data=outcome.records) if isinstance(outcome, Gathered) else None
     if records is None or not _is_proper(reply=outcome, kid=kid, record=record):
         why = outcome.kind if isinstance(outcome, Defect) else "improper reply"
-        _kid_lost(kid=kid, why=why, record=record, world=world)
+        is_sent = not isinstance(outcome, ConnectRefused)
+        _kid_lost(kid=kid, why=why, record=record, world=world, is_sent=is_sent)
         return
     kid.state = IN
     kid.is_open = outcome.is_open
