Configurations: services, forward routes by host and prefix, callers' limits, source

A document may now name services and forward routes (host, longest prefix; shares of services, or services as shards) instead of backends, collections and routes of its own. Each forward route also yields a collection and a route, so that the gathering engine runs on it unchanged.

The two sections are judged by hand: most faults there concern two keys or two routes.

--- a/kelpstage/base/blueprint/check.py
+++ b/kelpstage/base/blueprint/check.py
@@ -11,12 +11,17 @@
 
 import trafaret as t
 
+from kelpstage.base.blueprint.forward import read_forward, read_services
 from kelpstage.base.blueprint.types import (
     Backend,
     Blueprint,
+    CallerLimits,
     Collection,
+    ForwardRoute,
+    ForwardTable,
     Route,
     Selector,
+    Service,
     Shard,
     is_match,
 )
@@ -24,8 +29,10 @@
 from kelpstage.base.wire.address import is_address
 
 DOCUMENT_LIMIT = 4 * 1024 * 1024
+VERSION_LIMIT = 2**62
 DEFAULT_TREE_FAN_OUT = 5
 DEFAULT_WINDOW_US = 10_000
+RECORDS = "records16"
 
 NAME = t.Regexp(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,63}$")
 
@@ -54,40 +61,74 @@
         t.List(t.String(allow_blank=False, max_length=128), min_length=1),
     ),
 )
-FORM = t.Dict(
-    {
-        t.Key("backends"): t.Mapping(
-            NAME,
-            t.Dict({t.Key("address", optional=True): ADDRESS, t.Key("labels"): LABELS}),
-        ),
-        t.Key("nodes", optional=True): t.Mapping(NAME, t.Dict({t.Key("labels"): LABELS})),
-        t.Key("collections"): t.Mapping(
-            NAME,
-            t.Dict(
-                {
-                    t.Key("order_by", optional=True): t.String(allow_blank=False, max_length=64),
-                    t.Key("gatherers", optional=True): SELECTOR,
-                    t.Key("shards"): t.Mapping(
-                        NAME, t.Dict({t.Key("cut"): NAME, t.Key("selector"): SELECTOR})
-                    ),
-                }
-            ),
-        ),
-        t.Key("routes"): t.Mapping(
-            NAME,
-            t.Dict(
-                {
-                    t.Key("FanOut"): t.List(NAME, min_length=1, max_length=3125),
-                    t.Key("Quorum"): _whole(low=1, high=3125),
-                    t.Key("fan_out", optional=True): _whole(low=2, high=64),
-                    t.Key("window_us", optional=True): _whole(low=1_000, high=60_000_000),
-                }
+BACKENDS = t.Mapping(
+    NAME, t.Dict({t.Key("address", optional=True): ADDRESS, t.Key("labels"): LABELS})
+)
+COLLECTIONS = t.Mapping(
+    NAME,
+    t.Dict(
+        {
+            t.Key("order_by", optional=True): t.String(allow_blank=False, max_length=64),
+            t.Key("gatherers", optional=True): SELECTOR,
+            t.Key("shards"): t.Mapping(
+                NAME, t.Dict({t.Key("cut"): NAME, t.Key("selector"): SELECTOR})
             ),
-        ),
+        }
+    ),
+)
+ROUTES = t.Mapping(
+    NAME,
+    t.Dict(
+        {
+            t.Key("FanOut"): t.List(NAME, min_length=1, max_length=3125),
+            t.Key("Quorum"): _whole(low=1, high=3125),
+            t.Key("fan_out", optional=True): _whole(low=2, high=64),
+            t.Key("window_us", optional=True): _whole(low=1_000, high=60_000_000),
+        }
+    ),
+)
+LIMITS = t.Dict(
+    {
+        t.Key("header_bytes"): _whole(low=1, high=2**40),
+        t.Key("body_bytes"): _whole(low=0, high=2**40),
+        t.Key("header_us"): _whole(low=1, high=2**50),
+        t.Key("idle_us"): _whole(low=1, high=2**50),
     }
 )
 
 
+def _encodable(value: str) -> Any:
+    try:
+        value.encode()
+    except UnicodeEncodeError:
+        return t.DataError("value is not Unicode text", value=value)
+    return value
+
+
+SOURCE = t.String(allow_blank=True) & t.Call(_encodable)
+
+
+def _form(*, has_forward: bool) -> t.Dict:
+    """The document's shape; `services` and `forward` are judged by `forward.py`."""
+    return t.Dict(
+        {
+            t.Key("backends", optional=has_forward): BACKENDS,
+            t.Key("nodes", optional=True): t.Mapping(NAME, t.Dict({t.Key("labels"): LABELS})),
+            t.Key("collections", optional=has_forward): COLLECTIONS,
+            t.Key("routes", optional=has_forward): ROUTES,
+            t.Key("services", optional=True): t.Any,
+            t.Key("forward", optional=True): t.Any,
+            t.Key("limits", optional=True): LIMITS,
+            t.Key("source", optional=True): SOURCE,
+            t.Key("version", optional=True): _whole(low=1, high=VERSION_LIMIT),
+        }
+    )
+
+
+FORM = _form(has_forward=False)
+FORWARD_FORM = _form(has_forward=True)
+
+
 def flatten(*, error: Any, path: str = "") -> list[Fault]:
     """Turn trafaret's nested errors into faults with paths.
 
@@ -153,21 +194,41 @@
     raw = load_json(data=data)
     if isinstance(raw, BlueprintRefused):
         return raw
+    has_forward = isinstance(raw, dict) and "forward" in raw
+    faults: list[Fault] = []
+    form: dict = {}
     try:
-        form = FORM.check(raw)
+        form = (FORWARD_FORM if has_forward else FORM).check(raw)
     except t.DataError as error:
-        return BlueprintRefused(faults=flatten(error=error))
+        faults += flatten(error=error)
     except RecursionError:
         return _refused(path="(whole)", why="nested too deep")
-    blueprint = _build(form=form, data=data, version=version)
+    forward: dict[str, ForwardRoute] = {}
+    services, found = read_services(raw=raw.get("services", {}) if isinstance(raw, dict) else {})
+    faults += found
+    if has_forward:
+        named = raw.get("services")
+        named = named if isinstance(named, dict) else {}
+        forward, found = read_forward(raw=raw["forward"], services=named)
+        faults += found
+    if faults:
+        return BlueprintRefused(faults=faults)
+    blueprint = _build(form=form, data=data, version=version, services=services, forward=forward)
     faults = _judge(blueprint=blueprint, form=form)
     return BlueprintRefused(faults=faults) if faults else blueprint
 
 
-def _build(*, form: dict, data: bytes, version: int) -> Blueprint:
+def _build(
+    *,
+    form: dict,
+    data: bytes,
+    version: int,
+    services: dict[str, Service],
+    forward: dict[str, ForwardRoute],
+) -> Blueprint:
     backends = {
         name: Backend(name=name, address=raw.get("address"), labels=raw["labels"])
-        for name, raw in sorted(form["backends"].items())
+        for name, raw in sorted(form.get("backends", {}).items())
     }
     collections = {
         name: Collection(
@@ -179,7 +240,7 @@
                 for shard, inner in sorted(raw["shards"].items())
             },
         )
-        for name, raw in sorted(form["collections"].items())
+        for name, raw in sorted(form.get("collections", {}).items())
     }
     routes = {
         name: Route(
@@ -189,7 +250,7 @@
             tree_fan_out=raw.get("fan_out", DEFAULT_TREE_FAN_OUT),
             window_us=raw.get("window_us", DEFAULT_WINDOW_US),
         )
-        for name, raw in sorted(form["routes"].items())
+        for name, raw in sorted(form.get("routes", {}).items())
     }
     shard_backends = {
         (collection.name, shard.name): tuple(
@@ -201,6 +262,13 @@
         for collection in collections.values()
         for shard in collection.shards.values()
     }
+    shards = {name: Shard(name=name, cut="", selector={}) for name in services}
+    for route in forward.values():
+        if route.name in collections:
+            continue  # a fault, told below
+        collections[route.name] = _collection_of(route=route, shards=shards)
+        routes[route.name] = _route_of(route=route)
+    limits = form.get("limits")
     return Blueprint(
         version=version,
         document=data,
@@ -209,15 +277,49 @@
         collections=collections,
         routes=routes,
         shard_backends=shard_backends,
+        services=services,
+        forward=forward,
+        limits=None if limits is None else CallerLimits(**limits),
+        source=form.get("source", "").encode(),
+        stated_version=form.get("version", 0),
+        forward_table=ForwardTable(routes=forward.values()),
+    )
+
+
+def _collection_of(*, route: ForwardRoute, shards: dict[str, Shard]) -> Collection:
+    """What the gathering engine sees of a forward route: each service is a shard."""
+    return Collection(
+        name=route.name,
+        order_by="",
+        gatherers={},
+        shards={service: shards[service] for service in route.services},
+        codec=RECORDS,
+    )
+
+
+def _route_of(*, route: ForwardRoute) -> Route:
+    return Route(
+        collection=route.name,
+        fan_out=route.services,
+        quorum=route.quorum,
+        tree_fan_out=DEFAULT_TREE_FAN_OUT,
+        window_us=DEFAULT_WINDOW_US,
+        aim_us=route.aim_us,
     )
 
 
 def _judge(*, blueprint: Blueprint, form: dict) -> list[Fault]:
-    faults: list[Fault] = []
+    faults = [
+        Fault(path=f"forward.{name}", why="the name of a collection")
+        for name in blueprint.forward
+        if name in form.get("collections", {}) or name in form.get("routes", {})
+    ]
     for collection in blueprint.collections.values():
+        if collection.codec == RECORDS:
+            continue  # made from a forward route, judged there
         faults += _judge_collection(blueprint=blueprint, collection=collection, form=form)
-    for route in blueprint.routes.values():
-        faults += _judge_route(blueprint=blueprint, route=route)
+    for name in form.get("routes", {}):
+        faults += _judge_route(blueprint=blueprint, route=blueprint.routes[name])
     return faults
 
 
