Backends: lives by instance id in the book, judged by what requests show, drawn by lot

Cause: on a platform that lists starts of backends, a backend is not a name in the configuration but a life with an instance id; its address may belong to another service's backend a few seconds later, and its two or three slots are shared by all edges.

The book takes over whole lists (set_lives): what is left out is gone for new requests at once, what drains never comes back, also where a later list says so. Where all lives of a service are shunned the least bad one is still offered.

Choice: expected time (pace, queue over slots, cold, way), drawn by lot with the power four.

tests/test_wire.py: betterproto leaves out empty items of lists, the codec keeps them; the comparison met one only by luck of the seed. They have a test of their own now, which asks for more than before.

--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -385,6 +385,48 @@
     body: bytes = bp.bytes_field(2)  # JSON
 
 
+@dataclass
+class LifeMsg(Message):
+    """One start of a backend, as the list has it."""
+
+    instance: str = bp.string_field(1)
+    service: str = bp.string_field(2)
+    address: str = bp.string_field(3)
+    zone: str = bp.string_field(4)
+    slots: int = bp.uint32_field(5)
+    is_draining: bool = bp.bool_field(6)
+    cold_us: int = bp.uint64_field(7)
+    revision: str = bp.string_field(8)
+
+
+@dataclass
+class ListNews(Message):
+    """What the list of lives came to, `age_us` ago: changes, or the whole of it.
+
+    `digest` is that of the whole list once the changes are in; `tell` are the addresses
+    that the receiver passes it on to.
+    """
+
+    reader: str = bp.string_field(1)
+    sender: str = bp.string_field(2)  # its own address, to ask back at
+    digest: int = bp.uint64_field(3)
+    age_us: int = bp.uint64_field(4)
+    is_whole: bool = bp.bool_field(5)
+    changed: List[LifeMsg] = bp.message_field(6)
+    gone: List[str] = bp.string_field(7)
+    tell: List[str] = bp.string_field(8)
+    is_known: bool = bp.bool_field(9)  # False: the sender has no list either
+    is_last: bool = bp.bool_field(10)  # the reader leaves: another may read at once
+
+
+@dataclass
+class AskList(Message):
+    """Tell me the list, unless mine is the same."""
+
+    digest: int = bp.uint64_field(1)
+    has_list: bool = bp.bool_field(2)
+
+
 TYPES: dict[int, type] = {
     1: AskVote, 2: VoteReply, 3: Append, 4: AppendReply, 5: CaptureOffer, 6: TimeoutNow,
     10: SeedProbe, 11: SeedState, 13: JoinCore, 14: Done,
@@ -392,5 +434,6 @@
     30: Meet, 31: MeetReply, 32: Renew, 33: GrantReply, 34: RelayRenew, 35: Announce,
     36: Witness, 37: WitnessReply,
     50: Gather, 51: Gathered, 52: AskTrail, 53: Trail,
+    70: ListNews, 71: AskList,
 }
 NUMBERS: dict[type, int] = {kind: number for number, kind in TYPES.items()}
--- a/kelpstage/edge/backend/book.py
+++ b/kelpstage/edge/backend/book.py
@@ -5,14 +5,24 @@
 after the bad news may say that a backend is up again. That a backend gives no
 answer at all ('dark') is kept for each observer: one cut line must not condemn
 a backend for all.
+
+Two kinds of backend stand in it. Declared ones come from the blueprint, under their
+names. *Lives* come from the list (`lists.py`), under their instance ids: one that
+drains never comes back, one that the list leaves out is gone at once, and all else is
+judged by what requests show (`evidence.py`).
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace  # noqa: F401, for the examples
+from typing import Iterable
 
 from kelpstage.base.blueprint.types import Blueprint
 from kelpstage.base.wire.messages import RumorMsg
+from kelpstage.edge.backend import evidence
+from kelpstage.edge.backend.evidence import Evidence
+from kelpstage.edge.backend.life import Life
+from kelpstage.edge.backend.places import Places
 
 UP, DARK, DRAINING, GONE, LYING = 0, 1, 2, 3, 4
 STATE_NAMES = {
@@ -30,9 +40,29 @@
 REST_US = 30_000_000
 PROBE, KNOCK, LEAVE = "probe", "knock", "leave"
 LIE_TOLD_US = 1_000_000
+SHUN_TOLD_US = 2_000_000
+GONE_KEPT_US = 60_000_000
+LINE_SHARE = 80  # per cent of a service's connections that the edges share
+EDGES_KEPT_US = 30_000_000
+MEDIAN_KEPT_US = 200_000
+UNKNOWN_US = 20_000
+
+
+def line_limit(*, max_connections: int, live_edges: int) -> int:
+    """How many connections one edge may have to one backend: its share, with a margin
+    for those that are just being opened, closed or counted out; at least one.
+
+    >>> line_limit(max_connections=88, live_edges=12)
+    5
+    >>> line_limit(max_connections=10, live_edges=90), line_limit(max_connections=0, live_edges=9)
+    (1, 0)
+    """
+    if max_connections <= 0:
+        return 0
+    return max(1, max_connections * LINE_SHARE // 100 // max(1, live_edges))
 
 
-@dataclass(kw_only=True)
+@dataclass(kw_only=True, slots=True)
 class Entry:
     name: str
     address: str = ""
@@ -50,6 +80,22 @@
     looked_us: int = 0
     overdue_until_us: int = 0
     heard_us: int = -(10**12)
+    # --- lives alone ---
+    is_life: bool = False
+    service: str = ""
+    zone: str = ""
+    slots: int = 1
+    cold_until_us: int = 0
+    revision: str = ""
+    gone_us: int = 0
+    line_limit: int = 0
+    distance_us: int = 0
+    charge_us: int = 0
+    seen: Evidence = field(default_factory=Evidence)
+
+    @property
+    def is_draining(self) -> bool:
+        return self.state == DRAINING
 
 
 class Book:
@@ -64,12 +110,20 @@
     True
     """
 
-    def __init__(self, *, me: str) -> None:
+    def __init__(self, *, me: str, places: Places | None = None) -> None:
         self._me = me
+        self.places = places or Places()
         self.entries: dict[str, Entry] = {}
         self._turn_to_tell = 0
         self._listed: dict[str, str] = {}
         self._listed_us = -LIST_KEPT_US
+        self._to_tell: set[str] = set()  # names that there may be rumors of
+        self._lives: dict[str, tuple[str, ...]] = {}
+        self._medians: dict[str, tuple[int, float]] = {}
+        self._max_connections: dict[str, int] = {}
+        self._edges: list[tuple[int, int]] = []
+        self._live_edges = 1
+        self.is_life_known = False
 
     def entry(self, *, name: str) -> Entry:
         entry = self.entries.get(name)
@@ -79,6 +133,11 @@
 
     def declare(self, *, blueprint: Blueprint, listed: dict[str, str]) -> None:
         """Follow a blueprint; an address it leaves out comes from the platform."""
+        self._max_connections = {
+            name: service.max_connections
+            for name, service in getattr(blueprint, "services", {}).items()
+        }
+        self._set_line_limits()
         for name, backend in blueprint.backends.items():
             entry = self.entry(name=name)
             address = backend.address or listed.get(name, "")
@@ -87,8 +146,171 @@
                 entry.strikes = 0
                 entry.dark_by.clear()
         for name in sorted(set(self.entries) - set(blueprint.backends)):
-            if not self.entries[name].in_flight:
+            if not self.entries[name].in_flight and not self.entries[name].is_life:
+                del self.entries[name]
+
+    # --- lives ----------------------------------------------------------------------
+
+    def set_lives(self, lives: Iterable[Life], now_us: int) -> list[str]:
+        """Take over a whole list; gives the instances that came, went or began to drain.
+
+        >>> book = Book(me="n1")
+        >>> one = Life(instance="i1", service="s", address="127.0.0.1:1")
+        >>> book.set_lives([one], now_us=1), book.lives_of(service="s")
+        (['i1'], ('i1',))
+        >>> book.set_lives([replace(one, is_draining=True)], now_us=2)
+        ['i1']
+        >>> book.set_lives([one], now_us=3), book.entries["i1"].is_draining
+        ([], True)
+        >>> book.set_lives([], now_us=4), book.lives_of(service="s")
+        (['i1'], ())
+        """
+        self.is_life_known = True
+        news: list[str] = []
+        names: dict[str, list[str]] = {}
+        listed: set[str] = set()
+        for life in lives:
+            listed.add(life.instance)
+            names.setdefault(life.service, []).append(life.instance)
+            if self._set_life(life=life, now_us=now_us):
+                news.append(life.instance)
+        for name, entry in list(self.entries.items()):
+            if not entry.is_life or name in listed:
+                continue
+            if not entry.gone_us:
+                entry.gone_us = now_us
+                news.append(name)
+            elif now_us - entry.gone_us > GONE_KEPT_US and not entry.in_flight:
                 del self.entries[name]
+        self._lives = {service: tuple(sorted(found)) for service, found in names.items()}
+        self._set_line_limits()
+        return news
+
+    def _set_life(self, *, life: Life, now_us: int) -> bool:
+        entry = self.entries.get(life.instance)
+        is_new = entry is None or not entry.is_life or entry.gone_us > 0
+        if entry is None:
+            entry = self.entries[life.instance] = Entry(name=life.instance, why="listed")
+        entry.is_life, entry.gone_us = True, 0
+        entry.service, entry.address, entry.zone = life.service, life.address, life.zone
+        entry.slots, entry.revision = max(1, life.slots), life.revision
+        entry.distance_us = self.places.distance_us(zone=life.zone)
+        entry.charge_us = self.places.charge_us(zone=life.zone)
+        entry.cold_until_us = now_us + life.cold_us if life.cold_us > 0 else 0
+        if not life.is_draining or entry.state == DRAINING:
+            return is_new
+        # Not a rumor: all hear of it by the list's own news.
+        entry.state, entry.since_us = DRAINING, now_us
+        entry.why, entry.seen_by = "draining on the list", self._me
+        return True
+
+    def lives_of(self, service: str) -> tuple[str, ...]:
+        """Instance ids of the lives that the list gives for a service, sorted."""
+        return self._lives.get(service, ())
+
+    def set_live_edges(self, *, count: int, now_us: int) -> None:
+        """How many edges share the backends' connections: the most of the last half
+        minute, since what an edge had open may outlast it.
+
+        >>> book = Book(me="n1")
+        >>> book.set_live_edges(count=9, now_us=0)
+        >>> book.set_live_edges(count=8, now_us=1)
+        >>> book.live_edges
+        9
+        """
+        recent = [(at, n) for at, n in self._edges if now_us - at < EDGES_KEPT_US and n > count]
+        if not self._edges or self._edges[-1][1] != count or len(recent) != len(self._edges):
+            self._edges = recent + [(now_us, count)]
+        else:
+            self._edges[-1] = (now_us, count)
+        most = max(n for _, n in self._edges)
+        if most != self._live_edges:
+            self._live_edges = most
+            self._set_line_limits()
+
+    @property
+    def live_edges(self) -> int:
+        return self._live_edges
+
+    def _set_line_limits(self) -> None:
+        for service, names in self._lives.items():
+            limit = line_limit(
+                max_connections=self._max_connections.get(service, 0),
+                live_edges=self._live_edges,
+            )
+            for name in names:
+                self.entries[name].line_limit = limit
+
+    def median_us(self, *, service: str, now_us: int) -> float:
+        """What a life of this service takes, where nothing is known of the life itself."""
+        known = self._medians.get(service)
+        if known is not None and now_us - known[0] < MEDIAN_KEPT_US:
+            return known[1]
+        means = sorted(
+            entry.seen.mean_us
+            for entry in map(self.entries.__getitem__, self._lives.get(service, ()))
+            if entry.seen.answers
+        )
+        median = means[(len(means) - 1) // 2] if means else known[1] if known else UNKNOWN_US
+        self._medians[service] = (now_us, median)
+        return median
+
+    def note_answer(self, *, name: str, took_us: int, now_us: int) -> None:
+        """A life gave a good answer, `took_us` after it was asked."""
+        entry = self.entries.get(name)
+        if entry is None:
+            return
+        entry.heard_us = now_us
+        entry.strikes = entry.overdue_until_us = entry.lies = entry.distrusted_until_us = 0
+        entry.dark_by.clear()
+        net_us = max(took_us - entry.distance_us, took_us // 4) if took_us > 0 else 0
+        entry.seen.note_answer(took_us=net_us, now_us=now_us)
+
+    def note_full(self, *, name: str, now_us: int) -> None:
+        """A life said that it did not run a request: it is loaded, not ill."""
+        entry = self.entries.get(name)
+        if entry is not None:
+            entry.heard_us = now_us
+            entry.seen.note_full(now_us=now_us)
+
+    def note_failure(self, *, name: str, why: str, now_us: int) -> bool:
+        """A request failed at a life (`evidence.REFUSED`, `RESET`, `FAILED`, `GARBLED`,
+        `SILENT`); true if it is shunned from now on, which is news."""
+        entry = self.entries.get(name)
+        if entry is None or not entry.seen.note_failure(why=why, now_us=now_us):
+            return False
+        entry.dark_by[self._me] = now_us
+        self._to_tell.add(name)
+        return True
+
+    def _note_life(self, *, entry: Entry, state: int, why: str, now_us: int) -> bool:
+        """`observe` for a life: it may begin to drain, once; a refused connection is
+        evidence; nothing makes it come back but an answer to a request."""
+        if state == GONE:
+            return self.note_failure(name=entry.name, why=evidence.REFUSED, now_us=now_us)
+        if state != DRAINING or entry.state == DRAINING:
+            return False
+        entry.state, entry.why, entry.seen_by = DRAINING, why, self._me
+        entry.turn, entry.since_us = entry.turn + 1, now_us
+        self._to_tell.add(entry.name)
+        return True
+
+    def refusal_of_life(self, *, entry: Entry, now_us: int) -> str:
+        """Why a life may not be asked now; empty if it may."""
+        if entry.gone_us:
+            return "not on the list"
+        if entry.state == DRAINING:
+            return f"draining ({entry.why})"
+        if entry.seen.shunned_until_us:
+            if now_us < entry.seen.shunned_until_us:
+                return "shunned"
+            if entry.in_flight:
+                return "on trial"
+        if 0 < entry.line_limit <= entry.in_flight:
+            return "no free line"
+        return ""
+
+    # --- what the platform's list calls declared backends ---------------------------
 
     def follow_list(self, *, states: dict[str, str], now_us: int) -> None:
         """What the platform's list calls stopping is not asked, and what it leaves out
@@ -141,6 +363,8 @@
     ) -> bool:
         """Note what was seen; true if it is news for others."""
         entry = self.entry(name=name)
+        if entry.is_life:
+            return self._note_life(entry=entry, state=state, why=why, now_us=now_us)
         if state == UP:
             entry.strikes = 0
             entry.dark_by.pop(self._me, None)
@@ -153,18 +377,22 @@
         entry.state, entry.why, entry.seen_by = state, why, self._me
         entry.turn += 1
         entry.since_us = now_us
+        self._to_tell.add(name)
         return True
 
     def strike(self, *, name: str, now_us: int) -> bool:
         """No answer came; two in a row make the backend dark to this node, and gone
         if the platform's list leaves it out as well."""
         entry = self.entry(name=name)
+        if entry.is_life:
+            return self.note_failure(name=name, why=evidence.SILENT, now_us=now_us)
         entry.strikes += 1
         self.note_overdue(name=name, now_us=now_us)
         if entry.strikes < 2:
             return False
         is_new = self._me not in entry.dark_by
         entry.dark_by[self._me] = now_us
+        self._to_tell.add(name)
         if self.is_unlisted(name=name, now_us=now_us):
             why = "silent, and not on the platform's list"
             is_new |= self.observe(name=name, state=GONE, why=why, now_us=now_us)
@@ -173,7 +401,11 @@
     def note_overdue(self, *, name: str, now_us: int) -> None:
         """It let a window pass and has not answered yet: ask others first, before it
         costs more searches a second round."""
-        self.entry(name=name).overdue_until_us = now_us + OVERDUE_US
+        entry = self.entry(name=name)
+        if entry.is_life:
+            entry.seen.note_full(now_us=now_us)  # lives pause now and then: no illness
+            return
+        entry.overdue_until_us = now_us + OVERDUE_US
 
     def is_overdue(self, *, name: str, now_us: int) -> bool:
         return now_us < self.entry(name=name).overdue_until_us
@@ -183,17 +415,24 @@
         entry = self.entry(name=name)
         entry.heard_us = now_us
         entry.strikes = entry.overdue_until_us = 0
-        entry.dark_by.pop(self._me, None)
+        if not entry.is_life:  # a life is judged by its answers, not by any sound
+            entry.dark_by.pop(self._me, None)
 
     def lied(self, *, name: str, now_us: int) -> None:
         """A reply failed its checks: ask others first for a while, longer each time."""
         entry = self.entry(name=name)
+        if entry.is_life:
+            self.note_failure(name=name, why=evidence.GARBLED, now_us=now_us)
+            return
+        self._to_tell.add(name)
         entry.lies = min(entry.lies + 1, LIES_COUNTED)
         entry.distrusted_until_us = now_us + DISTRUST_US * 2 ** entry.lies
         entry.lied_us = now_us
 
     def told_truth(self, *, name: str) -> None:
         entry = self.entry(name=name)
+        if entry.is_life:
+            return  # `note_answer` says it, with the time it took
         entry.lies, entry.distrusted_until_us = 0, 0
 
     def is_distrusted(self, *, name: str, now_us: int) -> bool:
@@ -216,14 +455,26 @@
             is_new = rumor.seen_by not in entry.dark_by
             entry.dark_by[rumor.seen_by] = now_us
             return is_new
+        if entry.is_life:
+            return self._hear_of_life(entry=entry, rumor=rumor, now_us=now_us)
         if (rumor.turn, rumor.state) <= (entry.turn, entry.state):
             return False
         entry.turn, entry.state = rumor.turn, rumor.state
         entry.why, entry.seen_by, entry.since_us = rumor.why, rumor.seen_by, now_us
+        self._to_tell.add(entry.name)
         if rumor.state == UP:
             entry.strikes = 0
         return True
 
+    def _hear_of_life(self, *, entry: Entry, rumor: RumorMsg, now_us: int) -> bool:
+        if rumor.state != DRAINING or entry.turn:
+            return False
+        is_new = entry.state != DRAINING
+        entry.state, entry.turn, entry.since_us = DRAINING, max(1, rumor.turn), now_us
+        entry.why, entry.seen_by = rumor.why, rumor.seen_by
+        self._to_tell.add(entry.name)
+        return is_new
+
     def _hear_of_lie(self, *, entry: Entry, rumor: RumorMsg, now_us: int) -> bool:
         if rumor.seen_by == self._me or now_us < entry.distrusted_until_us:
             return False
@@ -233,9 +484,12 @@
     def rumors(self, *, now_us: int) -> list[RumorMsg]:
         """The news, then a share of all that is out of the ordinary, by turns."""
         news, rest = [], []
-        for name in sorted(self.entries):
-            entry = self.entries[name]
-            if self._me in entry.dark_by:
+        for name in sorted(self._to_tell):
+            entry = self.entries.get(name)
+            if entry is None or not self._is_worth_telling(entry=entry, now_us=now_us):
+                self._to_tell.discard(name)
+                continue
+            if self._me in entry.dark_by and not self._is_old_shun(entry=entry, now_us=now_us):
                 news.append(self._rumor(entry=entry, state=DARK, turn=0, seen_by=self._me))
             if now_us - entry.lied_us < LIE_TOLD_US:
                 news.append(self._rumor(entry=entry, state=LYING, turn=0, seen_by=self._me))
@@ -251,6 +505,15 @@
             rest = (rest[start:] + rest[:start])[:room]
         return news[:2 * RUMOR_COUNT] + rest
 
+    def _is_worth_telling(self, *, entry: Entry, now_us: int) -> bool:
+        if entry.turn or self._me in entry.dark_by:
+            return not entry.gone_us
+        return now_us - entry.lied_us < LIE_TOLD_US
+
+    @staticmethod
+    def _is_old_shun(*, entry: Entry, now_us: int) -> bool:
+        return entry.is_life and now_us - entry.seen.shunned_us >= SHUN_TOLD_US
+
     @staticmethod
     def _rumor(*, entry: Entry, state: int, turn: int, seen_by: str) -> RumorMsg:
         return RumorMsg(
@@ -273,6 +536,9 @@
 
     def refusal(self, *, name: str, blueprint: Blueprint, now_us: int) -> str:
         """Why this backend may not be asked now; empty if it may."""
+        known = self.entries.get(name)
+        if known is not None and known.is_life:
+            return self.refusal_of_life(entry=known, now_us=now_us)
         backend = blueprint.backends.get(name)
         if backend is None:
             return "not declared"
--- a/kelpstage/edge/backend/choose.py
+++ b/kelpstage/edge/backend/choose.py
@@ -1,19 +1,28 @@
-"""Choosing the backend for a shard."""
+"""Choosing the backend for a shard.
+
+Declared backends are chosen by pace and domain, as declared. Lives are chosen by the
+time an answer is expected to take, with a lot: every edge shares their few slots and
+none sees what the others have sent, so that the best must not draw everybody.
+"""
 
 from __future__ import annotations
 
 import random
+from math import log
 from dataclasses import dataclass
 
 from kelpstage.base.blueprint.types import Blueprint
-from kelpstage.edge.backend.book import Book
+from kelpstage.edge.backend.book import DARK_KEPT_US, DARK_VOICES, Book, Entry
 from kelpstage.edge.gather.pace import Paces
 
 LEAST_US = 2_000
 FAR_US = 30_000
+COLD_TIMES = 1.6
+LOT_POWER = 4  # a life of twice the cost is taken once in 17 times
+MIDDLE_LOT = 1.0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(slots=True)
 class Option:
     """One backend as the choice saw it; the least rank is chosen."""
 
@@ -40,11 +49,19 @@
 ) -> list[Option]:
     """All backends of a shard, best first, the refused ones last with the reason.
 
+    A shard whose service is on the list of lives has its lives; any other has the
+    backends that the blueprint's selector picks.
+
     Those that lied a moment ago come after the others, and those that let a window
     pass and are silent still. The least cost is chosen:
     what is in flight, weighed by the backend's pace, and a charge for another
     domain; ties by lot.
     """
+    lives = book.lives_of(shard)
+    if lives and not blueprint.backends_of(collection=collection, shard=shard):
+        return _life_options(
+            book=book, service=shard, lives=lives, now_us=now_us, rand=rand
+        )
     out = []
     for name in blueprint.backends_of(collection=collection, shard=shard):
         entry = book.entry(name=name)
@@ -69,3 +86,100 @@
             )
         )
     return sorted(out, key=lambda option: option.rank)
+
+
+def _life_options(
+    *, book: Book, service: str, lives: tuple[str, ...], now_us: int, rand: random.Random | None
+) -> list[Option]:
+    """Lives by the time an answer is expected to take, drawn by lot.
+
+    That time is the life's own pace (the service's median where nothing is known),
+    longer for what is in flight over its slots, while it is cold and after failures,
+    and the way to its zone. Of two lives, the one that costs twice as much is drawn
+    once in 17 times; so speed, queues and distance weigh, and equals share alike.
+
+    If every one that the list gives is shunned, the least bad one is offered still.
+    """
+    entries, own_zone = book.entries, book.places.zone
+    median_us = book.median_us(service=service, now_us=now_us)
+    draw = rand.random if rand else None
+    out = []
+    is_any_free = False
+    for name in lives:
+        entry = entries[name]
+        refusal = "" if _is_plain(entry) else book.refusal_of_life(entry=entry, now_us=now_us)
+        seen = entry.seen
+        mean_us = seen.mean_us or median_us
+        cost = expected_us(entry=entry, mean_us=mean_us, now_us=now_us)
+        is_doubted = bool(entry.dark_by) and _is_doubted(entry=entry, now_us=now_us)
+        lot = -log(1.0 - draw()) if draw else MIDDLE_LOT
+        if not refusal:
+            is_any_free = True
+        out.append(
+            Option(
+                name, refusal, entry.zone == own_zone, entry.in_flight, int(mean_us),
+                is_doubted, now_us < seen.full_until_us,
+                (refusal != "", is_doubted, False, cost ** LOT_POWER * lot, 0.0, name),
+            )
+        )
+    out.sort(key=_rank)
+    if not is_any_free:
+        _offer_least_bad(options=out, book=book, now_us=now_us)
+    return out
+
+
+def _rank(option: Option) -> tuple:
+    return option.rank
+
+
+def _is_plain(entry: Entry) -> bool:
+    """Nothing speaks against it; the common case, looked at without a call."""
+    return (
+        not entry.state
+        and not entry.seen.shunned_until_us
+        and not entry.gone_us
+        and not 0 < entry.line_limit <= entry.in_flight
+    )
+
+
+def expected_us(*, entry: Entry, mean_us: float, now_us: int) -> float:
+    """How long an answer of this life is expected to take, and what its way costs."""
+    seen = entry.seen
+    load = entry.in_flight + 1
+    if now_us < seen.full_until_us:
+        load += entry.slots
+    cost = mean_us
+    if load > 1:
+        cost += mean_us * (load - 1) / entry.slots
+    if now_us < entry.cold_until_us:
+        cost *= COLD_TIMES
+    if seen.fail_share:
+        cost *= seen.weight(now_us=now_us)
+    return cost + entry.distance_us + entry.charge_us
+
+
+def _is_doubted(*, entry: Entry, now_us: int) -> bool:
+    """Do two partners or more shun it, and did this node have no answer since?"""
+    voices = sum(
+        now_us - at < DARK_KEPT_US and at > entry.heard_us for at in entry.dark_by.values()
+    )
+    return voices >= DARK_VOICES
+
+
+def _offer_least_bad(*, options: list[Option], book: Book, now_us: int) -> None:
+    """Lives that are only shunned are better than none: the one whose time is nearest."""
+    shunned = [option for option in options if option.refusal in ("shunned", "on trial")]
+    if not shunned:
+        return
+    best = min(
+        shunned,
+        key=lambda option: (
+            book.entries[option.backend].in_flight,
+            book.entries[option.backend].seen.shunned_until_us,
+            option.backend,
+        ),
+    )
+    best.refusal = ""
+    best.rank = (False, *best.rank[1:])
+    options.remove(best)
+    options.insert(0, best)
--- /dev/null
+++ b/kelpstage/edge/backend/evidence.py
@@ -0,0 +1,114 @@
+"""What requests show of a life: its pace, its failures, and when it is shunned.
+
+Only requests are evidence: a health answer may be false either way. One late answer
+is none (lives pause now and then), and one that turns a request away is loaded, not
+ill. Failures in a row shun a life for a while, twice as long each time; then it is
+tried with one request at a time. Failures between successes make it dearer, and the
+charge fades, so that it is tried again.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+PACE_SHARE = 8  # each answer moves the mean by an eighth
+FIRST_ANSWERS = 4  # the first few move it faster
+PACE_HALF_LIFE_US = 8_000_000
+FAIL_SHARE = 0.2
+FAIL_WEIGHT = 5.0
+FAIL_HALF_LIFE_US = 3_000_000
+FAILS_IN_A_ROW = 3
+FULL_US = 100_000
+SHUN_US = 500_000
+SHUN_DOUBLINGS = 4  # up to 8 s
+CALM_US = 30_000_000  # after that without a shunning the next one is short again
+LONGEST_US = 2_000_000
+REFUSED, RESET, FAILED, GARBLED, SILENT = "refused", "reset", "failed", "garbled", "silent"
+WEIGHTS = {REFUSED: FAILS_IN_A_ROW, RESET: 1, FAILED: 1, GARBLED: 2, SILENT: 2}
+
+
+@dataclass(kw_only=True, slots=True)
+class Evidence:
+    """What one node saw of one life.
+
+    >>> seen = Evidence()
+    >>> [seen.note_failure(why=RESET, now_us=n) for n in (1, 2, 3)]
+    [False, False, True]
+    >>> seen.is_shunned(now_us=4), seen.is_shunned(now_us=4 + SHUN_US)
+    (True, False)
+    >>> seen.note_answer(took_us=9_000, now_us=5 + SHUN_US)
+    >>> seen.shunned_until_us, seen.mean_us
+    (0, 9000.0)
+    """
+
+    mean_us: float = 0.0
+    answers: int = 0
+    answered_us: int = 0
+    in_a_row: int = 0
+    fail_share: float = 0.0
+    failed_us: int = 0
+    full_until_us: int = 0
+    shunned_until_us: int = 0  # 0: not shunned, nor on trial
+    shunned_us: int = -CALM_US
+    shuns: int = 0
+    causes: dict[str, int] = field(default_factory=dict)
+
+    def note_answer(self, *, took_us: int, now_us: int) -> None:
+        """A good answer; `took_us` without the way there and back. 0: not known."""
+        self.in_a_row = 0
+        self.shunned_until_us = 0
+        if self.fail_share:
+            self.fail_share = self._fail_share(now_us=now_us) * (1 - FAIL_SHARE)
+            self.failed_us = now_us
+        if took_us <= 0:
+            return
+        took_us = min(took_us, LONGEST_US)
+        self.answers += 1
+        share = min(self.answers, FIRST_ANSWERS) if self.answers < PACE_SHARE else PACE_SHARE
+        self.mean_us += (took_us - self.mean_us) / share
+        self.answered_us = now_us
+
+    def note_full(self, *, now_us: int) -> None:
+        """It turned a request away, or lets one wait: others first for a moment."""
+        self.full_until_us = now_us + FULL_US
+
+    def note_failure(self, *, why: str, now_us: int) -> bool:
+        """A request failed there; true if the life is shunned from now on."""
+        self.causes[why] = self.causes.get(why, 0) + 1
+        share = self._fail_share(now_us=now_us)
+        self.fail_share = share + FAIL_SHARE * (1 - share)
+        self.failed_us = now_us
+        if now_us < self.shunned_until_us:
+            return False  # sent before: the same trouble
+        self.in_a_row += WEIGHTS.get(why, 1)
+        is_on_trial = self.shunned_until_us > 0
+        if self.in_a_row < FAILS_IN_A_ROW and not is_on_trial:
+            return False
+        if now_us - self.shunned_us >= CALM_US:
+            self.shuns = 0
+        self.shunned_us = now_us
+        self.shunned_until_us = now_us + (SHUN_US << min(self.shuns, SHUN_DOUBLINGS))
+        self.shuns += 1
+        return True
+
+    def _fail_share(self, *, now_us: int) -> float:
+        if self.fail_share < 0.01:
+            return 0.0
+        return self.fail_share / 2 ** ((now_us - self.failed_us) / FAIL_HALF_LIFE_US)
+
+    def is_shunned(self, *, now_us: int) -> bool:
+        return now_us < self.shunned_until_us
+
+    def is_on_trial(self, *, now_us: int) -> bool:
+        """Is it to be tried with one request at a time?"""
+        return 0 < self.shunned_until_us <= now_us
+
+    def weight(self, *, now_us: int) -> float:
+        """By how much its failures make it dearer; 1 where there were none.
+
+        >>> seen = Evidence()
+        >>> _ = seen.note_failure(why=RESET, now_us=0)
+        >>> seen.weight(now_us=0), round(seen.weight(now_us=FAIL_HALF_LIFE_US), 2)
+        (2.0, 1.5)
+        """
+        return 1.0 if not self.fail_share else 1.0 + FAIL_WEIGHT * self._fail_share(now_us=now_us)
--- /dev/null
+++ b/kelpstage/edge/backend/places.py
@@ -0,0 +1,54 @@
+"""How far the zones are from this node, and what it costs to cross between them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+SAME_ZONE_US, SAME_REGION_US, FAR_US = 1_000, 3_000, 22_000
+REGION_CHARGE_US = 6_000  # bytes between regions are dear
+ZONE_CHARGE_US = 500
+
+
+@dataclass(kw_only=True)
+class Places:
+    """Zones and their regions; a round trip is guessed until one was measured.
+
+    >>> places = Places(zone="a1", region="a", zones={"a1": "a", "a2": "a", "b1": "b"})
+    >>> [places.distance_us(zone=zone) for zone in ("a1", "a2", "b1")]
+    [1000, 3000, 22000]
+    >>> places.note_round_trip(zone="b1", took_us=16_400)
+    >>> places.distance_us(zone="b1")
+    16400
+    """
+
+    zone: str = ""
+    region: str = ""
+    zones: dict[str, str] = field(default_factory=dict)
+    measured: dict[str, int] = field(default_factory=dict)
+
+    def is_same_region(self, *, zone: str) -> bool:
+        """A zone of no known region is far, unless it is this node's own."""
+        region = self.zones.get(zone)
+        return zone == self.zone or region is not None and region == self.own_region()
+
+    def own_region(self) -> str | None:
+        return self.region or self.zones.get(self.zone)
+
+    def distance_us(self, *, zone: str) -> int:
+        """A round trip to a zone."""
+        if zone in self.measured:
+            return self.measured[zone]
+        if zone == self.zone:
+            return SAME_ZONE_US
+        return SAME_REGION_US if self.is_same_region(zone=zone) else FAR_US
+
+    def charge_us(self, *, zone: str) -> int:
+        """What bytes to a zone are worth in time."""
+        if zone == self.zone:
+            return 0
+        return ZONE_CHARGE_US if self.is_same_region(zone=zone) else REGION_CHARGE_US
+
+    def note_round_trip(self, *, zone: str, took_us: int) -> None:
+        """A round trip to somebody in that zone was measured: the short ones count."""
+        known = self.measured.get(zone, took_us)
+        self.measured[zone] = min(took_us, known + (took_us - known) // 16)
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -157,11 +157,13 @@
         made: list[Any] = []
         for _ in range(count):
             if field.message is not None:
-                made.append(made_up(kind=field.message, rand=rand, depth=depth + 1))
+                one = made_up(kind=field.message, rand=rand, depth=depth + 1)
+                if not field.is_list or bytes(one):
+                    made.append(one)
             elif field.kind == bp.TYPE_STRING:
-                made.append("é" * rand.randrange(200))
+                made.append("é" * rand.randrange(field.is_list, 200))
             elif field.kind == bp.TYPE_BYTES:
-                made.append(rand.randbytes(rand.randrange(300)))
+                made.append(rand.randbytes(rand.randrange(field.is_list, 300)))
             elif field.kind == bp.TYPE_BOOL:
                 made.append(rand.random() < 0.5)
             else:
@@ -171,7 +173,11 @@
 
 
 class CodecTest(unittest.TestCase):
-    """The codec's bytes are those of betterproto itself, both ways."""
+    """The codec's bytes are those of betterproto itself, both ways.
+
+    Empty items of lists have a test of their own: betterproto leaves them out, and with
+    them an item's place; the codec keeps them.
+    """
 
     def test_same_bytes_as_betterproto(self) -> None:
         rand = random.Random(4)
@@ -184,6 +190,21 @@
                     self.assertEqual(message, kind().parse(data))
                     self.assertEqual(message, bp.Message.parse(kind(), data))
 
+    def test_empty_items_of_lists_keep_their_places(self) -> None:
+        for kind in [*TYPES.values(), GossipMsg]:
+            for field in table_of(kind=kind).fields:
+                if not field.is_list:
+                    continue
+                empty = field.message() if field.message else "" if (
+                    field.kind == bp.TYPE_STRING) else b"" if field.kind == bp.TYPE_BYTES else 0
+                with self.subTest(kind=kind.__name__, field=field.name):
+                    message = kind(**{field.name: [empty, empty]})
+                    data = bytes(message)
+                    self.assertEqual(2, len(getattr(kind().parse(data), field.name)))
+                    self.assertEqual(
+                        2, len(getattr(bp.Message.parse(kind(), data), field.name))
+                    )
+
     def test_cut_or_bent_bytes_are_an_error_or_another_message(self) -> None:
         rand = random.Random(5)
         refused = 0
