Puts: stated versions, known again by content, and work that outlives its caller's patience

An operator may state a put's version (Kelp-Version, or the document's own `version`); one that is not above the version in force is refused (409 version_not_above) before the log. A put is known again by its content, base and version under any put id, at any leader, as long as its memo is kept; the memo of the version in force is always kept. Memos hold digests only.

A call whose time left ends is told `unresolved` within it, while the work on the put goes on: an operator with a second's patience could otherwise never outwait a lapsed grant of 2.2 s, since each try would begin anew, and a try in the queue for the roster's lock waited without bound. Ruled out: holding the work in each call with a longer wait (the operator is gone by then).

The machine knows of several edges that join in one change and keeps the roster before it: most of both must have installed that epoch (as with joint consensus) before the next change. Salvage asks for most of the newest roster as well. A change of lead between two looks at a settlement ends the wait.

Old captures are read; a log with stated versions needs every core on this version.

--- a/kelpstage/base/defects.py
+++ b/kelpstage/base/defects.py
@@ -315,6 +315,15 @@
     heard_us_ago: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class VersionNotAbove(Defect):
+    """The version that a put was given is not above the one in force."""
+
+    status: ClassVar[int] = 409
+    version: int
+    current: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class SalvageRefused(Defect):
     status: ClassVar[int] = 409
@@ -354,6 +363,16 @@
         return f"format {self.theirs}, this version reads {self.ours}"
 
 
+@dataclass(frozen=True, kw_only=True)
+class TooFewCores(Defect):
+    """Fewer voters than it takes for a put to outlive the losses to be borne."""
+
+    status: ClassVar[int] = 503
+    retry_after_s: ClassVar[int | None] = 1
+    voters: int
+    needed: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class DayTorn(Defect):
     """A day's file ends in the middle of a record."""
--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -142,6 +142,7 @@
     leader_address: str = bp.string_field(6)
     members: List[CoreMember] = bp.message_field(7)
     http: str = bp.string_field(8)
+    only_joins: bool = bp.bool_field(9)  # it may not found a cluster
 
 
 @dataclass
@@ -165,6 +166,7 @@
     put_id: str = bp.string_field(4)
     body: bytes = bp.bytes_field(5)
     wait_us: int = bp.uint64_field(6)
+    version: int = bp.uint64_field(7)  # that a put is given; 0: the next one
 
 
 @dataclass
--- a/kelpstage/core/grants/desk.py
+++ b/kelpstage/core/grants/desk.py
@@ -11,37 +11,16 @@
 
 from tornado.locks import Condition, Lock
 
-from kelpstage.base.blueprint.check import read_blueprint
-from kelpstage.base.defects import (
-    BlueprintRefused,
-    Defect,
-    EdgeStillHere,
-    NoEdgeMajority,
-    NoLeader,
-    PutIdReused,
-    UnknownEdge,
-    Unresolved,
-    VersionMismatch,
-)
+from kelpstage.base.defects import Defect, EdgeStillHere, NoLeader, UnknownEdge
 from kelpstage.base.journal import Journal
 from kelpstage.base.ports.types import Ports
 from kelpstage.base.wire.lines import Lines
 from kelpstage.base.wire.messages import Announce, GrantReply, Renew
-from kelpstage.core.events import EpochSettled, PutDecided, RosterChanged
+from kelpstage.core.events import EpochSettled, RosterChanged
 from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
+from kelpstage.core.grants.puts import Puts
 from kelpstage.core.replica_task import ReplicaTask
-from kelpstage.core.state.machine import (
-    AddEdge,
-    Command,
-    PutApplied,
-    PutBlueprint,
-    PutClash,
-    PutLost,
-    RemoveEdge,
-    RosterSet,
-    outcome_of,
-    put_digest,
-)
+from kelpstage.core.state.machine import AddEdge, Command, RemoveEdge, RosterSet
 
 ANNOUNCED_BYTES = 64 * 1024
 CONFIRM_US = 1_000_000
@@ -53,19 +32,29 @@
     """Grants, puts and the roster, as the leader keeps them."""
 
     def __init__(
-        self, *, ports: Ports, lines: Lines, journal: Journal, task: ReplicaTask, own: str
+        self,
+        *,
+        ports: Ports,
+        lines: Lines,
+        journal: Journal,
+        task: ReplicaTask,
+        own: str,
+        tolerance: int = 0,
     ) -> None:
         self._ports = ports
         self._lines = lines
         self._journal = journal
         self._task = task
         self._own = own
-        self._change = Lock()
+        self.change = Lock()
         self._news = Condition()
         self._joining: set[str] = set()
         self._shown_epoch = 0
         self._gone: frozenset = frozenset()
         self.ledger = Ledger(since_us=ports.clock.now_us())
+        self.puts = Puts(
+            ports=ports, journal=journal, task=task, desk=self, tolerance=tolerance
+        )
 
     # --- told by the replica's task ---------------------------------------------------
 
@@ -155,8 +144,11 @@
         self._joining.discard(edge)
 
     async def _set_roster(self, *, command: Command) -> Defect | None:
-        async with self._change:
-            if not await self._settled(
+        async with self.change:
+            defect = await self._task.confirm(wait_us=CONFIRM_US)
+            if defect is not None:
+                return defect
+            if not await self.settled(
                 epoch=self._task.machine.state.epoch, wait_us=ROSTER_WAIT_US
             ):
                 return NoLeader(why="the epoch before is not settled")
@@ -166,129 +158,44 @@
             if not isinstance(outcome, RosterSet):
                 return outcome
             self._journal.add(RosterChanged(roster=list(self._task.machine.state.roster)))
-            await self._settled(epoch=outcome.epoch, wait_us=ROSTER_WAIT_US)
+            await self.settled(epoch=outcome.epoch, wait_us=ROSTER_WAIT_US)
             return None
 
-    async def _settled(self, *, epoch: int, wait_us: int) -> bool:
+    async def settled(self, *, epoch: int, wait_us: int) -> bool:
         """Wait until no edge can serve an epoch older than this one."""
-        clock = self._ports.clock
+        clock, ledger = self._ports.clock, self.ledger
         started_us = clock.now_us()
         while True:
-            roster = list(self._task.machine.state.roster)
             now_us = clock.now_us()
-            if self.ledger.is_settled(
-                epoch=epoch, roster=roster, now_us=now_us, gone=self._gone
-            ):
+            if ledger is not self.ledger:
+                return False  # another lead: what is the newest has to be asked anew
+            if self.is_settled(epoch=epoch):
                 self._journal.add(EpochSettled(epoch=epoch, after_us=now_us - started_us))
                 return True
             if now_us - started_us > wait_us or not self._task.is_leader:
                 return False
-            await clock.within(asyncio.ensure_future(self._news.wait()), us=SETTLE_LOOK_US)
-
-    # --- operators ---------------------------------------------------------------------------
+            await self.heard_news(wait_us=SETTLE_LOOK_US)
 
-    async def put(
-        self, *, document: bytes, expected: int, put_id: str, wait_us: int
-    ) -> PutApplied | Defect:
-        """Put a blueprint; the verdict is given when no edge can serve an older one."""
-        clock = self._ports.clock
-        until_us = clock.now_us() + wait_us
-        judged = read_blueprint(data=document, version=expected + 1)
-        if isinstance(judged, BlueprintRefused):
-            return judged
-        defect = await self._task.confirm(wait_us=min(wait_us, CONFIRM_US))
-        if defect is not None:
-            return defect
-        digest = put_digest(document=document, expected=expected)
-        decided = self._decided(put_id=put_id, digest=digest)
-        if decided is None:
-            decided = await self._propose_put(
-                document=document, expected=expected, put_id=put_id, until_us=until_us
-            )
-        if isinstance(decided, Defect):
-            return decided
-        left_us = max(0, until_us - clock.now_us())
-        if not await self._settled(epoch=decided.epoch, wait_us=left_us):
-            return Unresolved(put_id=put_id, why="in the log; edges not yet known to have it")
-        self._ports.point("core.before_put_verdict")
-        return decided
+    async def heard_news(self, *, wait_us: int) -> None:
+        """Wait until an edge has said something, or so long."""
+        await self._ports.clock.within(asyncio.ensure_future(self._news.wait()), us=wait_us)
 
-    def _decided(self, *, put_id: str, digest: bytes | None) -> PutApplied | Defect | None:
-        memo = self._task.machine.memo(put_id=put_id)
-        if memo is None:
-            return None
-        if digest is not None and memo.digest != digest:
-            return PutIdReused(put_id=put_id, why="it named another put")
-        outcome = outcome_of(memo=memo)
-        if isinstance(outcome, PutLost):
-            return VersionMismatch(expected=outcome.expected, current=outcome.current)
-        return outcome
-
-    async def _propose_put(
-        self, *, document: bytes, expected: int, put_id: str, until_us: int
-    ) -> PutApplied | Defect:
-        clock = self._ports.clock
-        async with self._change:
-            state = self._task.machine.state
-            if state.version != expected:
-                return VersionMismatch(expected=expected, current=state.version)
-            roster = list(state.roster)
-            await self._hear_roster(roster=roster, until_us=until_us)
-            now_us = clock.now_us()
-            if not self.ledger.has_majority(roster=roster, now_us=now_us):
-                heard = self.ledger.heard_lately(roster=roster, now_us=now_us)
-                return NoEdgeMajority(heard=len(heard), roster=len(roster))
-            if not await self._settled(
-                epoch=state.epoch, wait_us=max(0, until_us - clock.now_us())
-            ):
-                return NoLeader(why="the change before this one is not settled yet")
-            put = PutBlueprint(put_id=put_id, expected=expected, document=document)
-            self._ports.point("core.before_propose")
-            outcome = await self._task.propose(
-                data=bytes(Command(put=put)),
-                put_id=put_id,
-                wait_us=max(0, until_us - clock.now_us()),
-            )
-            return await self._tell(outcome=outcome, put_id=put_id, until_us=until_us)
-
-    async def _hear_roster(self, *, roster: list[str], until_us: int) -> None:
-        """A leader that was elected a moment ago has not heard its edges yet; give
-        them one span before it is said that most are missing."""
-        clock = self._ports.clock
-        until_us = min(until_us, self.ledger.since_us + GRANT_SPAN_US)
-        while clock.now_us() < until_us:
-            if self.ledger.has_majority(roster=roster, now_us=clock.now_us()):
-                return
-            await clock.within(asyncio.ensure_future(self._news.wait()), us=SETTLE_LOOK_US)
-
-    async def _tell(self, *, outcome: Any, put_id: str, until_us: int) -> PutApplied | Defect:
-        if isinstance(outcome, PutApplied):
-            self._journal.add(
-                PutDecided(put_id=put_id, outcome="applied", version=outcome.version)
-            )
-            left_us = max(0, until_us - self._ports.clock.now_us())
-            await self._settled(epoch=outcome.epoch, wait_us=left_us)
-            return outcome
-        if isinstance(outcome, PutLost):
-            self._journal.add(
-                PutDecided(put_id=put_id, outcome="lost", version=outcome.current)
-            )
-            return VersionMismatch(expected=outcome.expected, current=outcome.current)
-        if isinstance(outcome, PutClash):
-            return PutIdReused(put_id=put_id, why="it named another put")
-        if isinstance(outcome, Unresolved):
-            return Unresolved(put_id=put_id, why=outcome.why)
-        return outcome
-
-    def put_state(self, *, put_id: str) -> PutApplied | Defect | None:
-        """What became of a put, as far as this leader's log tells."""
-        return self._decided(put_id=put_id, digest=None)
+    # --- operators ---------------------------------------------------------------------------
 
     def is_settled(self, *, epoch: int) -> bool:
-        return self.ledger.is_settled(
-            epoch=epoch,
-            roster=list(self._task.machine.state.roster),
-            now_us=self._ports.clock.now_us(),
+        """Can no edge serve an epoch older than this one? If the newest epoch added
+        several edges at once, most of the roster before it must have it as well, so
+        that no majority of that one vouches for what was before."""
+        state = self._task.machine.state
+        now_us = self._ports.clock.now_us()
+        rosters = [state.roster]
+        if epoch == state.epoch and state.old_roster:
+            rosters.append(state.old_roster)
+        return all(
+            self.ledger.is_settled(
+                epoch=epoch, roster=list(roster), now_us=now_us, gone=self._gone
+            )
+            for roster in rosters
         )
 
     async def remove_edges(self, *, edges: list[str]) -> RosterSet | Defect:
--- /dev/null
+++ b/kelpstage/core/grants/puts.py
@@ -0,0 +1,232 @@
+"""Puts, as the leader takes them: judged, proposed, settled, each by a piece of work
+that goes on when its caller's patience ends, so that a repeat finds it done."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from typing import TYPE_CHECKING, Any
+
+from kelpstage.base.blueprint.check import read_blueprint
+from kelpstage.base.defects import (
+    BlueprintRefused,
+    Defect,
+    Fault,
+    NoEdgeMajority,
+    NoLeader,
+    PutIdReused,
+    TooFewCores,
+    Unresolved,
+    VersionMismatch,
+    VersionNotAbove,
+)
+from kelpstage.base.journal import Journal
+from kelpstage.base.ports.types import Ports
+from kelpstage.core.events import PutDecided
+from kelpstage.core.grants.ledger import GRANT_SPAN_US
+from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.state.machine import (
+    Command,
+    PutApplied,
+    PutBlueprint,
+    PutClash,
+    PutLost,
+    PutNotAbove,
+    outcome_of,
+    put_digest,
+)
+
+if TYPE_CHECKING:
+    from kelpstage.core.grants.desk import Desk
+
+CONFIRM_US = 1_000_000
+PATIENCE_US = 10_000_000
+LOOK_US = 50_000
+JUDGED_KEPT = 8
+
+
+class Puts:
+    """What the desk does with puts."""
+
+    def __init__(
+        self, *, ports: Ports, journal: Journal, task: ReplicaTask, desk: "Desk", tolerance: int
+    ) -> None:
+        self._ports = ports
+        self._journal = journal
+        self._task = task
+        self._desk = desk
+        self._voters_needed = 2 * tolerance + 1
+        self._work: dict[bytes, asyncio.Future] = {}
+        self._judged: dict[bytes, BlueprintRefused | int] = {}
+
+    async def put(
+        self, *, document: bytes, expected: int, put_id: str, wait_us: int, version: int = 0
+    ) -> PutApplied | Defect:
+        """Put a blueprint; the verdict is given when no edge can serve an older one.
+
+        A call that runs out of time gets `Unresolved`, while the work goes on: the same
+        put again, under whatever id, waits for the same work or hears what it came to.
+        """
+        judged = self._judge(document=document)
+        if isinstance(judged, BlueprintRefused):
+            return judged
+        if judged and version and judged != version:
+            why = f"the put is given version {version}, the document says {judged}"
+            return BlueprintRefused(faults=[Fault(path="version", why=why)])
+        version = version or judged
+        digest = put_digest(document=document, expected=expected, version=version)
+        memo = self._task.machine.memo(put_id=put_id)
+        if memo is not None and memo.digest != digest:
+            return PutIdReused(put_id=put_id, why="it named another put")
+        work = self._work.get(digest)
+        if work is None:
+            put = PutBlueprint(
+                put_id=put_id, expected=expected, document=document, version=version
+            )
+            work = self._ports.spawn(
+                self._see_through(put=put, digest=digest, wait_us=max(wait_us, PATIENCE_US))
+            )
+            self._work[digest] = work
+        outcome = await self._ports.clock.within(work, us=wait_us)
+        if outcome is None:
+            return Unresolved(put_id=put_id, why="still at work on it; ask again")
+        if isinstance(outcome, Unresolved):
+            return Unresolved(put_id=put_id, why=outcome.why)
+        return outcome
+
+    def _judge(self, *, document: bytes) -> BlueprintRefused | int:
+        """The document's faults, or the version that it names. A repeat is not judged
+        again: a large document takes a while."""
+        mark = hashlib.sha256(document).digest()
+        found = self._judged.get(mark)
+        if found is None:
+            judged = read_blueprint(data=document, version=1)
+            is_refused = isinstance(judged, BlueprintRefused)
+            found = judged if is_refused else judged.stated_version
+            self._judged[mark] = found
+            while len(self._judged) > JUDGED_KEPT:
+                del self._judged[next(iter(self._judged))]
+        return found
+
+    async def _see_through(
+        self, *, put: PutBlueprint, digest: bytes, wait_us: int
+    ) -> PutApplied | Defect:
+        until_us = self._ports.clock.now_us() + wait_us
+        try:
+            return await self._decide(put=put, digest=digest, until_us=until_us)
+        finally:
+            self._work.pop(digest, None)
+
+    async def _decide(
+        self, *, put: PutBlueprint, digest: bytes, until_us: int
+    ) -> PutApplied | Defect:
+        decided = await self._look_up(put=put, digest=digest)
+        if decided is None:
+            async with self._desk.change:
+                # While this waited its turn, the lead may have been elsewhere.
+                decided = await self._look_up(put=put, digest=digest)
+                if decided is None:
+                    decided = await self._propose(put=put, until_us=until_us)
+        if isinstance(decided, Defect):
+            return decided
+        if not await self._desk.settled(epoch=decided.epoch, wait_us=self._left_us(until_us)):
+            return Unresolved(put_id=put.put_id, why="in the log; edges not yet known to have it")
+        self._ports.point("core.before_put_verdict")
+        return decided
+
+    def _left_us(self, until_us: int) -> int:
+        return max(0, until_us - self._ports.clock.now_us())
+
+    async def _look_up(
+        self, *, put: PutBlueprint, digest: bytes
+    ) -> PutApplied | Defect | None:
+        """Was this put decided, by a log that is confirmed to be the newest?"""
+        defect = await self._task.confirm(wait_us=CONFIRM_US)
+        if defect is not None:
+            return defect
+        outcome = self._task.machine.decided(put_id=put.put_id, digest=digest)
+        return None if outcome is None else as_verdict(outcome=outcome, put_id=put.put_id)
+
+    async def _propose(self, *, put: PutBlueprint, until_us: int) -> PutApplied | Defect:
+        """Bring a put into the log. What is refused here has left no trace."""
+        clock = self._ports.clock
+        state = self._task.machine.state
+        if state.version != put.expected:
+            return VersionMismatch(expected=put.expected, current=state.version)
+        if put.version and put.version <= state.version:
+            return VersionNotAbove(version=put.version, current=state.version)
+        roster = list(state.roster)
+        await self._hear_roster(roster=roster, until_us=until_us)
+        ledger, now_us = self._desk.ledger, clock.now_us()
+        if not ledger.has_majority(roster=roster, now_us=now_us):
+            heard = ledger.heard_lately(roster=roster, now_us=now_us)
+            return NoEdgeMajority(heard=len(heard), roster=len(roster))
+        if not await self._has_voters(until_us=until_us):
+            return TooFewCores(voters=self._voters(), needed=self._voters_needed)
+        if not await self._desk.settled(epoch=state.epoch, wait_us=self._left_us(until_us)):
+            return NoLeader(why="the change before this one is not settled yet")
+        self._ports.point("core.before_propose")
+        outcome = await self._task.propose(
+            data=bytes(Command(put=put)), put_id=put.put_id, wait_us=self._left_us(until_us)
+        )
+        verdict = as_verdict(outcome=outcome, put_id=put.put_id)
+        if isinstance(outcome, (PutApplied, PutLost, PutNotAbove)):
+            self._journal.add(
+                PutDecided(
+                    put_id=put.put_id,
+                    outcome="applied" if isinstance(outcome, PutApplied) else "lost",
+                    version=self._task.machine.state.version,
+                )
+            )
+        if isinstance(verdict, PutApplied):
+            # The next change waits behind this one, within the same order.
+            await self._desk.settled(epoch=verdict.epoch, wait_us=self._left_us(until_us))
+        return verdict
+
+    async def _hear_roster(self, *, roster: list[str], until_us: int) -> None:
+        """A leader that was elected a moment ago has not heard its edges yet; give
+        them one span before it is said that most are missing."""
+        clock = self._ports.clock
+        until_us = min(until_us, self._desk.ledger.since_us + GRANT_SPAN_US)
+        while clock.now_us() < until_us:
+            if self._desk.ledger.has_majority(roster=roster, now_us=clock.now_us()):
+                return
+            await self._desk.heard_news(wait_us=LOOK_US)
+
+    def _voters(self) -> int:
+        return sum(member.is_voter for member in self._task.raft.members.current)
+
+    async def _has_voters(self, *, until_us: int) -> bool:
+        """Are there enough voters that what most of them have outlives the losses that
+        are to be borne? While the set is being filled, wait for it.
+        See `docs/notes/voters.md`."""
+        clock = self._ports.clock
+        while self._voters() < self._voters_needed:
+            if clock.now_us() >= until_us or not self._task.is_leader:
+                return False
+            await clock.sleep(us=LOOK_US)
+        return True
+
+    def put_state(self, *, put_id: str) -> PutApplied | Defect | None:
+        """What became of a put, as far as this leader's log tells."""
+        memo = self._task.machine.memo(put_id=put_id)
+        if memo is None:
+            return None
+        return as_verdict(outcome=outcome_of(memo=memo), put_id=put_id)
+
+
+def as_verdict(*, outcome: Any, put_id: str) -> PutApplied | Defect:
+    """What an operator hears of a put's outcome.
+
+    >>> as_verdict(outcome=PutLost(expected=1, current=2), put_id="p")
+    VersionMismatch(expected=1, current=2)
+    """
+    if isinstance(outcome, PutLost):
+        return VersionMismatch(expected=outcome.expected, current=outcome.current)
+    if isinstance(outcome, PutNotAbove):
+        return VersionNotAbove(version=outcome.version, current=outcome.current)
+    if isinstance(outcome, PutClash):
+        return PutIdReused(put_id=put_id, why="it named another put")
+    if isinstance(outcome, Unresolved):
+        return Unresolved(put_id=put_id, why=outcome.why)
+    return outcome
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -135,6 +135,6 @@
     return await core.lines.call(
         address=core.task.leader_address,
         message=ask,
-        wait_us=ask.wait_us,
+        wait_us=ask.wait_us * 19 // 20,  # so that the caller hears of a silent leader
         lane=frames.BULK,
     )
--- a/kelpstage/core/salvage.py
+++ b/kelpstage/core/salvage.py
@@ -130,7 +130,14 @@
             return SalvageRefused(why=f"the edge at {address} has epoch {epoch} but did not give it")
         state.version, state.document = doc.version, doc.document
         state.roster, state.epoch = list(doc.roster), doc.epoch
+        state.old_roster = []
         source = f"the edge at {address}"
+        known = {name for name, _, _ in told} & set(state.roster)
+        if len(known) * 2 <= len(state.roster):  # several joined at once since
+            return SalvageRefused(
+                why=f"{len(known)} of {len(state.roster)} edges of the newest roster answer; "
+                "most are needed"
+            )
     return await _write(
         ports=ports, store=store, recovered=recovered, state=state, own=own, http=http, source=source
     )
@@ -184,6 +191,7 @@
     replica = f"{ports.rand.getrandbits(64):016x}"
     state.cluster = cluster
     state.epoch += 1
+    state.old_roster = []
     capture = DiskCapture(
         index=recovered.log.last_index + 1,
         term=recovered.term + 1,
--- a/kelpstage/core/state/machine.py
+++ b/kelpstage/core/state/machine.py
@@ -22,11 +22,13 @@
     put_id: str = bp.string_field(1)
     expected: int = bp.uint64_field(2)
     document: bytes = bp.bytes_field(3)
+    version: int = bp.uint64_field(4)  # that the operator gives it; 0: the next one
 
 
 @dataclass
 class AddEdge(bp.Message):
     edge: str = bp.string_field(1)
+    more: List[str] = bp.string_field(2)  # that join together with it
 
 
 @dataclass
@@ -49,6 +51,7 @@
     epoch: int = bp.uint64_field(4)
     expected: int = bp.uint64_field(5)
     found: int = bp.uint64_field(6)
+    asked: int = bp.uint64_field(7)  # the version that the operator gave it; 0: the next one
 
 
 @dataclass
@@ -59,6 +62,7 @@
     document: bytes = bp.bytes_field(4)
     roster: List[str] = bp.string_field(5)
     puts: List[PutMemo] = bp.message_field(6)
+    old_roster: List[str] = bp.string_field(7)  # before the newest epoch, if it added several
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -75,6 +79,14 @@
     current: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class PutNotAbove:
+    """The version that the put was given is not above the one in force: no trace."""
+
+    version: int
+    current: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class PutClash:
     """The put id was used before, for other bytes."""
@@ -85,13 +97,18 @@
     epoch: int
 
 
-def put_digest(*, document: bytes, expected: int) -> bytes:
-    """What tells a repeat of a put from another put under its id.
+def put_digest(*, document: bytes, expected: int, version: int = 0) -> bytes:
+    """What tells a repeat of a put from another put. A version that is not stated is
+    the one after the one that is replaced.
 
-    >>> len(put_digest(document=b"{}", expected=1))
-    32
+    >>> plain = put_digest(document=b"{}", expected=1)
+    >>> len(plain), plain == put_digest(document=b"{}", expected=1, version=2)
+    (32, True)
+    >>> plain == put_digest(document=b"{}", expected=1, version=3)
+    False
     """
-    return hashlib.sha256(expected.to_bytes(8, "big") + document).digest()
+    stated = b"" if version in (0, expected + 1) else b"\0version" + version.to_bytes(8, "big")
+    return hashlib.sha256(expected.to_bytes(8, "big") + stated + document).digest()
 
 
 class Machine:
@@ -101,16 +118,24 @@
     >>> put = Command(put=PutBlueprint(put_id="p", expected=0, document=b"{}"))
     >>> machine.apply(data=bytes(put))
     PutApplied(version=1, epoch=1)
-    >>> late = Command(put=PutBlueprint(put_id="q", expected=0, document=b"{}"))
+    >>> late = Command(put=PutBlueprint(put_id="q", expected=0, document=b"[]"))
     >>> machine.apply(data=bytes(late))
     PutLost(expected=0, current=1)
     >>> machine.apply(data=bytes(put))
     PutApplied(version=1, epoch=1)
+    >>> put.put.put_id = "r"  # the same put under another id
+    >>> machine.apply(data=bytes(put))
+    PutApplied(version=1, epoch=1)
+    >>> machine.apply(data=bytes(Command(put=PutBlueprint(put_id="s", expected=1, version=7))))
+    PutApplied(version=7, epoch=2)
+    >>> machine.apply(data=bytes(Command(put=PutBlueprint(put_id="t", expected=7, version=7))))
+    PutNotAbove(version=7, current=7)
     """
 
     def __init__(self, *, cluster: str, state: CoreState | None = None) -> None:
         self.state = state or CoreState(cluster=cluster)
         self._memos = {memo.put_id: memo for memo in self.state.puts}
+        self._taken = {memo.digest: memo for memo in self.state.puts if memo.version}
 
     def apply(self, *, data: bytes) -> object:
         command = Command().parse(data)
@@ -118,36 +143,64 @@
         if kind == "put":
             return self._put(put=body)
         if kind == "add":
-            return self._set_roster(names=set(self.state.roster) | {body.edge})
+            return self._set_roster(names=set(self.state.roster) | {body.edge, *body.more})
         return self._set_roster(names=set(self.state.roster) - {body.edge})
 
     def _put(self, *, put: PutBlueprint) -> object:
-        digest = put_digest(document=put.document, expected=put.expected)
-        memo = self._memos.get(put.put_id)
-        if memo is not None:
-            return PutClash() if memo.digest != digest else outcome_of(memo=memo)
+        digest = put_digest(document=put.document, expected=put.expected, version=put.version)
+        decided = self.decided(put_id=put.put_id, digest=digest)
+        if decided is not None:
+            return decided
         state = self.state
-        memo = PutMemo(put_id=put.put_id, digest=digest, expected=put.expected, found=state.version)
-        if put.expected == state.version:
-            state.version += 1
+        memo = PutMemo(
+            put_id=put.put_id, digest=digest, expected=put.expected, found=state.version,
+            asked=put.version,
+        )
+        version = put.version or put.expected + 1
+        if put.expected == state.version and version > state.version:
+            state.version = version
             state.epoch += 1
             state.document = put.document
+            state.old_roster = []
             memo.version, memo.epoch = state.version, state.epoch
+            self._taken[digest] = memo
         state.puts.append(memo)
         self._memos[memo.put_id] = memo
-        while len(state.puts) > PUTS_KEPT:
-            del self._memos[state.puts.pop(0).put_id]
+        self._forget()
         return outcome_of(memo=memo)
 
+    def _forget(self) -> None:
+        """Drop the oldest memos, but never that of the version in force."""
+        puts = self.state.puts
+        while len(puts) > PUTS_KEPT:
+            place = 1 if puts[0].version == self.state.version else 0
+            memo = puts.pop(place)
+            if self._memos.get(memo.put_id) is memo:
+                del self._memos[memo.put_id]
+            if self._taken.get(memo.digest) is memo:
+                del self._taken[memo.digest]
+
     def _set_roster(self, *, names: set[str]) -> RosterSet:
-        if names != set(self.state.roster):
-            self.state.epoch += 1
-            self.state.roster = sorted(names)
-        return RosterSet(epoch=self.state.epoch)
+        state = self.state
+        if names != set(state.roster):
+            is_step = len(names ^ set(state.roster)) == 1
+            state.epoch += 1
+            state.old_roster = [] if is_step else state.roster
+            state.roster = sorted(names)
+        return RosterSet(epoch=state.epoch)
 
     def memo(self, *, put_id: str) -> PutMemo | None:
         return self._memos.get(put_id)
 
+    def decided(self, *, put_id: str, digest: bytes) -> object | None:
+        """What became of a put, if it was decided: of the one under its id, or of one
+        with the same content under another id, if that was taken."""
+        memo = self._memos.get(put_id)
+        if memo is not None and memo.digest != digest:
+            return PutClash()
+        memo = self._taken.get(digest) or memo
+        return None if memo is None else outcome_of(memo=memo)
+
     def doc(self) -> StateDoc:
         """What edges install."""
         state = self.state
@@ -160,7 +213,7 @@
         )
 
 
-def outcome_of(*, memo: PutMemo) -> PutApplied | PutLost:
+def outcome_of(*, memo: PutMemo) -> PutApplied | PutLost | PutNotAbove:
     """What became of a put that was decided.
 
     >>> outcome_of(memo=PutMemo(put_id="p", expected=3, found=4))
@@ -168,4 +221,6 @@
     """
     if memo.version:
         return PutApplied(version=memo.version, epoch=memo.epoch)
+    if memo.expected == memo.found:
+        return PutNotAbove(version=memo.asked, current=memo.found)
     return PutLost(expected=memo.expected, current=memo.found)
--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any, Callable
 from urllib.parse import unquote, urlsplit
 
-from kelpstage.base.blueprint.check import DOCUMENT_LIMIT
+from kelpstage.base.blueprint.check import DOCUMENT_LIMIT, VERSION_LIMIT
 from kelpstage.base.defects import (
     BadRequest,
     Defect,
@@ -28,6 +28,7 @@
     from kelpstage.core.app import Core
 
 DEFAULT_WAIT_US = 10_000_000
+READ_WAIT_US = 2_000_000
 LONGEST_WAIT_US = 120_000_000
 
 
@@ -42,6 +43,9 @@
     wait_us = _wait_us(call=call)
     if isinstance(wait_us, Defect):
         return defect_reply(defect=wait_us)
+    version = _version(call=call)
+    if isinstance(version, Defect):
+        return defect_reply(defect=version)
     ask = ProxyOperator(
         method=call.method,
         url=path,
@@ -49,6 +53,7 @@
         put_id=call.headers.get("kelp-put-id", ""),
         body=call.body,
         wait_us=wait_us,
+        version=version,
     )
     refused = _refuse_early(ask=ask)
     if refused is not None:
@@ -71,13 +76,27 @@
     given = call.headers.get("kelp-time-left-us")
     if given is None:
         return DEFAULT_WAIT_US
-    if not given.isascii() or not given.isdigit() or not 0 < int(given) <= LONGEST_WAIT_US:
+    if not _is_digits(given) or not 0 < int(given) <= LONGEST_WAIT_US:
         return BadRequest(
             part="Kelp-Time-Left-Us", why=f"whole microseconds, 1 to {LONGEST_WAIT_US}"
         )
     return int(given)
 
 
+def _is_digits(given: str) -> bool:
+    return given.isascii() and given.isdigit() and len(given) <= 19
+
+
+def _version(*, call: HttpCall) -> int | BadRequest:
+    """The version that the operator gives a put; 0 if none is stated."""
+    given = call.headers.get("kelp-version", "").strip('"')
+    if not given:
+        return 0
+    if not _is_digits(given) or not 0 < int(given) <= VERSION_LIMIT:
+        return BadRequest(part="Kelp-Version", why=f"a whole number, 1 to {VERSION_LIMIT}")
+    return int(given)
+
+
 def _refuse_early(*, ask: ProxyOperator) -> Defect | None:
     """Refuse what no leader is needed for."""
     if ask.url == "/v1/blueprint":
@@ -99,7 +118,7 @@
     given = ask.if_match.strip('"')
     if not given:
         return MissingIfMatch(why="If-Match: the version that this put replaces, 0 for none")
-    if not given.isascii() or not given.isdigit() or len(given) > 18:
+    if not _is_digits(given):
         return BadRequest(part="If-Match", why="a whole version number")
     if not 0 < len(ask.put_id) <= 64 or not ask.put_id.isascii() or "/" in ask.put_id:
         return BadRequest(part="Kelp-Put-Id", why="1 to 64 ASCII characters without a slash")
@@ -143,11 +162,12 @@
     if task is None or desk is None or not task.is_leader:
         return defect_reply(defect=NoLeader(why="this core does not lead"))
     if ask.method == "PUT":
-        outcome = await desk.put(
+        outcome = await desk.puts.put(
             document=ask.body,
             expected=int(ask.if_match.strip('"')),
             put_id=ask.put_id,
             wait_us=ask.wait_us * 9 // 10,
+            version=ask.version,
         )
         return _put_reply(outcome=outcome, put_id=ask.put_id)
     if ask.method == "DELETE":
@@ -156,7 +176,7 @@
         if isinstance(outcome, Defect):
             return defect_reply(defect=outcome)
         return json_reply(body={"epoch": outcome.epoch, "roster": task.machine.state.roster})
-    defect = await task.confirm(wait_us=min(ask.wait_us, 2_000_000))
+    defect = await task.confirm(wait_us=min(ask.wait_us * 9 // 10, READ_WAIT_US))
     if defect is not None:
         return defect_reply(defect=defect)
     if ask.url == "/v1/blueprint":
@@ -189,7 +209,7 @@
 
 
 def _get_put(*, core: "Core", put_id: str) -> HttpReply:
-    outcome = core.desk.put_state(put_id=put_id)
+    outcome = core.desk.puts.put_state(put_id=put_id)
     if outcome is None:
         return defect_reply(defect=UnknownPut(put_id=put_id))
     if isinstance(outcome, Defect):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -9,6 +9,19 @@
 
 from kelpstage.base.blueprint.check import read_blueprint
 from kelpstage.base.blueprint.types import EMPTY, Blueprint, CallerLimits, Service
+from kelpstage.base.ports.types import HttpCall
+from kelpstage.core.state.machine import (
+    PUTS_KEPT,
+    AddEdge,
+    Command,
+    CoreState,
+    Machine,
+    PutApplied,
+    PutBlueprint,
+    PutLost,
+)
+from proof.fleet.deployment import load
+from proof.sim.fleet import SimFleet, run_sim
 
 
 def document() -> dict:
@@ -228,5 +241,261 @@
         self.assertLess(min(spans), 0.3)
 
 
+class MachineTest(unittest.TestCase):
+    """The replicated state under versions that the operator states."""
+
+    def put(self, machine: Machine, **put: object) -> object:
+        return machine.apply(data=bytes(Command(put=PutBlueprint(**put))))
+
+    def test_a_put_is_known_again_by_its_content(self) -> None:
+        machine = Machine(cluster="c")
+        first = dict(expected=0, document=b"{}", version=5)
+        self.assertEqual(PutApplied(version=5, epoch=1), self.put(machine, put_id="a", **first))
+        later = dict(expected=5, document=b"[]", version=9)
+        self.assertEqual(PutApplied(version=9, epoch=2), self.put(machine, put_id="b", **later))
+        self.assertEqual(PutApplied(version=5, epoch=1), self.put(machine, put_id="c", **first))
+        other = dict(first, version=6)
+        self.assertEqual(PutLost(expected=0, current=9), self.put(machine, put_id="d", **other))
+        again = Machine(cluster="c", state=CoreState().parse(bytes(machine.state)))
+        self.assertEqual(PutApplied(version=9, epoch=2), self.put(again, put_id="e", **later))
+
+    def test_memos_stay_few_and_hold_the_version_in_force(self) -> None:
+        machine = Machine(cluster="c")
+        taken = dict(expected=0, document=b"x" * 400_000, version=3)
+        self.put(machine, put_id="taken", **taken)
+        for number in range(PUTS_KEPT + 50):
+            self.put(machine, put_id=f"lost-{number}", expected=1, document=b"y" * number)
+        self.assertEqual(PUTS_KEPT, len(machine.state.puts))
+        self.assertLess(len(bytes(machine.state)), 400_000 + PUTS_KEPT * 120)
+        self.assertEqual(
+            PutApplied(version=3, epoch=1), self.put(machine, put_id="again", **taken)
+        )
+
+    def test_captures_from_before_are_read(self) -> None:
+        old = Machine(cluster="c")
+        put = dict(expected=0, document=b"{}")
+        self.put(old, put_id="a", **put)
+        capture = CoreState().parse(bytes(old.state))
+        capture.puts[0].asked = 0
+        machine = Machine(cluster="c", state=capture)
+        self.assertEqual(PutApplied(version=1, epoch=1), self.put(machine, put_id="a", **put))
+        self.assertEqual(PutApplied(version=1, epoch=1), self.put(machine, put_id="b", **put))
+
+    def test_several_edges_join_at_once_and_the_roster_before_is_kept(self) -> None:
+        machine = Machine(cluster="c")
+
+        def add(*names: str) -> None:
+            machine.apply(data=bytes(Command(add=AddEdge(edge=names[0], more=list(names[1:])))))
+
+        add("a", "b", "c")
+        self.assertEqual((1, ["a", "b", "c"], []), self.rosters(machine))
+        add("d", "e", "a")
+        self.assertEqual((2, ["a", "b", "c", "d", "e"], ["a", "b", "c"]), self.rosters(machine))
+        add("f")  # one alone: majorities meet as they are
+        self.assertEqual((3, ["a", "b", "c", "d", "e", "f"], []), self.rosters(machine))
+        add("g", "h")
+        self.put(machine, put_id="p", expected=0, document=b"{}")
+        self.assertEqual([], machine.state.old_roster)
+
+    def rosters(self, machine: Machine) -> tuple:
+        state = machine.state
+        return state.epoch, list(state.roster), list(state.old_roster)
+
+
+class Operator:
+    """Puts and reads of a simulated fleet's operator, as HTTP has them."""
+
+    def __init__(self, fleet: SimFleet) -> None:
+        self.fleet = fleet
+        self.serial = 0
+
+    async def put(
+        self, note: str, *, base: int, version: int = 0, core: str = "node-01",
+        put_id: str = "", wait_us: int = 900_000, body: bytes = b"",
+    ) -> tuple[int, dict, int]:
+        """Status, body, how long it took."""
+        self.serial += 1
+        headers = {
+            "If-Match": str(base), "Kelp-Put-Id": put_id or f"op-{self.serial}",
+            "Kelp-Time-Left-Us": str(wait_us),
+        }
+        if version:
+            headers["Kelp-Version"] = str(version)
+        body = body or self.fleet.blueprint(note=note)
+        began_us = self.fleet.now_us()
+        reply = await self.fetch(core, "PUT", headers=headers, body=body, wait_us=5_000_000)
+        took_us = self.fleet.now_us() - began_us
+        if not hasattr(reply, "status") or not hasattr(reply, "headers"):
+            return 0, {"kind": reply.kind}, took_us
+        row = json.loads(reply.body)
+        if reply.status == 503:
+            assert int(reply.headers["retry-after"]) <= 2, reply.headers
+        return reply.status, row.get("defect", row), took_us
+
+    async def fetch(self, core: str, method: str, **more: object):
+        address = self.fleet.core_http(name=core)
+        return await self.fleet.outside.ports.net.fetch(
+            call=HttpCall(method=method, url=f"http://{address}/v1/blueprint", **more)
+        )
+
+    async def until_taken(self, note: str, **more: object) -> tuple[int, dict, int]:
+        """Repeat a put, unchanged but for its id, at any core, until it is answered."""
+        cores = sorted(self.fleet.core_address)
+        for turn in range(40):
+            outcome = await self.put(note, core=cores[turn % len(cores)], **more)
+            if outcome[0] not in (0, 503):
+                return outcome
+            await self.fleet.sleep(us=300_000)
+        raise AssertionError(f"{note} was never answered: {outcome}")
+
+
+def run_story(story, *, seed: int = 3) -> SimFleet:
+    return run_sim(seed=seed, deployment=load(name="tiny"), story=story, rate=0.15)
+
+
+class VersionTest(unittest.TestCase):
+    """Operators state versions; what is refused leaves no trace."""
+
+    def test_versions_rise_in_uneven_steps(self) -> None:
+        async def story(fleet: SimFleet) -> None:
+            await fleet.bring_up()  # version 1
+            operator = Operator(fleet)
+            status, row, _ = await operator.put("seven", base=1, version=7)
+            self.assertEqual((200, 7), (status, row["version"]))
+            cases = [
+                (dict(base=7, version=7), 409, "version_not_above"),
+                (dict(base=7, version=3), 409, "version_not_above"),
+                (dict(base=6, version=9), 412, "version_mismatch"),
+                (dict(base=1, version=8), 412, "version_mismatch"),
+                (dict(base=7, version=8, body=b'{"forward": {}}x'), 422, "blueprint_refused"),
+            ]
+            for more, wanted, kind in cases:
+                for core in ("node-01", "node-02", "node-03"):
+                    status, row, _ = await operator.put("other", core=core, **more)
+                    self.assertEqual((wanted, kind), (status, row["kind"]))
+            for core in ("node-01", "node-02", "node-03"):  # the same again, other ids
+                status, row, _ = await operator.put("seven", base=1, version=7, core=core)
+                self.assertEqual((200, 7), (status, row["version"]))
+            status, row, _ = await operator.put("next", base=7)
+            self.assertEqual((200, 8), (status, row["version"]))
+            status, row, _ = await operator.put("seven", base=1, version=7)
+            self.assertEqual((200, 7), (status, row["version"]), "remembered, not current")
+            back = await operator.fetch("node-02", "GET")
+            self.assertEqual((fleet.blueprint(note="next"), '"8"'), (back.body, back.headers["etag"]))
+            for name in ("0", "x", "9" * 25):
+                reply = await operator.fetch(
+                    "node-01", "PUT", body=back.body,
+                    headers={"If-Match": "8", "Kelp-Put-Id": "z", "Kelp-Version": name},
+                )
+                self.assertEqual(400, reply.status)
+
+        run_story(story)
+
+    def test_the_document_may_state_the_version(self) -> None:
+        async def story(fleet: SimFleet) -> None:
+            await fleet.bring_up()
+            operator = Operator(fleet)
+            body = json.dumps(document()).encode()
+            status, row, _ = await operator.put("", base=1, version=9, body=body)
+            self.assertEqual((422, "version"), (status, row["faults"][0]["path"]))
+            status, row, _ = await operator.put("", base=1, body=body)
+            self.assertEqual((200, 7), (status, row["version"]))
+            status, row, _ = await operator.put("", base=1, version=7, body=body)
+            self.assertEqual((200, 7), (status, row["version"]))
+            self.assertEqual(body, (await operator.fetch("node-03", "GET")).body)
+            for edge in fleet.ready_edges():
+                held = fleet.daemons[f"edge/{edge}"].keeper.blueprint
+                self.assertEqual((7, {"r-gather", "r-plain"}), (held.version, set(held.forward)))
+
+        run_story(story)
+
+    def test_of_two_on_one_base_one_wins(self) -> None:
+        async def story(fleet: SimFleet) -> None:
+            await fleet.bring_up()
+            operator = Operator(fleet)
+            both = [
+                fleet.outside.spawn(operator.put(note, base=1, version=version, core=core))
+                for note, version, core in (("a", 4, "node-01"), ("b", 6, "node-02"))
+            ]
+            rows = [await one for one in both]
+            self.assertEqual([200, 412], sorted(status for status, _, _ in rows))
+            winner = next(row for status, row, _ in rows if status == 200)
+            back = await operator.fetch("node-03", "GET")
+            self.assertEqual(f'"{winner["version"]}"', back.headers["etag"])
+
+        run_story(story)
+
+
+class UnresolvedTest(unittest.TestCase):
+    """Short patience: an answer in time, the work goes on, the repeat finds it done."""
+
+    def test_a_put_that_waits_for_an_edge_is_told_so_in_time(self) -> None:
+        async def story(fleet: SimFleet) -> None:
+            await fleet.bring_up()
+            operator = Operator(fleet)
+            edge = fleet.daemons["edge/node-05"]
+            fleet.processes["edge/node-05"].freeze()  # it holds a grant of the version before
+            status, row, took_us = await operator.put("two", base=1, version=5)
+            self.assertEqual((503, "unresolved"), (status, row["kind"]))
+            self.assertLess(took_us, 950_000)
+            granted_us = edge.keeper.grant_until_us()
+            status, row, took_us = await operator.until_taken("two", base=1, version=5)
+            self.assertEqual((200, 5), (status, row["version"]))
+            self.assertGreaterEqual(fleet.now_us(), granted_us, "it could still serve the old one")
+            fleet.processes["edge/node-05"].thaw()
+
+        run_story(story)
+
+    def test_a_repeat_at_another_leader_under_another_id(self) -> None:
+        async def story(fleet: SimFleet) -> None:
+            await fleet.bring_up()
+            operator = Operator(fleet)
+            fleet.processes["edge/node-06"].freeze()
+            leader = fleet.leader()
+            status, row, _ = await operator.put("two", base=1, version=5, wait_us=300_000)
+            self.assertEqual((503, "unresolved"), (status, row["kind"]))
+            fleet.kill_core(name=leader)
+            other = next(name for name in sorted(fleet.core_address) if name != leader)
+            reads = await operator.fetch(other, "GET", headers={"Kelp-Time-Left-Us": "900000"})
+            self.assertEqual(503, reads.status)
+            began_us = fleet.now_us()
+            status, row, took_us = await operator.put("two", base=1, version=5, core=other)
+            self.assertEqual(503, status)
+            self.assertLess(took_us, 950_000)
+            status, row, _ = await operator.until_taken("two", base=1, version=5)
+            self.assertEqual((200, 5), (status, row["version"]))
+            self.assertLess(fleet.now_us() - began_us, 6_000_000)
+            fleet.processes["edge/node-06"].thaw()
+            await fleet.start_core(name=leader)
+            back = await operator.fetch(other, "GET")
+            self.assertEqual('"5"', back.headers["etag"])
+
+        run_story(story)
+
+    def test_nobody_hangs_while_a_leader_is_silent(self) -> None:
+        async def story(fleet: SimFleet) -> None:
+            await fleet.bring_up()
+            operator = Operator(fleet)
+            leader = fleet.leader()
+            fleet.processes[f"core/{leader}"].freeze()
+            other = next(name for name in sorted(fleet.core_address) if name != leader)
+            silent = 0
+            for _ in range(4):
+                status, row, took_us = await operator.put("two", base=1, version=5, core=other)
+                self.assertIn(status, (200, 503))
+                self.assertLess(took_us, 950_000)
+                silent += status == 503
+                began_us = fleet.now_us()
+                read = await operator.fetch(other, "GET", headers={"Kelp-Time-Left-Us": "900000"})
+                self.assertLess(fleet.now_us() - began_us, 950_000)
+                self.assertIn(read.status, (200, 503))
+            self.assertGreater(silent, 0, "the silence was not met")
+            status, row, _ = await operator.until_taken("two", base=1, version=5)
+            self.assertEqual((200, 5), (status, row["version"]))
+            fleet.processes[f"core/{leader}"].thaw()
+
+        run_story(story)
+
+
 if __name__ == "__main__":
     unittest.main()
