--- /dev/null
+++ b/proof/platform/rules/configuration.py
@@ -0,0 +1,213 @@
+"""CONFIG, its five sentences: late, narrow, slid back, undead, lost."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+
+from proof.check.base import Violation
+from proof.platform.history import Arrival, Day, Request
+from proof.platform.rules.orders import Orders, is_own_answer
+from proof.platform.touch import Touch
+
+LATER_ROUTES, QUARTER = 20, 4
+SLOWED_TIMES = 8
+
+
+def late(day: Day) -> list[Violation]:
+    """Handled, over `ConfigApplyMs` after a version was acknowledged, as only an older
+    version allows."""
+    orders, touch, arrivals = Orders(day=day), Touch(day=day), day.arrivals_of()
+    out = []
+    for request in day.requests:
+        for floor, at_us, nodes, what in _handlings(
+            day=day, orders=orders, request=request, arrivals=arrivals.get(request.attempt, [])
+        ):
+            if _is_bound(day=day, orders=orders, touch=touch, request=request, nodes=nodes,
+                         floor=floor, at_us=at_us):
+                out.append(
+                    Violation(
+                        line="CONFIG late",
+                        why=f"{request.attempt} at {request.node} {what} under {floor}",
+                        at_us=at_us,
+                    )
+                )
+                break
+    return out
+
+
+def _handlings(
+    *, day: Day, orders: Orders, request: Request, arrivals: list[Arrival]
+) -> list[tuple[int, int, set[str], str]]:
+    """What was done with a request that no version from the floor on allows: the floor,
+    when, by which machines, what."""
+    floor = orders.floor(at_us=request.sent_us - day.bounds.apply_us)
+    if not floor:
+        return []
+    out = []
+    where = {"host": request.host, "target": request.target}
+    for arrival in arrivals:
+        if not arrival.ran:
+            continue
+        found = orders.allowing(**where, service=arrival.service, until_us=arrival.at_us)
+        if found and max(found) < floor:
+            nodes = {arrival.node, request.node}
+            out.append((floor, arrival.at_us, nodes, f"ran at the old {arrival.service}"))
+    if request.end == "answered" and request.status == 404 and is_own_answer(
+        request=request, arrivals=arrivals
+    ):
+        if max(orders.without_route(**where, until_us=request.done_us)) < floor:
+            out.append((floor, request.done_us, {request.node}, "got 404"))
+    return out
+
+
+def _is_bound(
+    *, day: Day, orders: Orders, touch: Touch, request: Request, nodes: set[str], floor: int,
+    at_us: int,
+) -> bool:
+    since_us = request.sent_us
+    if all(touch.is_in_touch(node=node, at_us=at_us, since_us=since_us) for node in nodes):
+        return True
+    acked_us = max(o.acked_us for o in orders.possible if o.revision == floor)
+    if since_us <= acked_us + day.bounds.apply_us + day.bounds.stretch_us:
+        return False
+    return all(touch.is_outer(node=node, at_us=at_us, since_us=since_us) for node in nodes)
+
+
+def narrow(day: Day) -> list[Violation]:
+    """In calm times the routes that were added later are served less than a quarter as
+    often as the first ones."""
+    touch = Touch(day=day)
+    counts = {True: [0, 0], False: [0, 0]}
+    later: set[tuple[str, str]] = set()
+    for request in day.requests:
+        begin_us = request.sent_us - day.bounds.touch_us
+        if request.is_direct or not touch.is_calm_day(begin_us=begin_us, end_us=request.done_us):
+            continue
+        counts[request.is_late_route][0] += 1
+        counts[request.is_late_route][1] += request.is_success
+        if request.is_late_route:
+            later.add((request.host, request.target.partition("?")[0].rpartition("/")[0]))
+    (late_sent, late_served), (sent, served) = counts[True], counts[False]
+    if len(later) < LATER_ROUTES or not sent or not late_sent:
+        return []
+    if QUARTER * late_served * sent >= served * late_sent:
+        return []
+    return [
+        Violation(
+            line="CONFIG narrow",
+            why=f"{late_served} of {late_sent} on later routes, {served} of {sent} on the first",
+            at_us=day.end_us,
+        )
+    ]
+
+
+def slid_back(day: Day) -> list[Violation]:
+    """In one life, a machine handles a request as only an older version allows, after a
+    backend saw it act on a newer one."""
+    orders, arrivals = Orders(day=day), day.arrivals_of()
+    shown: dict[tuple[str, int], list[tuple[int, int]]] = defaultdict(list)
+    acts: dict[tuple[str, int], list[tuple[Request, int, int]]] = defaultdict(list)
+    for request in day.requests:
+        life = (request.node, request.node_life)
+        where = {"host": request.host, "target": request.target}
+        mine = arrivals.get(request.attempt, [])
+        for arrival in mine:
+            found = orders.allowing(**where, service=arrival.service, until_us=arrival.at_us)
+            if arrival.ran and found:
+                shown[life].append((arrival.at_us, min(found)))
+                acts[life].append((request, max(found), arrival.at_us))
+        if request.end == "answered" and request.status == 404 and is_own_answer(
+            request=request, arrivals=mine
+        ):
+            newest = max(orders.without_route(**where, until_us=request.done_us))
+            acts[life].append((request, newest, request.done_us))
+    out = []
+    for life, rows in acts.items():
+        out += _slides(day=day, life=life, rows=rows, shown=shown[life])
+    return out
+
+
+def _slides(
+    *, day: Day, life: tuple[str, int], rows: list[tuple[Request, int, int]],
+    shown: list[tuple[int, int]],
+) -> list[Violation]:
+    shown = sorted(shown)
+    out, best, place = [], 0, 0
+    for request, newest, at_us in sorted(rows, key=lambda row: row[0].sent_us):
+        slack_us = day.bounds.revert_us * (
+            SLOWED_TIMES if _is_slowed(day=day, node=life[0], at_us=at_us) else 1
+        )
+        while place < len(shown) and shown[place][0] < request.sent_us - slack_us:
+            best = max(best, shown[place][1])
+            place += 1
+        if newest < best:
+            out.append(
+                Violation(
+                    line="CONFIG slid back",
+                    why=f"{life[0]} handled {request.attempt} as at most {newest} allows, "
+                    f"after the effect of {best}",
+                    at_us=at_us,
+                )
+            )
+    return out
+
+
+def _is_slowed(*, day: Day, node: str, at_us: int) -> bool:
+    return any(
+        t.machine == node and t.what == "slow" and t.begin_us <= at_us <= t.end_us
+        for t in day.troubles
+    )
+
+
+def undead(day: Day) -> list[Violation]:
+    """A refused or invalid configuration in force; an invalid one acknowledged; two on
+    top of the same version acknowledged."""
+    out = []
+    by_base: dict[int, str] = {}
+    for order in sorted(day.orders, key=lambda order: order.acked_us):
+        if not order.acked_us:
+            continue
+        if not order.is_valid:
+            why = f"the invalid {order.key} was acknowledged"
+            out.append(Violation(line="CONFIG undead", why=why, at_us=order.acked_us))
+        other = by_base.setdefault(order.base, order.key)
+        if other != order.key:
+            why = f"{other} and {order.key} were both acknowledged on top of {order.base}"
+            out.append(Violation(line="CONFIG undead", why=why, at_us=order.acked_us))
+    asked = day.requests_by_attempt()
+    bad = [o for o in day.orders if o.refused_us or not o.is_valid]
+    good = [o for o in day.orders if o.is_valid and not o.refused_us]
+    for arrival in day.arrivals if bad else ():
+        request = asked.get(arrival.attempt)
+        if request is None or not arrival.ran:
+            continue
+        ask = {"host": request.host, "target": request.target, "service": arrival.service}
+        if any(o.sent_us <= arrival.at_us and o.allows(**ask) for o in good):
+            continue
+        names = [o.key for o in bad if o.sent_us <= arrival.at_us and o.allows(**ask)]
+        if names:
+            why = f"{arrival.service} ran {arrival.attempt} under {names[0]}"
+            out.append(Violation(line="CONFIG undead", why=why, at_us=arrival.at_us))
+    return out
+
+
+def lost(day: Day) -> list[Violation]:
+    """Read back at the end: older than the newest acknowledged, not what was sent under
+    its number, or not to be had. After a closing fault the older one is LOST."""
+    line = "LOST" if day.closing_us else "CONFIG lost"
+    last = [row for row in day.read_backs if row.is_last]
+    newest = max((o.revision for o in day.orders if o.acked_us), default=0)
+    if not last:
+        if not newest:
+            return []
+        return [Violation(line="CONFIG lost", why="nothing was read back", at_us=day.end_us)]
+    out = []
+    for row in last:
+        if row.revision < newest:
+            why = f"{row.revision} was read back, {newest} had been acknowledged"
+            out.append(Violation(line=line, why=why, at_us=row.at_us))
+        bodies = [o.body for o in day.orders if o.revision == row.revision and not o.refused_us]
+        if row.revision and row.body not in bodies:
+            why = f"what was read back as {row.revision} was not sent so, or was refused"
+            out.append(Violation(line="CONFIG lost", why=why, at_us=row.at_us))
+    return out
--- /dev/null
+++ b/proof/platform/rules/leaving.py
@@ -0,0 +1,128 @@
+"""DRAIN and LOST: backends that leave, and requests that were read when work was planned."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from proof.check.base import Violation
+from proof.platform.history import Arrival, Day, Request
+from proof.platform.touch import Touch
+
+SECOND_US = 1_000_000
+CUT_OFF = frozenset(("cut", "closed", "reset"))
+TIMES_MORE = 3
+
+
+def drain(day: Day) -> list[Violation]:
+    """A request reaches a backend over `DrainMs` after a machine in touch was told, by
+    the list, that it drains or is gone."""
+    touch = Touch(day=day)
+    known: dict[str, int] = {}
+    for shown in sorted(day.shown, key=lambda row: row.at_us):
+        if touch.is_in_touch(node=shown.node, at_us=shown.at_us):
+            known.setdefault(shown.instance, shown.at_us)
+    taken_by = {request.attempt: request.node for request in day.requests}
+    out = []
+    for arrival in day.arrivals:
+        since_us = known.get(arrival.instance)
+        if since_us is None or arrival.is_health or arrival.status == 421:
+            continue
+        late_us = arrival.at_us - since_us - _outage_us(day=day, begin_us=since_us, end_us=arrival.at_us)
+        if late_us <= day.bounds.drain_us:
+            continue
+        nodes = {arrival.node, taken_by.get(arrival.attempt, arrival.node)}
+        if not all(touch.is_in_touch(node=n, at_us=arrival.at_us, since_us=since_us) for n in nodes):
+            continue
+        if touch.is_held_up(a=arrival.node, b=arrival.instance, at_us=arrival.at_us):
+            continue
+        out.append(
+            Violation(
+                line="DRAIN",
+                why=f"{arrival.attempt} by {arrival.node} reached {arrival.instance} {late_us} us "
+                "after it was known to leave",
+                at_us=arrival.at_us,
+            )
+        )
+    return out
+
+
+def _outage_us(*, day: Day, begin_us: int, end_us: int) -> int:
+    return sum(max(0, min(b, end_us) - max(a, begin_us)) for a, b in day.outages)
+
+
+def lost(day: Day) -> list[Violation]:
+    """A request that was read whole ends without an answer around planned work."""
+    touch, arrivals = Touch(day=day), day.arrivals_of()
+    out, in_times, at_others = [], Counter(), Counter()
+    first: dict[str, Request] = {}
+    for request in day.requests:
+        mine = arrivals.get(request.attempt, [])
+        if not _is_dropped(day=day, touch=touch, request=request, arrivals=mine):
+            continue
+        why = _planned(day=day, request=request, arrivals=mine)
+        if why:
+            out.append(
+                Violation(
+                    line="LOST", why=f"{request.attempt} at {request.node}, {why}",
+                    at_us=request.done_us,
+                )
+            )
+        if _is_in_change(day=day, request=request):
+            in_times[request.node] += 1
+            first.setdefault(request.node, request)
+        else:
+            at_others[request.node] += 1
+    for node, count in sorted(in_times.items()):
+        if count > TIMES_MORE * at_others[node]:
+            out.append(
+                Violation(
+                    line="LOST",
+                    why=f"{node} ended {count} so around changes, {at_others[node]} at other times",
+                    at_us=first[node].done_us,
+                )
+            )
+    return out
+
+
+def _is_dropped(
+    *, day: Day, touch: Touch, request: Request, arrivals: list[Arrival]
+) -> bool:
+    if request.end not in CUT_OFF or not request.read_us:
+        return False
+    is_late = request.done_us > request.whole_us + day.bounds.loss_slack_us
+    if not any(a.at_us <= request.done_us for a in arrivals) and not is_late:
+        return False
+    if any(a.broke_off for a in arrivals):
+        return False
+    if request.done_us >= request.sent_us + request.deadline_us:
+        return False
+    return touch.is_calm_day(
+        begin_us=request.sent_us - day.bounds.touch_us, end_us=request.done_us,
+        is_planned_fine=True,
+    )
+
+
+def _planned(*, day: Day, request: Request, arrivals: list[Arrival]) -> str:
+    for trouble in day.troubles:
+        if trouble.machine != request.node or not trouble.is_planned:
+            continue
+        if trouble.what == "stop":
+            begin_us, grace_us = trouble.begin_us, day.bounds.grace_us
+            if not begin_us <= request.done_us <= begin_us + grace_us + SECOND_US:
+                continue
+            half_us = begin_us + grace_us // 2
+            if any(not a.ended_us or a.ended_us > half_us for a in arrivals if a.ran):
+                continue
+            return "which was told to stop"
+        is_before = request.sent_us < trouble.begin_us + day.bounds.apply_us
+        if trouble.what == "reread" and is_before and request.done_us >= trouble.begin_us:
+            return "which was told to read its settings again"
+    return ""
+
+
+def _is_in_change(*, day: Day, request: Request) -> bool:
+    apply_us = day.bounds.apply_us + SECOND_US
+    return any(
+        order.sent_us <= request.done_us <= (order.acked_us or order.ended_us) + apply_us
+        for order in day.orders if order.is_valid and not order.refused_us
+    )
--- /dev/null
+++ b/proof/platform/rules/register.py
@@ -0,0 +1,40 @@
+"""Every rule and its checker."""
+
+from __future__ import annotations
+
+from typing import Callable
+
+from proof.check.base import Violation
+from proof.platform.history import Day
+from proof.platform.rules import after, answers, configuration, leaving, runs, tries
+
+RULES: dict[str, Callable[[Day], list[Violation]]] = {
+    "MIXED": answers.mixed,
+    "UNASKED": runs.unasked,
+    "TWICE": runs.twice,
+    "REFUSED": runs.refused,
+    "DENIED": runs.denied,
+    "ROUTE": runs.route,
+    "DRAIN": leaving.drain,
+    "LOST": leaving.lost,
+    "CONFIG late": configuration.late,
+    "CONFIG narrow": configuration.narrow,
+    "CONFIG slid back": configuration.slid_back,
+    "CONFIG undead": configuration.undead,
+    "CONFIG lost": configuration.lost,
+    "BUDGET": tries.budget,
+    "RECOVER": after.recover,
+    "ACKS": after.acks,
+    "FAULT": after.fault,
+}
+
+
+def judge(*, day: Day) -> list[Violation]:
+    """Every violation of a day. A day in which nothing was asked proves nothing.
+
+    >>> [v.line for v in judge(day=Day())]
+    ['FAULT']
+    """
+    if not day.requests or not day.orders:
+        return [Violation(line="FAULT", why="nothing was asked or ordered", at_us=day.end_us)]
+    return [violation for rule in RULES.values() for violation in rule(day)]
--- /dev/null
+++ b/proof/platform/rules/runs.py
@@ -0,0 +1,124 @@
+"""UNASKED, TWICE, REFUSED, DENIED, ROUTE: what runs, how often, where."""
+
+from __future__ import annotations
+
+from proof.check.base import Violation
+from proof.platform.history import PROMISES, Day, Request
+from proof.platform.rules.orders import Orders, is_own_answer
+from proof.platform.touch import Touch
+
+DENIED_SLACK, DENIED_SHARE = 5, 500
+
+
+def unasked(day: Day) -> list[Violation]:
+    """A run whose id no client sent, or with another method, path, query or body."""
+    asked = day.requests_by_attempt()
+    out = []
+    for arrival in day.arrivals:
+        if not arrival.ran or arrival.is_health:
+            continue
+        request = asked.get(arrival.attempt)
+        if request is None:
+            why = f"{arrival.instance} ran {arrival.attempt!r}, which no client sent"
+        elif (arrival.method, arrival.target, arrival.body) != (
+            request.method, request.target, request.body
+        ):
+            why = f"{arrival.instance} ran {arrival.attempt} as {arrival.method} {arrival.target}"
+        else:
+            continue
+        out.append(Violation(line="UNASKED", why=why, at_us=arrival.at_us))
+    return out
+
+
+def twice(day: Day) -> list[Violation]:
+    """A request that is not repeatable runs more than once."""
+    arrivals = day.arrivals_of()
+    out = []
+    for request in day.requests:
+        ran = [a for a in arrivals.get(request.attempt, ()) if a.ran]
+        if not request.is_repeatable and len(ran) > 1:
+            where = ", ".join(a.instance for a in ran)
+            out.append(
+                Violation(line="TWICE", why=f"{request.attempt} ran at {where}", at_us=ran[1].at_us)
+            )
+    return out
+
+
+def refused(day: Day) -> list[Violation]:
+    """A promise that it has not run and never will, yet it ran."""
+    arrivals = day.arrivals_of()
+    out = []
+    for request in day.requests:
+        if request.is_repeatable or request.end != "answered" or request.status not in PROMISES:
+            continue
+        ran = [a for a in arrivals.get(request.attempt, ()) if a.ran]
+        if ran:
+            out.append(
+                Violation(
+                    line="REFUSED",
+                    why=f"{request.attempt} got {request.status} and ran at {ran[0].instance}",
+                    at_us=request.done_us,
+                )
+            )
+    return out
+
+
+def denied(day: Day) -> list[Violation]:
+    """More than 5 + one in 500 of all requests end with a 3xx or 4xx of our own."""
+    orders, touch, arrivals = Orders(day=day), Touch(day=day), day.arrivals_of()
+    found = [
+        request for request in day.requests
+        if _is_denied(
+            request=request, orders=orders, touch=touch, day=day,
+            is_own=is_own_answer(request=request, arrivals=arrivals.get(request.attempt, [])),
+        )
+    ]
+    if len(found) <= DENIED_SLACK + len(day.requests) / DENIED_SHARE:
+        return []
+    last = found[-1]
+    return [
+        Violation(
+            line="DENIED",
+            why=f"{len(found)} of {len(day.requests)}, lately {last.attempt} with {last.status} "
+            f"at {last.node}",
+            at_us=last.done_us,
+        )
+    ]
+
+
+def _is_denied(
+    *, request: Request, orders: Orders, touch: Touch, day: Day, is_own: bool
+) -> bool:
+    is_refusal = request.end == "answered" and 300 <= request.status < 500
+    if not is_refusal or request.status in PROMISES or not request.is_proper or not is_own:
+        return False
+    floor = orders.floor(at_us=request.sent_us - day.bounds.apply_us)
+    maybe = orders.may_be_in_force(floor=floor, until_us=request.done_us)
+    if not floor or not all(
+        order.route_for(host=request.host, target=request.target) for order in maybe
+    ):
+        return False
+    return touch.is_in_touch(node=request.node, at_us=request.done_us, since_us=request.sent_us)
+
+
+def route(day: Day) -> list[Violation]:
+    """A service runs a request that no configuration ever sent allows to go to it."""
+    asked = day.requests_by_attempt()
+    out = []
+    for arrival in day.arrivals:
+        request = asked.get(arrival.attempt)
+        if not arrival.ran or arrival.is_health or request is None:
+            continue
+        if not any(
+            order.allows(host=request.host, target=request.target, service=arrival.service)
+            for order in day.orders if order.sent_us <= arrival.at_us
+        ):
+            out.append(
+                Violation(
+                    line="ROUTE",
+                    why=f"{arrival.service} ({arrival.instance}) ran {arrival.attempt} "
+                    f"{request.host}{request.target}",
+                    at_us=arrival.at_us,
+                )
+            )
+    return out
--- /dev/null
+++ b/proof/platform/rules/tries.py
@@ -0,0 +1,65 @@
+"""BUDGET: arrivals beyond the first of each request, over all machines."""
+
+from __future__ import annotations
+
+from bisect import bisect_left, bisect_right
+from collections import defaultdict
+
+from proof.check.base import Violation
+from proof.platform.history import Day
+from proof.platform.rules.orders import Orders
+
+
+def budget(day: Day) -> list[Violation]:
+    """In some window a service gets more extra arrivals than the ratio times the requests
+    for it, counted in that window, the one before or the one half a window before, plus
+    the slack."""
+    bounds = day.bounds
+    wanted: dict[str, list[int]] = defaultdict(list)
+    orders = Orders(day=day)
+    routes: dict[tuple, frozenset[str]] = {}
+    for request in sorted(day.requests, key=lambda row: row.sent_us):
+        floor = orders.floor(at_us=request.sent_us - day.bounds.apply_us)
+        maybe = orders.may_be_in_force(floor=floor, until_us=request.sent_us)
+        target = request.target.partition("?")[0]
+        key = (request.host, target, tuple(order.key for order in maybe))
+        if key not in routes:
+            found = (order.route_for(host=request.host, target=target) for order in maybe)
+            routes[key] = frozenset().union(
+                *(route.services | set(route.fan_out) for route in found if route is not None)
+            )
+        for service in routes[key]:
+            wanted[service].append(request.sent_us)
+    extras: dict[str, list[int]] = defaultdict(list)
+    seen: set[tuple[str, str]] = set()
+    for arrival in sorted(day.arrivals, key=lambda row: row.at_us):
+        if arrival.is_health:
+            continue
+        key = (arrival.service, arrival.attempt)
+        if key in seen:
+            extras[arrival.service].append(arrival.at_us)
+        seen.add(key)
+    out = []
+    for service, times in sorted(extras.items()):
+        worst = _worst(times=times, asked=wanted[service], bounds=bounds)
+        if worst is not None:
+            out.append(Violation(line="BUDGET", why=f"{service}: {worst[1]}", at_us=worst[0]))
+    return out
+
+
+def _worst(*, times: list[int], asked: list[int], bounds) -> tuple[int, str] | None:
+    span_us = bounds.retry_window_us
+    first, worst, over = 0, None, 0.0
+    for place, at_us in enumerate(times):
+        while times[first] <= at_us - span_us:
+            first += 1
+        count = place - first + 1
+        most = max(
+            bisect_right(asked, end_us) - bisect_left(asked, end_us - span_us)
+            for end_us in (at_us, at_us - span_us // 2, at_us - span_us)
+        )
+        allowed = bounds.retry_ratio * most + bounds.retry_slack
+        if count - allowed > over:
+            over = count - allowed
+            worst = (at_us, f"{count} extra to {most} requests, {allowed:.1f} allowed")
+    return worst
--- /dev/null
+++ b/proof/platform/touch.py
@@ -0,0 +1,147 @@
+"""Which machines were in touch, and when: the rules with a time bound bind only those."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import defaultdict
+
+from proof.platform.history import Day, Trouble
+
+UNSETTLING = frozenset(("kill", "power", "freeze", "stop", "start", "lost"))
+DOWN = frozenset(("kill", "power", "freeze", "stop", "lost"))
+QUIET_WORDS = frozenset(("reread",))
+
+
+class Touch:
+    """Answers from a day's troubles alone.
+
+    >>> day = Day(machines=frozenset("ab"), core=frozenset("a"))
+    >>> day.troubles.append(Trouble(machine="b", what="freeze", begin_us=9, end_us=10))
+    >>> touch = Touch(day=day)
+    >>> touch.is_in_touch(node="a", at_us=20), touch.is_in_touch(node="b", at_us=20)
+    (True, False)
+    """
+
+    def __init__(self, *, day: Day) -> None:
+        self._day = day
+        self._touch_us = day.bounds.touch_us
+        self._spans: dict[str, list[tuple[int, int]]] = defaultdict(list)
+        self._down: dict[str, list[tuple[int, int]]] = defaultdict(list)
+        self._events: list[int] = []
+        self._slow_core: list[tuple[int, int]] = []
+        for trouble in day.troubles:
+            self._take(trouble=trouble)
+        for cut in day.cuts:
+            if {cut.a, cut.b} <= day.core:
+                self._events += [cut.begin_us, cut.end_us]
+        self._events.sort()
+
+    def _take(self, *, trouble: Trouble) -> None:
+        span = (trouble.begin_us, trouble.end_us)
+        if trouble.what not in QUIET_WORDS:
+            self._spans[trouble.machine].append(span)
+        if trouble.what in DOWN:
+            self._down[trouble.machine].append(span)
+        if trouble.machine not in self._day.core:
+            return
+        if trouble.what in UNSETTLING:
+            self._events += span
+        if trouble.what == "slow":
+            self._slow_core.append(span)
+
+    # --- the three conditions -----------------------------------------------------------
+
+    def is_calm(self, *, node: str, begin_us: int, end_us: int) -> bool:
+        """(1): no trouble of the machine's own in the span."""
+        return not any(a <= end_us and b >= begin_us for a, b in self._spans.get(node, ()))
+
+    def running_core(self, *, at_us: int) -> list[str]:
+        return sorted(
+            name for name in self._day.core
+            if at_us >= self._day.core_since.get(name, 0) and not any(a <= at_us < b for a, b in self._down.get(name, ()))
+        )
+
+    def is_cut(self, *, a: str, b: str, begin_us: int, end_us: int) -> bool:
+        return any(
+            {cut.a, cut.b} == {a, b} and cut.begin_us <= end_us and cut.end_us >= begin_us
+            for cut in self._day.cuts
+        )
+
+    def _has_majority(self, *, at_us: int) -> bool:
+        """Some running core machine that reaches more than half of the core."""
+        return bool(self._joined_core(at_us=at_us))
+
+    def _joined_core(self, *, at_us: int) -> list[str]:
+        running = self.running_core(at_us=at_us)
+        out = []
+        for name in running:
+            reached = 1 + sum(
+                other != name and not self.is_cut(a=name, b=other, begin_us=at_us, end_us=at_us)
+                for other in running
+            )
+            if 2 * reached > self._core_size(at_us=at_us):
+                out.append(name)
+        return out
+
+    def _core_size(self, *, at_us: int) -> int:
+        """Machines of the core at a moment: one that was taken away for good counts until
+        another comes in its place."""
+        there = sum(at_us >= self._day.core_since.get(name, 0) for name in self._day.core)
+        fresh = sum(0 < since_us <= at_us for since_us in self._day.core_since.values())
+        return max(1, there - fresh)
+
+    def is_settled(self, *, begin_us: int, end_us: int) -> bool:
+        """(2): no event of the core's in the span, none of it slow, most of it up."""
+        place = bisect_left(self._events, begin_us)
+        if place < len(self._events) and self._events[place] <= end_us:
+            return False
+        if any(a <= end_us and b >= begin_us for a, b in self._slow_core):
+            return False
+        return self._has_majority(at_us=end_us)
+
+    def has_paths(self, *, node: str, begin_us: int, end_us: int) -> bool:
+        """(3): a path to every running core machine that reaches most of the core."""
+        return not any(
+            self.is_cut(a=node, b=name, begin_us=begin_us, end_us=end_us)
+            for name in self._joined_core(at_us=end_us) if name != node
+        )
+
+    # --- what the rules ask ------------------------------------------------------------------
+
+    def is_in_touch(self, *, node: str, at_us: int, since_us: int | None = None) -> bool:
+        """In touch at `at_us`, and at every moment from `since_us` on."""
+        begin_us = (at_us if since_us is None else since_us) - self._touch_us
+        return (
+            self.is_calm(node=node, begin_us=begin_us, end_us=at_us)
+            and self.is_settled(begin_us=begin_us, end_us=at_us)
+            and self.has_paths(node=node, begin_us=begin_us, end_us=at_us)
+        )
+
+    def is_outer(self, *, node: str, at_us: int, since_us: int) -> bool:
+        """Meets (1) and (3), and most of the core was up all the while: the bound of
+        configuration is stretched, not lifted."""
+        begin_us = since_us - self._touch_us
+        if not self.is_calm(node=node, begin_us=begin_us, end_us=at_us):
+            return False
+        if not self.has_paths(node=node, begin_us=begin_us, end_us=at_us):
+            return False
+        if any(a <= at_us and b >= begin_us for a, b in self._slow_core):
+            return False
+        moments = [begin_us, at_us, *(e + 1 for e in self._events if begin_us <= e <= at_us)]
+        moments += [e for e in self._events if begin_us <= e <= at_us]
+        return all(self._has_majority(at_us=moment) for moment in moments)
+
+    def is_calm_day(self, *, begin_us: int, end_us: int, is_planned_fine: bool = False) -> bool:
+        """No trouble of any machine or line in the span (planned work may be let pass)."""
+        for trouble in self._day.troubles:
+            if trouble.is_planned and is_planned_fine or trouble.what in QUIET_WORDS:
+                continue
+            if trouble.begin_us <= end_us and trouble.end_us >= begin_us:
+                return False
+        return not any(
+            cut.begin_us <= end_us and cut.end_us >= begin_us for cut in self._day.cuts
+        )
+
+    def is_held_up(self, *, a: str, b: str, at_us: int) -> bool:
+        """Was the line between two machines cut in the last `TouchMs`?"""
+        return self.is_cut(a=a, b=b, begin_us=at_us - self._touch_us, end_us=at_us)
