Lists of lives: one edge reads for all, news with a digest, a zone's relay in large fleets

Cause: the list of lives is priced, limited in calls for all nodes together, paged and late; twelve or ninety nodes can't each read it, and a drain that it shows must stop requests everywhere within three seconds.

Who reads: whoever read last goes on; the others ask it after 1.4 s without news and read after 1.6 s and 0.4 s for each that ranks before them. Ruled out: always the least in rank (one that can't reach the list would be waited for at every reading), and a lock in the core (an outage of the core would stop drains from being seen).

News: what changed in the last five seconds and the XOR of the hashes of all lives. Weighed against (reader, sequence): a new reader's news fits on what was heard from the one before, so that taking over costs no whole lists, and a lost message is made good by the next one. Whoever comes to another digest asks the sender for the whole.

A list with bad pages, loops, more than twenty pages, an instance at two addresses, or no entry at all changes nothing; the reader backs off and another reads on.

Trials on virtual time, 9 nodes in three zones, three pages: ten readings in ten seconds by one node; at the start at most 40 calls in any second; with the reader killed between its pages or while it tells, six times in a row, each drain was known at all within 3 s; 60 nodes in six zones: at most one message a second to each other zone.

--- a/kelpstage/edge/backend/book.py
+++ b/kelpstage/edge/backend/book.py
@@ -204,6 +204,13 @@
         entry.why, entry.seen_by = "draining on the list", self._me
         return True
 
+    def measure_distances(self) -> None:
+        """Take over the round trips that were measured since."""
+        for names in self._lives.values():
+            for name in names:
+                entry = self.entries[name]
+                entry.distance_us = self.places.distance_us(zone=entry.zone)
+
     def lives_of(self, service: str) -> tuple[str, ...]:
         """Instance ids of the lives that the list gives for a service, sorted."""
         return self._lives.get(service, ())
--- a/kelpstage/edge/backend/probe.py
+++ b/kelpstage/edge/backend/probe.py
@@ -81,6 +81,7 @@
                 name
                 for name, entry in sorted(self._book.entries.items())
                 if entry.address
+                and not entry.is_life
                 and (
                     self._me in probers(backend=name, edges=edges)
                     or self._me in entry.dark_by
@@ -97,7 +98,7 @@
     def look_soon(self, *, name: str, is_new: bool = False) -> None:
         """Look at one backend now; `is_new` if somebody says that it runs anew."""
         entry = self._book.entries.get(name)
-        if entry is None or not entry.address:
+        if entry is None or not entry.address or entry.is_life:
             return
         way = self._book.way_to_look(
             name=name,
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,578 @@
+"""Lives of backends: the list and who reads it, its news, the choice among lives and
+the budget of further attempts."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import unittest
+from collections import Counter
+from typing import Any, Awaitable, Callable
+
+from kelpstage.base.blueprint.types import EMPTY
+from kelpstage.base.journal import Journal
+from kelpstage.base.ports.types import HttpCall, HttpReply
+from kelpstage.base.wire.lines import Lines, LineServer
+from kelpstage.base.wire.messages import AskList, ListNews, MemberMsg, RumorMsg
+from kelpstage.edge.backend import evidence
+from kelpstage.edge.backend.book import DARK, DRAINING, GONE, UP, Book
+from kelpstage.edge.backend.choose import Option, options
+from kelpstage.edge.backend.life import Life
+from kelpstage.edge.backend.lists import ListTask, OwnList, rank_key
+from kelpstage.edge.backend.places import Places
+from kelpstage.edge.gather.pace import Paces
+from kelpstage.edge.gossip.swim import Swim
+from kelpstage.edge.gossip.task import GossipTask
+from proof.sim.loop import VirtualLoop
+from proof.sim.world import SimProcess, World
+from proof.standin.backend import SENDER_HEADER
+
+LIST = "10.9.0.1:80"
+SECOND = 1_000_000
+
+
+def life(name: str, service: str = "s", **fields: Any) -> Life:
+    fields.setdefault("address", f"10.8.0.1:{1000 + sum(name.encode())}")
+    return Life(instance=name, service=service, **{"slots": 2, "zone": "a1", **fields})
+
+
+class ListServer:
+    """The list as a platform serves it: pages, a lag, a rate, and troubles."""
+
+    def __init__(self, *, world: World) -> None:
+        self.world = world
+        self.rows: list[dict] = []
+        self.page_size = 4
+        self.trouble = ""
+        self.calls: list[tuple[int, str]] = []
+        self.readings: list[tuple[int, str]] = []
+
+    def add(self, *, one: Life) -> None:
+        self.rows.append(
+            {"instance": one.instance, "service": one.service, "address": one.address,
+             "zone": one.zone, "slots": one.slots, "state": "ready", "cold_us": one.cold_us}
+        )
+
+    def row(self, name: str) -> dict:
+        return next(row for row in self.rows if row["instance"] == name)
+
+    def drop(self, name: str) -> None:
+        self.rows.remove(self.row(name))
+
+    async def serve(self, call: HttpCall) -> HttpReply:
+        now_us, node = self.world.now_us(), call.headers[SENDER_HEADER]
+        self.calls.append((now_us, node))
+        token = call.url.partition("page=")[2]
+        if not token:
+            self.readings.append((now_us, node))
+        at = int(token or 0)
+        page: Any = {
+            "lives": self.rows[at:at + self.page_size],
+            "next": str(at + self.page_size) if at + self.page_size < len(self.rows) else None,
+        }
+        if self.trouble in ("429", "500"):
+            return HttpReply(status=int(self.trouble))
+        if self.trouble == "loop":
+            page["next"] = "0"
+        if self.trouble == "endless":
+            page["next"] = str(at + 1)
+        if self.trouble == "empty":
+            page = {"lives": [], "next": None}
+        if self.trouble == "no list":
+            page = {"lives": 7}
+        if self.trouble == "twice":
+            page = {"lives": [{**row, "address": f"10.8.8.8:{n + 1}"} for n in (1, 2)
+                              for row in self.rows], "next": None}
+        if self.trouble == "one bad":
+            page = {"lives": [{**self.rows[0], "instance": 9}, *self.rows], "next": None}
+        body = json.dumps(page).encode()
+        return HttpReply(status=200, body=body[:-3] if self.trouble == "cut" else body)
+
+
+class Node:
+    """The parts of an edge that know of the list and of partners."""
+
+    def __init__(self, *, world: World, name: str, zone: str, turn: int) -> None:
+        self.world, self.name, self.zone = world, name, zone
+        self.own = f"10.{turn // 200}.{turn % 200}.1:7000"
+        self.machine = world.add_machine(name=name, domain=zone)
+        world.homes[self.own] = self.machine
+        self.serial = 0
+
+    async def start(self, *, seeds: list["Node"], adapter: Any) -> None:
+        self.serial += 1
+        self.process = SimProcess(
+            world=self.world, name=f"{self.name}", machine=self.machine, life=self.serial
+        )
+        ports, counts = self.process.ports, Counter()
+        self.counts = counts
+        self.lines = Lines(ports=ports, counts=counts)
+        self.book = Book(me=self.name, places=Places(zone=self.zone))
+        self.swim = Swim(
+            me=MemberMsg(
+                name=self.name, address=self.own, incarnation=self.serial, beat=1,
+                domain=self.zone, is_ready=True,
+            ),
+            rand=ports.rand, rumors=lambda: [], on_rumor=lambda rumor: None,
+        )
+        self.gossip = GossipTask(
+            ports=ports, journal=Journal(now=ports.clock.now_us), swim=self.swim,
+            book=self.book, address=self.own, counts=counts, refresh=lambda: None,
+        )
+        await self.gossip.open()
+        for seed in seeds:
+            self.swim.meet(name=seed.name, address=seed.own, incarnation=1, now_us=0)
+        self.heard: list[int] = []
+        self.list_task = ListTask(
+            ports=ports, lines=self.lines, swim=self.swim, book=self.book, adapter=adapter,
+            own=self.own, counts=counts, calls_per_s=52.0,
+        )
+        await LineServer(
+            ports=ports, address=self.own, on_message=self._on_message, counts=counts
+        ).open()
+
+    async def _on_message(self, message: Any, source: str) -> Any:
+        if isinstance(message, ListNews):
+            self.heard.append(self.world.now_us())
+            self.list_task.take(news=message)
+        if isinstance(message, AskList):
+            return self.list_task.answer(ask=message)
+        return None
+
+
+class ListStory(unittest.TestCase):
+    """A fleet that reads a list, on virtual time."""
+
+    zones = ("a1", "b1", "c1")
+    count = 9
+
+    def run_story(self, story: Callable[[], Awaitable], seed: int = 1) -> None:
+        loop = VirtualLoop()
+        asyncio.set_event_loop(loop)
+        try:
+            loop.run_until_complete(self._with_fleet(loop=loop, story=story, seed=seed))
+        finally:
+            asyncio.set_event_loop(None)
+            loop.close()
+
+    async def _with_fleet(self, *, loop: Any, story: Callable, seed: int) -> None:
+        self.world = World(seed=seed, loop=loop, far_us=(8_000, 9_000))
+        outside = self.world.add_machine(name="outside", domain="out")
+        self.world.homes[LIST] = outside
+        self.list = ListServer(world=self.world)
+        for n in range(10):
+            self.list.add(one=life(f"i{n}", service=f"s{n // 2}", zone=self.zones[n % 3]))
+        process = SimProcess(world=self.world, name="list", machine=outside, life=1)
+        await process.ports.net.serve_http(
+            address=LIST, on_call=self.list.serve, body_limit=1_000_000
+        )
+        self.nodes = [
+            Node(world=self.world, name=f"n{n:02}", zone=self.zones[n % len(self.zones)], turn=n)
+            for n in range(self.count)
+        ]
+        for node in self.nodes:
+            await self.start(node)
+        try:
+            await story()
+            self.assertEqual([], self.world.broken)
+        finally:
+            for one in [process, *(node.process for node in self.nodes)]:
+                one.kill()
+            await asyncio.sleep(0)
+
+    async def start(self, node: Node) -> None:
+        seeds = [one for one in self.nodes[:4] if one is not node]
+        await node.start(seeds=seeds, adapter=OwnList(url=f"http://{LIST}/lives"))
+
+    async def wait(self, us: int) -> None:
+        await asyncio.sleep(us / SECOND)
+
+    def alive(self) -> list[Node]:
+        return [node for node in self.nodes if node.process.is_alive]
+
+    def readers(self) -> list[Node]:
+        return [node for node in self.alive() if node.list_task.is_reader]
+
+    async def wait_for(self, is_there: Callable[[], bool], within_us: int) -> int:
+        """How long it took; fails after `within_us`."""
+        started_us = self.world.now_us()
+        while not is_there():
+            if self.world.now_us() - started_us > within_us:
+                self.fail(f"not within {within_us} us")
+            await self.wait(10_000)
+        return self.world.now_us() - started_us
+
+    def all_know(self, names: set[str]) -> bool:
+        return all(set(node.list_task.roll.lives) == names for node in self.alive())
+
+
+class ReaderTest(ListStory):
+    def test_one_reads_and_all_know(self) -> None:
+        async def story() -> None:
+            await self.wait(8 * SECOND)
+            self.assertEqual(1, len(self.readers()))
+            self.list.calls.clear()
+            await self.wait(10 * SECOND)
+            self.assertEqual({self.readers()[0].name}, {node for _, node in self.list.calls})
+            self.assertIn(len(self.list.calls), range(27, 34))  # ten readings of three pages
+            self.assertTrue(self.all_know({f"i{n}" for n in range(10)}))
+            for node in self.nodes:
+                self.assertEqual(("i2", "i3"), node.book.lives_of("s1"))
+                self.assertLess(self.world.now_us() - node.list_task.roll.fresh_us, 1_300_000)
+
+        self.run_story(story)
+
+    def test_start_keeps_to_the_rate(self) -> None:
+        async def story() -> None:
+            await self.wait(8 * SECOND)
+            calls = [at for at, _ in self.list.calls]
+            busiest = max(sum(at <= one < at + SECOND for one in calls) for at in calls)
+            self.assertLessEqual(busiest, 40)
+
+        self.run_story(story)
+
+    def test_another_reads_on_when_the_reader_is_killed(self) -> None:
+        async def story() -> None:
+            await self.wait(8 * SECOND)
+            reader = self.readers()[0]
+            reader.process.kill()
+            self.list.row("i4")["state"] = "draining"
+            took_us = await self.wait_for(
+                lambda: all(n.book.entries["i4"].is_draining for n in self.alive()), 3 * SECOND
+            )
+            self.assertLess(took_us, 2_600_000)
+            await self.wait(3 * SECOND)
+            self.assertEqual(1, len(self.readers()))
+            self.list.calls.clear()
+            await self.wait(10 * SECOND)
+            self.assertLessEqual(len(self.list.calls), 33)
+
+        for seed in (1, 2, 3):
+            with self.subTest(seed=seed):
+                self.run_story(story, seed=seed)
+
+    def test_drain_is_known_in_time_with_the_reader_killed_at_any_moment(self) -> None:
+        async def story() -> None:
+            await self.wait(8 * SECOND)
+            for turn in range(6):
+                victim = self.readers()[0]
+                before = len(self.list.readings)
+                await self.wait_for(lambda: len(self.list.readings) > before, 2 * SECOND)
+                await self.wait(turn * 7_000)  # between its pages, or as it tells the others
+                name = f"i{turn}"
+                self.list.row(name)["state"] = "draining"
+                victim.process.kill()
+                await self.wait_for(
+                    lambda: all(n.book.entries[name].is_draining for n in self.alive()),
+                    3 * SECOND,
+                )
+                await self.start(victim)
+                await self.wait(6 * SECOND)
+
+        self.run_story(story)
+
+    def test_leaving_reader_hands_over_at_once(self) -> None:
+        async def story() -> None:
+            await self.wait(8 * SECOND)
+            reader = self.readers()[0]
+            reader.list_task.leave()
+            self.list.readings.clear()
+            await self.wait_for(lambda: bool(self.list.readings), 700_000)
+            self.assertNotEqual(reader.name, self.list.readings[0][1])
+
+        self.run_story(story)
+
+    def test_a_reader_that_the_list_turns_away_is_followed_by_another(self) -> None:
+        async def story() -> None:
+            await self.wait(8 * SECOND)
+            reader = self.readers()[0]
+            self.world.cut(a=reader.machine.name, b="outside")
+            self.list.drop("i9")
+            await self.wait_for(
+                lambda: self.all_know({f"i{n}" for n in range(9)}), 4 * SECOND
+            )
+            await self.wait(4 * SECOND)
+            self.assertEqual(1, len(self.readers()))
+            self.assertIsNot(reader, self.readers()[0])
+
+        self.run_story(story)
+
+    def test_both_sides_of_a_cut_read_and_one_goes_on_after_it(self) -> None:
+        async def story() -> None:
+            await self.wait(8 * SECOND)
+            here = [node for node in self.nodes if node.zone == "a1"]
+            there = [node for node in self.nodes if node.zone != "a1"]
+            for a in here:
+                for b in there:
+                    self.world.cut(a=a.machine.name, b=b.machine.name)
+            await self.wait(8 * SECOND)
+            self.list.drop("i9")
+            await self.wait_for(lambda: self.all_know({f"i{n}" for n in range(9)}), 3 * SECOND)
+            self.assertEqual(1, sum(node.list_task.is_reader for node in here))
+            self.assertEqual(1, sum(node.list_task.is_reader for node in there))
+            self.world.heal()
+            await self.wait(8 * SECOND)
+            self.assertEqual(1, len(self.readers()))
+
+        self.run_story(story)
+
+    def test_lost_news_are_asked_for(self) -> None:
+        async def story() -> None:
+            await self.wait(8 * SECOND)
+            node = next(node for node in self.nodes if not node.list_task.is_reader)
+            roll = node.list_task.roll
+            roll._change(changed=[life("ghost")], gone=["i1"], now_us=self.world.now_us())
+            await self.wait_for(lambda: self.all_know({f"i{n}" for n in range(10)}), 2 * SECOND)
+            self.assertEqual(1, node.counts["list_gaps"])
+
+        self.run_story(story)
+
+    def test_a_restarted_node_asks_a_partner_and_not_the_list(self) -> None:
+        async def story() -> None:
+            await self.wait(8 * SECOND)
+            node = next(node for node in self.nodes if not node.list_task.is_reader)
+            node.process.kill()
+            await self.wait(500_000)
+            self.list.calls.clear()
+            await self.start(node)
+            await self.wait_for(lambda: len(node.list_task.roll.lives) == 10, 500_000)
+            await self.wait(5 * SECOND)
+            self.assertNotIn(node.name, {name for _, name in self.list.calls})
+
+        self.run_story(story)
+
+
+class BadListTest(ListStory):
+    count = 3
+
+    def test_a_bad_list_changes_nothing(self) -> None:
+        async def story() -> None:
+            await self.wait(8 * SECOND)
+            known = {f"i{n}" for n in range(10)}
+            for trouble in ("429", "500", "loop", "endless", "empty", "no list", "twice", "cut"):
+                with self.subTest(trouble=trouble):
+                    self.list.trouble = trouble
+                    self.list.calls.clear()
+                    for _ in range(60):
+                        await self.wait(100_000)
+                        self.assertTrue(self.all_know(known))
+                        self.assertEqual(
+                            2, len(self.nodes[0].book.lives_of("s0")), "still offered"
+                        )
+                    busiest = len(self.list.calls) / 6
+                    self.assertLess(busiest, 30 if trouble == "endless" else 12)
+                    self.list.trouble = ""
+                    await self.wait_for(
+                        lambda: all(
+                            self.world.now_us() - node.list_task.roll.fresh_us < SECOND
+                            for node in self.nodes
+                        ),
+                        14 * SECOND,
+                    )
+
+        self.run_story(story)
+
+    def test_one_bad_entry_is_passed_over(self) -> None:
+        async def story() -> None:
+            await self.wait(8 * SECOND)
+            self.list.trouble = "one bad"
+            self.list.add(one=life("new"))
+            await self.wait_for(
+                lambda: self.all_know({f"i{n}" for n in range(10)} | {"new"}), 3 * SECOND
+            )
+
+        self.run_story(story)
+
+
+class LargeFleetTest(ListStory):
+    """Six zones in three regions."""
+
+    zones = ("a1", "a2", "b1", "b2", "c1", "c2")
+    count = 60
+
+    def test_all_are_told_through_relays(self) -> None:
+        async def story() -> None:
+            await self.wait(15 * SECOND)
+            self.assertEqual(1, len(self.readers()))
+            reader = self.readers()[0]
+            sent: list[str] = []
+            lines_send = reader.lines.send
+
+            def send(*, address: str, message: Any, **rest: Any) -> None:
+                if isinstance(message, ListNews):
+                    sent.append(address)
+                lines_send(address=address, message=message, **rest)
+
+            reader.lines.send = send
+            self.list.calls.clear()
+            self.list.drop("i0")
+            took_us = await self.wait_for(
+                lambda: self.all_know({f"i{n}" for n in range(1, 10)}), 2 * SECOND
+            )
+            self.assertLess(took_us, 1_300_000)
+            await self.wait(5 * SECOND - took_us)
+            zones = {node.own: node.zone for node in self.nodes}
+            other = [address for address in sent if zones[address] != reader.zone]
+            self.assertLessEqual(len(other), 5 * 6)  # one in each zone, each second
+            self.assertEqual({reader.name}, {name for _, name in self.list.calls})
+            asks = sum(node.counts["list_asks"] for node in self.nodes)
+            relay = next(
+                node for node in self.alive()
+                if node.zone != reader.zone and node.own in sent
+            )
+            relay.process.kill()
+            self.list.row("i5")["state"] = "draining"
+            await self.wait_for(
+                lambda: all(n.book.entries["i5"].is_draining for n in self.alive()), 3 * SECOND
+            )
+            self.assertLess(sum(node.counts["list_asks"] for node in self.nodes) - asks, 30)
+
+        self.run_story(story)
+
+
+class BookTest(unittest.TestCase):
+    def book(self, *lives: Life, now_us: int = 0) -> Book:
+        book = Book(me="n1", places=Places(zone="a1", zones={"a1": "a", "a2": "a", "b1": "b"}))
+        book.set_lives(lives, now_us)
+        return book
+
+    def choose(self, book: Book, now_us: int, rand: Any = None) -> list[Option]:
+        return options(
+            blueprint=EMPTY, book=book, paces=Paces(), collection="c", shard="s",
+            domain="a1", now_us=now_us, rand=rand,
+        )
+
+    def best(self, book: Book, now_us: int) -> str:
+        first = self.choose(book, now_us)[0]
+        return "" if first.refusal else first.backend
+
+    def test_drains_are_for_ever(self) -> None:
+        book = self.book(life("i1"), life("i2", is_draining=True), life("i3"))
+        self.assertTrue(self.choose(book, 1)[-1].refusal.startswith("draining"))
+        self.assertTrue(book.observe(name="i1", state=DRAINING, why="sign in a reply", now_us=2))
+        self.assertEqual([(DRAINING, 1)], [(r.state, r.turn) for r in book.rumors(now_us=3)])
+        for n in range(3, 9):
+            book.set_lives([life("i1"), life("i2"), life("i3")], n)
+            book.observe(name="i1", state=UP, why="probe", now_us=n, asked_us=n)
+            book.take_rumor(
+                rumor=RumorMsg(backend="i2", state=UP, turn=99, seen_by="n2"), now_us=n
+            )
+            self.assertEqual("i3", self.best(book, n))
+        book.set_lives([life("i3")], 10)
+        book.set_lives([life("i1"), life("i2"), life("i3")], 11)  # a list that lost its rows
+        self.assertEqual("i3", self.best(book, 12))
+
+    def test_a_rumor_of_a_drain_is_taken(self) -> None:
+        book = self.book(life("i1"), life("i2"))
+        rumor = RumorMsg(backend="i1", state=DRAINING, turn=1, seen_by="n2", why="sign")
+        self.assertTrue(book.take_rumor(rumor=rumor, now_us=1))
+        self.assertFalse(book.take_rumor(rumor=rumor, now_us=2))
+        self.assertEqual("i2", self.best(book, 3))
+
+    def test_gone_at_once_and_its_address_may_be_anothers(self) -> None:
+        old, new = life("i1", address="10.8.0.1:80"), life("j1", "t", address="10.8.0.1:80")
+        book = self.book(old, life("i2"))
+        book.entries["i1"].in_flight = 1
+        self.assertEqual(["j1", "i1"], book.set_lives([life("i2"), new], 5))
+        self.assertEqual(("i2",), book.lives_of("s"))
+        self.assertEqual(("j1",), book.lives_of("t"))
+        self.assertEqual("10.8.0.1:80", book.entries["j1"].address)
+        book.note_failure(name="i1", why=evidence.RESET, now_us=6)  # what was in flight
+        self.assertEqual("", self.choose(book, 7)[0].refusal)
+
+    def test_what_is_forgotten_leaves_no_trace(self) -> None:
+        book = self.book(life("i1"))
+        book.set_lives([life("i2")], 10)
+        book.set_lives([life("i3")], 70 * SECOND)
+        self.assertEqual({"i2", "i3"}, set(book.entries))
+        book.note_answer(name="i1", took_us=9, now_us=70 * SECOND)
+        book.note_full(name="i1", now_us=70 * SECOND)
+        self.assertFalse(book.note_failure(name="i1", why=evidence.RESET, now_us=70 * SECOND))
+        self.assertEqual({"i2", "i3"}, set(book.entries))
+
+    def test_never_all_are_shunned(self) -> None:
+        book = self.book(life("i1"), life("i2"))
+        for n, name in enumerate(("i1", "i2")):
+            self.assertTrue(book.note_failure(name=name, why=evidence.REFUSED, now_us=n))
+        ranked = self.choose(book, 5)
+        self.assertEqual(["", "shunned"], [option.refusal for option in ranked])
+        self.assertEqual("i1", ranked[0].backend, "its time is nearest")
+
+    def test_shunned_longer_each_time_and_tried_one_by_one(self) -> None:
+        book = self.book(life("i1"), life("i2"))
+        now_us, spans = 0, []
+        for _ in range(7):
+            book.note_failure(name="i1", why=evidence.REFUSED, now_us=now_us)
+            until_us = book.entries["i1"].seen.shunned_until_us
+            spans.append(until_us - now_us)
+            now_us = until_us
+            self.assertEqual("", {o.backend: o.refusal for o in self.choose(book, now_us)}["i1"])
+            book.entries["i1"].in_flight = 1
+            refusals = {o.backend: o.refusal for o in self.choose(book, now_us)}
+            self.assertEqual("on trial", refusals["i1"])
+            book.entries["i1"].in_flight = 0
+        self.assertEqual([500_000 << n for n in (0, 1, 2, 3, 4, 4, 4)], spans)
+        book.note_answer(name="i1", took_us=9_000, now_us=now_us)
+        book.entries["i1"].in_flight = 1
+        self.assertEqual("", {o.backend: o.refusal for o in self.choose(book, now_us)}["i1"])
+
+    def test_one_late_answer_is_no_illness(self) -> None:
+        book = self.book(life("i1"), life("i2"))
+        book.note_overdue(name="i1", now_us=1_000)
+        self.assertEqual("i2", self.best(book, 2_000))
+        self.assertTrue(all(not o.refusal for o in self.choose(book, 2_000)))
+        self.assertEqual("i1", self.best(book, 102_000))
+        self.assertFalse(book.strike(name="i1", now_us=103_000))
+        self.assertTrue(all(not o.refusal for o in self.choose(book, 104_000)))
+        self.assertTrue(book.strike(name="i1", now_us=105_000))
+
+    def test_full_is_loaded_and_not_ill(self) -> None:
+        book = self.book(life("i1"), life("i2"))
+        for n in range(20):
+            book.note_full(name="i1", now_us=n)
+        self.assertEqual("i2", self.best(book, 50_000))
+        self.assertEqual("i1", self.best(book, 200_000))
+
+    def test_partners_that_shun_make_it_second_choice(self) -> None:
+        book = self.book(life("i1"), life("i2"))
+        for voice in ("n2", "n3"):
+            book.take_rumor(
+                rumor=RumorMsg(backend="i1", state=DARK, seen_by=voice), now_us=1_000
+            )
+        self.assertEqual("i2", self.best(book, 2_000))
+        book.note_answer(name="i1", took_us=9_000, now_us=3_000)
+        self.assertEqual("i1", self.best(book, 4_000))
+
+    def test_a_refused_connection_is_told_for_a_while(self) -> None:
+        book = self.book(life("i1"), life("i2"))
+        self.assertTrue(book.observe(name="i1", state=GONE, why="refused", now_us=5))
+        self.assertEqual([(DARK, "i1")], [(r.state, r.backend) for r in book.rumors(now_us=6)])
+        self.assertEqual([], book.rumors(now_us=3 * SECOND))
+
+    def test_cold_and_far_ones_come_after(self) -> None:
+        book = self.book(life("i1", cold_us=5 * SECOND), life("i2"))
+        self.assertEqual("i2", self.best(book, 1))
+        self.assertEqual("i1", self.best(book, 6 * SECOND))
+        far = life("i0", zone="b1")
+        book = self.book(far, life("i1", zone="a2"), life("i2"))
+        self.assertEqual(["i2", "i1", "i0"], [o.backend for o in self.choose(book, 1)])
+        book.entries["i2"].in_flight = book.entries["i1"].in_flight = 5
+        self.assertEqual("i0", self.best(book, 1), "the near ones are clearly worse")
+
+    def test_a_life_whose_lines_are_in_use_is_refused(self) -> None:
+        class Configuration:
+            services = {"s": type("S", (), {"max_connections": 30})}
+            backends: dict = {}
+
+        book = self.book(life("i1"), life("i2"))
+        book.set_live_edges(count=12, now_us=0)
+        book.declare(blueprint=Configuration(), listed={})  # type: ignore[arg-type]
+        self.assertEqual(2, book.entries["i1"].line_limit)
+        book.entries["i1"].in_flight = 2
+        refusals = {o.backend: o.refusal for o in self.choose(book, 1)}
+        self.assertEqual({"i1": "no free line", "i2": ""}, refusals)
+
+
+if __name__ == "__main__":
+    unittest.main()
