HTTP: an own client and server over asyncio and httptools, with kept connections

Cause: each call cost a fresh connection and libcurl's and tornado's layers, some tenths of a millisecond of processor time on either side, and processor time is the scarce thing at an edge.

The client keeps lines by address (`HttpCall.line_limit`, 0 as before: one of its own), one request at a time on each, and sends nothing twice. Its outcomes say whether something of the request may have left (`was_sent`). A reply that is cut off, without a length or not in the protocol is `LineLost`, never a reply; bytes that belong to no request end their line. The server refuses what is no request in the protocol (400, 408, 413, 431, typed) in its turn and closes after it; limits are asked at each request, so that they may change.

Ruled out: keeping curl with reuse, since libcurl sends again by itself on a kept connection that turns out dead; pycurl gives no hook against that short of a fresh connection for each call.

--- a/kelpstage/base/defects.py
+++ b/kelpstage/base/defects.py
@@ -75,6 +75,28 @@
     limit_bytes: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class OversizedHead(Defect):
+    status: ClassVar[int] = 431
+    limit_bytes: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class SlowRequest(Defect):
+    """A request that was begun and did not come whole in time; it has not run."""
+
+    status: ClassVar[int] = 408
+    part: str
+    after_us: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class BrokenHandler(Defect):
+    """A fault of ours; nothing is said of what the call has done."""
+
+    why: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class UnknownResource(Defect):
     status: ClassVar[int] = 404
@@ -178,16 +200,21 @@
 
 @dataclass(frozen=True, kw_only=True)
 class LineLost(Defect):
-    """The connection ended; the other side may have seen the message."""
+    """The connection ended; the other side may have seen the message, unless
+    `was_sent` is false: then nothing of it can have reached the other side."""
 
     address: str
     why: str = ""
+    was_sent: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
 class WaitOver(Defect):
+    """No answer in time; `was_sent` as at `LineLost`."""
+
     address: str
     after_us: int
+    was_sent: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/kelpstage/base/http/client.py
@@ -0,0 +1,536 @@
+"""HTTP/1.1 out: one request at a time on each connection, kept ones by address.
+
+Nothing is ever sent a second time from here, and every outcome tells whether
+something of the request may have reached the other side.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import errno
+import socket
+from collections import deque
+from typing import Any
+
+import httptools
+
+from kelpstage.base.defects import ConnectRefused, Defect, LineLost, WaitOver
+from kelpstage.base.http.head import OWN_HEADERS, head_bytes, joined, kept_for_s
+from kelpstage.base.http.sockets import family_of, tune
+from kelpstage.base.http.timers import Deadlines
+from kelpstage.base.ports.types import HttpCall, HttpReply
+from kelpstage.base.wire.address import split_address
+
+REPLY_BYTES = 16 * 1024 * 1024
+HEAD_BYTES = 256 * 1024
+IDLE_S = 20.0
+SWEEP_S = 1.0
+NO_BODY = frozenset((204, 304))
+HERE = frozenset((
+    errno.EMFILE, errno.ENFILE, errno.EADDRNOTAVAIL, errno.ENOBUFS, errno.ENOMEM, errno.EACCES,
+    errno.EPERM,
+))
+
+
+def split_url(*, url: str) -> tuple[str, str]:
+    """The address and the request target of a URL, both untouched.
+
+    >>> split_url(url="http://127.0.0.1:80/a?b=http://c"), split_url(url="http://127.0.0.1:80")
+    (('127.0.0.1:80', '/a?b=http://c'), ('127.0.0.1:80', '/'))
+    """
+    rest = url.removeprefix("http://")
+    address, slash, path = rest.partition("/")
+    return address, slash + path or "/"
+
+
+def request_bytes(*, call: HttpCall, address: str, target: str) -> bytes | None:
+    """The request as it goes out, or None if it cannot be one.
+
+    >>> call = HttpCall(method="PUT", url="http://127.0.0.1:1/a", headers={"A": "b"}, body=b"c")
+    >>> request_bytes(call=call, address="127.0.0.1:1", target="/a").split(b"\\r\\n")
+    [b'PUT /a HTTP/1.1', b'Host: 127.0.0.1:1', b'A: b', b'Connection: close', \
+b'Content-Length: 1', b'', b'c']
+    >>> request_bytes(call=call, address="127.0.0.1:1", target="/a b")
+    """
+    if " " in target or "\t" in target or " " in call.method or not call.method:
+        return None
+    lines = [f"{call.method} {target} HTTP/1.1", ""]
+    host = address
+    for name, value in call.headers.items():
+        low = name.lower()
+        if low == "host":
+            host = value
+        elif low not in OWN_HEADERS:
+            lines.append(f"{name}: {value}")
+    lines[1] = f"Host: {host}"
+    if call.line_limit <= 0:
+        lines.append("Connection: close")
+    if call.body or call.method in ("POST", "PUT", "PATCH"):
+        lines.append(f"Content-Length: {len(call.body)}")
+    head = head_bytes(lines=lines)
+    return None if head is None else head + call.body
+
+
+class _Stop(Exception):
+    """Ends the parser's run from within one of its callbacks."""
+
+
+class Line(asyncio.Protocol):
+    """One connection and the one exchange that it may be busy with."""
+
+    def __init__(self, *, client: "HttpClient", address: str, sock: socket.socket) -> None:
+        self._client = client
+        self._address = address
+        self._sock = sock
+        self._transport: Any = None
+        self._parser: Any = httptools.HttpResponseParser(self)
+        self.pool: Pool | None = None
+        self.use_until = 0.0
+        self._future: asyncio.Future | None = None
+        self._call: HttpCall | None = None
+        self._replies: list[HttpReply] = []
+        self._is_inside = False  # a message has begun and is not whole
+        self._pairs: list[tuple[str, str]] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._total = 0
+        self._is_partly_sent = False
+        self._status = 0
+        self._headers: dict[str, str] = {}
+        self._is_kept = False
+        self._is_fit = True
+        self._why = ""
+        self._keep_s = IDLE_S
+
+    # --- one exchange ---------------------------------------------------------------
+
+    async def exchange(self, *, call: HttpCall, data: bytes, deadline: float) -> HttpReply | Defect:
+        """Send a request and wait for its reply. Cancelled, it closes the line."""
+        if self._transport is None or self._transport.is_closing():
+            self.close()
+            return LineLost(address=self._address, why="closed", was_sent=False)
+        future = self._future = asyncio.get_running_loop().create_future()
+        self._call = call
+        self._size = 0
+        self._why = ""
+        self._is_inside = False
+        self._replies = []
+        try:
+            sent = self._sock.send(data)
+        except (BlockingIOError, InterruptedError):
+            sent = 0
+        except OSError as error:  # the kernel took nothing of it
+            self._future = self._call = None
+            self.close()
+            return LineLost(address=self._address, why=_why(error=error), was_sent=False)
+        self._total = len(data)
+        self._is_partly_sent = sent < len(data)
+        if self._is_partly_sent:
+            self._transport.write(data[sent:])
+        entry = self._client.deadlines.at(when=deadline, verb=self._time_over)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._future = self._call = None
+            self.close()
+            raise
+        finally:
+            self._client.deadlines.cancel(entry=entry)
+
+    def _time_over(self) -> None:
+        if self._call is None:
+            return
+        was_sent = self._transport.get_write_buffer_size() < self._total
+        self._finish(
+            outcome=WaitOver(
+                address=self._address, after_us=self._call.wait_us, was_sent=was_sent
+            ),
+            is_fit=False,
+        )
+
+    def _finish(self, *, outcome: HttpReply | Defect, is_fit: bool) -> None:
+        future, self._future, self._call = self._future, None, None
+        self._replies = []
+        self._pairs = []
+        self._body = []
+        if future is not None and not future.done():
+            future.set_result(outcome)
+        if not is_fit or self.pool is None:
+            self.close()
+            return
+        self.use_until = asyncio.get_running_loop().time() + self._keep_s
+        self.pool.release(line=self)
+
+    def _lose(self, *, why: str) -> None:
+        self._finish(outcome=LineLost(address=self._address, why=why), is_fit=False)
+
+    # --- the connection ----------------------------------------------------------------
+
+    def is_usable(self) -> bool:
+        """Nothing has come since the last reply: no bytes, no end."""
+        if self._transport is None or self._transport.is_closing():
+            return False
+        try:
+            self._sock.recv(1, socket.MSG_PEEK)
+        except (BlockingIOError, InterruptedError):
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """End the connection, at once and without sending what is left."""
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.abort()
+        self._leave()
+
+    def _leave(self) -> None:
+        pool, self.pool = self.pool, None
+        if pool is not None:
+            pool.forget(line=self)
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        if self._future is not None:
+            why = "reply cut off" if self._is_inside else _why(error=exc)
+            self._lose(why=why)
+        self._leave()
+        self._transport = self._parser = None
+
+    def data_received(self, data: bytes) -> None:
+        if self._future is None or self._future.done():
+            self.close()  # bytes that belong to no request
+            return
+        self._size += len(data)
+        is_broken = False
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            is_broken = True
+        if self._replies:
+            self._settle(is_broken=is_broken)
+        elif is_broken:
+            self._lose(why=self._why or "no answer in the protocol")
+        elif self._size > REPLY_BYTES or (self._is_inside and not self._status
+                                          and self._size > HEAD_BYTES):
+            self._lose(why="oversized reply")
+
+    def _settle(self, *, is_broken: bool) -> None:
+        """Take the reply that answers the call. Others are passed over, and a line
+        that carried one is not used again."""
+        is_answer = self._call.is_answer
+        for reply in self._replies:
+            if is_answer is None or is_answer(reply):
+                is_alone = len(self._replies) == 1 and not self._is_inside and not is_broken
+                is_sent = not (self._is_partly_sent and self._transport.get_write_buffer_size())
+                self._finish(
+                    outcome=reply, is_fit=is_alone and is_sent and self._is_kept and self._is_fit
+                )
+                return
+        self._is_fit = False
+        self._replies = []
+        if is_broken:
+            self._lose(why=self._why or "no answer in the protocol")
+
+    # --- the parser's callbacks -----------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        self._is_inside = True
+        self._status = 0
+        self._pairs = []
+        self._body = []
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if not self._status:  # what follows the last chunk is no header of ours
+            self._pairs.append((name.decode("latin-1"), value.decode("latin-1")))
+
+    def on_headers_complete(self) -> None:
+        parser = self._parser
+        status = self._status = parser.get_status_code()
+        if status < 200:
+            return
+        if parser.get_http_version() not in ("1.1", "1.0"):
+            raise _Stop
+        headers = self._headers = joined(pairs=self._pairs)
+        self._is_kept = parser.should_keep_alive()
+        if self._is_kept:
+            self._keep_s = kept_for_s(keep_alive=headers.get("keep-alive", ""), default_s=IDLE_S)
+        if self._call.method == "HEAD":
+            self._is_kept = False  # the parser would wait for a body
+            self._keep_reply()
+            raise _Stop
+        coding = headers.get("transfer-encoding")
+        if coding is None:
+            if "content-length" in headers or status in NO_BODY:
+                return
+            self._why = "a reply without a length"
+            raise _Stop
+        if coding.lower() != "chunked":
+            raise _Stop
+
+    def on_body(self, body: bytes) -> None:
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._is_inside = False
+        if self._status >= 200:
+            self._keep_reply()
+
+    def _keep_reply(self) -> None:
+        body = self._body
+        self._replies.append(
+            HttpReply(
+                status=self._status,
+                headers=self._headers,
+                body=body[0] if len(body) == 1 else b"".join(body),
+            )
+        )
+
+
+class Pool:
+    """The kept connections to one address, and who waits for one."""
+
+    def __init__(self, *, client: "HttpClient", address: str) -> None:
+        self._client = client
+        self._address = address
+        self.limit = 0
+        self.count = 0  # lines open, busy or being opened
+        self.idle: list[Line] = []
+        self.waiting: deque[asyncio.Future] = deque()
+
+    def fresh_line(self) -> Line | None:
+        """The line used last that can still be used; those that cannot are dropped."""
+        now = asyncio.get_running_loop().time()
+        while self.idle:
+            line = self.idle.pop()
+            if line.use_until > now and line.is_usable():
+                return line
+            line.close()
+        return None
+
+    def release(self, *, line: Line) -> None:
+        if self.count > self.limit:
+            line.close()
+            return
+        if not self._hand_on(result=line):
+            self.idle.append(line)
+            self._client.note_idle()
+
+    def forget(self, *, line: Line) -> None:
+        if line in self.idle:
+            self.idle.remove(line)
+        self.give_up_place()
+
+    def give_up_place(self) -> None:
+        """A place is free: the first who waits may open a line in it."""
+        if self.count <= self.limit and self._hand_on(result=None):
+            return
+        self.count -= 1
+        if not self.count and not self.waiting:
+            self._client.drop_pool(address=self._address, pool=self)
+
+    def _hand_on(self, *, result: Line | None) -> bool:
+        while self.waiting:
+            future = self.waiting.popleft()
+            if not future.done():
+                future.set_result(result)
+                return True
+        return False
+
+
+class HttpClient:
+    """Sends calls, each over a connection of its own or over kept ones."""
+
+    def __init__(self) -> None:
+        self.deadlines = Deadlines()
+        self._pools: dict[str, Pool] = {}
+        self._sweep: asyncio.TimerHandle | None = None
+
+    async def fetch(self, *, call: HttpCall) -> HttpReply | Defect:
+        """The reply, or why there is none: `ConnectRefused` (nothing was sent),
+        `LineLost` and `WaitOver` (`was_sent` tells). Cancelled, it closes its line."""
+        deadline = asyncio.get_running_loop().time() + call.wait_us / 1_000_000
+        address, target = split_url(url=call.url)
+        data = request_bytes(call=call, address=address, target=target)
+        if data is None:
+            return LineLost(address=address, why="no request in the protocol", was_sent=False)
+        if call.line_limit > 0:
+            line = await self._kept_line(call=call, address=address, deadline=deadline)
+        else:
+            line = await self._open(call=call, address=address, deadline=deadline)
+        if isinstance(line, Defect):
+            return line
+        return await line.exchange(call=call, data=data, deadline=deadline)
+
+    def close(self) -> None:
+        """End every idle connection."""
+        for pool in list(self._pools.values()):
+            for line in list(pool.idle):
+                line.close()
+        if self._sweep is not None:
+            self._sweep.cancel()
+            self._sweep = None
+
+    def lines_to(self, *, address: str) -> tuple[int, int]:
+        """How many kept lines there are to an address, and how many of them idle.
+
+        >>> HttpClient().lines_to(address="127.0.0.1:1")
+        (0, 0)
+        """
+        pool = self._pools.get(address)
+        return (pool.count, len(pool.idle)) if pool else (0, 0)
+
+    async def _kept_line(self, *, call: HttpCall, address: str, deadline: float) -> Line | Defect:
+        pool = self._pools.get(address)
+        if pool is None:
+            pool = self._pools[address] = Pool(client=self, address=address)
+        pool.limit = call.line_limit
+        line = pool.fresh_line()
+        if line is not None:
+            return line
+        if pool.count < pool.limit:
+            # dropping a stale line may have emptied the pool
+            self._pools[address] = pool
+            pool.count += 1
+        else:
+            found = await self._wait(pool=pool, call=call, address=address, deadline=deadline)
+            if isinstance(found, Defect):
+                return found
+            if found is not None:
+                if found.is_usable():
+                    return found
+                found.pool = None  # its place stays with this call
+                found.close()
+        try:
+            line = await self._open(call=call, address=address, deadline=deadline)
+        except BaseException:
+            pool.give_up_place()
+            raise
+        if isinstance(line, Defect):
+            pool.give_up_place()
+            return line
+        line.pool = pool
+        return line
+
+    async def _wait(
+        self, *, pool: Pool, call: HttpCall, address: str, deadline: float
+    ) -> Line | Defect | None:
+        """Wait in order for a line, or for a place to open one (None)."""
+        future = asyncio.get_running_loop().create_future()
+        pool.waiting.append(future)
+
+        def time_over() -> None:
+            if not future.done():
+                future.set_result(
+                    WaitOver(address=address, after_us=call.wait_us, was_sent=False)
+                )
+
+        entry = self.deadlines.at(when=deadline, verb=time_over)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            if future.done() and not future.cancelled():  # it came at the same moment
+                found = future.result()
+                if isinstance(found, Line):
+                    pool.release(line=found)
+                elif found is None:
+                    pool.give_up_place()
+            raise
+        finally:
+            self.deadlines.cancel(entry=entry)
+
+    async def _open(self, *, call: HttpCall, address: str, deadline: float) -> Line | Defect:
+        loop = asyncio.get_running_loop()
+        try:
+            host, port = split_address(address=address)
+            sock = socket.socket(family_of(host=host), socket.SOCK_STREAM)
+        except (OSError, ValueError) as error:
+            return LineLost(address=address, why=_why(error=error), was_sent=False)
+        try:
+            sock.setblocking(False)
+            tune(sock=sock)
+            number = sock.connect_ex((host, port))
+            if number == errno.EINPROGRESS:
+                if not await self._is_writable(sock=sock, deadline=deadline):
+                    sock.close()
+                    return WaitOver(address=address, after_us=call.wait_us, was_sent=False)
+                number = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            if number:
+                sock.close()
+                return _not_open(number=number, address=address, wait_us=call.wait_us)
+            _, line = await loop.create_connection(
+                lambda: Line(client=self, address=address, sock=sock), sock=sock
+            )
+        except (OSError, ValueError, OverflowError) as error:
+            sock.close()
+            return LineLost(address=address, why=_why(error=error), was_sent=False)
+        except BaseException:
+            sock.close()
+            raise
+        return line
+
+    async def _is_writable(self, *, sock: socket.socket, deadline: float) -> bool:
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+
+        def note(is_open: bool) -> None:
+            if not future.done():
+                future.set_result(is_open)
+
+        loop.add_writer(sock.fileno(), note, True)
+        entry = self.deadlines.at(when=deadline, verb=lambda: note(False))
+        try:
+            return await future
+        finally:
+            loop.remove_writer(sock.fileno())
+            self.deadlines.cancel(entry=entry)
+
+    # --- idle lines ----------------------------------------------------------------------
+
+    def note_idle(self) -> None:
+        if self._sweep is None:
+            self._sweep = asyncio.get_running_loop().call_later(SWEEP_S, self._drop_stale)
+
+    def drop_pool(self, *, address: str, pool: Pool) -> None:
+        if self._pools.get(address) is pool:
+            del self._pools[address]
+
+    def _drop_stale(self) -> None:
+        """Ends idle lines whose time is over; ticks only while there are idle ones."""
+        self._sweep = None
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        for pool in list(self._pools.values()):
+            for line in list(pool.idle):
+                if line.use_until <= now:
+                    line.close()
+        ends = [line.use_until for pool in self._pools.values() for line in pool.idle]
+        if ends:
+            self._sweep = loop.call_at(max(now + SWEEP_S, min(ends)), self._drop_stale)
+
+
+def _why(*, error: BaseException | None) -> str:
+    """
+    >>> _why(error=None), _why(error=ConnectionResetError())
+    ('closed', 'ConnectionResetError')
+    """
+    if error is None:
+        return "closed"
+    return getattr(error, "strerror", None) or type(error).__name__
+
+
+def _not_open(*, number: int, address: str, wait_us: int) -> Defect:
+    """What a failed connect comes to: nothing was sent in any case.
+
+    >>> _not_open(number=errno.ECONNREFUSED, address="a", wait_us=1).kind
+    'connect_refused'
+    >>> _not_open(number=errno.EMFILE, address="a", wait_us=1).was_sent
+    False
+    """
+    if number in HERE:
+        return LineLost(address=address, why=errno.errorcode.get(number, ""), was_sent=False)
+    if number == errno.ETIMEDOUT:
+        return WaitOver(address=address, after_us=wait_us, was_sent=False)
+    return ConnectRefused(address=address)
--- /dev/null
+++ b/kelpstage/base/http/server.py
@@ -0,0 +1,474 @@
+"""HTTP/1.1 in: connections that are kept, requests that are answered in their order.
+
+What is no request in the protocol is refused and its connection closed before
+anything of it is handed on, so that nothing can hide behind it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from typing import Any, Awaitable, Callable
+
+import httptools
+
+from kelpstage.base.defects import (
+    AddressTaken,
+    BadRequest,
+    BrokenHandler,
+    Defect,
+    OversizedBody,
+    OversizedHead,
+    SlowRequest,
+)
+from kelpstage.base.http.head import REASONS, cleaned, head_bytes, joined
+from kelpstage.base.http.sockets import family_of, tune
+from kelpstage.base.ports.types import HttpCall, HttpLimits, HttpReply
+from kelpstage.base.wire.address import split_address
+from kelpstage.base.wire.http import defect_reply
+
+BACKLOG = 1024
+QUEUE = 16
+BODY_SPANS = 10  # a body may take this many times the span in which it must go on
+LINGER_S = 1.0
+LINGER_BYTES = 4 * 1024 * 1024
+STUCK_S = 10.0
+SWEEP_S = 1.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+OWN = frozenset(("content-length", "transfer-encoding", "connection", "keep-alive"))
+STATUS_LINES = {
+    status: f"HTTP/1.1 {status} {REASONS.get(status, 'Unknown')}" for status in range(200, 600)
+}
+IDLE, HEAD, BODY, CLOSING = range(4)
+
+OnCall = Callable[[HttpCall], Awaitable[HttpReply | None]]
+
+
+def reply_bytes(
+    *, reply: HttpReply, is_head: bool = False, connection: str = ""
+) -> tuple[bytes, bool]:
+    """A reply as it goes out, and whether its connection is to be closed after it.
+
+    >>> reply = HttpReply(status=200, headers={"A": "b"}, body=b"c")
+    >>> reply_bytes(reply=reply)
+    (b'HTTP/1.1 200 OK\\r\\nA: b\\r\\nContent-Length: 1\\r\\n\\r\\nc', False)
+    >>> reply_bytes(reply=reply, is_head=True, connection="close")[0].endswith(b"close\\r\\n\\r\\n")
+    True
+    """
+    body = reply.body
+    size = str(len(body))
+    is_last = connection == "close"
+    lines = [STATUS_LINES.get(reply.status) or f"HTTP/1.1 {reply.status} Unknown"]
+    for name, value in reply.headers.items():
+        low = name.lower()
+        if low not in OWN:
+            lines.append(f"{name}: {value}")
+        elif low == "connection" and "close" in value.lower():
+            is_last, connection = True, "close"
+        elif low == "content-length" and (is_head or reply.status == 304):
+            size = value
+    if reply.status in (204, 304) or is_head:
+        body = b""
+    if reply.status != 204:
+        lines.append(f"Content-Length: {size}")
+    if connection:
+        lines.append(f"Connection: {connection}")
+    head = head_bytes(lines=lines) or head_bytes(lines=cleaned(lines=lines))
+    return head + body, is_last
+
+
+class _Stop(Exception):
+    """Ends the parser's run from within one of its callbacks."""
+
+
+class CallerLine(asyncio.Protocol):
+    """One caller's connection: what is being read, what waits, what is in work."""
+
+    def __init__(self, *, server: "HttpServer") -> None:
+        self._server = server
+        self._transport: Any = None
+        self._parser: Any = httptools.HttpRequestParser(self)
+        self._queue: deque = deque()
+        self._task: asyncio.Task | None = None
+        self.stage = IDLE
+        self._since = 0.0  # when this stage began
+        self._moved = 0.0  # when the body last went on
+        self._is_deaf = False  # nothing that still comes is read
+        self._is_paused = False
+        self._is_full = False  # the caller does not take in what we write
+        self._is_half = False  # the caller has ended its side
+        self._deaf_bytes = 0
+        self._stuck = 0
+        self._served = 0
+        self._refusal: Defect | None = None
+        # the request being read
+        self._url = b""
+        self._pairs: list[tuple[str, str]] = []
+        self._head_size = 0
+        self._head_fed = 0
+        self._body: list[bytes] = []
+        self._body_size = 0
+        self._body_limit = 0
+        self._headers: dict[str, str] = {}
+        self._is_kept = True
+        self._is_old = False  # HTTP/1.0
+        self._wants_continue = False
+
+    def is_quiet(self) -> bool:
+        """No request is being read, waits or is in work."""
+        return self.stage == IDLE and self._task is None and not self._queue
+
+    def is_fresh(self) -> bool:
+        """Has no request come yet?"""
+        return not self._served
+
+    # --- the connection ----------------------------------------------------------------
+
+    def connection_made(self, transport: Any) -> None:
+        self._transport = transport
+        self._since = asyncio.get_running_loop().time()
+        self._server.note_line(line=self)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = self._parser = None
+        self._queue.clear()
+        if self._task is None:
+            self._server.forget_line(line=self)
+
+    def eof_received(self) -> bool:
+        """A caller may end its side and still wait for what it has asked."""
+        self._is_half = True
+        return self._task is not None or bool(self._queue)
+
+    def pause_writing(self) -> None:
+        self._is_full = True
+
+    def resume_writing(self) -> None:
+        self._is_full = False
+        self._next()
+
+    def data_received(self, data: bytes) -> None:
+        if self._is_deaf:
+            self._deaf_bytes += len(data)
+            if self._deaf_bytes > LINGER_BYTES:
+                self._transport.abort()
+            return
+        if self.stage == HEAD:
+            self._head_fed += len(data)
+        elif self.stage == BODY:
+            self._moved = asyncio.get_running_loop().time()
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._end_reading()  # no other protocol is spoken here; the request counts
+        except httptools.HttpParserError as error:
+            if self._is_kept or self._refusal is not None:
+                why = str(error).partition("(")[0].strip()
+                self._refuse(defect=self._refusal or BadRequest(part="request", why=why))
+            else:  # bytes after the last request of this connection
+                self._end_reading()
+        if self.stage == HEAD and not self._is_deaf:
+            limit = self._server.limits().header_bytes
+            if self._head_fed > limit or self._head_size > limit:
+                self._refuse(defect=OversizedHead(limit_bytes=limit))
+        if len(self._queue) > QUEUE and not self._is_paused and self._transport is not None:
+            self._is_paused = True
+            self._transport.pause_reading()
+        if self._task is None:
+            self._next()
+
+    def _end_reading(self) -> None:
+        self._is_deaf = True
+        self.stage = IDLE
+        self._parser = None
+        if self._queue and type(self._queue[-1]) is tuple:
+            call, _, is_old = self._queue[-1]
+            self._queue[-1] = (call, False, is_old)
+        self._is_kept = False
+
+    def _refuse(self, *, defect: Defect) -> None:
+        """Answer in its turn, and close: where the next request begins is not known."""
+        self._end_reading()
+        self._body = []
+        self._queue.append(defect_reply(defect=defect))
+        if self._task is None:
+            self._next()
+
+    # --- the parser's callbacks ---------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        self.stage = HEAD
+        self._since = asyncio.get_running_loop().time()
+        self._url = b""
+        self._pairs = []
+        self._head_size = self._head_fed = 0
+        self._body = []
+        self._body_size = 0
+        self._wants_continue = False
+
+    def on_url(self, url: bytes) -> None:
+        self._url = self._url + url if self._url else url
+        self._head_size += len(url)
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._head_size += len(name) + len(value) + 4
+        if self.stage == HEAD:
+            self._pairs.append((name.decode("latin-1"), value.decode("latin-1")))
+        elif self._head_size > self._server.limits().header_bytes:
+            raise self._stopped(defect=OversizedHead(limit_bytes=self._head_size))
+
+    def on_headers_complete(self) -> None:
+        self.stage = BODY
+        self._moved = self._since
+        parser = self._parser
+        limits = self._server.limits()
+        if self._head_size + 18 > limits.header_bytes:
+            raise self._stopped(defect=OversizedHead(limit_bytes=limits.header_bytes))
+        headers = self._headers = joined(pairs=self._pairs)
+        version = parser.get_http_version()
+        self._is_old = version == "1.0"
+        if not self._is_old and version != "1.1":
+            raise self._bad(why="not HTTP/1.0 or 1.1")
+        self._is_kept = parser.should_keep_alive()
+        hosts = sum(name.lower() == "host" for name, _ in self._pairs)
+        if hosts != 1 and (hosts or not self._is_old):
+            raise self._bad(why="one Host it must be")
+        self._body_limit = limits.body_bytes
+        coding = headers.get("transfer-encoding")
+        length = headers.get("content-length")
+        if coding is not None and (self._is_old or coding.lower() != "chunked"):
+            raise self._bad(why="a transfer coding other than chunked")
+        if length is not None and int(length) > self._body_limit:
+            raise self._stopped(defect=OversizedBody(limit_bytes=self._body_limit))
+        has_body = coding is not None or length not in (None, "0")
+        if has_body and parser.should_upgrade():
+            raise self._bad(why="an upgrade with a body")
+        expected = headers.get("expect")
+        if expected is not None:
+            if expected.lower() != "100-continue":
+                raise self._bad(why="an expectation other than 100-continue")
+            self._wants_continue = has_body and not self._is_old
+
+    def on_body(self, body: bytes) -> None:
+        self._body_size += len(body)
+        if self._body_size > self._body_limit:
+            raise self._stopped(defect=OversizedBody(limit_bytes=self._body_limit))
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self._wants_continue = False
+        self.stage = IDLE
+        self._served += 1
+        body = self._body
+        call = HttpCall(
+            method=self._parser.get_method().decode("latin-1"),
+            url=self._url.decode("latin-1"),
+            headers=self._headers,
+            body=body[0] if len(body) == 1 else b"".join(body),
+            raw_headers=tuple(self._pairs),
+        )
+        self._body = []
+        self._queue.append((call, self._is_kept, self._is_old))
+
+    def _bad(self, *, why: str) -> _Stop:
+        return self._stopped(defect=BadRequest(part="request", why=why))
+
+    def _stopped(self, *, defect: Defect) -> _Stop:
+        self._refusal = defect
+        return _Stop()
+
+    # --- answers -------------------------------------------------------------------------
+
+    def _next(self) -> None:
+        """Work on the next request, if none is in work and the caller takes answers in."""
+        if self._task is not None or self._is_full or self._transport is None:
+            return
+        if not self._queue:
+            if self._wants_continue and self.stage == BODY and not self._body_size:
+                self._wants_continue = False
+                self._transport.write(CONTINUE)
+            return
+        item = self._queue.popleft()
+        if self._is_paused and len(self._queue) <= QUEUE // 2:
+            self._is_paused = False
+            self._transport.resume_reading()
+            self._moved = self._since = asyncio.get_running_loop().time()
+        if type(item) is tuple:
+            self._task = asyncio.get_running_loop().create_task(self._work(*item))
+        else:
+            self._write(reply=item, is_head=False, is_kept=False, is_old=False)
+
+    async def _work(self, call: HttpCall, is_kept: bool, is_old: bool) -> None:
+        try:
+            reply = await self._server.on_call(call)
+        except Exception as error:
+            asyncio.get_running_loop().call_exception_handler(
+                {"message": f"the answer to {call.method} {call.url} broke", "exception": error}
+            )
+            reply = defect_reply(defect=BrokenHandler(why=type(error).__name__))
+        self._task = None
+        if self._transport is None:  # the caller has left before its answer
+            self._server.forget_line(line=self)
+            return
+        if reply is None:
+            self._transport.abort()
+            return
+        self._write(reply=reply, is_head=call.method == "HEAD", is_kept=is_kept, is_old=is_old)
+        self._next()
+
+    def _write(self, *, reply: HttpReply, is_head: bool, is_kept: bool, is_old: bool) -> None:
+        is_kept = is_kept and not self._server.is_closing
+        connection = "" if is_kept and not is_old else "keep-alive" if is_kept else "close"
+        data, is_last = reply_bytes(reply=reply, is_head=is_head, connection=connection)
+        self._transport.write(data)
+        if is_last:
+            self._hang_up()
+        elif self.stage == IDLE:
+            self._since = asyncio.get_running_loop().time()
+
+    def _hang_up(self) -> None:
+        """End our side after what is written; what still comes is read and dropped for
+        a moment, since bytes left unread would make the end a reset that overtakes it."""
+        self._is_deaf = True
+        self._queue.clear()
+        self.stage = CLOSING
+        self._since = asyncio.get_running_loop().time()
+        if self._is_half or not self._transport.can_write_eof():
+            self._transport.close()
+            return
+        if self._is_paused:
+            self._is_paused = False
+            self._transport.resume_reading()
+        self._transport.write_eof()
+
+    # --- time ------------------------------------------------------------------------------
+
+    def close_if_quiet(self) -> None:
+        if self.is_quiet() and self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        if self._transport is not None:
+            self._transport.abort()
+
+    def look(self, *, now: float, limits: HttpLimits) -> None:
+        """Called now and then: ends what takes too long."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return
+        unsent = transport.get_write_buffer_size()
+        if unsent:
+            if unsent != self._stuck:
+                self._stuck, self._moved = unsent, now
+            elif now - self._moved > STUCK_S:
+                transport.abort()
+            return
+        self._stuck = 0
+        spent = now - self._since
+        span = limits.header_us / 1_000_000
+        if self.stage == CLOSING:
+            if spent > LINGER_S:
+                transport.abort()
+        elif self._is_paused:
+            return
+        elif self.stage == HEAD and spent > span:
+            self._refuse(defect=SlowRequest(part="head", after_us=limits.header_us))
+        elif self.stage == BODY and (now - self._moved > span or spent > BODY_SPANS * span):
+            self._refuse(defect=SlowRequest(part="body", after_us=limits.header_us))
+        elif self.is_quiet():
+            idle_s = limits.idle_us / 1_000_000
+            if spent > (min(LINGER_S, idle_s) if self._server.is_closing else idle_s):
+                transport.close()
+
+
+class HttpServer:
+    """Takes calls at one address until it is closed; open requests are still answered."""
+
+    def __init__(self, *, on_call: OnCall, limits: Callable[[], HttpLimits]) -> None:
+        self.on_call = on_call
+        self.limits = limits
+        self.is_closing = False
+        self._lines: set[CallerLine] = set()
+        self._sweep: asyncio.TimerHandle | None = None
+        self._sock: socket.socket | None = None
+        self._server: asyncio.Server | None = None
+
+    async def open(self, *, address: str) -> Defect | None:
+        host, port = split_address(address=address)
+        sock = socket.socket(family_of(host=host), socket.SOCK_STREAM)
+        try:
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            sock.setblocking(False)
+            tune(sock=sock)
+            sock.bind((host, port))
+            self._server = await asyncio.get_running_loop().create_server(
+                self._line, sock=sock, backlog=BACKLOG
+            )
+        except OSError as error:
+            sock.close()
+            return AddressTaken(address=address, why=str(error))
+        self._sock = sock
+        return None
+
+    def close(self) -> None:
+        """Stop taking connections in. Quiet ones end; on the others the answer in work
+        says that it is the last."""
+        if self._server is None:
+            return
+        loop = asyncio.get_running_loop()
+        while True:  # those that the kernel has taken in already may have sent something
+            try:
+                sock, _ = self._sock.accept()
+            except OSError:
+                break
+            sock.setblocking(False)
+            loop.create_task(loop.connect_accepted_socket(self._line, sock))
+        self._server.close()
+        self._server = self._sock = None
+        self.is_closing = True
+        loop.call_soon(loop.call_soon, self._close_quiet)  # what has arrived is read first
+
+    def abort(self) -> None:
+        """End everything at once."""
+        self.close()
+        for line in list(self._lines):
+            line.abort()
+
+    def open_lines(self) -> int:
+        """How many connections are open or still in work."""
+        return len(self._lines)
+
+    def _line(self) -> CallerLine:
+        return CallerLine(server=self)
+
+    def _close_quiet(self) -> None:
+        for line in list(self._lines):
+            if not line.is_fresh():
+                line.close_if_quiet()
+
+    def note_line(self, *, line: CallerLine) -> None:
+        self._lines.add(line)
+        if self._sweep is None:
+            self._arm()
+
+    def forget_line(self, *, line: CallerLine) -> None:
+        self._lines.discard(line)
+
+    def _arm(self) -> None:
+        limits = self.limits()
+        least_us = min(limits.header_us, limits.idle_us)
+        self._sweep = asyncio.get_running_loop().call_later(
+            min(SWEEP_S, max(0.01, least_us / 2_000_000)), self._look
+        )
+
+    def _look(self) -> None:
+        """Ticks only while a connection is open."""
+        self._sweep = None
+        if not self._lines:
+            return
+        now = asyncio.get_running_loop().time()
+        limits = self.limits()
+        for line in list(self._lines):
+            line.look(now=now, limits=limits)
+        self._arm()
--- a/kelpstage/base/ports/live.py
+++ b/kelpstage/base/ports/live.py
@@ -1,4 +1,4 @@
-"""The real world: tornado, curl, files, the kernel's clock."""
+"""The real world: tornado, sockets, files, the kernel's clock."""
 
 from __future__ import annotations
 
@@ -12,10 +12,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, Awaitable, Callable
 
-import pycurl
-from tornado import gen, httpserver, httputil, ioloop, iostream, tcpclient, tcpserver
-from tornado.curl_httpclient import CurlAsyncHTTPClient, CurlError
-from tornado.httpclient import HTTPClientError, HTTPRequest
+from tornado import gen, ioloop, iostream, tcpclient, tcpserver
 
 from kelpstage.base.defects import (
     AddressTaken,
@@ -23,10 +20,11 @@
     Defect,
     DiskDefect,
     LineLost,
-    OversizedBody,
     WaitOver,
 )
-from kelpstage.base.ports.types import HttpCall, HttpReply, Ports
+from kelpstage.base.http.client import HttpClient
+from kelpstage.base.http.server import HttpServer
+from kelpstage.base.ports.types import HttpCall, HttpLimits, HttpReply, Ports
 from kelpstage.base.wire.address import split_address
 
 
@@ -135,10 +133,10 @@
 
 
 class LiveNet:
-    """TCP, UDP and HTTP by tornado; HTTP out by its curl client."""
+    """TCP and UDP by tornado; HTTP by `base/http`."""
 
     def __init__(self) -> None:
-        self._client = CurlAsyncHTTPClient(force_instance=True, max_clients=1000)
+        self._client = HttpClient()
         self._tcp = tcpclient.TCPClient()
 
     async def connect(self, *, address: str, wait_us: int) -> LiveStream | Defect:
@@ -173,121 +171,21 @@
         return LiveDatagrams(sock=sock, on_datagram=on_datagram)
 
     async def fetch(self, *, call: HttpCall) -> HttpReply | Defect:
-        request = HTTPRequest(
-            call.url,
-            method=call.method,
-            headers=call.headers,
-            body=call.body if call.method in ("POST", "PUT") else None,
-            connect_timeout=call.wait_us / 1_000_000,
-            request_timeout=call.wait_us / 1_000_000,
-            follow_redirects=False,
-            decompress_response=False,
-            prepare_curl_callback=_no_hidden_rounds,
-            allow_nonstandard_methods=True,
-        )
-        try:
-            response = await self._client.fetch(request, raise_error=False)
-        except HTTPClientError as error:  # what never became a reply is raised all the same
-            return _lost(error=error, call=call)
-        return HttpReply(
-            status=response.code,
-            headers={name.lower(): value for name, value in response.headers.get_all()},
-            body=response.body or b"",
-        )
-
-    async def serve_http(self, *, address: str, on_call: Callable, body_limit: int) -> Any:
-        host, port = split_address(address=address)
-        server = httpserver.HTTPServer(
-            _HttpDelegate(on_call=on_call, body_limit=body_limit),
-            max_header_size=32 * 1024,
-            max_body_size=1 << 40,  # our own limit answers with a typed defect
-            idle_connection_timeout=120,
-        )
-        try:
-            server.listen(port, host)
-        except OSError as error:
-            return AddressTaken(address=address, why=str(error))
-        return _Closer(close=server.stop)
-
-
-def _lost(*, error: HTTPClientError, call: HttpCall) -> Defect:
-    """Why there is no reply, and above all whether the other side saw the call."""
-    number = error.errno if isinstance(error, CurlError) else None
-    if number == pycurl.E_COULDNT_CONNECT:
-        return ConnectRefused(address=call.url)
-    if number == pycurl.E_OPERATION_TIMEDOUT:
-        return WaitOver(address=call.url, after_us=call.wait_us)
-    return LineLost(address=call.url, why=error.message or "")
-
-
-def _no_hidden_rounds(curl: pycurl.Curl) -> None:
-    """libcurl sends again by itself when a kept connection turns out dead; a
-    connection of its own for each call is the one way to switch that off."""
-    curl.setopt(pycurl.FRESH_CONNECT, 1)
-    curl.setopt(pycurl.FORBID_REUSE, 1)
-    curl.setopt(pycurl.NOSIGNAL, 1)
-
-
-class _HttpDelegate(httputil.HTTPServerConnectionDelegate):
-    def __init__(self, *, on_call: Callable, body_limit: int) -> None:
-        self.on_call = on_call
-        self.body_limit = body_limit
-
-    def start_request(self, server_conn: object, request_conn: httputil.HTTPConnection) -> Any:
-        return _HttpMessage(delegate=self, connection=request_conn)
-
-
-class _HttpMessage(httputil.HTTPMessageDelegate):
-    def __init__(self, *, delegate: _HttpDelegate, connection: httputil.HTTPConnection) -> None:
-        self._delegate = delegate
-        self._connection = connection
-        self._chunks: list[bytes] = []
-        self._size = 0
-
-    def headers_received(self, start_line: Any, headers: httputil.HTTPHeaders) -> None:
-        self._start = start_line
-        self._headers = {name.lower(): value for name, value in headers.get_all()}
-
-    def data_received(self, chunk: bytes) -> None:
-        self._size += len(chunk)
-        if self._size <= self._delegate.body_limit:
-            self._chunks.append(chunk)
-
-    def finish(self) -> None:
-        asyncio.ensure_future(self._give_verdict())
-
-    def on_connection_close(self) -> None:
-        self._chunks.clear()
-
-    async def _give_verdict(self) -> None:
-        call = HttpCall(
-            method=self._start.method,
-            url=self._start.path,
-            headers=self._headers,
-            body=b"".join(self._chunks),
-        )
-        if self._size > self._delegate.body_limit:
-            from kelpstage.base.wire.http import defect_reply
-
-            reply = defect_reply(defect=OversizedBody(limit_bytes=self._delegate.body_limit))
-        else:
-            reply = await self._delegate.on_call(call)
-        if reply is None:  # the stand-ins of the rig break lines on purpose
-            self._connection.detach().close()
-            return
-        headers = httputil.HTTPHeaders(reply.headers)
-        if "Content-Length" not in headers:
-            headers["Content-Length"] = str(len(reply.body))
-        start = httputil.ResponseStartLine("HTTP/1.1", reply.status, _reason(status=reply.status))
-        try:
-            self._connection.write_headers(start, headers, reply.body)
-            self._connection.finish()
-        except (iostream.StreamClosedError, httputil.HTTPOutputError):
-            return  # the caller left before its verdict
-
-
-def _reason(*, status: int) -> str:
-    return httputil.responses.get(status, "Unknown")
+        return await self._client.fetch(call=call)
+
+    async def serve_http(
+        self,
+        *,
+        address: str,
+        on_call: Callable,
+        body_limit: int,
+        limits: Callable[[], HttpLimits] | None = None,
+    ) -> HttpServer | Defect:
+        """Serve until `close()`; `limits` is asked at each request and goes before
+        `body_limit`."""
+        fixed = HttpLimits(body_bytes=body_limit)
+        server = HttpServer(on_call=on_call, limits=limits or (lambda: fixed))
+        return await server.open(address=address) or server
 
 
 class LiveDisk:
--- a/kelpstage/base/ports/types.py
+++ b/kelpstage/base/ports/types.py
@@ -17,6 +17,13 @@
 class HttpCall:
     """One HTTP request, as sent by us or as taken in by our server.
 
+    Taken in, `url` is the request target as it was sent, the names in `headers` are
+    lower case and `raw_headers` has them in the order and case of the sender.
+
+    Sent by us: with `line_limit` 0 the call has a connection of its own; above that it
+    goes over a kept one, of which there are at most so many to the address. A reply for
+    which `is_answer` gives False is passed over: it answers something else.
+
     >>> HttpCall(method="GET", url="http://127.0.0.1:1/ready").body
     b''
     """
@@ -26,6 +33,9 @@
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
     wait_us: int = 1_000_000
+    line_limit: int = 0
+    is_answer: Callable[[HttpReply], bool] | None = None
+    raw_headers: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -41,6 +51,22 @@
     body: bytes = b""
 
 
+@dataclass(frozen=True, kw_only=True)
+class HttpLimits:
+    """What a server takes from its callers: bytes of a request's head and body, the
+    time in which a head must be whole and within which a body must go on, and how long
+    a connection may be without a request.
+
+    >>> HttpLimits().header_bytes
+    32768
+    """
+
+    header_bytes: int = 32 * 1024
+    body_bytes: int = 1024 * 1024
+    header_us: int = 10_000_000
+    idle_us: int = 120_000_000
+
+
 class Clock(Protocol):
     def now_us(self) -> int: ...
     def wall_us(self) -> int: ...
@@ -71,7 +97,12 @@
     async def datagrams(self, *, address: str, on_datagram: Callable) -> Datagrams | Defect: ...
     async def fetch(self, *, call: HttpCall) -> HttpReply | Defect: ...
     async def serve_http(
-        self, *, address: str, on_call: Callable, body_limit: int
+        self,
+        *,
+        address: str,
+        on_call: Callable,
+        body_limit: int,
+        limits: Callable[[], HttpLimits] | None = None,
     ) -> Listener | Defect: ...
 
 
--- a/proof/sim/world.py
+++ b/proof/sim/world.py
@@ -15,7 +15,7 @@
     OversizedBody,
     WaitOver,
 )
-from kelpstage.base.ports.types import HttpCall, HttpReply, Ports
+from kelpstage.base.ports.types import HttpCall, HttpLimits, HttpReply, Ports
 from kelpstage.base.wire.http import defect_reply
 from proof.sim.disk import Platter, SimDisk
 from proof.sim.loop import VirtualLoop
@@ -271,7 +271,12 @@
             return outcome
         return SimDatagrams(process=self._process, address=address)
 
-    async def serve_http(self, *, address: str, on_call: Callable, body_limit: int) -> Any:
+    async def serve_http(
+        self, *, address: str, on_call: Callable, body_limit: int,
+        limits: Callable[[], HttpLimits] | None = None,
+    ) -> Any:
+        if limits is not None:
+            body_limit = limits().body_bytes
         return self._listen(
             key=f"http/{address}", kind="http", on_event=on_call, body_limit=body_limit
         )
@@ -309,6 +314,7 @@
                 SENDER_HEADER: self._process.name,
             },
             body=call.body,
+            raw_headers=tuple(call.headers.items()),
         )
         self._process.world.carry_call(
             caller=self._process, address=address, call=taken, future=future
