--- a/kelpstage/base/daemon.py
+++ b/kelpstage/base/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import signal
 import sys
 from typing import Any, Callable
@@ -12,18 +13,74 @@
 from kelpstage.base.ports.live import live_ports
 from kelpstage.base.ports.types import Ports
 
+WATCH_S = 1.0
 log = logger(name="daemon")
 
 
-def run_daemon(*, program: str, data_folder: str | None, build: Callable[[Ports], Any]) -> None:
+def run_daemon(
+    *,
+    program: str,
+    data_folder: str | None,
+    build: Callable[[Ports], Any],
+    watch: str | None = None,
+    read_settings: Callable[[], dict] | None = None,
+) -> None:
     """Run a daemon until SIGTERM or SIGINT. Exit code 1 if it cannot open, 70 if a
-    task without which it is of no use broke."""
+    task without which it is of no use broke.
+
+    With `read_settings` they are read again on SIGHUP, and when the file `watch` changes;
+    the daemon's `reread` takes over what may change while it runs. Settings that are
+    broken then change nothing."""
     with install_ring(program=program).applicationbound():
-        code = asyncio.run(_main(program=program, data_folder=data_folder, build=build))
+        code = asyncio.run(
+            _main(
+                program=program, data_folder=data_folder, build=build, watch=watch,
+                read_settings=read_settings,
+            )
+        )
     raise SystemExit(code)
 
 
-async def _main(*, program: str, data_folder: str | None, build: Callable[[Ports], Any]) -> int:
+class SettingsWatch:
+    """Reads the settings again when it is told to, or when their file has changed."""
+
+    def __init__(
+        self, *, daemon: Any, read_settings: Callable[[], dict], path: str | None
+    ) -> None:
+        self._daemon = daemon
+        self._read = read_settings
+        self._path = path
+        self._stamp = self._look()
+
+    def _look(self) -> tuple:
+        try:
+            found = os.stat(self._path) if self._path else None
+        except OSError:
+            found = None
+        return () if found is None else (found.st_mtime_ns, found.st_size, found.st_ino)
+
+    def reread(self) -> None:
+        self._stamp = self._look()
+        try:
+            self._daemon.reread(env=self._read())
+        except SystemExit:
+            log.error("the settings can't be read again; those before stay")
+
+    async def run(self) -> None:
+        while self._path:
+            await asyncio.sleep(WATCH_S)
+            if self._look() != self._stamp:
+                self.reread()
+
+
+async def _main(
+    *,
+    program: str,
+    data_folder: str | None,
+    build: Callable[[Ports], Any],
+    watch: str | None,
+    read_settings: Callable[[], dict] | None,
+) -> int:
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(_on_exception)
     stop = asyncio.Event()
@@ -43,6 +100,10 @@
         print(f"{program}: {defect.kind}: {defect.as_json()}", file=sys.stderr)
         return 1
     log.info("{} is open", program)
+    if read_settings is not None:
+        watcher = SettingsWatch(daemon=daemon, read_settings=read_settings, path=watch)
+        loop.add_signal_handler(signal.SIGHUP, watcher.reread)
+        ports.keep(watcher.run())
     await stop.wait()
     if broken:
         error = broken[0]
--- a/kelpstage/base/defects.py
+++ b/kelpstage/base/defects.py
@@ -251,6 +251,40 @@
     why: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class NotRun(Defect):
+    """The backend says that it did not run the request and never will."""
+
+    status: ClassVar[int] = 503
+    backend: str
+    answer: int
+    why: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class BackendFailed(Defect):
+    """The backend ran the request and answered with a failure."""
+
+    status: ClassVar[int] = 502
+    backend: str
+    answer: int
+
+
+# --- forwarding --------------------------------------------------------------------
+
+@dataclass(frozen=True, kw_only=True)
+class UnknownRoute(Defect):
+    status: ClassVar[int] = 404
+    host: str
+    path: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class MissingRequestId(Defect):
+    status: ClassVar[int] = 400
+    header: str
+
+
 # --- operators ---------------------------------------------------------------------
 
 @dataclass(frozen=True, kw_only=True)
@@ -283,6 +317,15 @@
     current: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class VersionNotAbove(Defect):
+    """The version that a put was given is not above the one in force."""
+
+    status: ClassVar[int] = 409
+    version: int
+    current: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class PutIdReused(Defect):
     status: ClassVar[int] = 409
@@ -314,6 +357,16 @@
     roster: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class TooFewCores(Defect):
+    """Fewer voters than it takes for a put to outlive the losses to be borne."""
+
+    status: ClassVar[int] = 503
+    retry_after_s: ClassVar[int | None] = 1
+    voters: int
+    needed: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class NoLeader(Defect):
     status: ClassVar[int] = 503
@@ -342,15 +395,6 @@
     heard_us_ago: int
 
 
-@dataclass(frozen=True, kw_only=True)
-class VersionNotAbove(Defect):
-    """The version that a put was given is not above the one in force."""
-
-    status: ClassVar[int] = 409
-    version: int
-    current: int
-
-
 @dataclass(frozen=True, kw_only=True)
 class SalvageRefused(Defect):
     status: ClassVar[int] = 409
@@ -390,16 +434,6 @@
         return f"format {self.theirs}, this version reads {self.ours}"
 
 
-@dataclass(frozen=True, kw_only=True)
-class TooFewCores(Defect):
-    """Fewer voters than it takes for a put to outlive the losses to be borne."""
-
-    status: ClassVar[int] = 503
-    retry_after_s: ClassVar[int | None] = 1
-    voters: int
-    needed: int
-
-
 @dataclass(frozen=True, kw_only=True)
 class DayTorn(Defect):
     """A day's file ends in the middle of a record."""
--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -3,18 +3,22 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import Any
+from typing import Any, Callable
 
 from kelpstage.base.day.writer import DayWriter
 from kelpstage.base.defects import Defect
 from kelpstage.base.journal import Journal
-from kelpstage.base.ports.types import Ports
+from kelpstage.base.ports.types import HttpLimits, Ports
 from kelpstage.base.wire.lines import Lines, LineServer
 from kelpstage.base.wire.messages import EdgeContact, MemberMsg
 from kelpstage.edge.backend.book import STATE_NAMES, Book
+from kelpstage.edge.backend.lists import ListTask
+from kelpstage.edge.backend.places import Places
 from kelpstage.edge.backend.platform import PlatformTask
 from kelpstage.edge.backend.probe import ProbeTask
 from kelpstage.edge.events import BackendChanged, Leaving, ServingChanged
+from kelpstage.edge.forward.names import HeaderNames
+from kelpstage.edge.forward.sealed import SealedCodec
 from kelpstage.edge.gather.messages import BlueprintMoved, WantState
 from kelpstage.edge.gather.pace import Paces
 from kelpstage.edge.gather.task import GatherTask
@@ -24,10 +28,11 @@
 from kelpstage.edge.grant.keeper import Keeper
 from kelpstage.edge.grant.task import GrantTask
 from kelpstage.edge.handlers import handle
-from kelpstage.edge.rounds.budget import Budget
+from kelpstage.edge.rounds.budget import SERVICE_SLACK, SPAN_US, Budget
 from kelpstage.edge.timelines import Timelines
 from kelpstage.edge.views import Searches
 from kelpstage.edge.web.callers import serve_callers
+from kelpstage.edge.web.forward import serve_forwarded
 
 BODY_LIMIT = 1024 * 1024
 LINGER_US = 2_500_000
@@ -38,9 +43,17 @@
 class Edge:
     """One `kelpd`."""
 
-    def __init__(self, *, ports: Ports, env: dict) -> None:
+    def __init__(
+        self, *, ports: Ports, env: dict, lists: Any = None, serve: Callable = serve_callers
+    ) -> None:
+        """`lists` reads pages of the list of backends, `serve` answers at the own
+        interface (a deployment may put words of its own before it)."""
         self.ports = ports
         self.env = env
+        self.lists = lists
+        self.names = HeaderNames(**env.get("header_names", {}))
+        self._serve = serve
+        self._front: Any = None
         self.name: str = env["name"]
         self.domain: str = env["domain"]
         self.own: str = env["own"]
@@ -58,7 +71,11 @@
             ports=ports, address=self.own, on_message=self._on_message, counts=self.counts
         )
         self.keeper = Keeper(me=self.name)
-        self.book = Book(me=self.name)
+        bounds = env.get("bounds", {})
+        places = Places(
+            zone=self.domain, region=bounds.get("region", ""), zones=bounds.get("zones", {})
+        )
+        self.book = Book(me=self.name, places=places)
         self.swim = Swim(
             me=MemberMsg(
                 name=self.name,
@@ -81,7 +98,13 @@
             swim=self.swim,
             book=self.book,
             paces=Paces(),
-            budget=Budget(),
+            budget=Budget(
+                ratio=bounds.get("retry_ratio"),
+                window_us=bounds.get("retry_window_us", SPAN_US),
+                slack=bounds.get("retry_slack", SERVICE_SLACK),
+                me=self.name,
+                born_us=ports.clock.now_us(),
+            ),
             journal=self.journal,
             trail=self.trail,
             next_round=ports.rand.getrandbits(40),
@@ -92,6 +115,7 @@
         self._was_serving: str | None = "starting"
         self._listener: Any = None
         self.platform: PlatformTask | None = None
+        self.list_task: ListTask | None = None
         self.day: DayWriter | None = None
 
     async def open(self) -> Defect | None:
@@ -111,18 +135,29 @@
             world=self.world,
             on_want_state=self._on_want_state,
             on_backend_news=self._on_backend_news,
+            sealed=SealedCodec(names=self.names),
         )
         for defect in (await self.server.open(), await self.gossip.open()):
             if defect is not None:
                 return defect
         outcome = await self.ports.net.serve_http(
             address=self.http,
-            on_call=lambda call: serve_callers(edge=self, call=call),
+            on_call=lambda call: self._serve(edge=self, call=call),
             body_limit=BODY_LIMIT,
         )
         if isinstance(outcome, Defect):
             return outcome
         self._listener = outcome
+        if self.env.get("front"):
+            outcome = await self.ports.net.serve_http(
+                address=self.env["front"],
+                on_call=lambda call: serve_forwarded(edge=self, call=call),
+                body_limit=BODY_LIMIT,
+                limits=self._caller_limits,
+            )
+            if isinstance(outcome, Defect):
+                return outcome
+            self._front = outcome
         if self.env.get("record"):
             name = f"{self.name}-{self.incarnation}.day"
             self.day = DayWriter(ports=self.ports, path=name, counts=self.counts)
@@ -160,11 +195,42 @@
                 on_addresses=self._declare,
                 look_soon=lambda name, is_new: self.probes.look_soon(name=name, is_new=is_new),
             )
+        if self.env.get("list"):
+            self.list_task = ListTask(
+                ports=self.ports,
+                lines=self.lines,
+                swim=self.swim,
+                book=self.book,
+                adapter=self.lists,
+                own=self.own,
+                counts=self.counts,
+                is_ready=lambda: not self.refusal(),
+                on_changed=self._on_lives_changed,
+                calls_per_s=self.env["list"].get("calls_per_s", 0.0),
+            )
         return None
 
     async def _on_message(self, message: Any, source: str) -> Any:
         return await handle(message, self, source)
 
+    def _caller_limits(self) -> HttpLimits:
+        """What a client may send just now, and how long it may take over it."""
+        limits = self.keeper.blueprint.limits
+        if limits is None:
+            return HttpLimits()
+        return HttpLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_us=limits.header_us,
+            idle_us=limits.idle_us,
+        )
+
+    def reread(self, *, env: dict) -> None:
+        """Take over what may change in the settings of a running edge: its seeds."""
+        if list(env["seeds"]) != list(self.env["seeds"]):
+            self.grants.use_seeds(seeds=env["seeds"])
+        self.env = env
+
     # --- how the tasks hear of each other ------------------------------------------
 
     def refusal(self) -> str:
@@ -178,6 +244,9 @@
         me = self.swim.me
         me.load = len(self.gather.table)
         me.is_ready = not refusal
+        self.world.budget.note_edges(
+            edges=len(self.swim.live()), now_us=self.ports.clock.now_us()
+        )
         if refusal != self._was_serving:
             self._was_serving = refusal
             self.journal.add(ServingChanged(is_serving=not refusal, why=refusal))
@@ -204,6 +273,19 @@
         """It did, and this is how far it is."""
         self.world.note_reply(name=name)
         self.world.note_distance(name=name, took_us=took_us)
+        member = self.swim.members.get(name)
+        if member is not None and member.info.domain:
+            self.book.places.note_round_trip(zone=member.info.domain, took_us=took_us)
+
+    def _on_lives_changed(self, names: list[str]) -> None:
+        """The list gave lives that came, went or began to drain; all hear it by the
+        list's own news, so that gossip need not tell it."""
+        for name in names:
+            entry = self.book.entries[name]
+            state = "gone" if entry.gone_us else STATE_NAMES[entry.state]
+            self.journal.add(
+                BackendChanged(backend=name, state=state, why=entry.why, seen_by=self.name)
+            )
 
     def _on_backend_news(self, name: str) -> None:
         entry = self.book.entries.get(name)
@@ -230,13 +312,16 @@
         """Planned stop: not ready at once, still serving until callers are gone."""
         clock = self.ports.clock
         self.is_leaving = True
+        if self.list_task is not None:
+            self.list_task.leave()
         self.swim.me.status = LEAVING
         self.journal.add(Leaving())
         self.gossip.spread()
         started_us = clock.now_us()
         await clock.sleep(us=LINGER_US)
-        if self._listener is not None:
-            self._listener.close()
+        for listener in (self._front, self._listener):
+            if listener is not None:
+                listener.close()
         await self._finish(until_us=started_us + GRACE_US)
         await self.grants.leave()
         await self._finish(until_us=started_us + GRACE_US)
--- /dev/null
+++ b/kelpstage/edge/forward/names.py
@@ -0,0 +1,45 @@
+"""Names of the headers by which clients, this node and backends understand each other.
+
+The product's own names are the defaults; settings may give others, so that a
+deployment's wire can be spoken without a word of it in the product.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, fields
+
+from kelpstage.base.defects import EnvRefused, Fault
+
+
+@dataclass(frozen=True, kw_only=True)
+class HeaderNames:
+    """One name for each thing that is said in a header.
+
+    >>> HeaderNames().seal
+    'Kelp-Seal'
+    """
+
+    request_id: str = "Kelp-Request-Id"
+    deadline_ms: str = "Kelp-Deadline-Ms"
+    seal: str = "Kelp-Seal"
+    part_seals: str = "Kelp-Part-Seals"
+    missing_parts: str = "Kelp-Missing-Parts"
+    expect_instance: str = "Kelp-Expect-Instance"
+    instance: str = "Kelp-Instance"
+    not_run: str = "Kelp-Not-Run"
+
+
+def read_names(*, raw: dict[str, str]) -> HeaderNames | EnvRefused:
+    """Names from settings; one that is not known is a fault.
+
+    >>> read_names(raw={"seal": "Stamp"}).seal
+    'Stamp'
+    >>> read_names(raw={"sael": "Stamp"}).faults[0].path
+    'header_names.sael'
+    """
+    known = {one.name for one in fields(HeaderNames)}
+    faults = [
+        Fault(path=f"header_names.{name}", why="no such header")
+        for name in sorted(set(raw) - known)
+    ]
+    return EnvRefused(faults=faults) if faults else HeaderNames(**raw)
--- /dev/null
+++ b/kelpstage/edge/forward/sealed.py
@@ -0,0 +1,121 @@
+"""Sealed answers of raw bytes: the codec of forwarded requests.
+
+A backend's answer is its status, a seal (an opaque token in a header) and a body.
+For a search the body is records of 16 bytes in no order, and the answer is one
+part; for a request to one backend it goes back as it came.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import Any
+
+from kelpstage.base.defects import BackendFailed, BadReply, NotRun
+from kelpstage.base.ports.types import HttpCall, HttpReply
+from kelpstage.edge.backend.reply import SealedPart
+from kelpstage.edge.forward.names import HeaderNames
+
+RECORD_SIZE = 16
+NOT_RUN_STATUS = 421
+LEFT_OUT = frozenset(
+    ("connection", "keep-alive", "proxy-connection", "transfer-encoding", "content-length",
+     "te", "trailer", "upgrade")
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class WholeReply:
+    """A backend's answer that goes to the client as it is."""
+
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+    @property
+    def is_success(self) -> bool:
+        return 200 <= self.status < 300
+
+
+class SealedCodec:
+    """Calls to backends, and what their answers are worth.
+
+    >>> codec = SealedCodec(names=HeaderNames())
+    >>> reply = HttpReply(status=200, headers={"kelp-seal": "a.1", "kelp-request-id": "r"}, body=b"x" * 35)
+    >>> codec.read_part(reply=reply, backend="i-1", shard="s", request_id="r").count
+    2
+    >>> codec.read_part(reply=reply, backend="i-1", shard="s", request_id="q").part
+    'request'
+    """
+
+    def __init__(self, *, names: HeaderNames) -> None:
+        self.names = names
+        self._seal = names.seal.lower()
+        self._request_id = names.request_id.lower()
+        self._not_run = names.not_run.lower()
+        self._instance = names.instance.lower()
+
+    def call(self, *, ask: Any) -> HttpCall:
+        """The call to one backend life, named in it so that no other runs it."""
+        request = ask.record.request
+        headers = dict(request.headers)
+        headers[self.names.deadline_ms] = str(max(1, ask.wait_us // 1000))
+        headers[self.names.expect_instance] = ask.backend
+        return HttpCall(
+            method=request.method,
+            url=f"http://{ask.address}{request.target}",
+            headers=headers,
+            body=request.body,
+            wait_us=ask.wait_us,
+            line_limit=ask.line_limit,
+        )
+
+    def _refused(self, *, reply: HttpReply, backend: str, request_id: str) -> Any:
+        """Why the answer is none to this request, or says that it did not run."""
+        if reply.status == NOT_RUN_STATUS:
+            return NotRun(backend=backend, answer=reply.status, why="another instance")
+        if self._not_run in reply.headers:
+            return NotRun(backend=backend, answer=reply.status, why="turned away")
+        given = reply.headers.get(self._request_id)
+        if given is not None and given != request_id:
+            return BadReply(backend=backend, part="request", why="an answer to another request")
+        if reply.headers.get("content-encoding", "identity") != "identity":
+            return BadReply(backend=backend, part="encoding", why=reply.headers["content-encoding"])
+        return None
+
+    def read_part(
+        self, *, reply: HttpReply, backend: str, shard: str, request_id: str
+    ) -> SealedPart | NotRun | BadReply | BackendFailed:
+        """One part of a search, or why there is none."""
+        refused = self._refused(reply=reply, backend=backend, request_id=request_id)
+        if refused is not None:
+            return refused
+        if not 200 <= reply.status < 300:
+            return BackendFailed(backend=backend, answer=reply.status)
+        seal = reply.headers.get(self._seal, "")
+        if not is_seal(text=seal):
+            return BadReply(backend=backend, part="seal", why="none" if not seal else "not one token")
+        body = reply.body
+        size = len(body) - len(body) % RECORD_SIZE
+        records = [body[at:at + RECORD_SIZE] for at in range(0, size, RECORD_SIZE)]
+        return SealedPart(shard=shard, cut="", stamp=seal, count=len(records), records=records)
+
+    def read_whole(
+        self, *, reply: HttpReply, backend: str, request_id: str
+    ) -> WholeReply | NotRun | BadReply:
+        """The answer to a request to one backend, or why it is none."""
+        refused = self._refused(reply=reply, backend=backend, request_id=request_id)
+        if refused is not None:
+            return refused
+        if 200 <= reply.status < 300 and not is_seal(text=reply.headers.get(self._seal, "")):
+            return BadReply(backend=backend, part="seal", why="none")
+        headers = tuple(pair for pair in reply.headers.items() if pair[0] not in LEFT_OUT)
+        return WholeReply(status=reply.status, headers=headers, body=reply.body)
+
+
+def is_seal(*, text: str) -> bool:
+    """Can this stand in a list of seals joined by commas?
+
+    >>> is_seal(text="3e.07"), is_seal(text="a,b"), is_seal(text="")
+    (True, False, False)
+    """
+    return bool(text) and text.isascii() and text.isprintable() and not set(text) & set(", ")
--- a/kelpstage/edge/gather/messages.py
+++ b/kelpstage/edge/gather/messages.py
@@ -68,6 +68,7 @@
     backend: str
     address: str
     wait_us: int
+    line_limit: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -113,6 +114,9 @@
     coverage: float
     shards: int
     body: bytes
+    seals: tuple[str, ...] = ()
+    missing: int = 0
+    whole: Any = None  # a backend's answer, to go back as it came
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/kelpstage/edge/gather/order.py
+++ b/kelpstage/edge/gather/order.py
@@ -12,6 +12,7 @@
 from typing import Iterable
 
 Record = tuple[int, bytes]  # the value turned negative, the record's exact bytes
+RAW_SIZE = 16
 HEAD = struct.Struct("!qI")
 
 
@@ -76,3 +77,47 @@
         out.append((value, data[place:place + length]))
         place += length
     return out
+
+
+class ValueOrder:
+    """Records that carry a value: runs of (value turned negative, bytes)."""
+
+    sort_and_cut = staticmethod(sort_and_cut)
+    merge = staticmethod(merge)
+    pack = staticmethod(pack_records)
+    unpack = staticmethod(unpack_records)
+
+
+class ByteOrder:
+    """Raw records of one size, greatest first, compared byte by byte; equal ones all
+    count. A run is a list of them, and travels as their bytes end to end.
+
+    >>> ByteOrder.merge(runs=[[b"c", b"a"], [b"b", b"a"]], limit=3)
+    [b'c', b'b', b'a']
+    >>> ByteOrder.unpack(data=b"x" * 17) is None
+    True
+    """
+
+    @staticmethod
+    def sort_and_cut(*, records: list[bytes], cut: int | None) -> list[bytes]:
+        return sorted(records, reverse=True)[:cut]
+
+    @staticmethod
+    def merge(*, runs: list[list[bytes]], limit: int | None) -> list[bytes]:
+        if len(runs) == 1:
+            return runs[0][:limit]
+        # Sorting finds the runs that are in it and merges them (CPython's list.sort).
+        return sorted((one for run in runs for one in run), reverse=True)[:limit]
+
+    @staticmethod
+    def pack(*, records: list[bytes]) -> bytes:
+        return b"".join(records)
+
+    @staticmethod
+    def unpack(*, data: bytes) -> list[bytes] | None:
+        if len(data) % RAW_SIZE:
+            return None
+        return [data[at:at + RAW_SIZE] for at in range(0, len(data), RAW_SIZE)]
+
+
+ORDERS = {"json": ValueOrder, "records16": ByteOrder}
--- a/kelpstage/edge/gather/passes/admit.py
+++ b/kelpstage/edge/gather/passes/admit.py
@@ -6,6 +6,7 @@
     NotReady,
     TimeLeftSpent,
     UnknownCollection,
+    UnknownRoute,
     UnknownShard,
 )
 from kelpstage.base.wire.messages import Gathered
@@ -98,6 +99,39 @@
     record.stage = GATHERS
 
 
+def _bind_forward(*, record: Gathering, world: World) -> bool:
+    """Find a forwarded request's route in the configuration now in force: it may begin
+    again under one that names other shards for it, or none."""
+    path = record.request.target.partition("?")[0]
+    host = record.request.host
+    route = world.keeper.blueprint.forward_for(host=host, path=path)
+    if route is None:
+        end(record=record, outcome=UnknownRoute(host=host[:200], path=path[:200]))
+        return False
+    record.collection = route.name
+    record.kind = ROOT if route.fan_out else SINGLE
+    record.limit = route.limit if route.fan_out else None
+    record.shard = "" if route.fan_out else draw(weights=route.weights, lot=world.rand.random())
+    record.is_repeatable, record.attempts = route.is_repeatable, route.attempts
+    record.aim_us = route.aim_us
+    record.due_us = min(record.due_us, record.arrived_us + route.deadline_us)
+    return True
+
+
+def draw(*, weights: tuple[tuple[str, float], ...], lot: float) -> str:
+    """The service that a lot from 0 to 1 falls on.
+
+    >>> draw(weights=(("a", 1.0), ("b", 3.0)), lot=0.2), draw(weights=(("a", 1.0), ("b", 3.0)), lot=0.3)
+    ('a', 'b')
+    """
+    place = lot * sum(weight for _, weight in weights)
+    for service, weight in weights:
+        place -= weight
+        if place < 0:
+            return service
+    return next(service for service, weight in reversed(weights) if weight > 0)
+
+
 def _admit_own(*, record: Gathering, world: World) -> None:
     keeper = world.keeper
     refusal = keeper.refusal(now_us=world.now_us)
@@ -105,6 +139,8 @@
         end(record=record, outcome=NotReady(why=refusal))
         return
     blueprint = keeper.blueprint
+    if record.request is not None and not _bind_forward(record=record, world=world):
+        return
     route = blueprint.route(collection=record.collection)
     if route is None:
         end(record=record, outcome=UnknownCollection(collection=record.collection))
--- a/kelpstage/edge/gather/passes/merge.py
+++ b/kelpstage/edge/gather/passes/merge.py
@@ -5,12 +5,13 @@
 from functools import singledispatch
 from typing import Any
 
-from kelpstage.base.defects import BadReply, ConnectRefused, Defect, WaitOver
+from kelpstage.base.defects import BadReply, ConnectRefused, Defect, LineLost, NotRun, WaitOver
 from kelpstage.base.wire.messages import Gathered, PartMsg
 from kelpstage.edge.backend.reply import SealedPart
 from kelpstage.edge.events import BadPart, PartnerEnded, RoundEnded
 from kelpstage.edge.gather.messages import BackendSaid, KidReply, KidSaid, WantState
-from kelpstage.edge.gather.order import lowest_cut, sort_and_cut, unpack_records
+from kelpstage.edge.forward.sealed import WholeReply
+from kelpstage.edge.gather.order import lowest_cut
 from kelpstage.edge.gather.passes.admit import end, note_again
 from kelpstage.edge.gather.record import (
     AWAITS,
@@ -27,7 +28,6 @@
 )
 from kelpstage.edge.gather.world import World
 
-ROUNDS_AT_MOST = 3
 
 
 def merge(*, record: Gathering, world: World) -> None:
@@ -71,13 +71,47 @@
             count=outcome.count,
             cut=outcome.cut,
         )
-        record.runs[said.shard] = sort_and_cut(
+        record.runs[said.shard] = record.order.sort_and_cut(
             records=outcome.records, cut=lowest_cut(limit=record.limit)
         )
         return
+    if isinstance(outcome, WholeReply):
+        _take_whole(reply=outcome, cell=cell, record=record)
+        return
     _backend_failed(said=said, cell=cell, record=record, world=world)
 
 
+def _take_whole(*, reply: WholeReply, cell: Cell, record: Gathering) -> None:
+    """An answer that goes back as it came. A failure of the backend's own is tried again
+    elsewhere where that is allowed, and goes back if nothing better comes."""
+    record.has_run = True
+    record.whole = reply
+    if reply.is_success or reply.status < 500 or not record.is_repeatable:
+        cell.state = IN
+        cell.wants_round = False
+        return
+    if cell.has_open_round():
+        return
+    cell.cause, cell.detail = "backend_failed", str(reply.status)
+    if len(cell.rounds) >= record.attempts:
+        cell.miss(cause=cell.cause, detail=cell.detail)
+        return
+    cell.wants_round = True
+
+
+def surely_not_run(*, outcome: Any) -> bool:
+    """Is it certain that the backend did not run the request and never will?
+
+    >>> surely_not_run(outcome=ConnectRefused(address="a"))
+    True
+    >>> surely_not_run(outcome=LineLost(address="a"))
+    False
+    """
+    if isinstance(outcome, (ConnectRefused, NotRun)):
+        return True
+    return isinstance(outcome, (LineLost, WaitOver)) and not outcome.was_sent
+
+
 def _name_of(*, outcome: Any) -> str:
     if isinstance(outcome, BadReply):
         return f"bad_reply: {outcome.part}: {outcome.why}"
@@ -108,14 +142,15 @@
         world.journal.add(
             BadPart(backend=said.backend, shard=said.shard, part=outcome.part, why=outcome.why)
         )
-    if not isinstance(outcome, ConnectRefused):
-        record.reached_backend = True
+    if not surely_not_run(outcome=outcome):
+        record.reached_backend = record.has_run = True
     if cell.has_open_round():
         return
-    if record.kind == SINGLE and record.reached_backend:
+    is_once = record.request is None or not record.is_repeatable
+    if record.kind == SINGLE and record.reached_backend and is_once:
         cell.miss(cause=outcome.kind, detail=detail)
         return
-    if len(cell.rounds) >= ROUNDS_AT_MOST or isinstance(outcome, WaitOver):
+    if len(cell.rounds) >= record.attempts or isinstance(outcome, WaitOver):
         cell.miss(cause="window" if isinstance(outcome, WaitOver) else outcome.kind, detail=detail)
         return
     cell.cause, cell.detail = outcome.kind, detail
@@ -132,7 +167,7 @@
     if isinstance(outcome, Gathered) and outcome.is_stale:
         _kid_is_elsewhere(reply=outcome, kid=kid, record=record, world=world)
         return
-    records = unpack_records(data=outcome.records) if isinstance(outcome, Gathered) else None
+    records = record.order.unpack(data=outcome.records) if isinstance(outcome, Gathered) else None
     if records is None or not _is_proper(reply=outcome, kid=kid, record=record):
         why = outcome.kind if isinstance(outcome, Defect) else "improper reply"
         is_sent = not isinstance(outcome, ConnectRefused)
--- a/kelpstage/edge/gather/passes/plan.py
+++ b/kelpstage/edge/gather/passes/plan.py
@@ -4,7 +4,8 @@
 
 from kelpstage.edge.events import Planned
 from kelpstage.edge.gather.record import GATHERS, ROOT, SINGLE, Cell, Gathering, Kid
-from kelpstage.edge.gather.tree import Branch, grow
+from kelpstage.edge.backend.choose import options
+from kelpstage.edge.gather.tree import Branch, grow, grow_by_zone
 from kelpstage.edge.gather.world import World
 
 
@@ -20,7 +21,8 @@
     if record.kind == ROOT:
         record.branch = root_branch(record=record, world=world)
         record.addresses = {
-            name: member.info.address for name, member in world.swim.members.items()
+            name: world.swim.members[name].info.address
+            for name in record.branch.nodes() - {world.me}
         }
     branch = record.branch
     world.trail.add(Planned(search=record.search, version=record.version, branch=branch))
@@ -35,9 +37,40 @@
 
 def root_branch(*, record: Gathering, world: World) -> Branch:
     """The whole tree of a query, with this node as its root."""
+    if record.request is not None:
+        return forward_branch(record=record, world=world)
     return grow(
         root=world.me,
         shards=record.route.fan_out,
         helpers=world.helpers(collection=record.collection, rand=world.rand),
         fan_out=record.route.tree_fan_out,
     )
+
+
+def forward_branch(*, record: Gathering, world: World) -> Branch:
+    """The tree of a forwarded search: levels inside the zones of the backends. Each shard
+    goes to the nearest zone that has a backend for it which may be asked; among zones as
+    far as each other one is taken by lot for the whole search, so that as much as can be
+    is merged before it crosses."""
+    helpers = world.helpers_by_zone(collection=record.collection)
+    order = world.zones_by_distance()
+    groups: dict[str, list[str]] = {}
+    for shard in record.route.fan_out:
+        zones = {
+            world.book.entry(name=option.backend).zone
+            for option in options(
+                blueprint=record.blueprint, book=world.book, paces=world.paces,
+                collection=record.collection, shard=shard, domain=world.domain,
+                now_us=world.now_us, rand=None,
+            )
+            if not option.refusal and not option.is_distrusted
+        }
+        zone = next((name for name in order if name in zones), world.domain)
+        groups.setdefault(zone, []).append(shard)
+    return grow_by_zone(
+        root=world.me,
+        zone=world.domain,
+        groups=[(zone, tuple(shards)) for zone, shards in groups.items()],
+        helpers=helpers,
+        fan_out=record.route.tree_fan_out,
+    )
--- a/kelpstage/edge/gather/passes/send.py
+++ b/kelpstage/edge/gather/passes/send.py
@@ -28,6 +28,9 @@
 LOOK_AGAIN_US = 100_000
 LAST_SEND_US = 3_000
 WINDOW_SHARE = 40  # per cent of the time left
+KID_SHARE = 45  # per cent of the aim, until a kid counts as late
+OMIT_SHARE = 85  # per cent of the aim, when a search that need not be whole is answered
+CLIENT_US = 4_000  # of the aim, for the client's own way to this node and back
 
 
 def send(*, record: Gathering, world: World) -> None:
@@ -51,12 +54,16 @@
 def _kid_window_us(*, kid: Kid, record: Gathering, world: World) -> int:
     """A kid's least window leaves room for its own children's."""
     least_us = record.route.window_us * (kid.branch.height() + 1)
+    if record.aim_us:
+        least_us = max(least_us, record.aim_us * KID_SHARE // 100)
     return world.node_window_us(name=kid.branch.node, least_us=least_us)
 
 
 def _latest_us(*, record: Gathering, world: World) -> int:
     """However far a window was stretched, a second round must still have its time."""
     left_us = record.due_us - world.now_us
+    if record.aim_us:  # an answer after the aim is worth little
+        left_us = min(left_us, max(record.arrived_us + record.aim_us - world.now_us, 0) or left_us)
     return world.now_us + max(record.route.window_us, left_us * WINDOW_SHARE // 100)
 
 
@@ -66,6 +73,11 @@
     if record.route.is_strict:
         record.omit_us = record.due_us
         return
+    if record.aim_us:
+        after_us = record.aim_us * OMIT_SHARE // 100 - CLIENT_US
+        record.omit_us = min(record.due_us, max(record.arrived_us + after_us, world.now_us))
+        world.trail.add(OmissionSet(search=record.search, after_us=record.omit_us - world.now_us))
+        return
     windows = [
         one.soft_us - one.sent_us for cell in record.cells.values() for one in cell.rounds
     ] + [_kid_window_us(kid=kid, record=record, world=world) for kid in record.kids]
@@ -144,6 +156,7 @@
             backend=backend,
             address=entry.address,
             wait_us=max(1_000, record.due_us - world.now_us),
+            line_limit=entry.line_limit,
         )
     )
     return False
--- a/kelpstage/edge/gather/passes/settle.py
+++ b/kelpstage/edge/gather/passes/settle.py
@@ -16,7 +16,7 @@
 from kelpstage.base.wire.messages import Gathered, MissingMsg
 from kelpstage.edge.events import SearchEnded
 from kelpstage.edge.gather.messages import KidReply, PartlySettled, Verdict
-from kelpstage.edge.gather.order import lowest_cut, merge as merge_runs, pack_records
+from kelpstage.edge.gather.order import lowest_cut
 from kelpstage.edge.gather.passes.admit import end
 from kelpstage.edge.gather.record import CHILD, GATHERS, IN, SINGLE, WAITING, Gathering
 from kelpstage.edge.gather.world import World
@@ -60,10 +60,11 @@
 def _child_reply(*, record: Gathering) -> Gathered:
     """What a child has and has not handed up yet."""
     missing = missing_of(record=record)
-    runs = merge_runs(runs=list(record.runs.values()), limit=None)
-    if not record.branch.children:  # the lowest level cuts, those above only merge
-        cut = lowest_cut(limit=record.limit)
-        runs = runs if cut is None else runs[:cut]
+    # Cut at every level below the root: what is beyond the cut here can't be within the
+    # limit there, and bytes between zones are dear.
+    runs = record.order.merge(
+        runs=list(record.runs.values()), limit=lowest_cut(limit=record.limit)
+    )
     return Gathered(
         version=record.version,
         parts=[record.parts[s] for s in sorted(record.parts) if s not in record.handed],
@@ -71,7 +72,7 @@
             MissingMsg(shard=shard, cause=cause, detail=detail)
             for shard, cause, detail in missing
         ],
-        records=pack_records(records=runs),
+        records=record.order.pack(records=runs),
     )
 
 
@@ -161,12 +162,17 @@
 def _succeed(*, record: Gathering, world: World) -> None:
     if not _may_still_serve(record=record, world=world):
         return
-    records = merge_runs(runs=list(record.runs.values()), limit=record.limit)
+    records = record.order.merge(runs=list(record.runs.values()), limit=record.limit)
     coverage = len(record.parts) / len(record.route.fan_out)
     _note(record=record, world=world, outcome="complete" if coverage == 1 else "partial")
-    body = verdict_body(
-        record=record, coverage=coverage, records=[data for _, data in records]
-    )
+    seals: tuple[str, ...] = ()
+    if record.request is not None:
+        body = record.order.pack(records=records)
+        seals = tuple(record.parts[s].stamp for s in record.route.fan_out if s in record.parts)
+    else:
+        body = verdict_body(
+            record=record, coverage=coverage, records=[data for _, data in records]
+        )
     end(
         record=record,
         outcome=Verdict(
@@ -174,6 +180,8 @@
             coverage=coverage,
             shards=len(record.parts),
             body=body,
+            seals=seals,
+            missing=len(record.route.fan_out) - len(record.parts),
         ),
     )
 
@@ -221,7 +229,7 @@
         if world.now_us >= record.due_us:
             end(record=record, outcome=TimeLeftSpent(where="at the backend"))
         return
-    if cell.state == IN:
+    if cell.state == IN or cell.state != WAITING and record.whole is not None:
         _give_single(record=record, world=world)
         return
     if not cell.rounds:
@@ -241,6 +249,14 @@
 def _give_single(*, record: Gathering, world: World) -> None:
     if not _may_still_serve(record=record, world=world):
         return
+    if record.whole is not None:
+        end(
+            record=record,
+            outcome=Verdict(
+                version=record.version, coverage=1.0, shards=1, body=b"", whole=record.whole
+            ),
+        )
+        return
     records = [data for run in record.runs.values() for _, data in run]
     if not records:
         end(
--- a/kelpstage/edge/gather/record.py
+++ b/kelpstage/edge/gather/record.py
@@ -8,7 +8,8 @@
 
 from kelpstage.base.blueprint.types import Blueprint, Route
 from kelpstage.base.wire.messages import PartMsg
-from kelpstage.edge.gather.order import Record
+from kelpstage.edge.forward.request import ClientRequest
+from kelpstage.edge.gather.order import ORDERS, ValueOrder
 from kelpstage.edge.gather.tree import Branch
 
 ROOT, CHILD, SINGLE = "root", "child", "single"
@@ -91,6 +92,10 @@
     is_extra: bool = False
     ask_id: int = 0
     search: str = ""  # the id that the root gave it
+    request: ClientRequest | None = None  # what is forwarded, where it is not a query of our own
+    is_repeatable: bool = True
+    attempts: int = 3  # backends that one shard may be sent to
+    aim_us: int = 0  # when an answer is still worth most; 0: no such time
     handed: frozenset = frozenset()
     is_partly_settled: bool = False
     is_resumed: bool = False
@@ -104,7 +109,9 @@
     cells: dict[str, Cell] = field(default_factory=dict)
     kids: list[Kid] = field(default_factory=list)
     parts: dict[str, PartMsg] = field(default_factory=dict)
-    runs: dict[str | int, list[Record]] = field(default_factory=dict)  # by shard, or kid's slot
+    runs: dict[str | int, list] = field(default_factory=dict)  # by shard, or kid's slot
+    whole: Any = None  # a backend's answer that goes back as it came
+    has_run: bool = False  # may a backend have run it?
     missing: dict[str, tuple[str, str]] = field(default_factory=dict)
     inbox: deque = field(default_factory=deque)
     omit_us: int = 0
@@ -131,6 +138,7 @@
         self.blueprint = self.route = None
         self.cells, self.kids = {}, []
         self.parts, self.runs, self.missing = {}, {}, {}
+        self.whole = None
         self.inbox.clear()
         self.omit_us = 0
         if self.kind == ROOT:
@@ -149,6 +157,13 @@
             return True
         return bool(self.sent_before) and self.sent_cut != self.cut_of(shard=shard)
 
+    @property
+    def order(self) -> Any:
+        """How its records are sorted, merged and packed."""
+        if self.blueprint is None:
+            return ValueOrder
+        return ORDERS[self.blueprint.collections[self.collection].codec]
+
     def cut_of(self, *, shard: str) -> str:
         if self.blueprint is None:
             return self.sent_cut
--- a/kelpstage/edge/gather/task.py
+++ b/kelpstage/edge/gather/task.py
@@ -8,13 +8,16 @@
 
 from tornado.queues import Queue
 
-from kelpstage.base.defects import BadReply, ConnectRefused, Defect, LineLost, WaitOver
+from kelpstage.base.defects import BadReply, ConnectRefused, Defect, LineLost, NotRun, WaitOver
 from kelpstage.base.ports.types import HttpCall, HttpReply, Ports
 from kelpstage.base.wire import frames
 from kelpstage.base.wire.lines import Lines
 from kelpstage.base.wire.messages import BranchMsg, Gather, Gathered
 from kelpstage.edge.backend.book import DRAINING, GONE
-from kelpstage.edge.backend.reply import read_reply
+from kelpstage.edge.backend import evidence
+from kelpstage.edge.backend.reply import SealedPart, read_reply
+from kelpstage.edge.forward.request import ClientRequest, pack_headers, unpack_headers
+from kelpstage.edge.forward.sealed import SealedCodec, WholeReply
 from kelpstage.edge.events import Began, Ended
 from kelpstage.edge.gather.messages import (
     Arrived,
@@ -37,6 +40,7 @@
 from kelpstage.edge.gather.world import World
 
 STATE_HEADER = "kelp-state"
+ANOTHER_INSTANCE = 421
 
 
 class GatherTask:
@@ -50,8 +54,10 @@
         world: World,
         on_want_state: Callable[[WantState], None],
         on_backend_news: Callable[[str], None],
+        sealed: SealedCodec,
     ) -> None:
         self._ports = ports
+        self._sealed = sealed
         self._lines = lines
         self.world = world
         self.table = Table()
@@ -176,6 +182,9 @@
         entry = world.book.entries.get(said.backend)
         if entry is not None:
             entry.in_flight = max(0, entry.in_flight - 1)
+            if entry.is_life:
+                self._learn_of_life(said=said, now_us=now_us)
+                return
         outcome = said.outcome
         if isinstance(outcome, ConnectRefused):
             if world.book.observe(
@@ -199,6 +208,25 @@
             world.book.told_truth(name=said.backend)
         world.paces.saw(name=said.backend, took_us=now_us - said.sent_us, now_us=now_us)
 
+    def _learn_of_life(self, *, said: BackendSaid, now_us: int) -> None:
+        """What the outcome of a request shows of the life that it was sent to."""
+        book, name, outcome = self.world.book, said.backend, said.outcome
+        took_us = now_us - said.sent_us
+        if isinstance(outcome, SealedPart) or isinstance(outcome, WholeReply) and outcome.status < 500:
+            book.note_answer(name=name, took_us=took_us, now_us=now_us)
+            self.world.paces.saw(name=name, took_us=took_us, now_us=now_us)
+            return
+        if isinstance(outcome, NotRun) and outcome.answer != ANOTHER_INSTANCE:
+            book.note_full(name=name, now_us=now_us)
+            return
+        if isinstance(outcome, WaitOver) and not outcome.was_sent:
+            return  # it waited here for a line
+        why = failure_of(outcome=outcome)
+        if isinstance(outcome, WaitOver):
+            self.world.paces.saw(name=name, took_us=took_us, now_us=now_us)
+        if book.note_failure(name=name, why=why, now_us=now_us):
+            self._on_backend_news(name)
+
     def _learn_of_kid(self, *, said: KidSaid) -> None:
         world = self.world
         now_us = self._ports.clock.now_us()
@@ -249,19 +277,12 @@
         record = ask.record
         sent_us = self._ports.clock.now_us()
         self._ports.point("edge.before_backend_send")
-        reply = await self._ports.net.fetch(call=backend_call(ask=ask))
+        call = backend_call(ask=ask) if record.request is None else self._sealed.call(ask=ask)
+        reply = await self._ports.net.fetch(call=call)
         outcome: Any = reply
         if isinstance(reply, HttpReply):
             self._note_sign(reply=reply, backend=ask.backend)
-            outcome = read_reply(
-                backend=ask.backend,
-                reply=reply,
-                shard=ask.shard,
-                cut=ask.cut,
-                order_by=record.blueprint.collections[record.collection].order_by
-                if record.blueprint
-                else "score",
-            )
+            outcome = self._read(reply=reply, ask=ask)
         self._ports.point("edge.after_backend_reply")
         self.inbox.put_nowait(
             BackendSaid(
@@ -275,6 +296,23 @@
             )
         )
 
+    def _read(self, *, reply: HttpReply, ask: AskBackend) -> Any:
+        record = ask.record
+        if record.request is not None:
+            names = {"backend": ask.backend, "request_id": record.request.request_id}
+            if record.kind == SINGLE:
+                return self._sealed.read_whole(reply=reply, **names)
+            return self._sealed.read_part(reply=reply, shard=ask.shard, **names)
+        return read_reply(
+            backend=ask.backend,
+            reply=reply,
+            shard=ask.shard,
+            cut=ask.cut,
+            order_by=record.blueprint.collections[record.collection].order_by
+            if record.blueprint
+            else "score",
+        )
+
     def _note_sign(self, *, reply: HttpReply, backend: str) -> None:
         if reply.headers.get(STATE_HEADER) != "draining":
             return
@@ -288,6 +326,17 @@
         record = ask.record
         sent_us = self._ports.clock.now_us()
         branch = next(k.branch for k in record.kids if k.slot == ask.slot)
+        request = record.request
+        forwarded: dict[str, Any] = {}
+        if request is not None:
+            forwarded = {
+                "method": request.method,
+                "target": request.target,
+                "request_id": request.request_id,
+                "headers": pack_headers(headers=request.headers),
+                "attempts": record.attempts,
+                "aim_us": max(0, record.arrived_us + record.aim_us - sent_us),
+            }
         message = Gather(
             root=self.world.me,
             query_id=ask.ask_id,
@@ -295,7 +344,7 @@
             version=record.version,
             has_limit=record.limit is not None,
             limit=record.limit or 0,
-            query=record.query,
+            query=record.query if request is None else request.body,
             content_type=record.content_type,
             branch=branch_message(branch=branch, addresses=record.addresses),
             wait_us=ask.wait_us,
@@ -304,6 +353,7 @@
             is_extra=any(record.is_sent_before(shard=s) for s in branch.all_shards()),
             cluster=self.world.keeper.cluster,
             search=record.search,
+            **forwarded,
         )
         self._ports.point("edge.before_kid_send")
         outcome: Any = ConnectRefused(address="unknown")
@@ -328,6 +378,21 @@
         )
 
 
+def failure_of(*, outcome: Any) -> str:
+    """How a failure counts as evidence.
+
+    >>> failure_of(outcome=ConnectRefused(address="a"))
+    'refused'
+    """
+    if isinstance(outcome, (ConnectRefused, NotRun)):
+        return evidence.REFUSED
+    if isinstance(outcome, WaitOver):
+        return evidence.SILENT
+    if isinstance(outcome, LineLost):
+        return evidence.RESET
+    return evidence.GARBLED if isinstance(outcome, BadReply) else evidence.FAILED
+
+
 def backend_call(*, ask: AskBackend) -> HttpCall:
     """The call to a backend; the query's bytes go as the caller gave them."""
     record = ask.record
@@ -386,7 +451,21 @@
 def child_record(*, key: int, ask: Gather, now_us: int) -> Gathering:
     """The record of a query that a root, or a node above, asks this node for."""
     branch, addresses = read_branch(message=ask.branch)
+    forwarded: dict[str, Any] = {}
+    if ask.target:
+        forwarded = {
+            "attempts": ask.attempts,
+            "aim_us": ask.aim_us,
+            "request": ClientRequest(
+                method=ask.method,
+                target=ask.target,
+                request_id=ask.request_id,
+                headers=unpack_headers(texts=ask.headers),
+                body=ask.query,
+            ),
+        }
     return Gathering(
+        **forwarded,
         key=key,
         kind=CHILD,
         collection=ask.collection,
--- a/kelpstage/edge/gather/tree.py
+++ b/kelpstage/edge/gather/tree.py
@@ -26,6 +26,14 @@
         """
         return self.shards + tuple(s for child in self.children for s in child.all_shards())
 
+    def nodes(self) -> set[str]:
+        """This node and all below it.
+
+        >>> Branch(node="a", shards=("s",)).nodes()
+        {'a'}
+        """
+        return {self.node}.union(*(child.nodes() for child in self.children))
+
     def height(self) -> int:
         """Levels under and with this node.
 
@@ -93,6 +101,60 @@
     )
 
 
+def grow_by_zone(
+    *,
+    root: str,
+    zone: str,
+    groups: list[tuple[str, tuple[str, ...]]],
+    helpers: dict[str, list[str]],
+    fan_out: int,
+) -> Branch:
+    """A tree whose levels lie inside zones: `groups` gives each zone the shards to be
+    asked for in it. The root keeps those of its own zone, split over helpers there; each
+    other zone has one node that gathers for it, so that what crosses a line between zones
+    is merged and cut before. Zones without a helper are the root's own work.
+
+    >>> tree = grow_by_zone(
+    ...     root="r", zone="a", groups=[("a", ("s1", "s2")), ("b", ("s3", "s4"))],
+    ...     helpers={"b": ["n1", "n2"]}, fan_out=5,
+    ... )
+    >>> tree.shards, [(child.node, child.shards) for child in tree.children]
+    (('s1', 's2'), [('n1', ('s3', 's4'))])
+    """
+    own = tuple(
+        shard for name, shards in groups if name == zone or not helpers.get(name)
+        for shard in shards
+    )
+    others = [(name, shards) for name, shards in groups if name != zone and helpers.get(name)]
+    while len(others) > fan_out - 1:  # the least ones go with the greatest, wherever it is
+        others.sort(key=lambda group: len(group[1]))
+        (_, least), *others = others
+        others[-1] = (others[-1][0], others[-1][1] + least)
+    far = tuple(
+        _grow_within(node=node, shards=shards, helpers=rest, fan_out=fan_out)
+        for node, rest, shards in (
+            (helpers[name][0], helpers[name][1:], shards) for name, shards in others
+        )
+    )
+    if not own:
+        return Branch(node=root, shards=(), children=far)
+    near = _grow_within(
+        node=root, shards=own, helpers=helpers.get(zone, []), fan_out=fan_out - len(far)
+    )
+    return Branch(node=root, shards=near.shards, children=near.children + far)
+
+
+def _grow_within(
+    *, node: str, shards: tuple[str, ...], helpers: list[str], fan_out: int
+) -> Branch:
+    """A subtree of nodes near each other; with few of them its fan-out is less, rather
+    than that one is asked twice."""
+    fan_out = min(fan_out, len(helpers) + 1)
+    if fan_out < 2 or len(shards) <= 1:
+        return Branch(node=node, shards=shards)
+    return grow(root=node, shards=shards, helpers=helpers, fan_out=fan_out)
+
+
 def _turns(*, helpers: list[str]) -> Iterator[str]:
     while True:
         yield from helpers
--- a/kelpstage/edge/gather/world.py
+++ b/kelpstage/edge/gather/world.py
@@ -45,6 +45,7 @@
     late: dict[str, Lateness] = field(default_factory=dict)
     next_round: int = 0
     distances: dict[str, int] = field(default_factory=dict)
+    regions: dict[str, str] = field(default_factory=dict)  # of zones
 
     def emit(self, effect: Any) -> None:
         self.effects.append(effect)
@@ -100,7 +101,27 @@
         known = self.late.get(name)
         return known is not None and known.count >= SILENT_COUNT and self.is_shy(name=name)
 
-    def helpers(self, *, collection: str, rand: random.Random | None) -> list[str]:
+    def zones_by_distance(self) -> list[str]:
+        """Zones of this deployment: the own one, those of the own region, then the others,
+        ties by lot."""
+        home = self.regions.get(self.domain, self.domain)
+        known = {m.info.domain for m in self.swim.members.values()} | set(self.regions)
+        known.discard(self.domain)
+        others = sorted(
+            known, key=lambda zone: (self.regions.get(zone, zone) != home, self.rand.random())
+        )
+        return [self.domain, *others]
+
+    def helpers_by_zone(self, *, collection: str) -> dict[str, list[str]]:
+        """The partners that may merge, by their zone, the best first."""
+        out: dict[str, list[str]] = {}
+        for name in self.helpers(collection=collection, rand=self.rand, is_near_only=False):
+            out.setdefault(self.swim.members[name].info.domain, []).append(name)
+        return out
+
+    def helpers(
+        self, *, collection: str, rand: random.Random | None, is_near_only: bool = True
+    ) -> list[str]:
         """Partners that may merge, the best first: alive and not late a moment
         ago, own domain, little load, ties by lot. One that is silent towards this
         node is left out, and so is one whose round trip alone is longer than the
@@ -119,6 +140,8 @@
                 (self.is_shy(name=name), info.domain != self.domain, info.load // 4, lot, name)
             )
         names = [rank[-1] for rank in sorted(ranked)]
+        if not is_near_only:
+            return names
         route = self.keeper.blueprint.route(collection=collection)
         window_us = route.window_us if route else 0
         near = [name for name in names if self.distances.get(name, 0) <= window_us]
--- /dev/null
+++ b/kelpstage/edge/web/forward.py
@@ -0,0 +1,121 @@
+"""Clients' requests by host and path: forwarded to one backend, or gathered from shards."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from kelpstage.base.blueprint.types import ForwardRoute
+from kelpstage.base.defects import (
+    Defect,
+    MissingRequestId,
+    NotReady,
+    Overloaded,
+    UnknownRoute,
+)
+from kelpstage.base.ports.types import HttpCall, HttpReply
+from kelpstage.base.wire.http import json_reply
+from kelpstage.edge.forward.names import HeaderNames
+from kelpstage.edge.forward.request import read_request
+from kelpstage.edge.gather.messages import Verdict
+from kelpstage.edge.gather.record import ROOT, SINGLE, Gathering
+from kelpstage.edge.rounds.shed import may_enter
+
+if TYPE_CHECKING:
+    from kelpstage.edge.app import Edge
+
+BODY_TYPE = "application/octet-stream"
+GATEWAY_FAILED, NOT_SERVED = 502, 503
+ELSEWHERE_S = "0.01"  # this node can't, another one may: come back at once
+LATER_S = "0.08"  # the work is too much just now
+
+
+def deadline_us(*, headers: dict[str, str], names: HeaderNames, route: ForwardRoute) -> int:
+    """How long the request may take here: the client's word, at most the route's.
+
+    >>> route = ForwardRoute(name="r", host="h", prefix="/", is_repeatable=True, attempts=1,
+    ...     deadline_us=500_000, aim_us=1, rank=0)
+    >>> deadline_us(headers={"kelp-deadline-ms": "200"}, names=HeaderNames(), route=route)
+    200000
+    >>> deadline_us(headers={"kelp-deadline-ms": "soon"}, names=HeaderNames(), route=route)
+    500000
+    """
+    given = headers.get(names.deadline_ms.lower(), "").strip()
+    try:
+        wanted_us = int(float(given) * 1000) if len(given) <= 18 else 0
+    except (ValueError, OverflowError):
+        wanted_us = 0
+    return min(wanted_us, route.deadline_us) if wanted_us > 0 else route.deadline_us
+
+
+def reserve_us(*, left_us: int) -> int:
+    """What is kept of the deadline for the answer's own way.
+
+    >>> reserve_us(left_us=1_000_000), reserve_us(left_us=100_000)
+    (15000, 5000)
+    """
+    return min(15_000, left_us // 20)
+
+
+async def serve_forwarded(*, edge: "Edge", call: HttpCall) -> HttpReply:
+    """Answer one client's request by the routes in force."""
+    now_us = edge.ports.clock.now_us()
+    refusal = edge.keeper.refusal(now_us=now_us)
+    if refusal:
+        return failure_reply(failure=NotReady(why=refusal), has_run=False, edge=edge)
+    path = call.url.partition("?")[0]
+    host = call.headers.get("host", "")
+    route = edge.keeper.blueprint.forward_for(host=host, path=path)
+    if route is None:
+        failure = UnknownRoute(host=host[:200], path=path[:200])
+        return failure_reply(failure=failure, has_run=False, edge=edge)
+    request = read_request(call=call, names=edge.names)
+    if not request.request_id:
+        failure = MissingRequestId(header=edge.names.request_id)
+        return failure_reply(failure=failure, has_run=False, edge=edge)
+    in_flight = len(edge.gather.table)
+    if not may_enter(in_flight=in_flight, rank=route.rank):
+        failure = Overloaded(in_flight=in_flight)
+        return failure_reply(failure=failure, has_run=False, edge=edge)
+    left_us = deadline_us(headers=call.headers, names=edge.names, route=route)
+    key = edge.gather.next_key()
+    record = Gathering(
+        key=key,
+        search=f"{edge.name}-{edge.incarnation:x}-{key}",
+        kind=ROOT if route.fan_out else SINGLE,
+        collection=route.name,
+        arrived_us=now_us,
+        due_us=now_us + left_us - reserve_us(left_us=left_us),
+        request=request,
+    )
+    outcome = await edge.gather.settle(record=record)
+    edge.ports.point("edge.before_verdict")
+    if isinstance(outcome, Verdict):
+        return success_reply(verdict=outcome, edge=edge)
+    return failure_reply(failure=outcome, has_run=record.has_run, edge=edge)
+
+
+def success_reply(*, verdict: Verdict, edge: "Edge") -> HttpReply:
+    """A backend's answer as it came, or the records of the parts that the headers name."""
+    leaving = {"Connection": "close"} if edge.is_leaving else {}
+    if verdict.whole is not None:
+        whole = verdict.whole
+        return HttpReply(
+            status=whole.status, headers={**dict(whole.headers), **leaving}, body=whole.body
+        )
+    headers = {"Content-Type": BODY_TYPE, edge.names.part_seals: ", ".join(verdict.seals), **leaving}
+    if verdict.missing:
+        headers[edge.names.missing_parts] = str(verdict.missing)
+    return HttpReply(status=200, headers=headers, body=verdict.body)
+
+
+def failure_reply(*, failure: Defect, has_run: bool, edge: "Edge") -> HttpReply:
+    """The final answer to a request that is given up. 503 promises that it has not run
+    and never will, and says when to come back; what may have run is 502 or 504."""
+    status = failure.status
+    headers: dict[str, str] = {"Connection": "close"} if edge.is_leaving else {}
+    if status == NOT_SERVED and has_run:
+        status = GATEWAY_FAILED
+    if status == NOT_SERVED:
+        headers["Retry-After"] = LATER_S if isinstance(failure, Overloaded) else ELSEWHERE_S
+    edge.counts[f"refused_{failure.kind}"] += 1
+    return json_reply(status=status, body={"defect": failure.as_json()}, headers=headers)
