Backends: paces that fade, load told from illness, one prober for shunned lives, handlers

Cause: (1) a life that was slow once was never asked again, since its pace stayed what it was: with lots at power ten a life of four times the cost is drawn once in a million. (2) A request sent 30 ms before its caller's time is over and left without an answer counted as silence, and one refused connection as a crash; both happen to lives that are only full. (3) Nothing looked at a shunned life but requests.

Paces fade into the service's median, by half in six seconds, and the first answer after that counts half. A silence under 150 ms or four paces is load; a connection refused by a life that answered within 300 ms counts as one reset; a silence of 500 ms and eight paces shuns at once. Shunned lives are probed once a second by one edge, in their zone if there is one; a good answer that names the life lets requests try it there. Lives that answer are never probed.

The messages of the list reach the task (handlers), and the root may ask the book which zones have a life that may be asked (zones_of, kept for 50 ms).

--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -16,6 +16,7 @@
 from kelpstage.edge.backend.places import Places
 from kelpstage.edge.backend.platform import PlatformTask
 from kelpstage.edge.backend.probe import ProbeTask
+from kelpstage.edge.backend.suspects import SuspectTask
 from kelpstage.edge.events import BackendChanged, Leaving, ServingChanged
 from kelpstage.edge.forward.names import HeaderNames
 from kelpstage.edge.forward.sealed import SealedCodec
@@ -208,6 +209,15 @@
                 on_changed=self._on_lives_changed,
                 calls_per_s=self.env["list"].get("calls_per_s", 0.0),
             )
+            self.suspects = SuspectTask(
+                ports=self.ports,
+                book=self.book,
+                me=self.name,
+                edges=self._edges_by_zone,
+                health_path=self._health_path,
+                instance_header=self.names.instance,
+                counts=self.counts,
+            )
         return None
 
     async def _on_message(self, message: Any, source: str) -> Any:
@@ -277,6 +287,17 @@
         if member is not None and member.info.domain:
             self.book.places.note_round_trip(zone=member.info.domain, took_us=took_us)
 
+    def _edges_by_zone(self) -> dict[str, str]:
+        members = self.swim.members
+        return {
+            name: members[name].info.domain if name in members else self.domain
+            for name in self.swim.live()
+        }
+
+    def _health_path(self, service: str) -> str:
+        declared = self.keeper.blueprint.services.get(service)
+        return declared.health_path if declared else ""
+
     def _on_lives_changed(self, names: list[str]) -> None:
         """The list gave lives that came, went or began to drain; all hear it by the
         list's own news, so that gossip need not tell it."""
--- a/kelpstage/edge/backend/book.py
+++ b/kelpstage/edge/backend/book.py
@@ -45,6 +45,7 @@
 LINE_SHARE = 80  # per cent of a service's connections that the edges share
 EDGES_KEPT_US = 30_000_000
 MEDIAN_KEPT_US = 200_000
+ZONES_KEPT_US = 50_000
 UNKNOWN_US = 20_000
 
 
@@ -118,8 +119,10 @@
         self._listed: dict[str, str] = {}
         self._listed_us = -LIST_KEPT_US
         self._to_tell: set[str] = set()  # names that there may be rumors of
+        self._suspects: set[str] = set()  # lives that somebody shuns, or did lately
         self._lives: dict[str, tuple[str, ...]] = {}
         self._medians: dict[str, tuple[int, float]] = {}
+        self._zones: dict[str, tuple[int, frozenset[str]]] = {}
         self._max_connections: dict[str, int] = {}
         self._edges: list[tuple[int, int]] = []
         self._live_edges = 1
@@ -183,6 +186,7 @@
             elif now_us - entry.gone_us > GONE_KEPT_US and not entry.in_flight:
                 del self.entries[name]
         self._lives = {service: tuple(sorted(found)) for service, found in names.items()}
+        self._zones.clear()
         self._set_line_limits()
         return news
 
@@ -215,6 +219,29 @@
         """Instance ids of the lives that the list gives for a service, sorted."""
         return self._lives.get(service, ())
 
+    def zones_of(self, *, service: str, now_us: int) -> frozenset[str]:
+        """Zones with a life of this service that may be asked; kept for a moment, since a
+        root looks at every shard of every search.
+
+        >>> book = Book(me="n1")
+        >>> one = Life(instance="i1", service="s", address="127.0.0.1:1", zone="z")
+        >>> _ = book.set_lives([one, replace(one, instance="i2", zone="y")], now_us=1)
+        >>> sorted(book.zones_of(service="s", now_us=2))
+        ['y', 'z']
+        >>> _ = book.note_failure(name="i2", why="refused", now_us=3)
+        >>> sorted(book.zones_of(service="s", now_us=4))
+        ['z']
+        """
+        known = self._zones.get(service)
+        if known is not None and 0 <= now_us - known[0] < ZONES_KEPT_US:
+            return known[1]
+        entries = [self.entries[name] for name in self._lives.get(service, ())]
+        fit = [entry for entry in entries if entry.state == UP]
+        well = [entry for entry in fit if not entry.seen.is_shunned(now_us=now_us)]
+        zones = frozenset(entry.zone for entry in well or fit)
+        self._zones[service] = (now_us, zones)
+        return zones
+
     def set_live_edges(self, *, count: int, now_us: int) -> None:
         """How many edges share the backends' connections: the most of the last half
         minute, since what an edge had open may outlast it.
@@ -280,16 +307,50 @@
             entry.heard_us = now_us
             entry.seen.note_full(now_us=now_us)
 
-    def note_failure(self, *, name: str, why: str, now_us: int) -> bool:
+    def note_failure(
+        self, *, name: str, why: str, now_us: int, waited_us: int | None = None
+    ) -> bool:
         """A request failed at a life (`evidence.REFUSED`, `RESET`, `FAILED`, `GARBLED`,
-        `SILENT`); true if it is shunned from now on, which is news."""
+        `SILENT`, the last after `waited_us`); true if it is shunned from now on, which
+        is news. A connection refused by a life that answered a moment ago, and a short
+        silence, are signs of load first."""
         entry = self.entries.get(name)
-        if entry is None or not entry.seen.note_failure(why=why, now_us=now_us):
+        if entry is None:
+            return False
+        weighed = entry.seen.weigh(why=why, waited_us=waited_us, now_us=now_us)
+        if weighed != why:
+            entry.seen.note_full(now_us=now_us)
+        if not weighed or not entry.seen.note_failure(why=weighed, now_us=now_us):
             return False
         entry.dark_by[self._me] = now_us
         self._to_tell.add(name)
+        self._suspects.add(name)
+        self._zones.pop(entry.service, None)
         return True
 
+    def suspects(self, *, now_us: int) -> list[Entry]:
+        """Lives that this node shuns, or hears that others do, with no answer here since;
+        for as long as that is fresh."""
+        found = []
+        for name in sorted(self._suspects):
+            entry = self.entries.get(name)
+            latest_us = max(entry.dark_by.values(), default=0) if entry is not None else 0
+            until_us = max(latest_us + DARK_KEPT_US, entry.seen.shunned_until_us) if entry else 0
+            if entry is None or entry.gone_us or not entry.dark_by or now_us >= until_us:
+                self._suspects.discard(name)
+            elif entry.state == UP:
+                found.append(entry)
+        return found
+
+    def note_probed(self, *, name: str, now_us: int) -> None:
+        """A shunned life says that it is well: it may be tried now."""
+        entry = self.entries.get(name)
+        if entry is None:
+            return
+        entry.dark_by.clear()
+        if entry.seen.is_shunned(now_us=now_us):
+            entry.seen.shunned_until_us = now_us
+
     def _note_life(self, *, entry: Entry, state: int, why: str, now_us: int) -> bool:
         """`observe` for a life: it may begin to drain, once; a refused connection is
         evidence; nothing makes it come back but an answer to a request."""
@@ -300,6 +361,7 @@
         entry.state, entry.why, entry.seen_by = DRAINING, why, self._me
         entry.turn, entry.since_us = entry.turn + 1, now_us
         self._to_tell.add(entry.name)
+        self._zones.pop(entry.service, None)
         return True
 
     def refusal_of_life(self, *, entry: Entry, now_us: int) -> str:
@@ -461,6 +523,8 @@
         if rumor.state == DARK:
             is_new = rumor.seen_by not in entry.dark_by
             entry.dark_by[rumor.seen_by] = now_us
+            if entry.is_life:
+                self._suspects.add(entry.name)
             return is_new
         if entry.is_life:
             return self._hear_of_life(entry=entry, rumor=rumor, now_us=now_us)
@@ -480,6 +544,7 @@
         entry.state, entry.turn, entry.since_us = DRAINING, max(1, rumor.turn), now_us
         entry.why, entry.seen_by = rumor.why, rumor.seen_by
         self._to_tell.add(entry.name)
+        self._zones.pop(entry.service, None)
         return is_new
 
     def _hear_of_lie(self, *, entry: Entry, rumor: RumorMsg, now_us: int) -> bool:
--- a/kelpstage/edge/backend/choose.py
+++ b/kelpstage/edge/backend/choose.py
@@ -109,7 +109,7 @@
         entry = entries[name]
         refusal = "" if _is_plain(entry) else book.refusal_of_life(entry=entry, now_us=now_us)
         seen = entry.seen
-        mean_us = seen.mean_us or median_us
+        mean_us = seen.pace_us(median_us=median_us, now_us=now_us)
         cost = expected_us(entry=entry, mean_us=mean_us, now_us=now_us)
         is_doubted = bool(entry.dark_by) and _is_doubted(entry=entry, now_us=now_us)
         lot = -log(1.0 - draw()) if draw else MIDDLE_LOT
--- a/kelpstage/edge/backend/evidence.py
+++ b/kelpstage/edge/backend/evidence.py
@@ -13,7 +13,8 @@
 
 PACE_SHARE = 8  # each answer moves the mean by an eighth
 FIRST_ANSWERS = 4  # the first few move it faster
-PACE_HALF_LIFE_US = 8_000_000
+PACE_HALF_LIFE_US = 6_000_000
+PACE_FRESH_US = 1_000_000
 FAIL_SHARE = 0.2
 FAIL_WEIGHT = 5.0
 FAIL_HALF_LIFE_US = 3_000_000
@@ -23,8 +24,12 @@
 SHUN_DOUBLINGS = 4  # up to 8 s
 CALM_US = 30_000_000  # after that without a shunning the next one is short again
 LONGEST_US = 2_000_000
+SECOND = 1_000_000
 REFUSED, RESET, FAILED, GARBLED, SILENT = "refused", "reset", "failed", "garbled", "silent"
 WEIGHTS = {REFUSED: FAILS_IN_A_ROW, RESET: 1, FAILED: 1, GARBLED: 2, SILENT: 2}
+PAUSE_US = 150_000  # a life may pause for so long and be well
+LONG_SILENCE_US = 500_000
+ANSWERED_LATELY_US = 300_000
 
 
 @dataclass(kw_only=True, slots=True)
@@ -65,9 +70,27 @@
         took_us = min(took_us, LONGEST_US)
         self.answers += 1
         share = min(self.answers, FIRST_ANSWERS) if self.answers < PACE_SHARE else PACE_SHARE
+        if now_us - self.answered_us > PACE_HALF_LIFE_US:
+            share = min(share, 2)  # what was known is old
         self.mean_us += (took_us - self.mean_us) / share
         self.answered_us = now_us
 
+    def pace_us(self, *, median_us: float, now_us: int) -> float:
+        """What an answer takes there; what was seen long ago fades into the median of the
+        service, so that a life that was slow is tried again.
+
+        >>> seen = Evidence()
+        >>> seen.note_answer(took_us=40_000, now_us=0)
+        >>> [seen.pace_us(median_us=10_000, now_us=n * PACE_HALF_LIFE_US) for n in (0, 1, 2)]
+        [40000.0, 25000.0, 17500.0]
+        """
+        if not self.answers:
+            return median_us
+        age_us = now_us - self.answered_us
+        if age_us < PACE_FRESH_US:
+            return self.mean_us
+        return median_us + (self.mean_us - median_us) * 2 ** (-age_us / PACE_HALF_LIFE_US)
+
     def note_full(self, *, now_us: int) -> None:
         """It turned a request away, or lets one wait: others first for a moment."""
         self.full_until_us = now_us + FULL_US
@@ -91,6 +114,25 @@
         self.shuns += 1
         return True
 
+    def weigh(self, *, why: str, waited_us: int | None, now_us: int) -> str:
+        """What a failure counts as, seen beside what else is known; empty: as load.
+
+        >>> seen = Evidence(mean_us=10_000, answers=9, answered_us=0)
+        >>> seen.weigh(why=SILENT, waited_us=90_000, now_us=SECOND)
+        ''
+        >>> seen.weigh(why=SILENT, waited_us=600_000, now_us=SECOND)
+        'refused'
+        >>> seen.weigh(why=REFUSED, waited_us=None, now_us=100_000)
+        'reset'
+        """
+        if why == REFUSED and self.answers and now_us - self.answered_us < ANSWERED_LATELY_US:
+            return RESET  # it may only have too many connections just now
+        if why != SILENT or waited_us is None:
+            return why
+        if waited_us < max(PAUSE_US, 4 * self.mean_us):
+            return ""
+        return REFUSED if waited_us >= max(LONG_SILENCE_US, 8 * self.mean_us) else SILENT
+
     def _fail_share(self, *, now_us: int) -> float:
         if self.fail_share < 0.01:
             return 0.0
--- a/kelpstage/edge/gather/task.py
+++ b/kelpstage/edge/gather/task.py
@@ -224,7 +224,7 @@
         why = failure_of(outcome=outcome)
         if isinstance(outcome, WaitOver):
             self.world.paces.saw(name=name, took_us=took_us, now_us=now_us)
-        if book.note_failure(name=name, why=why, now_us=now_us):
+        if book.note_failure(name=name, why=why, now_us=now_us, waited_us=took_us):
             self._on_backend_news(name)
 
     def _learn_of_kid(self, *, said: KidSaid) -> None:
--- a/kelpstage/edge/handlers.py
+++ b/kelpstage/edge/handlers.py
@@ -10,12 +10,14 @@
 from kelpstage.base.wire.chunks import cut_chunk
 from kelpstage.base.wire.messages import (
     Announce,
+    AskList,
     AskTrail,
     Chunk,
     FetchState,
     Gather,
     Gathered,
     GrantReply,
+    ListNews,
     MissingMsg,
     RelayRenew,
     Trail,
@@ -103,6 +105,19 @@
     return cut_chunk(data=keeper.doc_bytes, offset=message.offset, mark=keeper.epoch)
 
 
+@handle.register
+async def _(message: ListNews, edge: Any, source: str) -> None:
+    if edge.list_task is not None:
+        edge.list_task.take(news=message)
+
+
+@handle.register
+async def _(message: AskList, edge: Any, source: str) -> ListNews:
+    if edge.list_task is None:
+        return ListNews()
+    return edge.list_task.answer(ask=message)
+
+
 @handle.register
 async def _(message: RelayRenew, edge: Any, source: str) -> GrantReply:
     # This node may know a newer leader than the one that the asker could not reach.
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -22,6 +22,7 @@
 from kelpstage.edge.backend.life import Life
 from kelpstage.edge.backend.lists import ListTask, OwnList, rank_key
 from kelpstage.edge.backend.places import Places
+from kelpstage.edge.backend.suspects import SuspectTask
 from kelpstage.edge.gather.pace import Paces
 from kelpstage.edge.gossip.swim import Swim
 from kelpstage.edge.gossip.task import GossipTask
@@ -529,6 +530,38 @@
         self.assertTrue(all(not o.refusal for o in self.choose(book, 104_000)))
         self.assertTrue(book.strike(name="i1", now_us=105_000))
 
+    def test_a_life_that_was_slow_is_tried_again(self) -> None:
+        book = self.book(life("i1"), life("i2"), life("i3"))
+        for name, took_us in (("i1", 60_000), ("i2", 12_000), ("i3", 13_000)):
+            for _ in range(9):
+                book.note_answer(name=name, took_us=took_us, now_us=0)
+        rand = random.Random(1)
+
+        def chosen(now_us: int) -> int:
+            for name in ("i2", "i3"):
+                book.note_answer(name=name, took_us=12_500, now_us=now_us)
+            return sum(self.choose(book, now_us, rand)[0].backend == "i1" for _ in range(300))
+
+        self.assertLess(chosen(SECOND), 3)
+        self.assertGreater(chosen(40 * SECOND), 30)
+
+    def test_what_may_be_load_is_no_illness(self) -> None:
+        book = self.book(life("i1"), life("i2"))
+        book.note_answer(name="i1", took_us=12_000, now_us=SECOND)
+        seen = book.entries["i1"].seen
+        for n in range(5):  # sent just before the caller's time was over
+            self.assertFalse(
+                book.note_failure(name="i1", why=evidence.SILENT, now_us=SECOND, waited_us=90_000)
+            )
+        self.assertEqual(0, seen.in_a_row)
+        book.note_failure(name="i1", why=evidence.REFUSED, now_us=SECOND + 50_000)
+        self.assertEqual((1, 0), (seen.in_a_row, seen.shunned_until_us))
+        self.assertEqual("i2", self.best(book, SECOND + 60_000))
+        self.assertTrue(book.note_failure(name="i1", why=evidence.REFUSED, now_us=2 * SECOND))
+        self.assertTrue(
+            book.note_failure(name="i2", why=evidence.SILENT, now_us=9, waited_us=800_000)
+        )
+
     def test_full_is_loaded_and_not_ill(self) -> None:
         book = self.book(life("i1"), life("i2"))
         for n in range(20):
@@ -575,6 +608,65 @@
         refusals = {o.backend: o.refusal for o in self.choose(book, 1)}
         self.assertEqual({"i1": "no free line", "i2": ""}, refusals)
 
+class SuspectTest(ListStory):
+    """Who probes what, and what a probe's answer does."""
+
+    count = 3
+
+    async def start(self, node: Node) -> None:
+        await super().start(node)
+        node.probes = SuspectTask(
+            ports=node.process.ports, book=node.book, me=node.name,
+            edges=lambda: {one.name: one.zone for one in self.alive()},
+            health_path=lambda service: "/health", instance_header="Kelp-Instance",
+            counts=node.counts,
+        )
+
+    def probes(self) -> dict[str, int]:
+        return {node.name: node.counts["life_probes"] for node in self.nodes}
+
+    def test_only_suspects_are_probed_by_one_and_a_good_answer_ends_it(self) -> None:
+        said = HttpReply(status=200, headers={"kelp-instance": "i1"})
+        taken = []
+
+        async def answer(call: HttpCall) -> HttpReply:
+            taken.append(call.url)
+            return said
+
+        async def story() -> None:
+            nonlocal said
+            machine = self.world.add_machine(name="backend", domain="b1")
+            address = self.list.row("i1")["address"]
+            self.world.homes[address] = machine
+            process = SimProcess(world=self.world, name="backend", machine=machine, life=1)
+            await process.ports.net.serve_http(address=address, on_call=answer, body_limit=9)
+            await self.wait(8 * SECOND)
+            self.assertEqual({0}, set(self.probes().values()))
+            for node in self.nodes:
+                for _ in range(5):  # eight seconds
+                    now_us = self.world.now_us()
+                    node.book.entries["i1"].seen.shunned_until_us = 0
+                    node.book.note_failure(name="i1", why=evidence.REFUSED, now_us=now_us)
+            for other in ({"kelp-instance": "i9"}, {}):
+                said = HttpReply(status=200, headers=other)
+                await self.wait(1_100_000)
+                self.assertTrue(all(self.shuns(node) for node in self.nodes))
+            said = HttpReply(status=200, headers={"kelp-instance": "i1"})
+            await self.wait(1_100_000)
+            near = next(node for node in self.nodes if node.zone == "b1")
+            self.assertFalse(self.shuns(near))
+            self.assertEqual({near.name}, {n for n, count in self.probes().items() if count})
+            self.assertIn(len(taken), (3, 4))
+            await self.wait(10 * SECOND)
+            self.assertLessEqual(len(taken), 4)
+            process.kill()
+
+        self.run_story(story)
+
+    def shuns(self, node: Node) -> bool:
+        return node.book.entries["i1"].seen.is_shunned(now_us=self.world.now_us())
+
+
 class ChoiceSpreadTest(unittest.TestCase):
     """Twelve nodes, two lives of two slots, the choice as it is: what waits, and where."""
 
