--- a/kelpstage/base/http/client.py
+++ b/kelpstage/base/http/client.py
@@ -16,7 +16,7 @@
 
 from kelpstage.base.defects import ConnectRefused, Defect, LineLost, WaitOver
 from kelpstage.base.http.head import OWN_HEADERS, head_bytes, joined, kept_for_s
-from kelpstage.base.http.sockets import family_of, tune
+from kelpstage.base.http.sockets import BUFFER, family_of, tune
 from kelpstage.base.http.timers import Deadlines
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from kelpstage.base.wire.address import split_address
@@ -75,7 +75,7 @@
     """Ends the parser's run from within one of its callbacks."""
 
 
-class Line(asyncio.Protocol):
+class Line(asyncio.BufferedProtocol):
     """One connection and the one exchange that it may be busy with."""
 
     def __init__(self, *, client: "HttpClient", address: str, sock: socket.socket) -> None:
@@ -199,14 +199,17 @@
         self._leave()
         self._transport = self._parser = None
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self._future is None or self._future.done():
             self.close()  # bytes that belong to no request
             return
-        self._size += len(data)
+        self._size += nbytes
         is_broken = False
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(BUFFER[:nbytes])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             is_broken = True
         if self._replies:
@@ -255,8 +258,10 @@
             raise _Stop
         headers = self._headers = joined(pairs=self._pairs)
         self._is_kept = parser.should_keep_alive()
-        if self._is_kept:
-            self._keep_s = kept_for_s(keep_alive=headers.get("keep-alive", ""), default_s=IDLE_S)
+        named = headers.get("keep-alive")
+        self._keep_s = (
+            kept_for_s(keep_alive=named, default_s=IDLE_S) if named is not None else IDLE_S
+        )
         if self._call.method == "HEAD":
             self._is_kept = False  # the parser would wait for a body
             self._keep_reply()
@@ -357,7 +362,10 @@
         if data is None:
             return LineLost(address=address, why="no request in the protocol", was_sent=False)
         if call.line_limit > 0:
-            line = await self._kept_line(call=call, address=address, deadline=deadline)
+            pool = self._pools.get(address)
+            line = pool.fresh_line() if pool is not None else None
+            if line is None:
+                line = await self._new_line(call=call, address=address, deadline=deadline)
         else:
             line = await self._open(call=call, address=address, deadline=deadline)
         if isinstance(line, Defect):
@@ -382,17 +390,13 @@
         pool = self._pools.get(address)
         return (pool.count, len(pool.idle)) if pool else (0, 0)
 
-    async def _kept_line(self, *, call: HttpCall, address: str, deadline: float) -> Line | Defect:
+    async def _new_line(self, *, call: HttpCall, address: str, deadline: float) -> Line | Defect:
+        """A line to keep, in a place of the pool that is free or gets free in time."""
         pool = self._pools.get(address)
         if pool is None:
             pool = self._pools[address] = Pool(client=self, address=address)
         pool.limit = call.line_limit
-        line = pool.fresh_line()
-        if line is not None:
-            return line
         if pool.count < pool.limit:
-            # dropping a stale line may have emptied the pool
-            self._pools[address] = pool
             pool.count += 1
         else:
             found = await self._wait(pool=pool, call=call, address=address, deadline=deadline)
--- a/kelpstage/base/http/server.py
+++ b/kelpstage/base/http/server.py
@@ -23,7 +23,7 @@
     SlowRequest,
 )
 from kelpstage.base.http.head import REASONS, cleaned, head_bytes, joined
-from kelpstage.base.http.sockets import family_of, tune
+from kelpstage.base.http.sockets import BUFFER, family_of, tune
 from kelpstage.base.ports.types import HttpCall, HttpLimits, HttpReply
 from kelpstage.base.wire.address import split_address
 from kelpstage.base.wire.http import defect_reply
@@ -82,7 +82,7 @@
     """Ends the parser's run from within one of its callbacks."""
 
 
-class CallerLine(asyncio.Protocol):
+class CallerLine(asyncio.BufferedProtocol):
     """One caller's connection: what is being read, what waits, what is in work."""
 
     def __init__(self, *, server: "HttpServer") -> None:
@@ -105,8 +105,9 @@
         # the request being read
         self._url = b""
         self._pairs: list[tuple[str, str]] = []
-        self._head_size = 0
         self._head_fed = 0
+        self._trailer_size = 0
+        self._begun = 0  # requests begun in the data being read
         self._body: list[bytes] = []
         self._body_size = 0
         self._body_limit = 0
@@ -148,29 +149,35 @@
         self._is_full = False
         self._next()
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        return BUFFER
+
+    def buffer_updated(self, nbytes: int) -> None:
         if self._is_deaf:
-            self._deaf_bytes += len(data)
+            self._deaf_bytes += nbytes
             if self._deaf_bytes > LINGER_BYTES:
                 self._transport.abort()
             return
-        if self.stage == HEAD:
-            self._head_fed += len(data)
-        elif self.stage == BODY:
+        before, self._begun = self.stage, 0
+        if before == BODY:
             self._moved = asyncio.get_running_loop().time()
         try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._end_reading()  # no other protocol is spoken here; the request counts
+            self._parser.feed_data(BUFFER[:nbytes])
+        except httptools.HttpParserUpgrade:  # no other protocol is spoken here; the request counts
+            call, _, is_old = self._queue.pop()
+            self._queue.append((call, False, is_old))
+            self._end_reading()
         except httptools.HttpParserError as error:
-            if self._is_kept or self._refusal is not None:
+            if self._is_kept or self.stage != IDLE:
                 why = str(error).partition("(")[0].strip()
                 self._refuse(defect=self._refusal or BadRequest(part="request", why=why))
             else:  # bytes after the last request of this connection
                 self._end_reading()
         if self.stage == HEAD and not self._is_deaf:
+            if self._begun == (0 if before == HEAD else 1) and before != BODY:
+                self._head_fed += nbytes  # all of it belongs to this head
             limit = self._server.limits().header_bytes
-            if self._head_fed > limit or self._head_size > limit:
+            if self._head_fed > limit:
                 self._refuse(defect=OversizedHead(limit_bytes=limit))
         if len(self._queue) > QUEUE and not self._is_paused and self._transport is not None:
             self._is_paused = True
@@ -182,9 +189,6 @@
         self._is_deaf = True
         self.stage = IDLE
         self._parser = None
-        if self._queue and type(self._queue[-1]) is tuple:
-            call, _, is_old = self._queue[-1]
-            self._queue[-1] = (call, False, is_old)
         self._is_kept = False
 
     def _refuse(self, *, defect: Defect) -> None:
@@ -199,40 +203,47 @@
 
     def on_message_begin(self) -> None:
         self.stage = HEAD
+        self._begun += 1
         self._since = asyncio.get_running_loop().time()
         self._url = b""
         self._pairs = []
-        self._head_size = self._head_fed = 0
+        self._head_fed = 0
         self._body = []
         self._body_size = 0
         self._wants_continue = False
 
     def on_url(self, url: bytes) -> None:
         self._url = self._url + url if self._url else url
-        self._head_size += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._head_size += len(name) + len(value) + 4
         if self.stage == HEAD:
             self._pairs.append((name.decode("latin-1"), value.decode("latin-1")))
-        elif self._head_size > self._server.limits().header_bytes:
-            raise self._stopped(defect=OversizedHead(limit_bytes=self._head_size))
+            return
+        self._trailer_size += len(name) + len(value) + 4
+        limit = self._server.limits().header_bytes
+        if self._trailer_size > limit:
+            raise self._stopped(defect=OversizedHead(limit_bytes=limit))
 
     def on_headers_complete(self) -> None:
         self.stage = BODY
         self._moved = self._since
         parser = self._parser
         limits = self._server.limits()
-        if self._head_size + 18 > limits.header_bytes:
+        pairs = self._pairs
+        size = len(self._url) + 18 + 4 * len(pairs)
+        for name, value in pairs:
+            size += len(name) + len(value)
+        if size > limits.header_bytes:
             raise self._stopped(defect=OversizedHead(limit_bytes=limits.header_bytes))
-        headers = self._headers = joined(pairs=self._pairs)
+        headers = self._headers = joined(pairs=pairs)
+        self._trailer_size = 0
         version = parser.get_http_version()
         self._is_old = version == "1.0"
         if not self._is_old and version != "1.1":
             raise self._bad(why="not HTTP/1.0 or 1.1")
         self._is_kept = parser.should_keep_alive()
-        hosts = sum(name.lower() == "host" for name, _ in self._pairs)
-        if hosts != 1 and (hosts or not self._is_old):
+        host = headers.get("host")
+        if (host is None and not self._is_old) or (host is not None and "," in host):
             raise self._bad(why="one Host it must be")
         self._body_limit = limits.body_bytes
         coding = headers.get("transfer-encoding")
@@ -288,6 +299,8 @@
             if self._wants_continue and self.stage == BODY and not self._body_size:
                 self._wants_continue = False
                 self._transport.write(CONTINUE)
+            elif self._is_half:
+                self._transport.close()
             return
         item = self._queue.popleft()
         if self._is_paused and len(self._queue) <= QUEUE // 2:
--- a/kelpstage/base/http/sockets.py
+++ b/kelpstage/base/http/sockets.py
@@ -1,9 +1,12 @@
-"""Socket options that both sides of the HTTP transport set."""
+"""Socket options and the buffer that both sides of the HTTP transport use."""
 
 from __future__ import annotations
 
 import socket
 
+# All connections read into this one buffer, which is taken in before the next reads:
+# the loop's own way allocates a quarter of a megabyte for each read.
+BUFFER = memoryview(bytearray(128 * 1024))
 LOST_AFTER_MS = 2_000
 PROBE_IDLE_S = 2
 PROBE_EVERY_S = 1
--- a/proof/main.py
+++ b/proof/main.py
@@ -16,12 +16,15 @@
 from proof.fleet.deployment import blueprint_of, load, names
 from proof.fleet.record import write_day
 from proof.measure.choices import CHOICES, run_variant, summarize
+from proof.platform.main import app as platform_app
+from proof.measure.http import measure_http
 from proof.sim.faults import FAULTS
 from proof.sim.figures import figures, summary
 from proof.sim.story import Planned, as_text, plan_combination, run_plan
 from proof.sim.story import shrink as shrink_run
 
 app = typer.Typer(add_completion=False, help=__doc__, pretty_exceptions_enable=False)
+app.add_typer(platform_app, name="platform")
 
 
 @app.callback()
@@ -182,15 +185,21 @@
 
 @app.command()
 def measure(
-    choice: str = typer.Argument(help=f"One of: {', '.join(CHOICES)}."),
+    choice: str = typer.Argument(help=f"One of: {', '.join(CHOICES)}, http."),
     deployment: str = typer.Option("senegal", help=f"One of: {', '.join(names())}."),
     seeds: str = typer.Option("1-8", help="Seeds: 7, 1-40 or 3,5,8-9."),
     far_ms: int = typer.Option(0, min=0, max=500, help="Distance between domains, as in sim."),
     workers: int = typer.Option(8, min=1, max=64, help="Worlds run side by side."),
+    calls: int = typer.Option(4_000, min=100, max=100_000, help="http: calls in each turn."),
+    turns: int = typer.Option(5, min=1, max=50, help="http: turns of each way."),
 ) -> None:
-    """Compare the variants of a choice over the same seeds, in virtual time."""
+    """Compare the variants of a choice over the same seeds, in virtual time; with
+    `http`, the cost of one HTTP call in real processor time."""
+    if choice == "http":
+        print(measure_http(calls=calls, turns=turns))
+        return
     if choice not in CHOICES:
-        _say_bad(f"no choice {choice!r}; there are: {', '.join(CHOICES)}")
+        _say_bad(f"no choice {choice!r}; there are: {', '.join(CHOICES)}, http")
     if deployment not in names():
         _say_bad(f"no deployment {deployment!r}; there are: {', '.join(names())}")
     try:
