--- a/kelpstage/edge/gather/passes/send.py
+++ b/kelpstage/edge/gather/passes/send.py
@@ -258,7 +258,8 @@
         return
     wanted = record.route.quorum - len(record.parts) - len(in_time)
     if wanted > world.budget.room(
-        service=record.collection, now_us=world.now_us, edges=world.edges()
+        service=record.collection, now_us=world.now_us, edges=world.edges(),
+        shards=[shard for kid in late for shard in kid.branch.all_shards()],
     ):
         return  # it would not be enough: better to wait, and leave it to others
     for kid in late:
--- a/kelpstage/edge/rounds/budget.py
+++ b/kelpstage/edge/rounds/budget.py
@@ -7,9 +7,10 @@
   share. A search that begins again under a new blueprint may go a little further: it
   can't end under the old one.
 - *Stated bound* (a ratio is set): the deployment bounds what a service gets beyond
-  the first arrival of each request, summed over all nodes. Each node spends 0.8 of the
-  ratio of its own first sends, and its share of 0.7 of the slack; a share under one is
-  saved up. `docs/notes/retry-budget.md` says why the sum holds.
+  the first arrival of each request, summed over all nodes. Here a shard *is* a service,
+  whichever route or collection asks it. Each node spends 0.8 of the ratio of its own
+  first sends, and its share of 0.7 of the slack; a share under one is saved up.
+  `docs/notes/retry-budget.md` says why the sum holds.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 import zlib
 from collections import Counter, deque
 from dataclasses import dataclass
+from typing import Collection
 
 SPAN_US = 10_000_000
 SERVICE_SHARE, SERVICE_SLACK = 7, 20
@@ -96,6 +98,7 @@
         """Count a first send."""
         if self._born_us is None:
             self._born_us = now_us
+        service = self._bounded(service=service, shard=shard)
         self._expire(now_us=now_us)
         if self._ratio is not None:
             self._save(service=service, now_us=now_us)
@@ -105,6 +108,7 @@
         self, *, service: str, shard: str, now_us: int, edges: int, is_again: bool = False
     ) -> bool:
         """May an extra send go out now? If so it is counted."""
+        service = self._bounded(service=service, shard=shard)
         is_free = self.room(service=service, now_us=now_us, edges=edges, is_again=is_again) >= 1
         # What begins again asks every shard once: the service's limit is the shards' too.
         if self._ratio is None and not is_again:
@@ -128,6 +132,7 @@
         >>> budget.room(service="c", now_us=3, edges=1)
         1
         """
+        service = self._bounded(service=service, shard=shard)
         self._expire(now_us=now_us)
         for at in range(len(self._sends) - 1, -1, -1):
             if self._sends[at][1:] == (True, service, shard):
@@ -136,13 +141,29 @@
                 self._extras[(service, shard)] -= 1
                 return
 
-    def room(self, *, service: str, now_us: int, edges: int, is_again: bool = False) -> int:
-        """How many extra sends to a service are left now.
+    def _bounded(self, *, service: str, shard: str) -> str:
+        """What the bound is for: the service, or under a stated bound the shard."""
+        return service if self._ratio is None else shard or service
+
+    def room(
+        self, *, service: str, now_us: int, edges: int, is_again: bool = False,
+        shards: Collection[str] = (),
+    ) -> int:
+        """How many extra sends to a service are left now; under a stated bound, to how
+        many of these shards one may go.
 
         >>> Budget().room(service="c", now_us=0, edges=4)
         5
+        >>> Budget(ratio=0.1, slack=60, born_us=0).room(
+        ...     service="c", now_us=SPAN_US, edges=4, shards=("s1", "s2"))
+        2
         """
         self._expire(now_us=now_us)
+        if self._ratio is not None and shards:
+            return sum(
+                self._stated_room(service=shard, now_us=now_us, edges=edges) >= 1
+                for shard in shards
+            )
         if self._ratio is not None:
             return self._stated_room(service=service, now_us=now_us, edges=edges)
         share = AGAIN_SHARE if is_again else SERVICE_SHARE
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -434,6 +434,21 @@
         self.run_story(story)
 
 
+    def test_a_drain_seen_in_a_reply_is_known_to_all_in_a_second(self) -> None:
+        async def story() -> None:
+            await self.wait(15 * SECOND)
+            node = self.nodes[7]
+            node.book.observe(
+                name="i3", state=DRAINING, why="sign in a reply", now_us=self.world.now_us()
+            )
+            node.gossip.spread()
+            await self.wait_for(
+                lambda: all(n.book.entries["i3"].is_draining for n in self.alive()), SECOND
+            )
+
+        self.run_story(story)
+
+
 class BookTest(unittest.TestCase):
     def book(self, *lives: Life, now_us: int = 0) -> Book:
         book = Book(me="n1", places=Places(zone="a1", zones={"a1": "a", "a2": "a", "b1": "b"}))
@@ -815,6 +830,17 @@
             self.assertFalse(budget.take(service="s", shard="", now_us=at, edges=4))
         self.assertTrue(budget.take(service="s", shard="", now_us=15 * SECOND, edges=4))
 
+    def test_a_shard_is_bounded_whichever_route_asks(self) -> None:
+        budget = Budget(ratio=0.2, slack=0, me="n", born_us=0)
+        budget.note_edges(edges=10, now_us=0)
+        for n in range(100):
+            budget.first(service=f"route{n % 2}", shard=f"s{n % 4}", now_us=n)
+        taken = [
+            budget.take(service=f"route{n % 2}", shard="s1", now_us=200, edges=10)
+            for n in range(20)
+        ]
+        self.assertEqual(4, sum(taken))  # 0.8 of a fifth of the 25 that s1 got
+
     def test_a_cut_does_not_double_the_slack(self) -> None:
         budget = Budget(ratio=0.2, slack=100, me="n", born_us=0)
         budget.note_edges(edges=10, now_us=10 * SECOND)
