Control work: bounded gossip, grants that tell only what changed, joins and news by zone

Causes, by reading: each grant reply and each meeting carried every contact (90 of them, twice a second to every edge, and from every core each 2 s); each renewal had a round of confirmation of its own; each edge joined in an epoch of its own, whose whole state went to every edge; gossip told every member that was not alive, or had changed in the last 3 s, in every datagram.

- A grant reply carries the contacts and cores that changed since the mark that the edge names, 32 at most; the edge introduces itself to a ledger once, and each 10 s.
- Meetings: as before while few partners are known or no grant is fresh; else one core, each 10 s or so.
- Renewals on rosters above 20 stretch from 500 to 900 ms, with a wait of 450 ms, so that a grant of 2 s still bears one renewal without an answer and another after it.
One confirmation stands for all renewals that came before it began.
- Edges that ask to join while a change is settled join with the next one, together.
- Announcements are compressed; on more than 20 edges they go, as a difference from the state before, to one edge of each domain, which hands them on; who has not said after 250 ms that it has the epoch is told directly.
- Gossip: news is told 4 log2(n) times, the least told first, 6 at a time; on fleets above 20 three of four probes stay in the region, and a suspect is told at once.
From about 100 members probes grow rarer with log n.
Lists are kept until the table changes; members travel in the bytes they came in.
- Lines that nobody used for 30 s are closed.

Fleets up to 20 edges keep their periods, their probes and their announcements to all.

Weighed: renewals collected by a relay in each zone; left for a measurement on the grown sizes, since the stretch alone costs no new way to lose a lease. Tests: as they were, all pass (320 on the base, and the fleets, points, wire and configuration tests on this one).

--- a/kelpstage/base/wire/lines.py
+++ b/kelpstage/base/wire/lines.py
@@ -1,7 +1,7 @@
 """Own lines: framed messages over streams, many calls at a time on each.
 
 `LineServer` takes calls and one-way messages; `Lines` keeps one connection for
-each partner and lane, so that bulk never stands before control.
+each partner and lane, so that bulk never stands before control, while it is used.
 """
 
 from __future__ import annotations
@@ -18,6 +18,8 @@
 CONNECT_WAIT_US = 1_000_000
 QUIET_LIMIT_US = 2_000_000
 BACKLOG_LIMIT = 64 * 1024 * 1024
+IDLE_US = 30_000_000
+IDLE_LOOK_US = 10_000_000
 
 Handler = Callable[[Any, str], Awaitable[Any]]
 
@@ -127,7 +129,7 @@
         self.stream: Stream | None = None
         self.outbox: list[bytes] = []
         self.waiting: dict[int, asyncio.Future] = {}
-        self.heard_us = ports.clock.now_us()
+        self.heard_us = self.used_us = ports.clock.now_us()
         self.is_ended = False
         self.is_retired = False
         self._on_end = on_end
@@ -136,6 +138,7 @@
 
     def put(self, *, message: Any, flag: int) -> int:
         self._mark += 1
+        self.used_us = self.ports.clock.now_us()
         data = frames.pack(message=message, flag=flag, mark=self._mark)
         if self.stream is None:
             self.outbox.append(data)
@@ -203,14 +206,29 @@
         self._ports = ports
         self._counts = counts
         self._lines: dict[tuple[str, int], _Line] = {}
+        self._is_looking = False
 
     def _line(self, *, address: str, lane: int) -> _Line:
         line = self._lines.get((address, lane))
         if line is None:
             line = _Line(ports=self._ports, address=address, lane=lane, on_end=self._forget)
             self._lines[(address, lane)] = line
+            if not self._is_looking:
+                self._is_looking = True
+                self._ports.spawn(self._close_idle())
         return line
 
+    async def _close_idle(self) -> None:
+        """A line that nobody used for long is closed: in a large fleet no node keeps
+        one to every other."""
+        while self._lines:
+            await self._ports.clock.sleep(us=IDLE_LOOK_US)
+            oldest_us = self._ports.clock.now_us() - IDLE_US
+            for line in list(self._lines.values()):
+                if not line.waiting and max(line.used_us, line.heard_us) < oldest_us:
+                    line.end(defect=LineLost(address=line.address, why="idle"))
+        self._is_looking = False
+
     def _forget(self, line: _Line) -> None:
         if self._lines.get((line.address, line.lane)) is line:
             del self._lines[(line.address, line.lane)]
--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -230,6 +230,7 @@
     contact: EdgeContact = bp.message_field(5)
     hops: int = bp.uint32_field(6)
     is_leaving: bool = bp.bool_field(7)
+    known: int = bp.uint64_field(8)  # mark of the contacts and cores that it knows
 
 
 @dataclass
@@ -243,7 +244,8 @@
     cores: List[str] = bp.string_field(7)
     is_on_roster: bool = bp.bool_field(8)
     why: str = bp.string_field(9)
-    partners: List[EdgeContact] = bp.message_field(10)
+    partners: List[EdgeContact] = bp.message_field(10)  # what changed since `known`
+    known: int = bp.uint64_field(11)
 
 
 @dataclass
@@ -257,7 +259,10 @@
     cluster: str = bp.string_field(1)
     epoch: int = bp.uint64_field(2)
     leader_address: str = bp.string_field(3)
-    state: bytes = bp.bytes_field(4)  # a whole StateDoc, if it is small
+    state: bytes = bp.bytes_field(4)  # a whole StateDoc, as older cores send it
+    delta: bytes = bp.bytes_field(5)  # a StateDoc, from the one of `base_epoch` if that is set
+    base_epoch: int = bp.uint64_field(6)
+    hand_on: List[str] = bp.string_field(7)  # addresses to hand this on to
 
 
 @dataclass
@@ -369,7 +374,7 @@
     target: str = bp.string_field(3)
     target_address: str = bp.string_field(4)
     sender: MemberMsg = bp.message_field(5)
-    members: List[MemberMsg] = bp.message_field(6)
+    members: List[bytes] = bp.bytes_field(6)  # each a MemberMsg, kept as it travels
     rumors: List[RumorMsg] = bp.message_field(7)
     cluster: str = bp.string_field(8)
 
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -43,6 +43,7 @@
 LOOK_US = 300_000
 REJOIN_US = 1_000_000
 CONTACT_KEPT_US = 30_000_000
+CONTACTS_TOLD = 20
 OPERATOR_BODY_LIMIT = 4 * 1024 * 1024 + 1024
 log = logger(name="core")
 
@@ -272,6 +273,8 @@
     # --- edges heard of ------------------------------------------------------------------------
 
     def meet(self, *, contact: EdgeContact) -> None:
+        if not contact.name:
+            return  # told before
         self._contacts[contact.name] = (self.ports.clock.now_us(), contact)
 
     def partners(self) -> list[EdgeContact]:
@@ -279,6 +282,13 @@
         oldest = self.ports.clock.now_us() - CONTACT_KEPT_US
         return [c for _, (at, c) in sorted(self._contacts.items()) if at > oldest]
 
+    def some_partners(self) -> list[EdgeContact]:
+        """As many of them as help an edge to find the others, by lot."""
+        partners = self.partners()
+        if len(partners) <= CONTACTS_TOLD:
+            return partners
+        return self.ports.rand.sample(partners, CONTACTS_TOLD)
+
     def core_addresses(self) -> list[str]:
         return [m.address for m in self.task.raft.members.current] if self.task else []
 
--- a/kelpstage/core/grants/desk.py
+++ b/kelpstage/core/grants/desk.py
@@ -7,22 +7,26 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any
+from typing import Any, Callable
 
 from tornado.locks import Condition, Lock
 
 from kelpstage.base.defects import Defect, EdgeStillHere, NoLeader, UnknownEdge
 from kelpstage.base.journal import Journal
 from kelpstage.base.ports.types import Ports
+from kelpstage.base.wire.delta import pack_delta
 from kelpstage.base.wire.lines import Lines
-from kelpstage.base.wire.messages import Announce, GrantReply, Renew
+from kelpstage.base.wire.messages import Announce, EdgeContact, GrantReply, Renew
 from kelpstage.core.events import EpochSettled, RosterChanged
 from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
 from kelpstage.core.grants.puts import Puts
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import AddEdge, Command, RemoveEdge, RosterSet
 
-ANNOUNCED_BYTES = 64 * 1024
+ANNOUNCED_BYTES = 256 * 1024
+RELAYED_FROM = 20  # edges; fewer than that are told directly
+ANNOUNCE_AGAIN_US = 250_000
+CONTACTS_TOLD = 32
 CONFIRM_US = 1_000_000
 SETTLE_LOOK_US = 50_000
 ROSTER_WAIT_US = 5_000_000
@@ -48,8 +52,12 @@
         self._own = own
         self.change = Lock()
         self._news = Condition()
-        self._joining: set[str] = set()
+        self._joining: dict[str, None] = {}
+        self._is_adding = False
         self._shown_epoch = 0
+        self._shown_state = b""
+        self._queued_confirm: asyncio.Future | None = None
+        self._is_confirming = False
         self._gone: frozenset = frozenset()
         self.ledger = Ledger(since_us=ports.clock.now_us())
         self.puts = Puts(
@@ -66,21 +74,61 @@
         epoch = self._task.machine.state.epoch
         if epoch == self._shown_epoch:
             return
-        self._shown_epoch = epoch
+        base_epoch, base = self._shown_epoch, self._shown_state
+        state = bytes(self._task.machine.doc())
+        self._shown_epoch, self._shown_state = epoch, state
         if not self._task.is_leader:
             return
-        state = bytes(self._task.machine.doc())
-        if len(state) > ANNOUNCED_BYTES:
-            state = b""  # to be fetched in chunks
+        contacts = self.ledger.contacts(now_us=self._ports.clock.now_us())
+        whole = pack_delta(base=b"", whole=state)
+        if len(contacts) <= RELAYED_FROM:
+            message = self._announce(delta=whole)
+            for contact in contacts:
+                self._send_announce(address=contact.address, message=message)
+            return
+        message = self._announce(delta=whole)
+        if base:
+            delta = pack_delta(base=base, whole=state)
+            if len(delta) * 2 < len(whole):
+                message = self._announce(delta=delta, base_epoch=base_epoch)
+        self._announce_by_domain(contacts=contacts, message=message)
+        self._ports.spawn(self._announce_again(epoch=epoch, message=self._announce(delta=whole)))
+
+    def _announce(self, *, delta: bytes, base_epoch: int = 0) -> Announce:
+        if len(delta) > ANNOUNCED_BYTES:
+            delta = b""  # to be fetched in chunks
+        return Announce(
+            cluster=self._task.cluster,
+            epoch=self._shown_epoch,
+            leader_address=self._own,
+            delta=delta,
+            base_epoch=base_epoch,
+        )
+
+    def _send_announce(self, *, address: str, message: Announce) -> None:
+        self._ports.point("core.before_announce")
+        self._lines.send(address=address, message=message)
+
+    def _announce_by_domain(self, *, contacts: list[EdgeContact], message: Announce) -> None:
+        """To one edge of each domain, which hands it on to the others there."""
+        domains: dict[str, list[str]] = {}
+        for contact in contacts:
+            domains.setdefault(contact.domain, []).append(contact.address)
+        for _, addresses in sorted(domains.items()):
+            first = self._ports.rand.randrange(len(addresses))
+            message.hand_on = addresses[:first] + addresses[first + 1:]
+            self._send_announce(address=addresses[first], message=message)
+
+    async def _announce_again(self, *, epoch: int, message: Announce) -> None:
+        """Directly to those that have not said that they have it: the one that was to
+        hand it on may be gone."""
+        await self._ports.clock.sleep(us=ANNOUNCE_AGAIN_US)
+        if epoch != self._shown_epoch or not self._task.is_leader:
+            return
         for contact in self.ledger.contacts(now_us=self._ports.clock.now_us()):
-            self._ports.point("core.before_announce")
-            self._lines.send(
-                address=contact.address,
-                message=Announce(
-                    cluster=self._task.cluster, epoch=epoch, leader_address=self._own,
-                    state=state,
-                ),
-            )
+            holder = self.ledger.holder(edge=contact.name)
+            if holder is not None and holder.epoch < epoch:
+                self._send_announce(address=contact.address, message=message)
 
     # --- grants ---------------------------------------------------------------------------
 
@@ -104,7 +152,7 @@
                 now_us=now_us,
             )
             self._news.notify_all()
-        defect = await task.confirm(wait_us=CONFIRM_US)
+        defect = await self._confirm()
         if defect is not None or ledger is not self.ledger:
             return GrantReply(cluster=task.cluster, why=defect.why if defect else "lead changed")
         if not ask.cluster:
@@ -114,6 +162,10 @@
             )
         state = task.machine.state
         is_on_roster = ask.edge in state.roster
+        ledger.note_cores(cores=[member.address for member in task.raft.members.current])
+        partners, cores = ledger.news_for(
+            known=ask.known, now_us=now_us, limit=CONTACTS_TOLD
+        )
         reply = GrantReply(
             is_granted=is_on_roster,
             cluster=task.cluster,
@@ -121,9 +173,10 @@
             version=state.version,
             span_us=GRANT_SPAN_US,
             leader_address=self._own,
-            cores=[member.address for member in task.raft.members.current],
+            cores=cores,
             is_on_roster=is_on_roster,
-            partners=ledger.contacts(now_us=now_us),
+            partners=partners,
+            known=ledger.mark(),
         )
         if not is_on_roster:
             reply.why = "joining the roster"
@@ -133,18 +186,45 @@
         ledger.grant(edge=ask.edge, epoch=state.epoch, now_us=self._ports.clock.now_us())
         return reply
 
+    async def _confirm(self) -> Defect | None:
+        """Is this leader confirmed, by a round that began after now? One round stands
+        for all that asked before it began; one at a time is under way."""
+        if self._queued_confirm is None:
+            self._queued_confirm = asyncio.get_running_loop().create_future()
+        asked = self._queued_confirm
+        if not self._is_confirming:
+            self._is_confirming = True
+            self._ports.spawn(self._confirm_rounds())
+        return await asyncio.shield(asked)
+
+    async def _confirm_rounds(self) -> None:
+        while self._queued_confirm is not None:
+            asked, self._queued_confirm = self._queued_confirm, None
+            asked.set_result(await self._task.confirm(wait_us=CONFIRM_US))
+        self._is_confirming = False
+
     def _begin_join(self, *, edge: str) -> None:
-        if edge in self._joining:
-            return
-        self._joining.add(edge)
-        self._ports.spawn(self._join(edge=edge))
+        self._joining[edge] = None
+        if not self._is_adding:
+            self._is_adding = True
+            self._ports.spawn(self._join())
+
+    async def _join(self) -> None:
+        """Who asks while a change is settled joins with the next one, together."""
+        try:
+            while self._joining:
+                if await self._set_roster(make=self._take_joining) is not None:
+                    self._joining.clear()  # they ask again
+        finally:
+            self._is_adding = False
 
-    async def _join(self, *, edge: str) -> None:
-        await self._set_roster(command=Command(add=AddEdge(edge=edge)))
-        self._joining.discard(edge)
+    def _take_joining(self) -> Command:
+        edges, self._joining = list(self._joining), {}
+        return Command(add=AddEdge(edge=edges[0], more=edges[1:]))
 
-    async def _set_roster(self, *, command: Command) -> Defect | None:
+    async def _set_roster(self, *, make: Callable[[], Command]) -> Defect | None:
         async with self.change:
+            # While this waited its turn, the lead may have been elsewhere.
             defect = await self._task.confirm(wait_us=CONFIRM_US)
             if defect is not None:
                 return defect
@@ -153,7 +233,7 @@
             ):
                 return NoLeader(why="the epoch before is not settled")
             outcome = await self._task.propose(
-                data=bytes(command), put_id="", wait_us=ROSTER_WAIT_US
+                data=bytes(make()), put_id="", wait_us=ROSTER_WAIT_US
             )
             if not isinstance(outcome, RosterSet):
                 return outcome
@@ -214,7 +294,8 @@
         self._gone = frozenset(edges)
         try:
             for edge in edges:
-                defect = await self._set_roster(command=Command(remove=RemoveEdge(edge=edge)))
+                command = Command(remove=RemoveEdge(edge=edge))
+                defect = await self._set_roster(make=lambda: command)
                 if defect is not None:
                     return defect
         finally:
--- a/kelpstage/core/grants/ledger.py
+++ b/kelpstage/core/grants/ledger.py
@@ -23,6 +23,7 @@
     heard_us: int = -(10**12)
     grants: list[tuple[int, int]] = field(default_factory=list)  # epoch, when
     contact: EdgeContact | None = None
+    changed_at: int = 0  # count of changes when its contact changed last
 
 
 class Ledger:
@@ -39,6 +40,9 @@
     def __init__(self, *, since_us: int) -> None:
         self.since_us = since_us
         self._holders: dict[str, Holder] = {}
+        self._changes = 1
+        self._cores: list[str] = []
+        self._cores_changed_at = 1
 
     def heard(
         self, *, edge: str, incarnation: int, epoch: int, contact: EdgeContact | None, now_us: int
@@ -52,6 +56,11 @@
             holder.epoch = 0
         holder.epoch = max(holder.epoch, epoch)
         holder.heard_us = now_us
+        if contact is None or not contact.name:
+            return  # as it was
+        if holder.contact != contact:
+            self._changes += 1
+            holder.changed_at = self._changes
         holder.contact = contact
 
     def grant(self, *, edge: str, epoch: int, now_us: int) -> None:
@@ -125,5 +134,57 @@
         return [
             holder.contact
             for _, holder in sorted(self._holders.items())
-            if holder.contact is not None and now_us - holder.heard_us < 15 * GRANT_SPAN_US
+            if self._is_here(holder=holder, now_us=now_us)
         ]
+
+    # --- what an edge need not be told again ------------------------------------------
+
+    def note_cores(self, *, cores: list[str]) -> None:
+        if cores != self._cores:
+            self._changes += 1
+            self._cores, self._cores_changed_at = list(cores), self._changes
+
+    def mark(self) -> int:
+        """Stands for the contacts and cores as they are now, in this ledger."""
+        return self._era() | self._changes
+
+    def _era(self) -> int:
+        return (self.since_us & 0x7FFF_FFFF) << 32
+
+    def is_of_here(self, *, known: int) -> bool:
+        """Was this mark given by this ledger?"""
+        return known >> 32 << 32 == self._era() and known & 0xFFFF_FFFF > 0
+
+    def news_for(
+        self, *, known: int, now_us: int, limit: int
+    ) -> tuple[list[EdgeContact], list[str]]:
+        """Contacts and cores that changed since a mark was given, at most `limit`
+        contacts, the newest: gossip carries what is left out.
+
+        >>> ledger = Ledger(since_us=0)
+        >>> for name in ("a", "b"):
+        ...     ledger.heard(edge=name, incarnation=1, epoch=1, now_us=10,
+        ...         contact=EdgeContact(name=name, address=name))
+        >>> contacts, _ = ledger.news_for(known=0, now_us=20, limit=9)
+        >>> [contact.name for contact in contacts]
+        ['b', 'a']
+        >>> ledger.news_for(known=ledger.mark(), now_us=20, limit=9)
+        ([], [])
+        """
+        since = known & 0xFFFF_FFFF if self.is_of_here(known=known) else 0
+        if since == self._changes:
+            return [], []
+        newest = sorted(
+            (
+                holder
+                for holder in self._holders.values()
+                if holder.changed_at > since and self._is_here(holder=holder, now_us=now_us)
+            ),
+            key=lambda holder: -holder.changed_at,
+        )
+        cores = self._cores if self._cores_changed_at > since else []
+        return [holder.contact for holder in newest[:limit]], list(cores)
+
+    @staticmethod
+    def _is_here(*, holder: Holder, now_us: int) -> bool:
+        return holder.contact is not None and now_us - holder.heard_us < 15 * GRANT_SPAN_US
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -91,7 +91,7 @@
     core.meet(contact=message.contact)
     return MeetReply(
         cluster=core.identity.cluster if core.identity else "",
-        partners=core.partners(),
+        partners=core.some_partners(),
         cores=core.core_addresses(),
     )
 
@@ -101,7 +101,7 @@
     core.meet(contact=message.contact)
     task, desk = core.task, core.desk
     if task is None or desk is None:
-        return GrantReply(why="this core is not up", partners=core.partners())
+        return GrantReply(why="this core is not up", partners=core.some_partners())
     if task.is_leader:
         return await desk.renew(ask=message)
     hint = GrantReply(
@@ -109,7 +109,7 @@
         why="no leader known",
         leader_address=task.leader_address,
         cores=core.core_addresses(),
-        partners=core.partners(),
+        partners=core.some_partners(),
     )
     if message.hops >= 2 or not task.leader_address:
         return hint
--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -110,6 +110,7 @@
             trail=self.trail,
             next_round=ports.rand.getrandbits(40),
         )
+        self.swim.is_near = lambda domain: places.is_same_region(zone=domain)
         self.swim.on_silent = self._on_silent
         self.swim.on_ack = self._on_ack
         self.is_leaving = False
@@ -129,6 +130,7 @@
             address=self.own,
             counts=self.counts,
             refresh=self._refresh,
+            has_backends=lambda: bool(self.keeper.blueprint.backends),
         )
         self.gather = GatherTask(
             ports=self.ports,
--- a/kelpstage/edge/gossip/swim.py
+++ b/kelpstage/edge/gossip/swim.py
@@ -3,10 +3,18 @@
 Plain: ticks and datagrams go in, datagrams to send come out. Each node counts
 its own beat up; news of a higher beat clears a suspicion, so a member that is
 alive need only be heard of by anybody.
+
+A message costs the same however many members there are: what changed is told a
+bounded number of times (as SWIM's piggy-backed updates are), a few at a time,
+the least told first, and beside it a few members by lot. In a fleet that is not
+small most probes stay in the own region, and beyond a hundred members or so they
+grow rarer with the logarithm of their number.
 """
 
 from __future__ import annotations
 
+import heapq
+import math
 import random
 from dataclasses import dataclass, field
 from typing import Callable
@@ -22,8 +30,14 @@
 INDIRECT_US = 350_000
 SUSPECT_US = 800_000
 FORGET_US = 120_000_000
-TABLE_COUNT = 4
-NEWS_US = 3_000_000
+SMALL_COUNT = 20  # fleets up to this size: every partner alike, everyone told at once
+LOT_COUNT = 4
+LARGE_LOT_COUNT = 2
+NEWS_COUNT = 6
+NEWS_TOLD = 4  # times the logarithm of the number of members
+FAR_EVERY = 4
+SPARSE_FROM = 50
+SPREAD_COUNT = 12
 
 Sends = list[tuple[str, GossipMsg]]
 
@@ -33,6 +47,7 @@
     info: MemberMsg
     since_us: int
     served: int = 0  # its newest blueprint version, over all its lives
+    packed: bytes = b""  # `info` as it travels; empty once it has changed
 
 
 @dataclass(kw_only=True)
@@ -51,10 +66,30 @@
     why: str
 
 
+def probe_ticks(*, count: int) -> int:
+    """Ticks from one probe to the next, for this many members.
+
+    >>> [probe_ticks(count=count) for count in (10, 90, 200, 1400)]
+    [1, 1, 2, 5]
+    """
+    return max(1, round(math.log2(max(1, count) / SPARSE_FROM)))
+
+
+def times_told(*, count: int) -> int:
+    """How often one node tells a piece of news, for this many members.
+
+    >>> [times_told(count=count) for count in (10, 90, 1400)]
+    [16, 28, 44]
+    """
+    return NEWS_TOLD * math.ceil(math.log2(count + 2))
+
+
 @dataclass(kw_only=True)
 class Swim:
     """The table of edges, this one included.
 
+    `is_near` tells whether a domain lies in this node's region.
+
     >>> def node(name): return Swim(me=MemberMsg(name=name, address=name, incarnation=1),
     ...     rand=random.Random(1), rumors=lambda: [], on_rumor=lambda rumor: None)
     >>> a, b = node("a"), node("b")
@@ -71,14 +106,20 @@
     on_rumor: Callable[[RumorMsg], None]
     on_silent: Callable[[str], None] = lambda name: None
     on_ack: Callable[[str, int], None] = lambda name, took_us: None
+    is_near: Callable[[str], bool] = lambda domain: True
     cluster: str = ""
     members: dict[str, Member] = field(default_factory=dict)
     changes: list[StatusChange] = field(default_factory=list)
     _probes: dict[int, Probe] = field(default_factory=dict)
     _number: int = 0
-    _order: list[str] = field(default_factory=list)
+    _near: list[str] = field(default_factory=list)
+    _far: list[str] = field(default_factory=list)
+    _begun: int = 0
     _ticks: int = 0
     _last_tick_us: int = 0
+    _news: dict[str, int] = field(default_factory=dict)  # name -> times told
+    _odd: dict[str, None] = field(default_factory=dict)  # those that are not alive
+    _lists: dict[str, list[str]] = field(default_factory=dict)  # made when asked for
 
     # --- the table ------------------------------------------------------------------
 
@@ -90,15 +131,49 @@
         if known is not None and known.info.incarnation >= incarnation:
             return
         info = MemberMsg(name=name, address=address, incarnation=incarnation)
+        if known is not None:
+            info.domain, info.http = known.info.domain, known.info.http
         served = self.served(name=name)
         self.members[name] = Member(info=info, since_us=now_us, served=served)
+        self._news.pop(name, None)  # told once it has spoken itself
+        self._note(name=name)
+
+    def _note(self, *, name: str, is_news: bool = False) -> None:
+        """A member is new, gone or of another status: lists made before are void."""
+        self._lists.clear()
+        member = self.members.get(name)
+        if member is None or member.info.status == ALIVE:
+            self._odd.pop(name, None)
+        else:
+            self._odd[name] = None
+        if is_news and member is not None:
+            self._news[name] = 0
 
     def live(self) -> list[str]:
         """Names of edges that are not dead or leaving, this one among them."""
-        return sorted(
-            [self.me.name]
-            + [n for n, m in self.members.items() if m.info.status in (ALIVE, SUSPECT)]
-        )
+        return self._list(key="live")
+
+    def _list(self, *, key: str) -> list[str]:
+        """A sorted list of names, kept until the table changes."""
+        if key not in self._lists:
+            self._lists[key] = sorted(self._make_list(key=key))
+        return self._lists[key]
+
+    def _make_list(self, *, key: str) -> list[str]:
+        if key == "live":
+            return [self.me.name, *self._list(key="partners")]
+        if key == "partners":
+            return [n for n, m in self.members.items() if m.info.status in (ALIVE, SUSPECT)]
+        if key == "alive":
+            return [n for n, m in self.members.items() if m.info.status == ALIVE]
+        if key == "told":
+            return [n for n, m in self.members.items() if m.info.beat]
+        is_near = key == "near"
+        return [
+            name
+            for name in self._list(key="partners")
+            if self.is_near(self.members[name].info.domain or self.me.domain) == is_near
+        ]
 
     def status(self, *, name: str) -> int:
         if name == self.me.name:
@@ -120,9 +195,15 @@
 
     def _set_status(self, *, member: Member, status: int, now_us: int, why: str) -> None:
         member.info.status = status
+        member.packed = b""
         member.since_us = now_us
+        self._note(name=member.info.name, is_news=bool(member.info.beat))
         self.changes.append(StatusChange(name=member.info.name, status=status, why=why))
 
+    @property
+    def is_small(self) -> bool:
+        return len(self.members) < SMALL_COUNT
+
     # --- events -----------------------------------------------------------------------
 
     def tick(self, *, now_us: int) -> Sends:
@@ -135,8 +216,10 @@
         self._last_tick_us = now_us
         for number, probe in list(self._probes.items()):
             sends += self._look_at(number=number, probe=probe, now_us=now_us)
-        for member in list(self.members.values()):
-            self._age(member=member, now_us=now_us)
+        for name in list(self._odd):
+            self._age(name=name, now_us=now_us)
+        if self._ticks % probe_ticks(count=len(self.members) + 1):
+            return sends
         target = self._next_target()
         if target is not None:
             sends.append(self._ping(name=target, now_us=now_us))
@@ -151,13 +234,12 @@
         if age_us > ACK_US + INDIRECT_US:
             del self._probes[number]
             self.suspect(name=probe.name, now_us=now_us, why="no ack, directly or through others")
-            return []
+            return self._tell_suspect(name=probe.name, now_us=now_us)
         if age_us <= ACK_US or probe.is_indirect:
             return []
         probe.is_indirect = True
         self.on_silent(probe.name)
         member = self.members.get(probe.name)
-        others = [n for n in self._partners(statuses=(ALIVE,)) if n != probe.name]
         if member is None:
             return []
         return [
@@ -165,32 +247,64 @@
                 to=name, kind=PING_FOR, number=number, target=probe.name,
                 target_address=member.info.address,
             )
-            for name in self.rand.sample(others, min(2, len(others)))
+            for name in self._go_betweens(target=probe.name)
         ]
 
-    def _age(self, *, member: Member, now_us: int) -> None:
+    def _go_betweens(self, *, target: str) -> list[str]:
+        """Two others that probe in this node's place; where there are regions, one of
+        them in this one, so that not both are beyond the same cut."""
+        others = [n for n in self._list(key="alive") if n != target]
+        if self.is_small:
+            return self.rand.sample(others, min(2, len(others)))
+        near = [n for n in self._list(key="near") if n != target and n not in self._odd]
+        first = self.rand.sample(near, min(1, len(near)))
+        rest = [n for n in others if n not in first]
+        return first + self.rand.sample(rest, min(2 - len(first), len(rest)))
+
+    def _tell_suspect(self, *, name: str, now_us: int) -> Sends:
+        """In a large fleet the suspect itself may be the last to hear of it: say it
+        there at once, and an answer clears it."""
+        member = self.members.get(name)
+        if self.is_small or member is None or member.info.status != SUSPECT:
+            return []
+        return [self._ping(name=name, now_us=now_us)]
+
+    def _age(self, *, name: str, now_us: int) -> None:
+        member = self.members[name]
         age_us = now_us - member.since_us
         if member.info.status == SUSPECT and age_us > SUSPECT_US:
             self._set_status(member=member, status=DEAD, now_us=now_us, why="suspicion ran out")
         elif member.info.status in (DEAD, LEAVING) and age_us > FORGET_US:
-            del self.members[member.info.name]
-
-    def _partners(self, *, statuses: tuple[int, ...]) -> list[str]:
-        return sorted(n for n, m in self.members.items() if m.info.status in statuses)
+            del self.members[name]
+            self._news.pop(name, None)
+            self._note(name=name)
 
     def _next_target(self) -> str | None:
-        """Round-robin over the living; every fifth tick one of the others."""
-        if self._ticks % 5 == 0:
-            others = self._partners(statuses=(DEAD, LEAVING))
+        """Round-robin over the living, in a fleet that is not small mostly those near;
+        every fifth time one of the others."""
+        self._begun += 1
+        if self._begun % 5 == 0:
+            others = [n for n in self._odd if self.members[n].info.status != SUSPECT]
             if others:
                 return self.rand.choice(others)
-        while self._order:
-            name = self._order.pop()
+        if self.is_small:
+            return self._pop_target(order=self._near, key="partners")
+        is_far = self._begun % FAR_EVERY == 0
+        ways = [(self._near, "near"), (self._far, "far")]
+        for order, key in reversed(ways) if is_far else ways:
+            target = self._pop_target(order=order, key=key)
+            if target is not None:
+                return target
+        return None
+
+    def _pop_target(self, *, order: list[str], key: str) -> str | None:
+        while order:
+            name = order.pop()
             if name in self.members and self.members[name].info.status in (ALIVE, SUSPECT):
                 return name
-        self._order = self._partners(statuses=(ALIVE, SUSPECT))
-        self.rand.shuffle(self._order)
-        return self._order.pop() if self._order else None
+        order += self._list(key=key)
+        self.rand.shuffle(order)
+        return order.pop() if order else None
 
     def _ping(self, *, name: str, now_us: int) -> tuple[str, GossipMsg]:
         self._number += 1
@@ -206,31 +320,46 @@
             target=target,
             target_address=target_address,
             sender=self.me,
-            members=[self.members[name].info for name in self._table()],
+            members=[self._packed(name=name) for name in self._table(to=to, kind=kind)],
             rumors=self.rumors(),
             cluster=self.cluster,
         )
         member = self.members.get(to)
         return (member.info.address if member else to), message
 
-    def _table(self) -> list[str]:
-        """Members whose status changed lately, and a few of the others by lot."""
-        known = [name for name in sorted(self.members) if self.members[name].info.beat]
-        news = [
-            name
-            for name in known
-            if self.members[name].info.status != ALIVE
-            or self._last_tick_us - self.members[name].since_us < NEWS_US
-        ]
-        rest = [name for name in known if name not in news]
-        return news + self.rand.sample(rest, min(TABLE_COUNT, len(rest)))
+    def _packed(self, *, name: str) -> bytes:
+        member = self.members[name]
+        if not member.packed:
+            member.packed = bytes(member.info)
+        return member.packed
+
+    def _table(self, *, to: str, kind: int) -> list[str]:
+        """Members whose status changed lately, the least told first, and a few of the
+        others by lot; whom the others hold for lost hears of it."""
+        limit = times_told(count=len(self.members))
+        news = heapq.nsmallest(NEWS_COUNT, self._news, key=self._news.__getitem__)
+        for name in news:
+            self._news[name] += 1
+            if self._news[name] >= limit:
+                del self._news[name]
+        if to in self._odd and to not in news and self.members[to].info.beat:
+            news.append(to)
+        if not self.is_small and kind == ACK:
+            return news
+        count = LOT_COUNT if self.is_small else LARGE_LOT_COUNT
+        known = self._list(key="told")
+        lot = self.rand.sample(known, min(count, len(known)))
+        return news + [name for name in lot if name not in news]
 
     def spread(self) -> Sends:
-        """News that should not wait for the next tick, to every living partner."""
-        names = self._partners(statuses=(ALIVE, SUSPECT))
+        """News that should not wait for the next tick, to every living partner; in a
+        fleet that is not small to a few of them, who hear of the rest in their turn."""
+        names = self._list(key="partners")
         if not names:
             return []
-        _, news = self._message(to=names[0], kind=ACK, number=0)
+        if not self.is_small:
+            names = self.rand.sample(names, min(SPREAD_COUNT, len(names)))
+        _, news = self._message(to="", kind=ACK, number=0)
         return [(self.members[name].info.address, news) for name in names]
 
     def heard(self, *, message: GossipMsg, now_us: int) -> Sends:
@@ -241,8 +370,8 @@
         if sender.name == self.me.name:
             return []
         self._merge(info=sender, now_us=now_us)
-        for info in message.members:
-            self._merge(info=info, now_us=now_us)
+        for packed in message.members:
+            self._merge_packed(packed=packed, now_us=now_us)
         for rumor in message.rumors:
             self.on_rumor(rumor)
         if message.kind == PING:
@@ -270,32 +399,52 @@
             if message.sender.name != probe.name:
                 return []
             del self._probes[message.number]
-            return [self._message(to=probe.for_whom, kind=ACK, number=probe.for_number)]
+            _, ack = self._message(to=probe.for_whom, kind=ACK, number=probe.for_number)
+            if probe.name in self.members:
+                ack.members.append(self._packed(name=probe.name))
+            member = self.members.get(probe.for_whom)
+            return [(member.info.address if member else probe.for_whom, ack)]
         # An ack through another carries the target's newest beat in its table.
         if message.sender.name == probe.name:
             self.on_ack(probe.name, now_us - probe.sent_us)
         del self._probes[message.number]
         return []
 
-    def _merge(self, *, info: MemberMsg, now_us: int) -> None:
+    def _merge_packed(self, *, packed: bytes, now_us: int) -> None:
+        info = MemberMsg().parse(packed)
+        if not info.name:
+            return
+        self._merge(info=info, now_us=now_us, packed=packed)
+
+    def _merge(self, *, info: MemberMsg, now_us: int, packed: bytes = b"") -> None:
         if info.name == self.me.name:
             self._refute(info=info)
             return
         known = self.members.get(info.name)
         if known is None:
-            self.members[info.name] = Member(info=info, since_us=now_us)
+            self.members[info.name] = Member(info=info, since_us=now_us, packed=packed)
+            self._note(name=info.name, is_news=True)
             return
         old = known.info
         mark, old_mark = (info.incarnation, info.beat), (old.incarnation, old.beat)
-        if mark < old_mark or mark == old_mark and info.status <= old.status:
+        if mark < old_mark:
+            if info.status in (SUSPECT, DEAD) and old.status == ALIVE:
+                self._news[info.name] = 0  # this node heard of it since: say so
+            return
+        if mark == old_mark and info.status <= old.status:
             return
         known.served = max(known.served, old.version)
-        known.info = info
+        known.info, known.packed = info, packed
         if info.status != old.status:
             known.since_us = now_us
             self.changes.append(
                 StatusChange(name=info.name, status=info.status, why="heard by gossip")
             )
+        is_new = not old.beat or info.incarnation != old.incarnation
+        if is_new or info.status != old.status or info.domain != old.domain:
+            self._note(name=info.name, is_news=True)
+        elif info.is_ready != old.is_ready:
+            self._news[info.name] = 0
 
     def _refute(self, *, info: MemberMsg) -> None:
         if info.incarnation == self.me.incarnation and info.status in (SUSPECT, DEAD):
--- a/kelpstage/edge/gossip/task.py
+++ b/kelpstage/edge/gossip/task.py
@@ -29,6 +29,7 @@
         address: str,
         counts: Any,
         refresh: Callable[[], None],
+        has_backends: Callable[[], bool] = lambda: True,
     ) -> None:
         self._ports = ports
         self._journal = journal
@@ -37,6 +38,8 @@
         self._address = address
         self._counts = counts
         self._refresh = refresh
+        self._has_backends = has_backends
+        self._kept_rumors: list[RumorMsg] | None = None  # till the next tick
         self._datagrams: Any = None
         swim.rumors = self._rumors
         swim.on_rumor = self._on_rumor
@@ -54,12 +57,14 @@
     async def _tick(self) -> None:
         while True:
             await self._ports.clock.sleep(us=TICK_US)
+            self._kept_rumors = None
             self._refresh()
             self._send(sends=self._swim.tick(now_us=self._ports.clock.now_us()))
             self._note_changes()
 
     def spread(self) -> None:
-        """Tell every partner now."""
+        """Tell partners now."""
+        self._kept_rumors = None
         self._refresh()
         self._send(sends=self._swim.spread())
 
@@ -98,10 +103,17 @@
             )
 
     def _rumors(self) -> list[RumorMsg]:
-        return self._book.rumors(now_us=self._ports.clock.now_us())
+        if self._kept_rumors is None:
+            self._kept_rumors = (
+                self._book.rumors(now_us=self._ports.clock.now_us())
+                if self._has_backends()
+                else []
+            )
+        return self._kept_rumors
 
     def _on_rumor(self, rumor: RumorMsg) -> None:
         if self._book.take_rumor(rumor=rumor, now_us=self._ports.clock.now_us()):
+            self._kept_rumors = None
             self._journal.add(
                 BackendChanged(
                     backend=rumor.backend,
--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -12,8 +12,10 @@
 from kelpstage.base.log.ring import logger
 from kelpstage.base.ports.types import Ports
 from kelpstage.base.wire.chunks import fetch_chunks
+from kelpstage.base.wire.delta import apply_delta
 from kelpstage.base.wire.lines import Lines
 from kelpstage.base.wire.messages import (
+    Announce,
     EdgeContact,
     FetchState,
     GrantReply,
@@ -30,19 +32,37 @@
 from kelpstage.edge.grant.keeper import Keeper
 
 RENEW_US = 500_000
+LARGE_RENEW_US = 900_000
+SMALL_COUNT = 20
+RENEW_STRETCH_US = 10_000
+RENEW_JITTER = 0.08
 RETRY_US = 60_000
 RENEW_WAIT_US = 600_000
+LARGE_RENEW_WAIT_US = 450_000
+CONTACT_AGAIN_US = 10_000_000
 RELAY_WAIT_US = 550_000
 RELAYS = 5
 RELAY_EVERY_US = 250_000
 PASSED_OVER_US = 2_000_000
 MEET_US = 2_000_000
+MEET_SETTLED_US = 10_000_000
 WITNESS_EVERY_US = 300_000
+LARGE_WITNESS_EVERY_US = 600_000
 WITNESS_WAIT_US = 500_000
 WORRY_US = 800_000
 log = logger(name="grant")
 
 
+def renew_period_us(*, count: int) -> int:
+    """From one renewal to the next, for a roster of this size. The longest leaves room
+    in a grant of 2 s for one renewal that got no answer and another after it.
+
+    >>> [renew_period_us(count=count) for count in (12, 40, 1400)]
+    [500000, 700000, 900000]
+    """
+    return min(LARGE_RENEW_US, RENEW_US + RENEW_STRETCH_US * max(0, count - SMALL_COUNT))
+
+
 class GrantTask:
     """Keeps this edge's right to serve, and its blueprint, fresh."""
 
@@ -70,6 +90,9 @@
         self.leader = ""
         self.last_why = "not asked yet"
         self._turn = 0
+        self._known = 0  # mark of what the leader need not tell again
+        self._known_by = ""
+        self._introduced_us = -CONTACT_AGAIN_US
         self._silent_until: dict[str, int] = {}
         self._is_relaying = False
         self._relayed_us = 0
@@ -79,6 +102,10 @@
         for work in (self._renew_loop(), self._meet_loop(), self._witness_loop()):
             ports.keep(work)
 
+    def use_seeds(self, *, seeds: list[str]) -> None:
+        """Other machines are the seeds from now on."""
+        self._seeds = list(seeds)
+
     # --- renewing ------------------------------------------------------------------
 
     def renew_soon(self) -> None:
@@ -88,18 +115,40 @@
         while not self.is_leaving:
             is_granted = await self._renew()
             self._wake.clear()
-            wait_us = RENEW_US if is_granted else RETRY_US
+            wait_us = self._period_us() if is_granted else RETRY_US
             await self._ports.clock.within(asyncio.ensure_future(self._wake.wait()), us=wait_us)
 
-    def _renew_message(self) -> Renew:
+    @property
+    def _is_small(self) -> bool:
+        return len(self.keeper.roster) <= SMALL_COUNT
+
+    def _period_us(self) -> int:
+        period_us = renew_period_us(count=len(self.keeper.roster))
+        if self._is_small:
+            return period_us
+        # Edges that installed together do not renew together for ever.
+        return int(period_us * (1 - RENEW_JITTER * self._ports.rand.random()))
+
+    def _worry_us(self) -> int:
+        return max(WORRY_US, renew_period_us(count=len(self.keeper.roster)) + WORRY_US - RENEW_US)
+
+    def _renew_message(self, *, target: str) -> Renew:
+        """What was told to this leader before is not told again, but for the contact
+        now and then."""
         keeper = self.keeper
-        return Renew(
+        now_us = self._ports.clock.now_us()
+        is_known = target == self._known_by
+        message = Renew(
             edge=keeper.me,
             incarnation=self._contact.incarnation,
             epoch=keeper.epoch,
             cluster=keeper.cluster,
-            contact=self._contact,
+            known=self._known if is_known else 0,
         )
+        if not is_known or now_us - self._introduced_us >= CONTACT_AGAIN_US:
+            message.contact = self._contact
+            self._introduced_us = now_us
+        return message
 
     def _next_core(self) -> str:
         """The leader if it is known, else the cores and seeds by turns; one that gave no
@@ -115,16 +164,17 @@
     async def _renew(self) -> bool:
         target = self._next_core()
         sent_us = self._ports.clock.now_us()
-        message = self._renew_message()
+        message = self._renew_message(target=target)
         self._ports.point("edge.before_renew")
-        reply = await self._lines.call(address=target, message=message, wait_us=RENEW_WAIT_US)
+        wait_us = RENEW_WAIT_US if self._is_small else LARGE_RENEW_WAIT_US
+        reply = await self._lines.call(address=target, message=message, wait_us=wait_us)
         if isinstance(reply, GrantReply):
             is_granted = self._take(reply=reply, sent_us=sent_us, target=target)
             if not is_granted and not self.leader:
                 self._relay_soon(target=target)  # this core may be the one that is cut off
             return is_granted
         self.last_why = f"{target}: {reply.kind if isinstance(reply, Defect) else 'odd reply'}"
-        self.leader = ""
+        self.leader = self._known_by = ""
         self._silent_until[target] = self._ports.clock.now_us() + PASSED_OVER_US
         self._relay_soon(target=target)
         return False  # meanwhile the other cores are asked from here
@@ -132,7 +182,9 @@
     def _relay_soon(self, *, target: str) -> None:
         """Ask through partners, one wave at a time, if the grant is not fresh."""
         now_us = self._ports.clock.now_us()
-        is_fresh = now_us - self.keeper.granted_us < RENEW_US
+        is_fresh = now_us - self.keeper.granted_us < renew_period_us(
+            count=len(self.keeper.roster)
+        )
         if is_fresh or self._is_relaying or now_us - self._relayed_us < RELAY_EVERY_US:
             return
         self._is_relaying, self._relayed_us = True, now_us
@@ -146,7 +198,7 @@
         )
         partners = self._ports.rand.sample(partners, min(RELAYS, len(partners)))
         sent_us = self._ports.clock.now_us()
-        message = RelayRenew(target=target, renew=self._renew_message())
+        message = RelayRenew(target=target, renew=self._renew_message(target=""))
         calls = [
             self._ports.spawn(
                 self._lines.call(address=partner, message=message, wait_us=RELAY_WAIT_US)
@@ -174,6 +226,9 @@
         if reply.cores:
             self.cores = list(reply.cores)
         self.leader = reply.leader_address
+        if reply.known >> 32 != self._known >> 32:
+            self._introduced_us = -CONTACT_AGAIN_US  # another ledger: it may not know this edge
+        self._known, self._known_by = reply.known, reply.leader_address if reply.known else ""
         self.last_why = reply.why
         keeper.take_grant(reply=reply, sent_us=sent_us)
         if reply.epoch and keeper.note_epoch(epoch=reply.epoch, source=reply.leader_address):
@@ -186,9 +241,24 @@
         """Find partners through the seeds, now and again."""
         while True:
             known = list(dict.fromkeys(self._seeds + self.cores))
+            is_settled = self._knows_enough()
+            if is_settled:
+                known = [self._ports.rand.choice(known)]
             await asyncio.gather(*(self._meet(address=address) for address in known))
-            has_partners = bool(self._swim.members)
-            await self._ports.clock.sleep(us=MEET_US if has_partners else RETRY_US * 3)
+            await self._ports.clock.sleep(us=self._meet_again_us())
+
+    def _knows_enough(self) -> bool:
+        """Is there a fresh grant, and is most of the roster known?"""
+        known = len(self._swim.live()) * 2 > len(self.keeper.roster)
+        is_fresh = self._ports.clock.now_us() - self.keeper.granted_us < MEET_US
+        return known and is_fresh and bool(self._swim.members)
+
+    def _meet_again_us(self) -> int:
+        if not self._swim.members:
+            return RETRY_US * 3
+        if not self._knows_enough():
+            return MEET_US
+        return int(MEET_SETTLED_US * (0.75 + 0.5 * self._ports.rand.random()))
 
     async def _meet(self, *, address: str) -> None:
         message = Meet(
@@ -216,10 +286,12 @@
     async def _witness_loop(self) -> None:
         """When renewals fail, ask partners what they know, before the grant lapses."""
         while True:
-            await self._ports.clock.sleep(us=WITNESS_EVERY_US)
+            await self._ports.clock.sleep(
+                us=WITNESS_EVERY_US if self._is_small else LARGE_WITNESS_EVERY_US
+            )
             keeper = self.keeper
             now_us = self._ports.clock.now_us()
-            if now_us - keeper.granted_us < WORRY_US:
+            if now_us - keeper.granted_us < self._worry_us():
                 continue
             if not keeper.vouches and not keeper.has_forgotten:
                 continue
@@ -273,10 +345,24 @@
             await self._ports.clock.sleep(us=RETRY_US)
             self.fetch_soon()
 
-    def take_announced(self, *, state: bytes, source: str) -> bool:
+    def take_announced(self, *, announce: Announce) -> None:
         """Install a state that came with its announcement: so that all edges move on
-        within one line's time of each other, however far the leader."""
-        return bool(state) and self._install(data=state, source=source)
+        within one line's time of each other, however far the leader. Then hand it on
+        to those that the leader names."""
+        keeper, source = self.keeper, announce.leader_address
+        if announce.cluster != keeper.cluster and keeper.cluster:
+            return
+        hand_on, announce.hand_on = announce.hand_on, []
+        for address in hand_on:
+            self._lines.send(address=address, message=announce)
+        if not keeper.note_epoch(epoch=announce.epoch, source=source):
+            return
+        state: bytes | None = announce.state
+        if announce.delta and announce.base_epoch in (0, keeper.epoch):
+            base = keeper.doc_bytes if announce.base_epoch else b""
+            state = apply_delta(base=base, delta=announce.delta)
+        if not state or not self._install(data=state, source=source):
+            self.fetch_soon(first=source)
 
     def _install(self, *, data: bytes, source: str) -> bool:
         try:
@@ -309,6 +395,7 @@
     async def leave(self) -> None:
         """Give the grant back: this edge serves no more."""
         self.is_leaving = True
-        message = self._renew_message()
+        target = self._next_core()
+        message = self._renew_message(target=target)
         message.is_leaving = True
-        await self._lines.call(address=self._next_core(), message=message, wait_us=300_000)
+        await self._lines.call(address=target, message=message, wait_us=300_000)
--- a/kelpstage/edge/handlers.py
+++ b/kelpstage/edge/handlers.py
@@ -89,12 +89,7 @@
 
 @handle.register
 async def _(message: Announce, edge: Any, source: str) -> None:
-    if message.cluster != edge.keeper.cluster and edge.keeper.cluster:
-        return
-    if not edge.keeper.note_epoch(epoch=message.epoch, source=message.leader_address):
-        return
-    if not edge.grants.take_announced(state=message.state, source=message.leader_address):
-        edge.grants.fetch_soon(first=message.leader_address)
+    edge.grants.take_announced(announce=message)
 
 
 @handle.register
