--- a/proof/platform/net.py
+++ b/proof/platform/net.py
@@ -43,13 +43,25 @@
         is_near = self.regions.get(a.domain) == self.regions.get(b.domain)
         return base_us + (self.zone_us if is_near else self.region_us)
 
-    def carry(self, *, source: Machine, target: Machine, verb: Callable[[], None]) -> None:
-        """Bring something across; what meets a cut waits until it heals."""
+    def carry(
+        self, *, source: Machine, target: Machine, verb: Callable[[], None], order: "Order"
+    ) -> None:
+        """Bring something across, in order; what meets a cut waits until it heals."""
         if not self.is_open(source=source, target=target):
-            self.waits.append(lambda: self.carry(source=source, target=target, verb=verb))
+            self.waits.append(
+                lambda: self.carry(source=source, target=target, verb=verb, order=order)
+            )
             return
         delay_us = self.delay_us(source=source, target=target)
-        self.at(us=self.now_us() + delay_us, verb=verb)
+        order.free_us = max(order.free_us + 1, self.now_us() + delay_us)
+        self.at(us=order.free_us, verb=verb)
+
+
+@dataclass(kw_only=True)
+class Order:
+    """When the next thing may arrive, in one direction of a connection."""
+
+    free_us: int = 0
 
 
 class HttpProcess(SimProcess):
@@ -100,6 +112,7 @@
         self.on_unasked: Callable[[HttpReply], None] | None = None
         self._future: asyncio.Future | None = None
         self._asked: HttpCall | None = None
+        self._out, self._back = Order(), Order()
         listener.process.served[self.serial] = self
 
     @property
@@ -124,7 +137,8 @@
         self.sent_us = self.world.now_us()
         taken = _taken_in(call=call, address=self.address)
         self.world.carry(
-            source=self.caller, target=self.server, verb=lambda: self._reach(call=taken)
+            source=self.caller, target=self.server, verb=lambda: self._reach(call=taken),
+            order=self._out,
         )
         clock = self.net.process.ports.clock
         try:
@@ -149,7 +163,7 @@
             self.pool.forget(line=self)
         self.world.carry(
             source=self.caller, target=self.server,
-            verb=lambda: self.listener.process.deliver(self._caller_gone),
+            verb=lambda: self.listener.process.deliver(self._caller_gone), order=self._out,
         )
 
     def _caller_gone(self) -> None:
@@ -231,7 +245,8 @@
 
     def _answer_later(self, *, pieces: list[tuple[str, HttpReply | None]]) -> None:
         self.world.carry(
-            source=self.server, target=self.caller, verb=lambda: self.take(pieces=pieces)
+            source=self.server, target=self.caller, verb=lambda: self.take(pieces=pieces),
+            order=self._back,
         )
 
     def server_ends(self, *, how: str) -> None:
