Cores: as many voters as the losses to be borne need; founding only in the first start

With the loss of two disks at once to be borne, three seeds of six cores founded three voters and a put was acknowledged with two disks. The core now has max(3, 2t+1) voters (setting `voters`), raised one at a time from learners, and proposes no put before there are 2t+1; the note docs/notes/voters.md says why five of six and not six. A core back without its disk is a new replica at the old address: the one before loses its place at once instead of after 5 s of silence (otherwise 2.5 s), since the next loss may follow as soon as this one counts as made good. A learner is raised only with all that is committed on its disk (it was: fewer than 64 entries behind, so an empty one could be raised).

Empty cores found a cluster only while most seeds are in the first start of the whole system; later they only join. All seeds were ruled out: one that is killed before the founding would stop it for good.

Simulated, fixed seeds: each disk of three and each pair of six lost right after an acknowledgement, with and without the power of all others; one disk after the other every 4.4 s; every core replaced in turn at another address with a lagging seed list; all killed, all powered off.

Settings: the bounds table with defaults for both daemons, 1 to 9 seeds, seeds read anew while running.

--- /dev/null
+++ b/kelpstage/base/env/bounds.py
@@ -0,0 +1,81 @@
+"""The bounds that a deployment sets, with the numbers that hold if it sets none."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, fields
+from typing import Any
+
+from kelpstage.base.defects import Fault
+
+LEAST_VOTERS = 3
+
+
+@dataclass(frozen=True, kw_only=True)
+class Bounds:
+    """Spans in whole microseconds, counts, ratios.
+
+    >>> Bounds().tolerance, Bounds(tolerance=2).voters
+    (0, 5)
+    """
+
+    drain_us: int = 3_000_000  # from the news that a backend leaves to the last request there
+    apply_us: int = 3_000_000  # from a put's verdict to the last request under an older one
+    revert_us: int = 250_000  # from a request under a new blueprint to the last under the old
+    touch_us: int = 4_000_000  # how long a machine is up and in reach before it is counted on
+    grace_us: int = 6_000_000  # from the request to stop to the end of a process
+    recovery_us: int = 12_000_000  # from the return of the machines to service
+    retry_ratio: float = 1 / 7  # further rounds to first ones, in any window
+    retry_window_us: int = 10_000_000
+    retry_slack: int = 20  # further rounds that are free in a window
+    tolerance: int = 0  # cores whose disks may be lost at once, after a put was acknowledged
+    is_first_start: bool = True  # may empty cores found a cluster?
+    zones: dict[str, str] = field(default_factory=dict)  # zone -> region
+    region: str = ""  # that of this process
+
+    @property
+    def voters(self) -> int:
+        """Voters that the log needs: as many as stay a majority after the losses."""
+        return max(LEAST_VOTERS, 2 * self.tolerance + 1)
+
+
+def bounds_of(*, env: dict) -> Bounds:
+    """The bounds in judged settings.
+
+    >>> bounds_of(env={"bounds": {"drain_us": 5}}).drain_us
+    5
+    """
+    known = {one.name for one in fields(Bounds)}
+    return Bounds(**{n: v for n, v in env.get("bounds", {}).items() if n in known})
+
+
+def voters_of(*, env: dict) -> int:
+    """How many voters the core is to have, if there are as many cores.
+
+    >>> voters_of(env={}), voters_of(env={"voters": 7}), voters_of(env={"bounds": {"tolerance": 2}})
+    (3, 7, 5)
+    """
+    return env.get("voters", bounds_of(env=env).voters)
+
+
+def judge_bounds(*, env: dict) -> list[Fault]:
+    """Values that can't go together, each told plainly.
+
+    >>> judge_bounds(env={"voters": 4, "bounds": {"tolerance": 2}})[0].path
+    'voters'
+    """
+    bounds = bounds_of(env=env)
+    faults: list[Fault] = []
+    if voters_of(env=env) < 2 * bounds.tolerance + 1:
+        why = f"{env['voters']} can't bear the loss of {bounds.tolerance}: {bounds.voters} can"
+        faults.append(Fault(path="voters", why=why))
+    zone_region = bounds.zones.get(env.get("domain", ""), "")
+    if bounds.region and zone_region and zone_region != bounds.region:
+        why = f"{bounds.region}, but the domain {env['domain']} lies in {zone_region}"
+        faults.append(Fault(path="bounds.region", why=why))
+    taken: dict[Any, str] = {}
+    for name in ("own", "http", "front"):
+        address = env.get(name)
+        if address is not None and address in taken:
+            faults.append(Fault(path=name, why=f"the same address as {taken[address]}"))
+        taken.setdefault(address, name)
+    return faults
--- a/kelpstage/base/env/read.py
+++ b/kelpstage/base/env/read.py
@@ -9,6 +9,7 @@
 
 from kelpstage.base.blueprint.check import ADDRESS, NAME, flatten, load_json
 from kelpstage.base.defects import BlueprintRefused, EnvRefused, Fault
+from kelpstage.base.env.bounds import judge_bounds
 
 
 def _url(value: Any) -> Any:
@@ -23,7 +24,32 @@
 
 
 URL = t.Call(_url)
-SEEDS = t.List(ADDRESS, min_length=3, max_length=3) & t.Call(_seeds)
+SEEDS = t.List(ADDRESS, min_length=1, max_length=9) & t.Call(_seeds)
+MICROS = t.Int(gte=0)
+BOUNDS = t.Dict(
+    {
+        t.Key(name, optional=True): MICROS
+        for name in (
+            "drain_us", "apply_us", "revert_us", "touch_us", "grace_us", "recovery_us",
+            "retry_window_us",
+        )
+    }
+    | {
+        t.Key("retry_ratio", optional=True): t.Float(gte=0, lte=1),
+        t.Key("retry_slack", optional=True): t.Int(gte=0),
+        t.Key("tolerance", optional=True): t.Int(gte=0),
+        t.Key("is_first_start", optional=True): t.Bool(),
+        t.Key("zones", optional=True): t.Mapping(NAME, NAME),
+        t.Key("region", optional=True): t.String(allow_blank=True),
+    }
+)
+LIST = t.Dict(
+    {
+        t.Key("address"): ADDRESS,
+        t.Key("calls_per_s", optional=True): t.Float(gt=0),
+        t.Key("lag_us", optional=True): MICROS,
+    }
+)
 EDGE_FORM = t.Dict(
     {
         t.Key("name"): NAME,
@@ -33,6 +59,10 @@
         t.Key("seeds"): SEEDS,
         t.Key("platform", optional=True): URL,
         t.Key("record", optional=True): t.String(allow_blank=False),
+        t.Key("front", optional=True): ADDRESS,
+        t.Key("header_names", optional=True): t.Mapping(t.String(), t.String(allow_blank=False)),
+        t.Key("list", optional=True): LIST,
+        t.Key("bounds", optional=True): BOUNDS,
     }
 )
 CORE_FORM = t.Dict(
@@ -42,6 +72,8 @@
         t.Key("http"): ADDRESS,
         t.Key("seeds"): SEEDS,
         t.Key("data"): t.String(allow_blank=False),
+        t.Key("voters", optional=True): t.Int(gte=1, lte=9),
+        t.Key("bounds", optional=True): BOUNDS,
     }
 )
 
@@ -56,9 +88,8 @@
         env = form.check(raw)
     except t.DataError as error:
         return EnvRefused(faults=flatten(error=error))
-    if env["own"] == env["http"]:
-        return EnvRefused(faults=[Fault(path="http", why="the same address as own")])
-    return env
+    faults = judge_bounds(env=env)
+    return EnvRefused(faults=faults) if faults else env
 
 
 def read_env(*, file: str | None, flags: dict, form: t.Trafaret) -> dict | EnvRefused:
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -4,9 +4,10 @@
 
 import asyncio
 from collections import Counter
-from typing import Any
+from typing import Any, Callable
 
 from kelpstage.base.defects import Defect, LogDamaged
+from kelpstage.base.env.bounds import bounds_of, voters_of
 from kelpstage.base.journal import Journal
 from kelpstage.base.log.ring import logger
 from kelpstage.base.ports.types import Ports
@@ -41,7 +42,9 @@
 from kelpstage.core.store.store import Recovered, Store
 
 LOOK_US = 300_000
+PLACE_LOOK_US = 100_000  # while this core belongs to no cluster
 REJOIN_US = 1_000_000
+NO_PLACE_US = 250_000
 CONTACT_KEPT_US = 30_000_000
 CONTACTS_TOLD = 20
 OPERATOR_BODY_LIMIT = 4 * 1024 * 1024 + 1024
@@ -51,9 +54,13 @@
 class Core:
     """One `kelpc`."""
 
-    def __init__(self, *, ports: Ports, env: dict) -> None:
+    def __init__(self, *, ports: Ports, env: dict, serve: Callable = serve_operators) -> None:
+        """`serve` answers at the operators' interface (a deployment may put words of its
+        own before it)."""
         self.ports = ports
         self.env = env
+        self.bounds = bounds_of(env=env)
+        self._serve = serve
         self.own: str = env["own"]
         self.http: str = env["http"]
         self.seeds: list[str] = list(env["seeds"])
@@ -80,7 +87,7 @@
             return defect
         outcome = await self.ports.net.serve_http(
             address=self.http,
-            on_call=lambda call: serve_operators(core=self, call=call),
+            on_call=lambda call: self._serve(core=self, call=call),
             body_limit=OPERATOR_BODY_LIMIT,
         )
         if isinstance(outcome, Defect):
@@ -103,7 +110,7 @@
                 await self.ports.clock.sleep(us=LOOK_US)
                 continue
             if recovered is None:
-                await self.ports.clock.sleep(us=LOOK_US)
+                await self.ports.clock.sleep(us=PLACE_LOOK_US)
                 continue
             await self._run_replica(recovered=recovered)
 
@@ -147,6 +154,7 @@
             on_applied=lambda outcome, index: self.desk and self.desk.applied(),
             on_role=self._on_role,
             on_defect=self._on_disk_defect,
+            voters=voters_of(env=self.env),
         )
         self.desk = Desk(
             ports=self.ports,
@@ -154,6 +162,7 @@
             journal=self.journal,
             task=self.task,
             own=self.own,
+            tolerance=self.bounds.tolerance,
         )
         await self._broken.wait()
         self.task.stop()
@@ -193,6 +202,7 @@
             cluster=identity.cluster,
             leader_address=self.task.leader_address if self.task else "",
             members=members,
+            only_joins=not self.bounds.is_first_start,
         )
 
     async def _probe_seeds(self) -> list[SeedState | Defect]:
@@ -248,10 +258,17 @@
             self.identity = identity
         return defect
 
+    def reread(self, *, env: dict) -> None:
+        """Take over what may change in the settings of a running core: its seeds."""
+        self.seeds = list(env["seeds"])
+        self.env = self.env | {"seeds": self.seeds}
+
     async def _keep_place(self) -> None:
         """Ask for a place while this replica has none, or hears no leader."""
         while True:
-            await self.ports.clock.sleep(us=REJOIN_US)
+            task = self.task
+            has_place = task is not None and task.raft.members.has(replica=task.me)
+            await self.ports.clock.sleep(us=REJOIN_US if has_place else NO_PLACE_US)
             task = self.task
             if task is None:
                 continue
--- a/kelpstage/core/founding.py
+++ b/kelpstage/core/founding.py
@@ -1,8 +1,15 @@
 """Founding and joining: how an empty core comes to belong to a cluster.
 
-A cluster is founded only when all three seeds answer and all three are empty;
-the one with the least name founds, on its own disk. The others learn of it by
-asking, as any empty core does, so no message that founds can arrive late.
+A cluster is founded only when all seeds answer, all are empty, and most of them are
+in the first start of the whole system; of these, the one with the least name founds,
+on its own disk. The others learn of it by asking, as any empty core does, so no
+message that founds can arrive late.
+
+At any later start an empty core only joins: it may have lost its disk, and the seeds
+that it is told may be empty too, while the cluster is elsewhere. Most seeds in their
+first start prove that nothing was ever acknowledged: every cluster that was founded
+from these seeds needs most of them to commit anything. A seed that was restarted
+before the founding, and so may not found, thus stops nobody.
 """
 
 from __future__ import annotations
@@ -49,6 +56,9 @@
     'FoundNow'
     >>> judge_seeds(me="y", own="2", seeds=["1", "2", "3"], states=three)
     Wait(why='the seed x founds')
+    >>> three[0].only_joins = True
+    >>> judge_seeds(me="x", own="1", seeds=["1", "2", "3"], states=three)
+    Wait(why='the seed y founds')
     >>> judge_seeds(me="x", own="1", seeds=["1", "2", "3"],
     ...     states=[SeedState(replica="y", cluster="c"), *three[1:]])
     Join(cluster='c', members=[])
@@ -66,11 +76,13 @@
         return Wait(why=f"{len(heard)} of {len(seeds)} seeds answer")
     if own not in seeds:
         return Wait(why="not a seed itself, and no seed has a cluster")
-    names = sorted(state.replica for state in heard)
-    if len(set(names)) < len(seeds):
+    if len({state.replica for state in heard}) < len(seeds):
         return Wait(why="two seeds are one process")
-    if names[0] != me:
-        return Wait(why=f"the seed {names[0]} founds")
+    founders = sorted(state.replica for state in heard if not state.only_joins)
+    if len(founders) * 2 <= len(seeds):
+        return Wait(why=f"{len(founders)} of {len(seeds)} seeds may found a cluster")
+    if founders[0] != me:
+        return Wait(why=f"the seed {founders[0]} founds")
     return FoundNow(
         members=[
             CoreMember(
--- a/kelpstage/core/grants/puts.py
+++ b/kelpstage/core/grants/puts.py
@@ -43,6 +43,7 @@
 PATIENCE_US = 10_000_000
 LOOK_US = 50_000
 JUDGED_KEPT = 8
+CORES_MEET_US = 5_000_000
 
 
 class Puts:
@@ -55,6 +56,7 @@
         self._journal = journal
         self._task = task
         self._desk = desk
+        self._tolerance = tolerance
         self._voters_needed = 2 * tolerance + 1
         self._work: dict[bytes, asyncio.Future] = {}
         self._judged: dict[bytes, BlueprintRefused | int] = {}
@@ -202,11 +204,21 @@
         See `docs/notes/voters.md`."""
         clock = self._ports.clock
         while self._voters() < self._voters_needed:
+            if self._is_all_there_is():
+                return True
             if clock.now_us() >= until_us or not self._task.is_leader:
                 return False
             await clock.sleep(us=LOOK_US)
         return True
 
+    def _is_all_there_is(self) -> bool:
+        """Is no other core in sight, while most of those there are hold a put on one disk
+        more than may be lost? What was acknowledged is then kept all the same."""
+        led_us = self._ports.clock.now_us() - self._desk.ledger.since_us
+        members = self._task.raft.members.current
+        is_alone = led_us > CORES_MEET_US and all(member.is_voter for member in members)
+        return is_alone and self._voters() // 2 >= self._tolerance
+
     def put_state(self, *, put_id: str) -> PutApplied | Defect | None:
         """What became of a put, as far as this leader's log tells."""
         memo = self._task.machine.memo(put_id=put_id)
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -55,7 +55,8 @@
 )
 from kelpstage.core.raft.members import MemberList, write_members
 
-SILENT_US = 5_000_000
+SILENT_US = 2_500_000
+FIRST_STAND_US = 250_000
 
 
 @dataclass(kw_only=True)
@@ -95,6 +96,7 @@
         vote: str = "",
         log: MemoryLog | None = None,
         pace: Pace = Pace(),
+        voters: int = 3,
     ) -> None:
         self.me = me
         self.cluster = cluster
@@ -108,6 +110,8 @@
         self.members = MemberList(base=members, entries=self.log.entries, base_index=self.log.base_index)
         self._rand = rand
         self._pace = pace
+        self._voters_wanted = voters
+        self._askers: dict[str, CoreMember] = {}  # that wait for a place, one change at a time
         self._now = now_us
         self._effects: list[Any] = []
         self._number = 0
@@ -128,6 +132,7 @@
         self._heard_leader_us = -10**12
         self._has_been_member = self.members.has(replica=me)
         self._set_clock_event()
+        self._hasten_first()
 
     # --- taking events in ----------------------------------------------------
 
@@ -234,28 +239,35 @@
 
     @_on.register
     def _(self, event: LearnerAsks) -> None:
-        if self.role != LEADER or self._is_membership_open():
+        if self.role != LEADER:
             return
-        known = self.members.get(replica=event.member.replica)
-        if known is not None:
-            if known.address == event.member.address and known.http == event.member.http:
-                return
+        self._askers[event.member.replica] = event.member
+        if not self._is_membership_open():
+            self._place_asker()
+
+    def _place_asker(self) -> bool:
+        """Give the next one that asks its place, as a learner, or its new address."""
+        while self._askers:
+            _, asker = self._askers.popitem()
+            known = self.members.get(replica=asker.replica)
+            if known is None:
+                learner = CoreMember(
+                    replica=asker.replica, address=asker.address, http=asker.http, is_voter=False
+                )
+                self._propose_members(members=self.members.current + [learner])
+                return True
+            if (known.address, known.http) == (asker.address, asker.http):
+                continue
             fresh = CoreMember(
                 replica=known.replica,
-                address=event.member.address,
-                http=event.member.http,
+                address=asker.address,
+                http=asker.http,
                 is_voter=known.is_voter,
             )
             others = [m for m in self.members.current if m.replica != known.replica]
             self._propose_members(members=others + [fresh])
-            return
-        learner = CoreMember(
-            replica=event.member.replica,
-            address=event.member.address,
-            http=event.member.http,
-            is_voter=False,
-        )
-        self._propose_members(members=self.members.current + [learner])
+            return True
+        return False
 
     # --- standing for election ---------------------------------------------------
 
@@ -263,6 +275,14 @@
         low, high = self._pace.election_low_us, self._pace.election_high_us
         self._clock_event_us = self._now + low + int(self._rand.random() * (high - low))
 
+    def _hasten_first(self) -> None:
+        """Of a cluster that was founded a moment ago, the member with the least name
+        stands first and soon; there is no leader yet whom that could disturb."""
+        names = [m.replica for m in self.members.current if m.is_voter]
+        is_new = self.term <= 1 and not self.log.entries and not self.vote
+        if is_new and self.me == min(names, default=""):
+            self._clock_event_us = self._now + FIRST_STAND_US
+
     def _is_sync_stalled(self) -> bool:
         return bool(self._unsynced) and (
             self._now - self._unsynced[0][2] > self._pace.sync_limit_us
@@ -274,6 +294,7 @@
         self.leader = ""
         self._votes = {self.me}
         self._set_clock_event()
+        self._hasten_first()
         if self.members.is_majority(names=self._votes):
             self._stand(is_handover=False)
             return
@@ -405,6 +426,7 @@
         self.leader = self.me
         self._led_since = self._now
         self._follow = {}
+        self._askers = {}
         self._beat += 1
         self._become(role=LEADER)
         self._note_membership()
@@ -615,13 +637,14 @@
             del self._follow[name]
 
     def _tend_members(self) -> None:
-        """One change at a time: a caught-up learner takes a silent voter's place."""
-        if self._is_membership_open() or self._handover_to:
+        """One change at a time: who asks becomes a learner; caught-up learners are
+        raised until there are enough voters; one takes a lost voter's place."""
+        if self._is_membership_open() or self._handover_to or self._place_asker():
             return
         current = self.members.current
         voters = [m for m in current if m.is_voter]
         ready = [m for m in current if not m.is_voter and self._is_caught_up(name=m.replica)]
-        if len(voters) < 3 and ready:
+        if len(voters) < self._voters_wanted and ready:
             pick = min(ready, key=lambda m: m.replica)
             raised = CoreMember(
                 replica=pick.replica, address=pick.address, http=pick.http, is_voter=True
@@ -630,26 +653,38 @@
                 members=[m for m in current if m.replica != pick.replica] + [raised]
             )
             return
-        silent = [m for m in current if m.replica != self.me and self._is_silent(name=m.replica)]
-        lost_learners = [m for m in silent if not m.is_voter]
-        lost_voters = [m for m in silent if m.is_voter]
+        lost = [m for m in current if m.replica != self.me and self._is_lost(member=m)]
+        lost_learners = [m for m in lost if not m.is_voter]
+        lost_voters = [m for m in lost if m.is_voter]
         if lost_learners:
             gone = lost_learners[0]
-        elif ready and lost_voters and len(voters) - 1 >= 2:
+        elif lost_voters and (ready or len(voters) > self._voters_wanted) and len(voters) > 2:
             gone = lost_voters[0]
         else:
             return
         self._propose_members(members=[m for m in current if m.replica != gone.replica])
 
-    def _is_caught_up(self, *, name: str) -> bool:
-        follow = self._follow[name]
-        return (
-            self._now - follow.heard_us < self._pace.election_low_us
-            and self.log.last_index - follow.match < 64
+    def _is_lost(self, *, member: CoreMember) -> bool:
+        """Silent for long, or with another replica at its address: a core that came
+        back without its disk is a new replica, and the one before is gone for good."""
+        if self._now - self._follow[member.replica].heard_us > SILENT_US:
+            return True
+        return any(
+            other.address == member.address
+            for other in self.members.current
+            if other.replica != member.replica and self._is_heard(name=other.replica)
+            and not self._is_heard(name=member.replica)
         )
 
-    def _is_silent(self, *, name: str) -> bool:
-        return self._now - self._follow[name].heard_us > SILENT_US
+    def _is_heard(self, *, name: str) -> bool:
+        follow = self._follow.get(name)
+        if follow is None:
+            return name == self.me
+        return self._now - follow.heard_us < self._pace.election_low_us
+
+    def _is_caught_up(self, *, name: str) -> bool:
+        """Has it all that is committed on its disk, and is it there now?"""
+        return self._is_heard(name=name) and self._follow[name].match >= self.commit
 
     # --- following ----------------------------------------------------------------------------
 
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -50,6 +50,7 @@
         on_applied: Callable[[Any, int], None],
         on_role: Callable[[str], None],
         on_defect: Callable[[Defect], None],
+        voters: int = 3,
     ) -> None:
         self._ports = ports
         self._lines = lines
@@ -88,6 +89,7 @@
             term=recovered.term,
             vote=recovered.vote,
             log=recovered.log,
+            voters=voters,
         )
         self._disk = DiskTask(
             store=store,
--- /dev/null
+++ b/tests/test_cores.py
@@ -0,0 +1,404 @@
+"""Simulated cores alone: founding, joining, voters, and what outlives lost disks and
+power right after a put was acknowledged; fixed seeds."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import unittest
+from typing import Any, Awaitable, Callable
+
+from kelpstage.base.defects import Defect
+from kelpstage.base.ports.types import HttpCall
+from kelpstage.core.app import Core
+from proof.sim.loop import VirtualLoop
+from proof.sim.world import SimProcess, World
+
+CATCH_UP_US = 4_000_000
+
+
+class Cores:
+    """Some machines with disks, a core on each, an operator outside."""
+
+    def __init__(self, *, world: World, count: int, tolerance: int, regions: int = 3) -> None:
+        self.world = world
+        self.tolerance = tolerance
+        self.names: list[str] = []
+        self.processes: dict[str, SimProcess] = {}
+        self.daemons: dict[str, Core] = {}
+        self.lives: dict[str, int] = {}
+        self.serial = 0
+        self.version = 0
+        for place in range(count):
+            self.add(name=f"c{place}", domain=f"d{place % regions}")
+        machine = world.add_machine(name="outside", domain="outside")
+        self.outside = SimProcess(world=world, name="outside", machine=machine, life=1)
+
+    def add(self, *, name: str, domain: str) -> None:
+        machine = self.world.add_machine(name=name, domain=domain)
+        self.names.append(name)
+        for port in (7100, 8100):
+            self.world.homes[self.address(name, port)] = machine
+
+    def address(self, name: str, port: int = 7100) -> str:
+        return f"10.0.0.{int(name[1:]) + 1}:{port}"
+
+    async def start(
+        self, *names: str, seeds: list[str] | None = None, is_first: bool = False
+    ) -> None:
+        for name in names or self.names:
+            self.lives[name] = self.lives.get(name, 0) + 1
+            process = SimProcess(
+                world=self.world, name=f"core/{name}", machine=self.world.machines[name],
+                life=self.lives[name],
+            )
+            env = {
+                "domain": process.machine.domain,
+                "own": self.address(name),
+                "http": self.address(name, 8100),
+                "seeds": [self.address(seed) for seed in seeds or self.names[:3]],
+                "data": "data",
+                "bounds": {"tolerance": self.tolerance, "is_first_start": is_first},
+            }
+            core = Core(ports=process.ports, env=env)
+            assert not isinstance(await core.open(), Defect)
+            self.processes[name], self.daemons[name] = process, core
+
+    def kill(self, *names: str, is_power: bool = False, is_disk: bool = False) -> None:
+        for name in names:
+            self.processes[name].kill()
+            platter = self.world.machines[name].platter
+            if is_disk:
+                platter.lose()
+            elif is_power:
+                platter.cut_power()
+
+    def up(self) -> list[str]:
+        return [n for n in self.names if n in self.processes and self.processes[n].is_alive]
+
+    def leader(self) -> str | None:
+        for name in self.up():
+            task = self.daemons[name].task
+            if task and task.is_leader:
+                return name
+        return None
+
+    def voters(self) -> list[str]:
+        """Addresses of the voters that the leader hears."""
+        name = self.leader()
+        rows = self.daemons[name].task.raft.lag() if name else []
+        return [r["address"] for r in rows if r["is_voter"] and r["heard_us_ago"] < 800_000]
+
+    async def sleep(self, us: int) -> None:
+        await asyncio.sleep(us / 1_000_000)
+
+    async def wait_for(self, is_there: Callable[[], bool], *, us: int = 20_000_000) -> int:
+        began_us = self.world.now_us()
+        while not is_there():
+            if self.world.now_us() - began_us > us:
+                raise AssertionError(f"not within {us} us; leader {self.leader()}")
+            await self.sleep(10_000)
+        return self.world.now_us() - began_us
+
+    async def call(self, name: str, method: str, **more: Any):
+        return await self.outside.ports.net.fetch(
+            call=HttpCall(
+                method=method, url=f"http://{self.address(name, 8100)}/v1/blueprint",
+                wait_us=2_000_000, **more,
+            )
+        )
+
+    def document(self, note: str) -> bytes:
+        return json.dumps({"forward": {}, "source": note}).encode()
+
+    async def put(self, *, tries: int = 30, pad: int = 0, is_again: bool = False) -> str:
+        """Put the next version (or the last again), at all cores by turns, as its
+        operator would; the core that acknowledged it."""
+        self.serial += not is_again
+        body = self.document(f"put {self.serial} {'x' * pad}")
+        version = self.version + 1 + self.serial % 3
+        for turn in range(tries):
+            target = self.up()[turn % len(self.up())]
+            reply = await self.call(
+                target, "PUT", body=body,
+                headers={
+                    "If-Match": str(self.version), "Kelp-Version": str(version),
+                    "Kelp-Put-Id": f"{self.serial}-{turn}", "Kelp-Time-Left-Us": "900000",
+                },
+            )
+            if not isinstance(reply, Defect) and reply.status == 200:
+                self.version = version
+                return target
+            assert isinstance(reply, Defect) or reply.status == 503, reply
+            await self.sleep(100_000)
+        raise AssertionError(f"never acknowledged: {reply}")
+
+    async def read(self, *, tries: int = 40) -> tuple[int, bytes]:
+        for turn in range(tries):
+            reply = await self.call(
+                self.up()[turn % len(self.up())], "GET", headers={"Kelp-Time-Left-Us": "900000"}
+            )
+            if not isinstance(reply, Defect) and reply.status == 200:
+                return int(reply.headers["etag"].strip('"')), reply.body
+            await self.sleep(200_000)
+        raise AssertionError(f"not read back: {reply}")
+
+
+def play(
+    story: Callable[[Cores], Awaitable[None]], *, seed: int, count: int, tolerance: int
+) -> None:
+    """Run a story in a world of its own."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    loop.set_exception_handler(lambda _, context: None)
+    world = World(seed=seed, loop=loop)
+    world.far_us = (8_000, 9_000)
+
+    async def tell() -> None:
+        cores = Cores(world=world, count=count, tolerance=tolerance)
+        try:
+            await story(cores)
+        finally:
+            for process in [*cores.processes.values(), cores.outside]:
+                process.kill()
+            await asyncio.sleep(0)
+
+    try:
+        loop.run_until_complete(tell())
+        assert not world.broken, world.broken
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+class Founding(unittest.TestCase):
+    def test_the_first_leader_stands_soon(self) -> None:
+        spans = []
+
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            spans.append(await cores.wait_for(lambda: cores.leader() is not None))
+
+        for seed in range(10):
+            play(story, seed=seed, count=3, tolerance=1)
+        self.assertLess(max(spans), 1_500_000, spans)
+
+    def test_six_cores_with_three_seeds_have_five_voters_soon(self) -> None:
+        spans = []
+
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            spans.append(await cores.wait_for(lambda: len(cores.voters()) == 5))
+            rows = cores.daemons[cores.leader()].task.raft.lag()
+            await cores.wait_for(lambda: len(
+                cores.daemons[cores.leader()].task.raft.members.current) == 6)
+            self.assertLessEqual(len(rows), 6)
+            await cores.put()
+
+        for seed in range(5):
+            play(story, seed=seed, count=6, tolerance=2)
+        self.assertLess(max(spans), 4_000_000, spans)
+
+    def test_one_seed_and_nine(self) -> None:
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=True, seeds=cores.names[:9])
+            await cores.wait_for(lambda: len(cores.voters()) == len(cores.names))
+            await cores.put()
+
+        play(story, seed=1, count=1, tolerance=0)
+        play(story, seed=1, count=9, tolerance=4)
+
+    def test_empty_cores_only_join_at_a_later_start(self) -> None:
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=False)
+            await cores.sleep(20_000_000)
+            for core in cores.daemons.values():
+                self.assertIsNone(core.task)
+                self.assertIn("0 of 3 seeds may found", core.waits_for)
+
+        play(story, seed=1, count=3, tolerance=1)
+
+    def test_a_seed_restarted_before_the_founding_stops_nobody(self) -> None:
+        async def story(cores: Cores) -> None:
+            await cores.start("c0", "c1", is_first=True)
+            await cores.sleep(500_000)
+            for name in ("c0", "c1"):
+                self.assertIsNone(cores.daemons[name].task)
+            cores.kill("c0")
+            await cores.start("c0", is_first=False)
+            await cores.start("c2", is_first=True)
+            await cores.wait_for(lambda: len(cores.voters()) == 3)
+
+        for seed in range(6):
+            play(story, seed=seed, count=3, tolerance=1)
+
+    def test_seeds_that_lost_their_disks_found_nothing(self) -> None:
+        """The seeds are empty again, the cluster lives on elsewhere."""
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            await cores.wait_for(lambda: len(cores.voters()) == 5)
+            await cores.put()
+            cluster = cores.daemons["c0"].identity.cluster
+            cores.kill("c0", "c1", is_disk=True)
+            cores.kill("c2", "c3", "c4", "c5")
+            await cores.start("c0", "c1", seeds=["c0", "c1"])
+            await cores.sleep(5_000_000)
+            for name in ("c0", "c1"):
+                self.assertIsNone(cores.daemons[name].task)
+            await cores.start("c2", "c3", "c4", "c5", seeds=["c0", "c1", "c2"])
+            cores.daemons["c0"].reread(
+                env={"seeds": [cores.address(n) for n in ("c3", "c4", "c5")]}
+            )
+            cores.daemons["c1"].reread(env={"seeds": [cores.address("c5")]})
+            await cores.wait_for(lambda: len(cores.voters()) == 5)
+            await cores.wait_for(
+                lambda: all(d.identity.cluster == cluster for d in cores.daemons.values())
+            )
+            self.assertEqual(cores.version, (await cores.read())[0])
+
+        play(story, seed=1, count=6, tolerance=2)
+
+
+class Losses(unittest.TestCase):
+    """What was acknowledged outlives what the settings say is to be borne."""
+
+    def lose_right_after(self, *, lost: tuple[str, ...], seed: int, count: int, is_power: bool,
+                         pad: int = 0) -> None:
+        async def story(cores: Cores) -> None:
+            tolerance = cores.tolerance
+            await cores.start(is_first=True)
+            await cores.wait_for(lambda: len(cores.voters()) == 2 * tolerance + 1)
+            await cores.put()
+            await cores.put(pad=pad)
+            others = [name for name in cores.names if name not in lost]
+            cores.kill(*lost, is_disk=True)
+            if is_power:
+                cores.kill(*others, is_power=True)
+                await cores.sleep(300_000)
+            seeds = [*lost, *reversed(others)][:3]  # other machines than at the first start
+            await cores.start(*lost, *(others if is_power else ()), seeds=seeds)
+            self.assertEqual(cores.version, (await cores.read())[0], (lost, seed))
+            await cores.wait_for(
+                lambda: len(cores.voters()) == 2 * tolerance + 1, us=CATCH_UP_US * 2
+            )
+            await cores.put()
+            self.assertEqual(cores.version, (await cores.read())[0], (lost, seed))
+
+        play(story, seed=seed, count=count, tolerance=(count - 1) // 2)
+
+    def test_each_disk_of_three(self) -> None:
+        for seed, name in enumerate(("c0", "c1", "c2")):
+            for is_power in (False, True):
+                with self.subTest(lost=name, is_power=is_power):
+                    self.lose_right_after(lost=(name,), seed=seed, count=3, is_power=is_power)
+
+    def test_each_pair_of_disks_of_six(self) -> None:
+        names = [f"c{place}" for place in range(6)]
+        for seed, pair in enumerate(itertools.combinations(names, 2)):
+            for is_power in (False, True):
+                with self.subTest(lost=pair, is_power=is_power):
+                    self.lose_right_after(lost=pair, seed=seed, count=6, is_power=is_power)
+
+    def test_a_large_put_outlives_it_too(self) -> None:
+        for seed in range(3):
+            self.lose_right_after(
+                lost=("c0", "c3"), seed=seed, count=6, is_power=True, pad=400_000
+            )
+
+    def test_one_disk_after_the_other(self) -> None:
+        """Each as soon as the one before counts as made good."""
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            await cores.wait_for(lambda: len(cores.voters()) == 3)
+            for turn in range(7):
+                holder = await cores.put()
+                lost = holder if turn % 2 else cores.names[turn % 3]
+                cores.kill(lost, is_disk=True)
+                await cores.sleep(400_000)
+                await cores.start(lost)
+                self.assertEqual(cores.version, (await cores.read())[0])
+                await cores.sleep(CATCH_UP_US)
+                self.assertEqual(3, len(cores.voters()), f"turn {turn}")
+
+        for seed in range(4):
+            play(story, seed=seed, count=3, tolerance=1)
+
+    def test_every_core_is_replaced_in_turn_at_another_address(self) -> None:
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            await cores.wait_for(lambda: len(cores.voters()) == 3)
+            for turn in range(4):
+                await cores.put()
+                gone = cores.names.pop(0)
+                cores.kill(gone, is_disk=True)
+                cores.world.machines[gone].is_on = False
+                fresh = f"c{turn + 3}"
+                cores.add(name=fresh, domain=f"d{turn % 3}")
+                await cores.sleep(800_000)
+                # The list of seeds lags: the one that is gone is still on it.
+                await cores.start(fresh, seeds=[gone, *cores.names[:2]])
+                self.assertEqual(cores.version, (await cores.read())[0])
+                await cores.sleep(CATCH_UP_US)
+                self.assertEqual(
+                    {cores.address(name) for name in cores.names}, set(cores.voters())
+                )
+
+        for seed in range(4):
+            play(story, seed=seed, count=3, tolerance=1)
+
+    def test_all_killed_at_once_and_all_powered_off(self) -> None:
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            await cores.wait_for(lambda: len(cores.voters()) == 2 * cores.tolerance + 1)
+            for turn in range(6):
+                await cores.put()
+                cores.kill(*cores.names, is_power=bool(turn % 2))
+                await cores.sleep(500_000)
+                swapped = cores.names[turn % len(cores.names):] + cores.names
+                await cores.start(seeds=swapped[:3])
+                self.assertEqual(cores.version, (await cores.read())[0])
+
+        for seed in range(3):
+            play(story, seed=seed, count=3, tolerance=1)
+            play(story, seed=seed, count=6, tolerance=2)
+
+    def test_fewer_cores_than_it_takes(self) -> None:
+        """Two cores hold a put on both disks; three are too few for the loss of two."""
+        async def two(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            await cores.put(tries=60)
+            self.assertGreater(cores.world.now_us(), 5_000_000, "it waited for a third")
+            cores.kill("c0", is_disk=True)
+            cores.kill("c1")
+            held = cores.world.machines["c1"].platter.files
+            self.assertTrue(any(b"put 1" in file.data for file in held.values()))
+
+        async def three(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            with self.assertRaises(AssertionError):
+                await cores.put(tries=40)
+
+        play(two, seed=1, count=2, tolerance=1)
+        play(three, seed=1, count=3, tolerance=2)
+
+    def test_no_put_is_acknowledged_before_the_voters_are_enough(self) -> None:
+        async def story(cores: Cores) -> None:
+            await cores.start("c0", "c1", "c2", is_first=True)
+            await cores.wait_for(lambda: len(cores.voters()) == 3)
+            with self.assertRaises(AssertionError):
+                await cores.put(tries=15)
+            reply = await cores.call("c0", "GET")
+            self.assertEqual(404, reply.status, "nothing is in force")
+            await cores.start("c3", "c4", "c5", is_first=True)
+            await cores.put(is_again=True)
+            self.assertEqual(5, len(cores.voters()))
+
+        play(story, seed=1, count=6, tolerance=2)
+
+
+if __name__ == "__main__":
+    unittest.main()
