--- a/kelpstage/base/env/bounds.py
+++ b/kelpstage/base/env/bounds.py
@@ -24,9 +24,9 @@
     touch_us: int = 4_000_000  # how long a machine is up and in reach before it is counted on
     grace_us: int = 6_000_000  # from the request to stop to the end of a process
     recovery_us: int = 12_000_000  # from the return of the machines to service
-    retry_ratio: float = 1 / 7  # further rounds to first ones, in any window
+    retry_ratio: float | None = None  # further sends to first ones; none: the own budget's
     retry_window_us: int = 10_000_000
-    retry_slack: int = 20  # further rounds that are free in a window
+    retry_slack: int = 20  # further sends that are free in a window
     tolerance: int = 0  # cores whose disks may be lost at once, after a put was acknowledged
     is_first_start: bool = True  # may empty cores found a cluster?
     zones: dict[str, str] = field(default_factory=dict)  # zone -> region
--- a/kelpstage/core/main.py
+++ b/kelpstage/core/main.py
@@ -25,17 +25,22 @@
     data: Optional[str] = typer.Option(None, help="Folder for the log, captures and identity."),
 ) -> None:
     """Run a core: it keeps blueprints, the edge roster and grants in a replicated log."""
-    env_given = env_or_exit(
-        outcome=read_env(
-            file=env,
-            flags={"own": own, "http": http, "domain": domain, "seeds": seed, "data": data},
-            form=CORE_FORM,
+    def read_settings() -> dict:
+        return env_or_exit(
+            outcome=read_env(
+                file=env,
+                flags={"own": own, "http": http, "domain": domain, "seeds": seed, "data": data},
+                form=CORE_FORM,
+            )
         )
-    )
+
+    env_given = read_settings()
     run_daemon(
         program="kelpc",
         data_folder=env_given["data"],
         build=lambda ports: Core(ports=ports, env=env_given),
+        watch=env,
+        read_settings=read_settings,
     )
 
 
--- a/kelpstage/ctl/commands/drains.py
+++ b/kelpstage/ctl/commands/drains.py
@@ -101,6 +101,8 @@
             text=f"{name} was {word} already",
         )
         return
+    if "version" in document:
+        document["version"] = int(version) + 1
     reply = ask(
         addresses=addresses,
         method="PUT",
--- a/kelpstage/ctl/main.py
+++ b/kelpstage/ctl/main.py
@@ -66,6 +66,8 @@
     warnings = [{"path": w.path, "why": w.why} for w in warnings_of(blueprint=blueprint)]
     lines = [f"warning at {w['path']}: {w['why']}" for w in warnings]
     lines.append(f"good: {len(blueprint.backends)} backends, {len(blueprint.routes)} routes")
+    if blueprint.forward:
+        lines[-1] += f" ({len(blueprint.forward)} forward), {len(blueprint.services)} services"
     show(body={"faults": [], "warnings": warnings}, is_json=is_json, text="\n".join(lines))
 
 
@@ -90,6 +92,9 @@
 def get(
     core: Optional[List[str]] = CORE,
     out: Optional[str] = typer.Option(None, help="Write the blueprint here instead."),
+    is_source: bool = typer.Option(
+        False, "--source", help="Only the text that its `source` section keeps."
+    ),
 ) -> None:
     """Read the blueprint back, as the leader has it; its version goes to stderr."""
     reply = ask(
@@ -98,10 +103,13 @@
     if reply.status != 200:
         good_or_fail(reply=reply, is_json=False)
     version = reply.headers.get("etag", "").strip('"')
+    data = reply.body
+    if is_source:
+        data = json.loads(data).get("source", "").encode()
     if out:
-        write_whole(path=out, data=reply.body)
+        write_whole(path=out, data=data)
     else:
-        typer.echo(reply.body.decode("utf-8"))
+        typer.echo(data.decode("utf-8"))
     typer.echo(f"version {version}", err=True)
 
 
@@ -113,6 +121,9 @@
     put_id: Optional[str] = typer.Option(
         None, help="Give the id of an earlier put to ask about it again."
     ),
+    version: Optional[int] = typer.Option(
+        None, min=1, help="The version that it gets, above the one in force; else the next."
+    ),
     wait_us: int = typer.Option(10_000_000, min=1, max=120_000_000, help="Time left."),
     is_json: bool = JSON,
 ) -> None:
@@ -125,7 +136,11 @@
         addresses=addresses,
         method="PUT",
         path="/v1/blueprint",
-        headers={"If-Match": f'"{replaces}"', "Kelp-Put-Id": name},
+        headers={
+            "If-Match": f'"{replaces}"',
+            "Kelp-Put-Id": name,
+            **({"Kelp-Version": str(version)} if version else {}),
+        },
         body=document,
         wait_us=wait_us,
     )
@@ -208,10 +223,11 @@
     blueprint = read_or_fail(path=file, is_json=is_json, code=BAD_INPUT)
     if collection not in blueprint.routes:
         fail(defect=UnknownCollection(collection=collection), code=BAD_INPUT, is_json=is_json)
-    unknown = [n for n in gone if n not in blueprint.nodes and n not in blueprint.backends]
+    known = {*blueprint.nodes, *blueprint.backends, *blueprint.services}
+    unknown = [n for n in gone if n not in known]
     if unknown:
         fail(
-            defect=Fault(path=f"--gone {unknown[0]}", why="no such node or backend"),
+            defect=Fault(path=f"--gone {unknown[0]}", why="no such node, backend or service"),
             code=BAD_INPUT,
             is_json=is_json,
         )
@@ -231,6 +247,9 @@
         f"{'' if row['is_near'] else ' (another domain)'}"
         for shard, row in after["shards"].items()
     ]
+    lines += [
+        f"  {service} gets {share:.1%}" for service, share in after.get("shares", {}).items()
+    ]
     moved = changes(before=whole, after=after)
     if gone:
         lines.append(f"without {', '.join(gone)}:")
@@ -373,10 +392,14 @@
         fail(defect=BlueprintRefused(faults=openapi), code=BAD_INPUT, is_json=is_json)
     imported = routes_of(
         openapi=openapi,
-        shards={name: sorted(c.shards) for name, c in blueprint.collections.items()},
+        shards={
+            name: sorted(c.shards)
+            for name, c in blueprint.collections.items()
+            if name not in blueprint.forward
+        },
     )
     document = json.loads(blueprint.document)
-    document["routes"] = {**document["routes"], **imported.routes}
+    document["routes"] = {**document.get("routes", {}), **imported.routes}
     data = json.dumps(document, indent=1, ensure_ascii=False).encode()
     judged = read_blueprint(data=data, version=0)
     if isinstance(judged, BlueprintRefused):
--- a/kelpstage/ctl/offline/diff.py
+++ b/kelpstage/ctl/offline/diff.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict
 from typing import Any
 
 from kelpstage.base.blueprint.types import Blueprint
@@ -19,18 +20,51 @@
         )
     for name in sorted(set(old.nodes) | set(new.nodes)):
         _note(rows=rows, path=f"nodes.{name}", was=old.nodes.get(name), will=new.nodes.get(name))
-    for name in sorted(set(old.collections) | set(new.collections)):
+    forward = set(old.forward) | set(new.forward)  # what is made from them is told by them
+    for name in sorted((set(old.collections) | set(new.collections)) - forward):
         _note_collection(rows=rows, old=old, new=new, name=name)
-    for name in sorted(set(old.routes) | set(new.routes)):
+    for name in sorted((set(old.routes) | set(new.routes)) - forward):
         _note(
             rows=rows,
             path=f"routes.{name}",
             was=_route(blueprint=old, name=name),
             will=_route(blueprint=new, name=name),
         )
+    return rows + _forward_rows(old=old, new=new)
+
+
+def _forward_rows(*, old: Blueprint, new: Blueprint) -> list[dict[str, Any]]:
+    """Services and forward routes, field by field; limits, version, source."""
+    rows: list[dict[str, Any]] = []
+    for section in ("services", "forward"):
+        before, after = getattr(old, section), getattr(new, section)
+        for name in sorted(set(before) | set(after)):
+            was = _fields(one=before.get(name))
+            will = _fields(one=after.get(name))
+            if was is None or will is None:
+                _note(rows=rows, path=f"{section}.{name}", was=was, will=will)
+                continue
+            for key in was:
+                _note(rows=rows, path=f"{section}.{name}.{key}", was=was[key], will=will[key])
+    _note(rows=rows, path="limits", was=_fields(one=old.limits), will=_fields(one=new.limits))
+    _note(rows=rows, path="version", was=old.stated_version, will=new.stated_version)
+    _note(
+        rows=rows, path="source (bytes)", was=len(old.source),
+        will=len(new.source) if old.source == new.source else f"{len(new.source)}, other ones",
+    )
     return rows
 
 
+def _fields(*, one: Any) -> dict[str, Any] | None:
+    if one is None:
+        return None
+    fields = {name: value for name, value in asdict(one).items() if name != "name"}
+    if "weights" in fields:
+        fields["weights"] = dict(fields["weights"])
+        fields["fan_out"] = list(fields["fan_out"])
+    return fields
+
+
 def _note(*, rows: list, path: str, was: Any, will: Any) -> None:
     if was != will:
         rows.append({"path": path, "was": was, "will": will})
--- a/kelpstage/ctl/offline/plan.py
+++ b/kelpstage/ctl/offline/plan.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any
 
+from kelpstage.base.blueprint.check import RECORDS
 from kelpstage.base.blueprint.types import Blueprint
 from kelpstage.edge.backend.book import GONE, Book
 from kelpstage.edge.backend.choose import options
@@ -15,7 +16,11 @@
 def offline_plan(
     *, blueprint: Blueprint, collection: str, root: str, gone: frozenset[str]
 ) -> dict[str, Any]:
-    """The plan that `root` would make if every node and backend but `gone` is up."""
+    """The plan that `root` would make if every node and backend but `gone` is up.
+
+    The backends of a service come from a list that no file holds, so a forward route's
+    plan names services; where no nodes are declared, it is drawn over nameless ones.
+    """
     route = blueprint.routes[collection]
     domain = blueprint.nodes.get(root, {}).get("domain", "")
     helpers = [
@@ -30,6 +35,8 @@
             )
         )
     ]
+    if not blueprint.nodes and collection in blueprint.forward:
+        helpers = [f"edge {place + 2}" for place in range(len(route.fan_out))]
     book = Book(me=root)
     for name in blueprint.backends:
         entry = book.entry(name=name)
@@ -39,6 +46,10 @@
     tree = grow(root=root, shards=route.fan_out, helpers=helpers, fan_out=route.tree_fan_out)
     count = len(route.fan_out)
     placed = _placed(blueprint=blueprint, book=book, collection=collection, branch=tree)
+    if blueprint.collections[collection].codec == RECORDS:
+        for shard, row in placed.items():
+            is_up = shard not in gone
+            row |= {"backend": f"a backend of {shard}" if is_up else None, "is_near": is_up}
     missing = sorted(shard for shard, row in placed.items() if row["backend"] is None)
     return {
         "collection": collection,
@@ -50,7 +61,16 @@
         "missing": missing,
         "coverage": (count - len(missing)) / count,
         "is_quorum_met": count - len(missing) >= route.quorum,
-    }
+    } | _shares(blueprint=blueprint, name=collection)
+
+
+def _shares(*, blueprint: Blueprint, name: str) -> dict[str, Any]:
+    """What part of a forward route's requests each service gets, if it is split."""
+    route = blueprint.forward.get(name)
+    if route is None or not route.weights:
+        return {}
+    total = sum(weight for _, weight in route.weights)
+    return {"shares": {service: weight / total for service, weight in route.weights}}
 
 
 def _placed(
--- a/kelpstage/ctl/offline/warnings.py
+++ b/kelpstage/ctl/offline/warnings.py
@@ -10,8 +10,10 @@
 
 def warnings_of(*, blueprint: Blueprint) -> list[Fault]:
     """Every warning with its path."""
-    out: list[Fault] = []
+    out: list[Fault] = _forward_warnings(blueprint=blueprint)
     for name, collection in blueprint.collections.items():
+        if name in blueprint.forward:
+            continue
         out += _shard_warnings(blueprint=blueprint, collection=collection)
         route = blueprint.route(collection=name)
         if route is None:
@@ -21,6 +23,25 @@
     return out
 
 
+def _forward_warnings(*, blueprint: Blueprint) -> list[Fault]:
+    out = []
+    named: set[str] = set()
+    for name, route in blueprint.forward.items():
+        path = f"forward.{name}"
+        named |= set(route.services)
+        if route.aim_us > route.deadline_us:
+            out.append(Fault(path=f"{path}.aim_us", why="later than the deadline"))
+        if route.fan_out and not route.is_repeatable:
+            why = "a gathered answer can't be asked for again from another backend"
+            out.append(Fault(path=f"{path}.is_repeatable", why=why))
+        for service, weight in route.weights:
+            if not weight:
+                out.append(Fault(path=f"{path}.weights.{service}", why="gets no request"))
+    for name in sorted(set(blueprint.services) - named):
+        out.append(Fault(path=f"services.{name}", why="no route leads to it"))
+    return out
+
+
 def usable(*, blueprint: Blueprint, collection: str, shard: str) -> list[str]:
     """Backends of a shard that no label drains."""
     return [
--- a/kelpstage/edge/main.py
+++ b/kelpstage/edge/main.py
@@ -33,25 +33,30 @@
     ),
 ) -> None:
     """Run an edge node: it answers searches by gathering every shard in a tree."""
-    env_given = env_or_exit(
-        outcome=read_env(
-            file=env,
-            flags={
-                "name": name,
-                "domain": domain,
-                "own": own,
-                "http": http,
-                "seeds": seed,
-                "platform": platform,
-                "record": record,
-            },
-            form=EDGE_FORM,
+    def read_settings() -> dict:
+        return env_or_exit(
+            outcome=read_env(
+                file=env,
+                flags={
+                    "name": name,
+                    "domain": domain,
+                    "own": own,
+                    "http": http,
+                    "seeds": seed,
+                    "platform": platform,
+                    "record": record,
+                },
+                form=EDGE_FORM,
+            )
         )
-    )
+
+    env_given = read_settings()
     run_daemon(
         program="kelpd",
         data_folder=env_given.get("record"),
         build=lambda ports: Edge(ports=ports, env=env_given),
+        watch=env,
+        read_settings=read_settings,
     )
 
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -4,11 +4,17 @@
 
 import copy
 import json
+import pathlib
+import tempfile
 import time
 import unittest
 
+from typer.testing import CliRunner
+
 from kelpstage.base.blueprint.check import read_blueprint
 from kelpstage.base.blueprint.types import EMPTY, Blueprint, CallerLimits, Service
+from kelpstage.base.defects import EnvRefused
+from kelpstage.base.env.read import CORE_FORM, EDGE_FORM, judge_env
 from kelpstage.base.ports.types import HttpCall
 from kelpstage.core.state.machine import (
     PUTS_KEPT,
@@ -20,6 +26,9 @@
     PutBlueprint,
     PutLost,
 )
+from kelpstage.ctl.main import app
+from kelpstage.ctl.offline.diff import diff_of
+from kelpstage.ctl.offline.warnings import warnings_of
 from proof.fleet.deployment import load
 from proof.sim.fleet import SimFleet, run_sim
 
@@ -497,5 +506,106 @@
         run_story(story)
 
 
+class ToolsTest(unittest.TestCase):
+    """`kelpctl` on documents with forward routes."""
+
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = pathlib.Path(folder.name) / "a.json"
+        self.file.write_text(json.dumps(document()))
+
+    def run_tool(self, *arguments: str) -> tuple[int, str]:
+        result = CliRunner().invoke(app, list(arguments))
+        self.assertNotIn("Traceback", result.output)
+        return result.exit_code, result.output
+
+    def test_check_counts_and_names_faults(self) -> None:
+        code, out = self.run_tool("check", str(self.file))
+        self.assertEqual((0, True), (code, "2 forward), 3 services" in out))
+        self.file.write_text(json.dumps(bent("forward/r-gather/quorum", 2)))
+        code, out = self.run_tool("check", str(self.file))
+        self.assertEqual((1, True), (code, "forward.r-gather.quorum" in out))
+
+    def test_plan_names_services_and_shares(self) -> None:
+        code, out = self.run_tool("plan", "r-gather", "--offline", str(self.file), "--json")
+        self.assertEqual(0, code)
+        plan = json.loads(out)["plan"]
+        self.assertEqual(["huvo11a", "lohu93e"], sorted(plan["shards"]))
+        self.assertEqual([], plan["missing"])
+        code, out = self.run_tool(
+            "plan", "r-gather", "--offline", str(self.file), "--gone", "lohu93e", "--json"
+        )
+        plan = json.loads(out)["plan"]
+        self.assertEqual((["lohu93e"], True), (plan["missing"], plan["is_quorum_met"]))
+        code, out = self.run_tool("plan", "r-plain", "--offline", str(self.file), "--json")
+        shares = json.loads(out)["plan"]["shares"]
+        self.assertEqual({"kafi81c": 0.25, "huvo11a": 0.75}, shares)
+
+    def test_diff_tells_what_changes_once(self) -> None:
+        old = judge(body=document())
+        body = bent("forward/r-plain/weights", {"kafi81c": 1})
+        body["services"]["lohu93e"]["max_connections"] = 7
+        body["source"] = "another"
+        del body["forward"]["r-gather"]
+        rows = {row["path"] for row in diff_of(old=old, new=judge(body=body))}
+        self.assertEqual(
+            {"forward.r-plain.weights", "forward.r-gather", "source (bytes)",
+             "services.lohu93e.max_connections"},
+            rows,
+        )
+        self.assertEqual([], diff_of(old=old, new=judge(body=document())))
+
+    def test_warnings(self) -> None:
+        self.assertEqual([], warnings_of(blueprint=judge(body=document())))
+        body = bent("forward/r-gather/is_repeatable", False)
+        body["forward"]["r-plain"] |= {"aim_us": 9_000_000, "weights": {"kafi81c": 1, "huvo11a": 0}}
+        body["services"]["spare"] = {}
+        paths = [warning.path for warning in warnings_of(blueprint=judge(body=body))]
+        self.assertEqual(
+            ["forward.r-gather.is_repeatable", "forward.r-plain.aim_us",
+             "forward.r-plain.weights.huvo11a", "services.spare"],
+            paths,
+        )
+
+
+class SettingsTest(unittest.TestCase):
+    """Bounds and what goes with them: judged, with every fault's path."""
+
+    CORE = {
+        "domain": "z1", "own": "10.0.0.1:1", "http": "10.0.0.1:2", "data": "d",
+        "seeds": ["10.0.0.1:1"],
+    }
+
+    def faults(self, **more: object) -> list[str]:
+        outcome = judge_env(raw=self.CORE | more, form=CORE_FORM)
+        return [f.path for f in outcome.faults] if isinstance(outcome, EnvRefused) else []
+
+    def test_cores(self) -> None:
+        ten = [f"10.0.0.{n + 1}:1" for n in range(10)]
+        cases = [
+            ([], {}),
+            ([], {"seeds": ten[:9], "voters": 5, "bounds": {"tolerance": 2}}),
+            (["voters"], {"voters": 3, "bounds": {"tolerance": 2}}),
+            (["bounds.region"], {"bounds": {"zones": {"z1": "r1"}, "region": "r2"}}),
+            ([], {"bounds": {"zones": {"z1": "r1"}, "region": "r1", "is_first_start": False}}),
+            (["http"], {"http": "10.0.0.1:1"}),
+            (["bounds.drain_us"], {"bounds": {"drain_us": -1}}),
+            (["bounds.retry_ratio"], {"bounds": {"retry_ratio": 2.0}}),
+            (["bounds.is_first_start"], {"bounds": {"is_first_start": "no"}}),
+            (["bounds.other"], {"bounds": {"other": 1}}),
+        ]
+        for paths, more in cases:
+            with self.subTest(more=more):
+                self.assertEqual(paths, self.faults(**more))
+        for seeds in (ten, [], ten[:1] * 2):
+            self.assertTrue(self.faults(seeds=seeds))
+
+    def test_edges(self) -> None:
+        edge = {name: value for name, value in self.CORE.items() if name != "data"}
+        clash = edge | {"name": "e", "front": "10.0.0.1:2"}
+        self.assertEqual("front", judge_env(raw=clash, form=EDGE_FORM).faults[0].path)
+
+
 if __name__ == "__main__":
     unittest.main()
