Note on edges that join at once: most of both rosters, as with joint consensus

The roster grew one edge at a time, each change behind the settlement of the one before. Batches need another argument than neighbouring majorities: the state keeps the roster before a batch, and its epoch is settled only when most of both have it. Ruled out: batches only before the first blueprint. A test goes through every way to install a batch on part of rosters up to five and five.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -16,6 +16,7 @@
 from kelpstage.base.defects import EnvRefused
 from kelpstage.base.env.read import CORE_FORM, EDGE_FORM, judge_env
 from kelpstage.base.ports.types import HttpCall
+from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
 from kelpstage.core.state.machine import (
     PUTS_KEPT,
     AddEdge,
@@ -306,6 +307,32 @@
         self.put(machine, put_id="p", expected=0, document=b"{}")
         self.assertEqual([], machine.state.old_roster)
 
+    def test_a_settled_batch_leaves_no_majority_behind(self) -> None:
+        """Every way to install a batch on some: once it counts as settled, neither the
+        roster before nor the new one has a majority without it."""
+        late_us = 10 * GRANT_SPAN_US
+        settled = 0
+        for olds in range(6):
+            for joined in range(2, 6):
+                roster = [f"e{place}" for place in range(olds + joined)]
+                old = roster[:olds]
+                for mask in range(2 ** len(roster)):
+                    has_it = [name for place, name in enumerate(roster) if mask >> place & 1]
+                    ledger = Ledger(since_us=0)
+                    for name in has_it:
+                        ledger.heard(edge=name, incarnation=1, epoch=2, contact=None, now_us=1)
+                    if not all(  # as the desk asks
+                        ledger.is_settled(epoch=2, roster=names, now_us=late_us)
+                        for names in ([roster, old] if old else [roster])
+                    ):
+                        continue
+                    settled += 1
+                    for names in (old, roster):
+                        without = len(set(names) - set(has_it))
+                        self.assertFalse(names and without * 2 > len(names), (old, has_it))
+                        self.assertFalse(names and without * 2 == len(names), (old, has_it))
+        self.assertGreater(settled, 100)
+
     def rosters(self, machine: Machine) -> tuple:
         state = machine.state
         return state.epoch, list(state.roster), list(state.old_roster)
