--- a/proof/platform/day.py
+++ b/proof/platform/day.py
@@ -23,7 +23,6 @@
 
 CLOUD = "10.200.0.43:8224"
 FIRST_ORDER_US = 2_000_000
-SETTLE_S = 6
 DIRECT_EACH_S = 0.7
 DIRECT_TIMES = 8
 
@@ -39,6 +38,8 @@
     troubles: tuple[str, ...] = ()
     closing: str = ""
     has_orders: bool = True
+    start_us: int = 0  # when traffic starts, if not when the deployment says
+    settle_s: int = 6  # calm after the last trouble
 
 
 @dataclass(kw_only=True)
@@ -272,7 +273,8 @@
             self.add_front(node=node)
         await self._first_order()
         now_us = self.world.now_us()
-        await asyncio.sleep(max(0, shape.start_us - now_us) / 1_000_000)
+        start_us = self.plan.start_us or shape.start_us
+        await asyncio.sleep(max(0, start_us - now_us) / 1_000_000)
         self.day.traffic_us = self.world.now_us()
         self.clients.start()
         for place, name in enumerate(self.plan.troubles):
@@ -307,7 +309,7 @@
         for task in self._work:
             if task.done() and not task.cancelled() and task.exception() is not None:
                 raise task.exception()
-        await asyncio.sleep(SETTLE_S)
+        await asyncio.sleep(self.plan.settle_s)
 
     async def _close(self) -> None:
         """A change, the closing fault right after it, traffic that goes on."""
@@ -316,7 +318,7 @@
         self.day.closing_us = self.world.now_us()
         await CLOSINGS[self.plan.closing](self, rand)
         self.day.back_us = self.world.now_us()
-        await asyncio.sleep(self.day.bounds.recovery_us / 1_000_000 + SETTLE_S)
+        await asyncio.sleep(self.day.bounds.recovery_us / 1_000_000 + self.plan.settle_s)
 
 
 def play_day(*, plan: Plan) -> Outcome:
--- /dev/null
+++ b/tests/test_platform_sim.py
@@ -0,0 +1,118 @@
+"""Short days of the users' platform from fixed seeds, judged by every rule. The days
+reach the product through the folder `platform/`."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from kelpstage.edge.backend.book import Book
+from kelpstage.edge.forward.sealed import SealedCodec
+from kelpstage.edge.rounds.budget import Budget
+from proof.platform.day import Outcome, Plan, as_text, play_day
+from proof.platform.shape import SHAPES
+from proof.platform.troubles import CLOSINGS, TROUBLES
+
+
+def play(*, deployment: str = "senegal", troubles: tuple = (), closing: str = "", **more) -> Outcome:
+    fields = {
+        "seed": 1, "seconds": 5, "rate": 0.12, "start_us": 6_000_000, "settle_s": 2, **more
+    }
+    return play_day(
+        plan=Plan(deployment=deployment, troubles=troubles, closing=closing, **fields)
+    )
+
+
+class Days(unittest.TestCase):
+    def clean(self, *, least: float = 0.9, **fields) -> Outcome:
+        """A day without a broken rule that earns at least this share of its worth."""
+        outcome = play(**fields)
+        text = as_text(outcome=outcome)
+        self.assertEqual(outcome.violations, [], text)
+        earned = sum(owed.earned for owed in outcome.owed.values())
+        self.assertGreaterEqual(earned, least * sum(o.owed for o in outcome.owed.values()), text)
+        return outcome
+
+    def test_a_quiet_day(self):
+        outcome = self.clean(deployment="netherlands", least=0.99)
+        self.assertEqual(outcome.counts["acked"], 1)
+        self.assertLess(outcome.counts["list_calls"], 60)
+
+    def test_the_same_plan_gives_the_same_day(self):
+        first, again = (
+            play(seconds=1, rate=0.1, settle_s=0, troubles=("srv_crash", "garble")) for _ in range(2)
+        )
+        self.assertEqual(first.counts, again.counts)
+        self.assertEqual(as_text(outcome=first), as_text(outcome=again))
+
+    def test_backends_crash_leave_and_answer_badly(self):
+        outcome = self.clean(troubles=("garble", "srv_drain", "srv_crash"))
+        self.assertTrue(outcome.day.shown)
+
+    def test_backends_reset_fall_silent_and_forget_connections(self):
+        self.clean(troubles=("srv_reset", "srv_dark", "idle_race"))
+
+    def test_the_index_is_cut_again_and_operators_race(self):
+        outcome = self.clean(troubles=("reshard", "config_race"))
+        self.assertTrue(any(order.refused_us for order in outcome.day.orders))
+
+    def test_invalid_configurations_are_refused(self):
+        outcome = self.clean(troubles=("config_invalid",))
+        self.assertEqual(outcome.counts["acked"], 1)
+
+    def test_changes_whose_answers_are_lost_while_machines_are_killed(self):
+        self.clean(deployment="netherlands", troubles=("config_changes", "node_kill"), least=0.8)
+
+    def test_machines_are_stopped_in_turn(self):
+        self.clean(troubles=("roll_term",))
+
+    def test_the_core_is_cut_and_changed(self):
+        self.clean(troubles=("core_cut",), seconds=8)
+
+    def test_a_core_machine_is_replaced(self):
+        self.clean(troubles=("replace_core", "seed_turnover"))
+
+    def test_a_disk_is_gone_right_after_an_acknowledgement(self):
+        self.clean(troubles=("after_ack_wipe", "disk_stall"))
+
+    def test_every_machine_loses_power_at_the_close(self):
+        self.clean(closing="closing_power", least=0.5)
+
+    def test_a_disk_is_gone_and_the_power_of_the_others_at_the_close(self):
+        self.clean(deployment="netherlands", closing="closing_wipe", least=0.5)
+
+
+class Seen(unittest.TestCase):
+    """The days notice a product that breaks a rule."""
+
+    def lines(self, **fields) -> set[str]:
+        return {violation.line for violation in play(**fields).violations}
+
+    def test_a_budget_that_allows_all(self):
+        with mock.patch.object(Budget, "take", lambda self, **_: True):
+            found = self.lines(troubles=("many_slow",), rate=0.3)
+        self.assertIn("BUDGET", found)
+
+    def test_drains_that_are_not_heeded(self):
+        with mock.patch.object(Book, "refusal_of_life", lambda self, **_: ""):
+            found = self.lines(troubles=("srv_drain",), seconds=10)
+        self.assertIn("DRAIN", found)
+
+    def test_answers_that_are_not_told_apart(self):
+        with mock.patch.object(SealedCodec, "_refused", lambda self, **_: None):
+            found = self.lines(troubles=("garble",) * 4, rate=0.3)
+        self.assertIn("MIXED", found)
+
+
+class Names(unittest.TestCase):
+    def test_every_trouble_says_what_it_does_by_its_name(self):
+        for name in (*TROUBLES, *CLOSINGS):
+            self.assertRegex(name, r"^[a-z]+(_[a-z]+)*$")
+
+    def test_every_deployment_has_more_backends_than_machines_can_lose(self):
+        for shape in SHAPES.values():
+            self.assertTrue(all(service.backends > 1 for service in shape().services.values()))
+
+
+if __name__ == "__main__":
+    unittest.main()
