List: a reader outranked during its own reading yields; first readings begin sooner

Cause: two edges that read at the same moment each took the other's news in the midst of their own reading, which then ended with "I am the reader": both went on for good, at twice the price.

An edge now notes when it was outranked, and a reading that was begun before that does not make it the reader.

--- a/kelpstage/edge/backend/lists.py
+++ b/kelpstage/edge/backend/lists.py
@@ -34,7 +34,7 @@
 RANK_US = 400_000
 ASK_US = 1_400_000  # without news for so long, the reader is asked
 ASK_WAIT_US = 250_000
-FIRST_US, FIRST_SPREAD_US = 500_000, 3_500_000
+FIRST_US, FIRST_SPREAD_US = 100_000, 1_500_000
 BACK_OFF_US = 1_000_000
 BACK_OFF_DOUBLINGS = 3
 PAGES_AT_MOST = 20
@@ -199,6 +199,7 @@
         self._asked_us = 0
         self._is_asking = False
         self._measured_us = 0
+        self._outranked_us = -1
         self._wake: asyncio.Future | None = None
         ports.keep(self._run())
 
@@ -279,7 +280,8 @@
             return
         self._counts["list_readings"] += 1
         self._failures = 0
-        self.is_reader = True
+        # One that ranks first may have told of its own reading during this one.
+        self.is_reader = self._outranked_us < started_us
         self._silent_from_us = 0
         self._read_us = max(started_us + self._gap_us, now_us + LEAST_WAIT_US)
         if done == TAKEN:
@@ -384,8 +386,9 @@
         if news.is_last and self._wake is not None:
             _ring(wake=self._wake)
         is_other_first = rank_key(name=news.reader) < rank_key(name=self._me)
-        if self.is_reader and news.reader != self._me and (is_other_first or news.is_last):
-            self.is_reader = news.is_last  # two read: the one that ranks first goes on
+        if is_other_first and not news.is_last and news.age_us < SILENCE_US:
+            self._outranked_us = now_us
+            self.is_reader = False  # two read: the one that ranks first goes on
 
     # --- asking -------------------------------------------------------------------------
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -320,6 +320,20 @@
 
         self.run_story(story)
 
+    def test_two_that_read_at_the_same_moment_settle_it(self) -> None:
+        async def story() -> None:
+            await self.wait(8 * SECOND)
+            now_us = self.world.now_us()
+            for node in self.nodes:
+                node.list_task.is_reader, node.list_task._read_us = True, now_us + 200_000
+                node.list_task._wake.set_result(None)
+            await self.wait(3 * SECOND)
+            self.assertEqual(1, len(self.readers()))
+
+        for seed in (1, 2, 3, 4):
+            with self.subTest(seed=seed):
+                self.run_story(story, seed=seed)
+
     def test_lost_news_are_asked_for(self) -> None:
         async def story() -> None:
             await self.wait(8 * SECOND)
