--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -30,7 +30,7 @@
 
 TICK_US = 20_000
 CAPTURE_ENTRIES = 400
-CAPTURE_BYTES = 16 * 1024 * 1024
+CAPTURE_BYTES = 4 * 1024 * 1024
 LARGE_BYTES = 64 * 1024
 LOST = "leadership was lost before the commit"
 
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -6,6 +6,7 @@
 import asyncio
 import itertools
 import json
+import random
 import unittest
 from typing import Any, Awaitable, Callable
 
@@ -88,7 +89,12 @@
         """Addresses of the voters that the leader hears."""
         name = self.leader()
         rows = self.daemons[name].task.raft.lag() if name else []
-        return [r["address"] for r in rows if r["is_voter"] and r["heard_us_ago"] < 800_000]
+        here = {d.identity.replica for d in self.daemons.values() if d.identity}  # as they are now
+        return [
+            row["address"]
+            for row in rows
+            if row["is_voter"] and row["replica"] in here and row["heard_us_ago"] < 800_000
+        ]
 
     async def sleep(self, us: int) -> None:
         await asyncio.sleep(us / 1_000_000)
@@ -400,5 +406,157 @@
         play(story, seed=1, count=6, tolerance=2)
 
 
+class Days(unittest.TestCase):
+    """Days of faults by seed, two operators on one register: an acknowledged put is never
+    lost, of two on one base one wins, a refused one is never in force, reads never go back."""
+
+    SEEDS = {3: range(100, 108), 5: range(200, 203), 6: range(300, 308)}
+
+    def test_fixed_seeds(self) -> None:
+        for count, seeds in self.SEEDS.items():
+            for seed in seeds:
+                with self.subTest(count=count, seed=seed):
+                    play_day(seed=seed, count=count)
+
+
+class Register:
+    """What the operators know of the configuration."""
+
+    def __init__(self, cores: Cores) -> None:
+        self.cores = cores
+        self.acked: dict[int, tuple[int, bytes]] = {}  # version -> base, document
+        self.sent: dict[int, list[bytes]] = {}
+        self.refused: set[bytes] = set()
+        self.is_open = True
+
+    async def operate(self, rand: random.Random, who: str) -> None:
+        cores, serial = self.cores, 0
+        while self.is_open:
+            serial += 1
+            base, _ = await self.read(rand)
+            version = base + rand.randrange(1, 4)
+            body = cores.document(f"{who} {serial} on {base} {'x' * rand.choice((0, 0, 90_000))}")
+            self.sent.setdefault(version, []).append(body)
+            await self.put(rand, base=base, version=version, body=body, put_id=f"{who}-{serial}")
+            await cores.sleep(rand.randrange(50_000, 900_000))
+
+    async def put(
+        self, rand: random.Random, *, base: int, version: int, body: bytes, put_id: str
+    ) -> None:
+        cores, turn, is_sent = self.cores, 0, False
+        while self.is_open:
+            turn += 1
+            reply = await cores.call(
+                rand.choice(cores.names), "PUT", body=body,
+                headers={
+                    "If-Match": str(base), "Kelp-Version": str(version),
+                    "Kelp-Put-Id": f"{put_id}-{turn}", "Kelp-Time-Left-Us": "900000",
+                },
+            )
+            if isinstance(reply, Defect) or reply.status == 503:
+                is_sent = True
+                await cores.sleep(rand.randrange(20_000, 400_000))
+                continue
+            if reply.status == 200:
+                assert json.loads(reply.body)["version"] == version, reply
+                known = self.acked.setdefault(version, (base, body))
+                assert known == (base, body), f"{version} acknowledged twice"
+                bases = [b for b, _ in self.acked.values()]
+                assert len(set(bases)) == len(bases), f"two won on {base}"
+                return
+            assert reply.status in (409, 412), reply
+            self.refused.add(body)  # whatever was sent before: it is never in force later
+            return
+
+    async def read(self, rand: random.Random) -> tuple[int, bytes]:
+        cores = self.cores
+        for _ in range(300):
+            newest = max(self.acked, default=0)
+            reply = await cores.call(
+                rand.choice(cores.names), "GET", headers={"Kelp-Time-Left-Us": "900000"}
+            )
+            if isinstance(reply, Defect) or reply.status == 503:
+                await cores.sleep(100_000)
+                continue
+            version = 0 if reply.status == 404 else int(reply.headers["etag"].strip('"'))
+            assert version >= newest, f"{newest} was acknowledged, {version} is read"
+            assert version == 0 or reply.body in self.sent[version], f"{version}: other bytes"
+            assert reply.body not in self.refused, f"{version} was refused"
+            if version in self.acked:
+                assert self.acked[version][1] == reply.body, f"{version}: other bytes"
+            return version, reply.body
+        raise AssertionError("nobody answered a read")
+
+
+async def hurt(cores: Cores, rand: random.Random) -> None:
+    """One trouble within what is to be borne, and its end."""
+    lost = rand.sample(cores.up(), rand.randrange(1, cores.tolerance + 1))
+    kind = rand.choice(("kill", "power", "disk", "freeze", "cut", "all", "all power", "stall"))
+    span_us = rand.randrange(200_000, 4_000_000)
+    seeds = rand.sample(cores.names, 3) if len(cores.names) >= 3 else cores.names
+    if kind in ("kill", "power", "disk"):
+        cores.kill(*lost, is_power=kind == "power", is_disk=kind == "disk")
+        await cores.sleep(span_us)
+        await cores.start(*lost, seeds=seeds)
+    elif kind == "freeze":
+        for name in lost:
+            cores.processes[name].freeze()
+        await cores.sleep(span_us)
+        for name in lost:
+            cores.processes[name].thaw()
+    elif kind == "cut":
+        side = rand.sample(cores.names, rand.randrange(1, len(cores.names)))
+        for a, b in itertools.product(side, set(cores.names) - set(side)):
+            cores.world.cut(a=a, b=b, is_one_way=rand.random() < 0.2)
+        await cores.sleep(span_us)
+        cores.world.heal()
+    elif kind == "stall":
+        for name in lost:
+            cores.world.machines[name].platter.is_stalled = True
+        await cores.sleep(span_us)
+        for name in lost:
+            cores.world.machines[name].platter.is_stalled = False
+    else:
+        cores.kill(*cores.names, is_power=kind == "all power")
+        await cores.sleep(300_000)
+        await cores.start(seeds=seeds)
+
+
+def play_day(*, seed: int, count: int) -> None:
+    """Eight troubles, the last right after an acknowledgement, then a read and a put."""
+    async def story(cores: Cores) -> None:
+        rand = random.Random(f"{seed}/day")
+        for name in cores.names:
+            cores.world.machines[name].platter.slow = rand.choice((1, 1, 10, 30))
+        await cores.start(is_first=True)
+        await cores.wait_for(lambda: len(cores.voters()) == 2 * cores.tolerance + 1)
+        register = Register(cores)
+        work = [
+            cores.outside.spawn(register.operate(random.Random(f"{seed}/{who}"), who))
+            for who in ("a", "b")
+        ]
+        for _ in range(8):
+            before = len(register.acked)
+            await cores.wait_for(
+                lambda: len(register.acked) > before or any(w.done() for w in work), us=30_000_000
+            )
+            await hurt(cores, rand)
+            await cores.wait_for(  # the machines count as made good
+                lambda: len(cores.voters()) >= 2 * cores.tolerance + 1, us=10_000_000
+            )
+        register.is_open = False
+        for one in work:
+            await one
+        lost = rand.sample(cores.names, cores.tolerance)
+        cores.kill(*lost, is_disk=True)
+        cores.kill(*cores.up(), is_power=True)
+        await cores.start()
+        cores.version, _ = await register.read(rand)
+        await cores.put()
+        assert len(register.acked) > 8, "hardly anything was acknowledged"
+
+    play(story, seed=seed, count=count, tolerance=(count - 1) // 2)
+
+
 if __name__ == "__main__":
     unittest.main()
