HTTP: connections read and write on the loop directly, without its stream transport

Cause: on a connection that carries one call half of the processor time went into the loop's own set-up of it (a task and a future for each accepted connection, deferred steps, a reader taken up and given back). Both sides now own their sockets; the calls that have a connection of their own no longer set the probes of kept ones, since they have their own time.

--- a/kelpstage/base/http/client.py
+++ b/kelpstage/base/http/client.py
@@ -15,8 +15,9 @@
 import httptools
 
 from kelpstage.base.defects import ConnectRefused, Defect, LineLost, WaitOver
+from kelpstage.base.http.connection import BUFFER, RETRY, Connection
 from kelpstage.base.http.head import OWN_HEADERS, head_bytes, joined, kept_for_s
-from kelpstage.base.http.sockets import BUFFER, family_of, tune
+from kelpstage.base.http.sockets import family_of, tune
 from kelpstage.base.http.timers import Deadlines
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from kelpstage.base.wire.address import split_address
@@ -75,14 +76,13 @@
     """Ends the parser's run from within one of its callbacks."""
 
 
-class Line(asyncio.BufferedProtocol):
+class Line:
     """One connection and the one exchange that it may be busy with."""
 
     def __init__(self, *, client: "HttpClient", address: str, sock: socket.socket) -> None:
         self._client = client
         self._address = address
-        self._sock = sock
-        self._transport: Any = None
+        self._connection: Connection | None = Connection(sock=sock, owner=self)
         self._parser: Any = httptools.HttpResponseParser(self)
         self.pool: Pool | None = None
         self.use_until = 0.0
@@ -106,7 +106,7 @@
 
     async def exchange(self, *, call: HttpCall, data: bytes, deadline: float) -> HttpReply | Defect:
         """Send a request and wait for its reply. Cancelled, it closes the line."""
-        if self._transport is None or self._transport.is_closing():
+        if self._connection is None or not self._connection.is_open():
             self.close()
             return LineLost(address=self._address, why="closed", was_sent=False)
         future = self._future = asyncio.get_running_loop().create_future()
@@ -116,8 +116,8 @@
         self._is_inside = False
         self._replies = []
         try:
-            sent = self._sock.send(data)
-        except (BlockingIOError, InterruptedError):
+            sent = self._connection.sock.send(data)
+        except RETRY:
             sent = 0
         except OSError as error:  # the kernel took nothing of it
             self._future = self._call = None
@@ -126,7 +126,7 @@
         self._total = len(data)
         self._is_partly_sent = sent < len(data)
         if self._is_partly_sent:
-            self._transport.write(data[sent:])
+            self._connection.write(data[sent:])
         entry = self._client.deadlines.at(when=deadline, verb=self._time_over)
         try:
             return await future
@@ -140,7 +140,7 @@
     def _time_over(self) -> None:
         if self._call is None:
             return
-        was_sent = self._transport.get_write_buffer_size() < self._total
+        was_sent = self._connection.unsent() < self._total
         self._finish(
             outcome=WaitOver(
                 address=self._address, after_us=self._call.wait_us, was_sent=was_sent
@@ -168,11 +168,11 @@
 
     def is_usable(self) -> bool:
         """Nothing has come since the last reply: no bytes, no end."""
-        if self._transport is None or self._transport.is_closing():
+        if self._connection is None or not self._connection.is_open():
             return False
         try:
-            self._sock.recv(1, socket.MSG_PEEK)
-        except (BlockingIOError, InterruptedError):
+            self._connection.sock.recv(1, socket.MSG_PEEK)
+        except RETRY:
             return True
         except OSError:
             return False
@@ -180,8 +180,8 @@
 
     def close(self) -> None:
         """End the connection, at once and without sending what is left."""
-        if self._transport is not None and not self._transport.is_closing():
-            self._transport.abort()
+        if self._connection is not None:
+            self._connection.abort()
         self._leave()
 
     def _leave(self) -> None:
@@ -189,27 +189,26 @@
         if pool is not None:
             pool.forget(line=self)
 
-    def connection_made(self, transport: Any) -> None:
-        self._transport = transport
-
-    def connection_lost(self, exc: Exception | None) -> None:
+    def lost(self, error: OSError | None) -> None:
         if self._future is not None:
-            why = "reply cut off" if self._is_inside else _why(error=exc)
-            self._lose(why=why)
+            self._lose(why="reply cut off" if self._is_inside else _why(error=error))
         self._leave()
-        self._transport = self._parser = None
+        self._connection = self._parser = None
+
+    def eof(self) -> bool:
+        return False
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return BUFFER
+    def is_drained(self) -> None:
+        pass
 
-    def buffer_updated(self, nbytes: int) -> None:
+    def take(self, size: int) -> None:
         if self._future is None or self._future.done():
             self.close()  # bytes that belong to no request
             return
-        self._size += nbytes
+        self._size += size
         is_broken = False
         try:
-            self._parser.feed_data(BUFFER[:nbytes])
+            self._parser.feed_data(BUFFER[:size])
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             is_broken = True
         if self._replies:
@@ -227,7 +226,7 @@
         for reply in self._replies:
             if is_answer is None or is_answer(reply):
                 is_alone = len(self._replies) == 1 and not self._is_inside and not is_broken
-                is_sent = not (self._is_partly_sent and self._transport.get_write_buffer_size())
+                is_sent = not (self._is_partly_sent and self._connection.unsent())
                 self._finish(
                     outcome=reply, is_fit=is_alone and is_sent and self._is_kept and self._is_fit
                 )
@@ -446,7 +445,6 @@
             self.deadlines.cancel(entry=entry)
 
     async def _open(self, *, call: HttpCall, address: str, deadline: float) -> Line | Defect:
-        loop = asyncio.get_running_loop()
         try:
             host, port = split_address(address=address)
             sock = socket.socket(family_of(host=host), socket.SOCK_STREAM)
@@ -454,7 +452,7 @@
             return LineLost(address=address, why=_why(error=error), was_sent=False)
         try:
             sock.setblocking(False)
-            tune(sock=sock)
+            tune(sock=sock, is_kept=call.line_limit > 0)
             number = sock.connect_ex((host, port))
             if number == errno.EINPROGRESS:
                 if not await self._is_writable(sock=sock, deadline=deadline):
@@ -464,16 +462,13 @@
             if number:
                 sock.close()
                 return _not_open(number=number, address=address, wait_us=call.wait_us)
-            _, line = await loop.create_connection(
-                lambda: Line(client=self, address=address, sock=sock), sock=sock
-            )
+            return Line(client=self, address=address, sock=sock)
         except (OSError, ValueError, OverflowError) as error:
             sock.close()
             return LineLost(address=address, why=_why(error=error), was_sent=False)
         except BaseException:
             sock.close()
             raise
-        return line
 
     async def _is_writable(self, *, sock: socket.socket, deadline: float) -> bool:
         loop = asyncio.get_running_loop()
--- a/kelpstage/base/http/server.py
+++ b/kelpstage/base/http/server.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import errno
 import socket
 from collections import deque
 from typing import Any, Awaitable, Callable
@@ -22,13 +23,17 @@
     OversizedHead,
     SlowRequest,
 )
+from kelpstage.base.http.connection import BUFFER, Connection
 from kelpstage.base.http.head import REASONS, cleaned, head_bytes, joined
-from kelpstage.base.http.sockets import BUFFER, family_of, tune
+from kelpstage.base.http.sockets import family_of, tune
 from kelpstage.base.ports.types import HttpCall, HttpLimits, HttpReply
 from kelpstage.base.wire.address import split_address
 from kelpstage.base.wire.http import defect_reply
 
 BACKLOG = 1024
+ACCEPTS = 64  # at most so many in one turn of the loop
+FULL = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
+FULL_S = 0.1
 QUEUE = 16
 BODY_SPANS = 10  # a body may take this many times the span in which it must go on
 LINGER_S = 1.0
@@ -82,21 +87,20 @@
     """Ends the parser's run from within one of its callbacks."""
 
 
-class CallerLine(asyncio.BufferedProtocol):
+class CallerLine:
     """One caller's connection: what is being read, what waits, what is in work."""
 
-    def __init__(self, *, server: "HttpServer") -> None:
+    def __init__(self, *, server: "HttpServer", sock: socket.socket) -> None:
         self._server = server
-        self._transport: Any = None
+        self._connection: Connection | None = Connection(sock=sock, owner=self)
         self._parser: Any = httptools.HttpRequestParser(self)
         self._queue: deque = deque()
         self._task: asyncio.Task | None = None
         self.stage = IDLE
-        self._since = 0.0  # when this stage began
+        self._since = asyncio.get_running_loop().time()  # when this stage began
         self._moved = 0.0  # when the body last went on
         self._is_deaf = False  # nothing that still comes is read
         self._is_paused = False
-        self._is_full = False  # the caller does not take in what we write
         self._is_half = False  # the caller has ended its side
         self._deaf_bytes = 0
         self._stuck = 0
@@ -126,43 +130,31 @@
 
     # --- the connection ----------------------------------------------------------------
 
-    def connection_made(self, transport: Any) -> None:
-        self._transport = transport
-        self._since = asyncio.get_running_loop().time()
-        self._server.note_line(line=self)
-
-    def connection_lost(self, exc: Exception | None) -> None:
-        self._transport = self._parser = None
+    def lost(self, error: OSError | None) -> None:
+        self._connection = self._parser = None
         self._queue.clear()
         if self._task is None:
             self._server.forget_line(line=self)
 
-    def eof_received(self) -> bool:
+    def eof(self) -> bool:
         """A caller may end its side and still wait for what it has asked."""
         self._is_half = True
         return self._task is not None or bool(self._queue)
 
-    def pause_writing(self) -> None:
-        self._is_full = True
-
-    def resume_writing(self) -> None:
-        self._is_full = False
+    def is_drained(self) -> None:
         self._next()
 
-    def get_buffer(self, sizehint: int) -> memoryview:
-        return BUFFER
-
-    def buffer_updated(self, nbytes: int) -> None:
+    def take(self, size: int) -> None:
         if self._is_deaf:
-            self._deaf_bytes += nbytes
+            self._deaf_bytes += size
             if self._deaf_bytes > LINGER_BYTES:
-                self._transport.abort()
+                self._connection.abort()
             return
         before, self._begun = self.stage, 0
         if before == BODY:
             self._moved = asyncio.get_running_loop().time()
         try:
-            self._parser.feed_data(BUFFER[:nbytes])
+            self._parser.feed_data(BUFFER[:size])
         except httptools.HttpParserUpgrade:  # no other protocol is spoken here; the request counts
             call, _, is_old = self._queue.pop()
             self._queue.append((call, False, is_old))
@@ -175,13 +167,13 @@
                 self._end_reading()
         if self.stage == HEAD and not self._is_deaf:
             if self._begun == (0 if before == HEAD else 1) and before != BODY:
-                self._head_fed += nbytes  # all of it belongs to this head
+                self._head_fed += size  # all of it belongs to this head
             limit = self._server.limits().header_bytes
             if self._head_fed > limit:
                 self._refuse(defect=OversizedHead(limit_bytes=limit))
-        if len(self._queue) > QUEUE and not self._is_paused and self._transport is not None:
+        if len(self._queue) > QUEUE and not self._is_paused and self._connection is not None:
             self._is_paused = True
-            self._transport.pause_reading()
+            self._connection.pause_reading()
         if self._task is None:
             self._next()
 
@@ -293,19 +285,20 @@
 
     def _next(self) -> None:
         """Work on the next request, if none is in work and the caller takes answers in."""
-        if self._task is not None or self._is_full or self._transport is None:
+        connection = self._connection
+        if self._task is not None or connection is None or connection.is_full():
             return
         if not self._queue:
             if self._wants_continue and self.stage == BODY and not self._body_size:
                 self._wants_continue = False
-                self._transport.write(CONTINUE)
+                self._connection.write(CONTINUE)
             elif self._is_half:
-                self._transport.close()
+                self._connection.close()
             return
         item = self._queue.popleft()
         if self._is_paused and len(self._queue) <= QUEUE // 2:
             self._is_paused = False
-            self._transport.resume_reading()
+            self._connection.resume_reading()
             self._moved = self._since = asyncio.get_running_loop().time()
         if type(item) is tuple:
             self._task = asyncio.get_running_loop().create_task(self._work(*item))
@@ -321,11 +314,11 @@
             )
             reply = defect_reply(defect=BrokenHandler(why=type(error).__name__))
         self._task = None
-        if self._transport is None:  # the caller has left before its answer
+        if self._connection is None:  # the caller has left before its answer
             self._server.forget_line(line=self)
             return
         if reply is None:
-            self._transport.abort()
+            self._connection.abort()
             return
         self._write(reply=reply, is_head=call.method == "HEAD", is_kept=is_kept, is_old=is_old)
         self._next()
@@ -334,7 +327,7 @@
         is_kept = is_kept and not self._server.is_closing
         connection = "" if is_kept and not is_old else "keep-alive" if is_kept else "close"
         data, is_last = reply_bytes(reply=reply, is_head=is_head, connection=connection)
-        self._transport.write(data)
+        self._connection.write(data)
         if is_last:
             self._hang_up()
         elif self.stage == IDLE:
@@ -347,42 +340,42 @@
         self._queue.clear()
         self.stage = CLOSING
         self._since = asyncio.get_running_loop().time()
-        if self._is_half or not self._transport.can_write_eof():
-            self._transport.close()
+        if self._is_half:
+            self._connection.close()
             return
         if self._is_paused:
             self._is_paused = False
-            self._transport.resume_reading()
-        self._transport.write_eof()
+            self._connection.resume_reading()
+        self._connection.end_writing()
 
     # --- time ------------------------------------------------------------------------------
 
     def close_if_quiet(self) -> None:
-        if self.is_quiet() and self._transport is not None:
-            self._transport.close()
+        if self.is_quiet() and self._connection is not None:
+            self._connection.close()
 
     def abort(self) -> None:
-        if self._transport is not None:
-            self._transport.abort()
+        if self._connection is not None:
+            self._connection.abort()
 
     def look(self, *, now: float, limits: HttpLimits) -> None:
         """Called now and then: ends what takes too long."""
-        transport = self._transport
-        if transport is None or transport.is_closing():
+        connection = self._connection
+        if connection is None or not connection.is_open():
             return
-        unsent = transport.get_write_buffer_size()
+        unsent = connection.unsent()
         if unsent:
             if unsent != self._stuck:
                 self._stuck, self._moved = unsent, now
             elif now - self._moved > STUCK_S:
-                transport.abort()
+                connection.abort()
             return
         self._stuck = 0
         spent = now - self._since
         span = limits.header_us / 1_000_000
         if self.stage == CLOSING:
             if spent > LINGER_S:
-                transport.abort()
+                connection.abort()
         elif self._is_paused:
             return
         elif self.stage == HEAD and spent > span:
@@ -392,7 +385,7 @@
         elif self.is_quiet():
             idle_s = limits.idle_us / 1_000_000
             if spent > (min(LINGER_S, idle_s) if self._server.is_closing else idle_s):
-                transport.close()
+                connection.close()
 
 
 class HttpServer:
@@ -405,7 +398,6 @@
         self._lines: set[CallerLine] = set()
         self._sweep: asyncio.TimerHandle | None = None
         self._sock: socket.socket | None = None
-        self._server: asyncio.Server | None = None
 
     async def open(self, *, address: str) -> Defect | None:
         host, port = split_address(address=address)
@@ -413,32 +405,27 @@
         try:
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             sock.setblocking(False)
-            tune(sock=sock)
+            tune(sock=sock, is_kept=True)
             sock.bind((host, port))
-            self._server = await asyncio.get_running_loop().create_server(
-                self._line, sock=sock, backlog=BACKLOG
-            )
+            sock.listen(BACKLOG)
         except OSError as error:
             sock.close()
             return AddressTaken(address=address, why=str(error))
         self._sock = sock
+        self._listen()
         return None
 
     def close(self) -> None:
         """Stop taking connections in. Quiet ones end; on the others the answer in work
         says that it is the last."""
-        if self._server is None:
+        if self._sock is None:
             return
         loop = asyncio.get_running_loop()
-        while True:  # those that the kernel has taken in already may have sent something
-            try:
-                sock, _ = self._sock.accept()
-            except OSError:
-                break
-            sock.setblocking(False)
-            loop.create_task(loop.connect_accepted_socket(self._line, sock))
-        self._server.close()
-        self._server = self._sock = None
+        while self._accept():  # those that the kernel has taken in may have sent something
+            pass
+        loop.remove_reader(self._sock.fileno())
+        self._sock.close()
+        self._sock = None
         self.is_closing = True
         loop.call_soon(loop.call_soon, self._close_quiet)  # what has arrived is read first
 
@@ -452,19 +439,38 @@
         """How many connections are open or still in work."""
         return len(self._lines)
 
-    def _line(self) -> CallerLine:
-        return CallerLine(server=self)
+    def _listen(self) -> None:
+        if self._sock is not None:
+            asyncio.get_running_loop().add_reader(self._sock.fileno(), self._accept_some)
+
+    def _accept_some(self) -> None:
+        for _ in range(ACCEPTS):
+            if not self._accept():
+                return
+
+    def _accept(self) -> bool:
+        """Take one connection in; false if there is none or no room for one."""
+        try:
+            sock, _ = self._sock.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+            return False
+        except OSError as error:
+            if error.errno in FULL:  # no descriptors or memory: the queue waits a moment
+                loop = asyncio.get_running_loop()
+                loop.remove_reader(self._sock.fileno())
+                loop.call_later(FULL_S, self._listen)
+            return False
+        sock.setblocking(False)
+        self._lines.add(CallerLine(server=self, sock=sock))
+        if self._sweep is None:
+            self._arm()
+        return True
 
     def _close_quiet(self) -> None:
         for line in list(self._lines):
             if not line.is_fresh():
                 line.close_if_quiet()
 
-    def note_line(self, *, line: CallerLine) -> None:
-        self._lines.add(line)
-        if self._sweep is None:
-            self._arm()
-
     def forget_line(self, *, line: CallerLine) -> None:
         self._lines.discard(line)
 
--- a/kelpstage/base/http/sockets.py
+++ b/kelpstage/base/http/sockets.py
@@ -1,22 +1,21 @@
-"""Socket options and the buffer that both sides of the HTTP transport use."""
+"""Socket options that both sides of the HTTP transport set."""
 
 from __future__ import annotations
 
 import socket
 
-# All connections read into this one buffer, which is taken in before the next reads:
-# the loop's own way allocates a quarter of a megabyte for each read.
-BUFFER = memoryview(bytearray(128 * 1024))
 LOST_AFTER_MS = 2_000
 PROBE_IDLE_S = 2
 PROBE_EVERY_S = 1
 PROBES = 2
 
 
-def tune(*, sock: socket.socket) -> None:
-    """No delay for small writes; a silent other side is noticed within seconds.
-    Sockets taken in by a listening one inherit what is set there."""
+def tune(*, sock: socket.socket, is_kept: bool) -> None:
+    """No delay for small writes; on a connection that is kept, a silent other side is
+    noticed within seconds. Sockets taken in by a listening one inherit what is set there."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if not is_kept:  # the call that it carries has its own time
+        return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for name, value in (
         ("TCP_KEEPIDLE", PROBE_IDLE_S),
