Edges: not ready before the list of backends is known

Ruled out: holding the searches until the list comes, which keeps callers waiting for what another edge could answer at once.

--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -249,7 +249,10 @@
         """Why this edge is not ready; empty if it is."""
         if self.is_leaving:
             return "leaving"
-        return self.keeper.refusal(now_us=self.ports.clock.now_us())
+        refusal = self.keeper.refusal(now_us=self.ports.clock.now_us())
+        if not refusal and self.list_task is not None and not self.list_task.roll.is_known:
+            return "the list of backends is not known yet"
+        return refusal
 
     def _refresh(self) -> None:
         refusal = self.refusal()
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -9,6 +9,7 @@
 import unittest
 from bisect import bisect_left
 from collections import Counter
+from types import SimpleNamespace
 from typing import Any, Awaitable, Callable
 
 from kelpstage.base.blueprint.types import EMPTY
@@ -16,12 +17,14 @@
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from kelpstage.base.wire.lines import Lines, LineServer
 from kelpstage.base.wire.messages import AskList, ListNews, MemberMsg, RumorMsg
+from kelpstage.edge.app import Edge
 from kelpstage.edge.backend import evidence
 from kelpstage.edge.backend.book import DARK, DRAINING, GONE, UP, Book
 from kelpstage.edge.backend.choose import Option, options
 from kelpstage.edge.backend.life import Life
 from kelpstage.edge.backend.lists import ListTask, OwnList, rank_key
 from kelpstage.edge.backend.places import Places
+from kelpstage.edge.backend.roll import Roll
 from kelpstage.edge.backend.suspects import SuspectTask
 from kelpstage.edge.gather.pace import Paces
 from kelpstage.edge.gossip.swim import Swim
@@ -637,6 +640,22 @@
         refusals = {o.backend: o.refusal for o in self.choose(book, 1)}
         self.assertEqual({"i1": "no free line", "i2": ""}, refusals)
 
+class ReadyTest(unittest.TestCase):
+    def test_an_edge_is_not_ready_before_it_knows_the_list(self) -> None:
+        roll = Roll(me="n", own="n:1")
+        edge = SimpleNamespace(
+            is_leaving=False,
+            keeper=SimpleNamespace(refusal=lambda now_us: ""),
+            ports=SimpleNamespace(clock=SimpleNamespace(now_us=lambda: 5)),
+            list_task=SimpleNamespace(roll=roll),
+        )
+        self.assertEqual("the list of backends is not known yet", Edge.refusal(edge))
+        roll.take_reading(lives=[life("i1")], read_us=1, now_us=2)
+        self.assertEqual("", Edge.refusal(edge))
+        edge.list_task = None  # a deployment without a list
+        self.assertEqual("", Edge.refusal(edge))
+
+
 class SuspectTest(ListStory):
     """Who probes what, and what a probe's answer does."""
 
