Choice: what fails often costs what its further attempts cost

Cause: failures only stretched a life's pace, by up to six times. A near life of 12 ms that fails every other request still cost less than a healthy one in another region once crossing is charged, and each of its failures is a second send out of the budget.

A share of failures now costs that share of 60 ms besides. One failure leaves a near life first (32 ms against 59), every other one does not; it fades as before, by half in 3 s.

--- a/kelpstage/edge/backend/choose.py
+++ b/kelpstage/edge/backend/choose.py
@@ -154,7 +154,7 @@
     if now_us < entry.cold_until_us:
         cost *= COLD_TIMES
     if seen.fail_share:
-        cost *= seen.weight(now_us=now_us)
+        cost = seen.with_failures(cost_us=cost, now_us=now_us)
     return cost + entry.distance_us + entry.charge_us
 
 
--- a/kelpstage/edge/backend/evidence.py
+++ b/kelpstage/edge/backend/evidence.py
@@ -17,6 +17,7 @@
 PACE_FRESH_US = 1_000_000
 FAIL_SHARE = 0.2
 FAIL_WEIGHT = 5.0
+FAIL_CHARGE_US = 60_000
 FAIL_HALF_LIFE_US = 3_000_000
 FAILS_IN_A_ROW = 3
 FULL_US = 100_000
@@ -145,12 +146,15 @@
         """Is it to be tried with one request at a time?"""
         return 0 < self.shunned_until_us <= now_us
 
-    def weight(self, *, now_us: int) -> float:
-        """By how much its failures make it dearer; 1 where there were none.
+    def with_failures(self, *, cost_us: float, now_us: int) -> float:
+        """A cost, dearer by the failures seen: what failed is sent again elsewhere, which
+        costs time, and a part of the budget.
 
         >>> seen = Evidence()
         >>> _ = seen.note_failure(why=RESET, now_us=0)
-        >>> seen.weight(now_us=0), round(seen.weight(now_us=FAIL_HALF_LIFE_US), 2)
-        (2.0, 1.5)
+        >>> [round(seen.with_failures(cost_us=10_000, now_us=n * FAIL_HALF_LIFE_US))
+        ...  for n in (0, 1, 9)]
+        [32000, 21000, 10043]
         """
-        return 1.0 if not self.fail_share else 1.0 + FAIL_WEIGHT * self._fail_share(now_us=now_us)
+        share = self._fail_share(now_us=now_us)
+        return cost_us * (1.0 + FAIL_WEIGHT * share) + FAIL_CHARGE_US * share
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -627,6 +627,20 @@
         book.entries["i2"].in_flight = book.entries["i1"].in_flight = 5
         self.assertEqual("i0", self.best(book, 1), "the near ones are clearly worse")
 
+    def test_a_near_one_that_often_fails_comes_after_a_far_one(self) -> None:
+        book = self.book(life("i1"), life("i2", zone="b1"))
+        for name in ("i1", "i2"):
+            for _ in range(9):
+                book.note_answer(name=name, took_us=14_000, now_us=0)
+        self.assertEqual("i1", self.best(book, 1))
+        book.note_failure(name="i1", why=evidence.RESET, now_us=2)
+        self.assertEqual("i1", self.best(book, 3), "one failure is little")
+        for n in range(3, 9):  # every other one fails
+            book.note_answer(name="i1", took_us=14_000, now_us=n)
+            book.note_failure(name="i1", why=evidence.FAILED, now_us=n)
+        self.assertEqual("i2", self.best(book, 10))
+        self.assertEqual("i1", self.best(book, 20 * SECOND))
+
     def test_a_life_whose_lines_are_in_use_is_refused(self) -> None:
         class Configuration:
             services = {"s": type("S", (), {"max_connections": 30})}
