List: as many pages as twice the last reading had, sixty before the first

Cause: at most twenty pages is a thousand lives where a page holds fifty; a larger deployment would never have a list, and its edges would never be ready. A list without an end is still given up after twenty pages where a good one was shorter than ten.

--- a/kelpstage/edge/backend/lists.py
+++ b/kelpstage/edge/backend/lists.py
@@ -37,7 +37,7 @@
 FIRST_US, FIRST_SPREAD_US = 100_000, 1_500_000
 BACK_OFF_US = 1_000_000
 BACK_OFF_DOUBLINGS = 3
-PAGES_AT_MOST = 20
+PAGES_AT_MOST, FIRST_PAGES_AT_MOST = 20, 60
 READING_US = 2_500_000
 SHARE_OF_CALLS = 0.5  # of the calls that the list takes from all nodes
 LEAST_WAIT_US = 50_000
@@ -194,6 +194,7 @@
         self._first_us = now_us + FIRST_US + ports.rand.randrange(FIRST_SPREAD_US)
         self._read_us = 0  # when the next reading of a reader is due
         self._gap_us = READ_US
+        self._pages = 0  # of the last reading; 0: none yet
         self._blocked_us = 0
         self._failures = 0
         self._asked_us = 0
@@ -302,7 +303,8 @@
         found: dict[str, Life] = {}
         tokens: set[str] = set()
         token: str | None = None
-        for _ in range(PAGES_AT_MOST):
+        most = max(PAGES_AT_MOST, 2 * self._pages) if self._pages else FIRST_PAGES_AT_MOST
+        for _ in range(most):
             self._counts["list_calls"] += 1
             reply = await self._ports.net.fetch(call=self._adapter.page_call(token))
             page = reply if isinstance(reply, Defect) else self._adapter.read_page(reply)
@@ -316,14 +318,15 @@
                 if life.is_draining:  # it moved to a later page meanwhile
                     found[life.instance] = life
             if token is None:
-                self._set_gap(pages=len(tokens) + 1)
+                self._pages = len(tokens) + 1
+                self._set_gap(pages=self._pages)
                 return list(found.values())
             if token in tokens:
                 return BadReply(backend="list", part="token", why="a page stands twice")
             if self._ports.clock.now_us() > until_us:
                 return BadReply(backend="list", part="pages", why="took too long")
             tokens.add(token)
-        return BadReply(backend="list", part="pages", why=f"more than {PAGES_AT_MOST}")
+        return BadReply(backend="list", part="pages", why=f"more than {most}")
 
     def _set_gap(self, *, pages: int) -> None:
         """A list of many pages is read more seldom, if its rate asks for that."""
