Operators' calls are kept for up to 0.4 s while a leader is being chosen

An operator that is refused at once comes back after a pause that grows, later than the leader is there. Also a test: a core that moves to another address with its disk.

--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -29,6 +29,8 @@
 
 DEFAULT_WAIT_US = 10_000_000
 READ_WAIT_US = 2_000_000
+LEADER_WAIT_US = 400_000  # that a call is kept while a leader is being chosen
+LEADER_LOOK_US = 20_000
 LONGEST_WAIT_US = 120_000_000
 
 
@@ -58,6 +60,7 @@
     refused = _refuse_early(ask=ask)
     if refused is not None:
         return defect_reply(defect=refused)
+    ask.wait_us = max(1, wait_us - await _await_leader(core=core, wait_us=wait_us))
     task = core.task
     if task is not None and task.is_leader:
         return _from_proxy(reply=await verdict_for_proxy(core=core, ask=ask))
@@ -72,6 +75,19 @@
     return defect_reply(defect=NoLeader(why=f"leader not reached: {reply.kind}"))
 
 
+async def _await_leader(*, core: "Core", wait_us: int) -> int:
+    """Keep a call for a moment if no leader is known: one is being chosen, and whoever
+    called would come back later than it is there. How long it took."""
+    clock = core.ports.clock
+    began_us = clock.now_us()
+    until_us = began_us + min(LEADER_WAIT_US, wait_us // 2)
+    while core.task is not None and not core.task.leader_address:
+        if clock.now_us() >= until_us:
+            break
+        await clock.sleep(us=LEADER_LOOK_US)
+    return clock.now_us() - began_us
+
+
 def _wait_us(*, call: HttpCall) -> int | BadRequest:
     given = call.headers.get("kelp-time-left-us")
     if given is None:
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -356,6 +356,27 @@
         for seed in range(4):
             play(story, seed=seed, count=3, tolerance=1)
 
+    def test_a_core_moves_with_its_disk(self) -> None:
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            await cores.wait_for(lambda: len(cores.voters()) == 3)
+            for turn in range(3):
+                await cores.put()
+                moved, fresh = cores.names.pop(0), f"c{turn + 3}"
+                replica = cores.daemons[moved].identity.replica
+                cores.kill(moved)
+                cores.world.machines[moved].is_on = False
+                cores.add(name=fresh, domain=f"d{turn}")
+                cores.world.machines[fresh].platter = cores.world.machines[moved].platter
+                await cores.start(fresh, seeds=cores.names[:2])
+                await cores.wait_for(lambda: cores.address(fresh) in cores.voters())
+                self.assertEqual(replica, cores.daemons[fresh].identity.replica)
+                self.assertEqual(cores.version, (await cores.read())[0])
+                await cores.wait_for(lambda: len(cores.voters()) == 3)
+
+        for seed in range(3):
+            play(story, seed=seed, count=3, tolerance=1)
+
     def test_all_killed_at_once_and_all_powered_off(self) -> None:
         async def story(cores: Cores) -> None:
             await cores.start(is_first=True)
