List: edges that leave still hear of changes, for what they have in work

Cause: a leaving edge was told nothing, and its own task had ended, while it serves on for up to six seconds: longer than a drain may take to be known. It is told for eight seconds after it said that it leaves, and asks like any other; it never reads.

--- a/kelpstage/edge/backend/lists.py
+++ b/kelpstage/edge/backend/lists.py
@@ -27,7 +27,7 @@
 from kelpstage.edge.backend.book import Book
 from kelpstage.edge.backend.life import Life
 from kelpstage.edge.backend.roll import GAP, TAKEN, Roll
-from kelpstage.edge.gossip.swim import ALIVE, SUSPECT, Swim
+from kelpstage.edge.gossip.swim import ALIVE, LEAVING, SUSPECT, Swim
 
 READ_US = 1_000_000
 SILENCE_US = 1_600_000  # without a fresh list for so long, the first in rank reads
@@ -42,6 +42,7 @@
 SHARE_OF_CALLS = 0.5  # of the calls that the list takes from all nodes
 LEAST_WAIT_US = 50_000
 MEASURE_US = 5_000_000
+LEAVING_US = 8_000_000
 DIRECT_COUNT = 16
 RELAY_FAN_OUT = 5
 
@@ -188,7 +189,7 @@
         self._me = swim.me.name
         self.roll = Roll(me=self._me, own=own)
         self.is_reader = False
-        self.is_closed = False
+        self.is_leaving = False
         now_us = ports.clock.now_us()
         self._silent_from_us = 0
         self._first_us = now_us + FIRST_US + ports.rand.randrange(FIRST_SPREAD_US)
@@ -208,7 +209,7 @@
 
     async def _run(self) -> None:
         clock = self._ports.clock
-        while not self.is_closed:
+        while True:
             now_us = clock.now_us()
             self._look_around(now_us=now_us)
             if self._is_read_due(now_us=now_us):
@@ -240,7 +241,7 @@
         return min(READ_US, max(LEAST_WAIT_US, due_us - now_us))
 
     def _is_read_due(self, *, now_us: int) -> bool:
-        if self._adapter is None or now_us < self._blocked_us:
+        if self._adapter is None or self.is_leaving or now_us < self._blocked_us:
             return False
         if self.is_reader:
             return now_us >= self._read_us
@@ -341,10 +342,14 @@
     # --- telling ------------------------------------------------------------------------
 
     def _tell(self, *, now_us: int, is_last: bool = False) -> None:
-        """Tell all edges that are not dead, through relays if they are many."""
+        """Tell all edges that are not dead, through relays if they are many; those that
+        leave too, for as long as they may have requests in work."""
         by_zone: dict[str, list[tuple]] = {}
         for name, member in self._swim.members.items():
-            if member.info.status in (ALIVE, SUSPECT):
+            is_leaving = member.info.status == LEAVING
+            if is_leaving and now_us - member.since_us < LEAVING_US or (
+                member.info.status in (ALIVE, SUSPECT)
+            ):
                 by_zone.setdefault(member.info.domain, []).append(
                     (member.info.status != ALIVE, rank_key(name=name), member.info.address)
                 )
@@ -442,8 +447,9 @@
     # --- the end ------------------------------------------------------------------------
 
     def leave(self) -> None:
-        """This node stops: if it reads, another is to read at once."""
+        """This node stops: if it reads, another is to read at once. It still hears of
+        changes, for what it has in work."""
         if self.is_reader:
             self._tell(now_us=self._ports.clock.now_us(), is_last=True)
         self.is_reader = False
-        self.is_closed = True
+        self.is_leaving = True
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -27,7 +27,7 @@
 from kelpstage.edge.backend.roll import Roll
 from kelpstage.edge.backend.suspects import SuspectTask
 from kelpstage.edge.gather.pace import Paces
-from kelpstage.edge.gossip.swim import Swim
+from kelpstage.edge.gossip.swim import LEAVING, Swim
 from kelpstage.edge.gossip.task import GossipTask
 from kelpstage.edge.rounds.budget import Budget
 from proof.sim.loop import VirtualLoop
@@ -286,6 +286,12 @@
             self.list.readings.clear()
             await self.wait_for(lambda: bool(self.list.readings), 700_000)
             self.assertNotEqual(reader.name, self.list.readings[0][1])
+            reader.swim.me.status = LEAVING
+            reader.gossip.spread()
+            await self.wait(1_500_000)
+            self.list.row("i6")["state"] = "draining"
+            await self.wait_for(lambda: reader.book.entries["i6"].is_draining, 1_500_000)
+            self.assertNotIn(reader.name, {name for _, name in self.list.readings})
 
         self.run_story(story)
 
