Platform model: a processor's time for each message, clients that press, the failures page

Each message, datagram and timer now takes 150 us of a node's processor (an option; 0 as before), in order. `retry_abuse` repeats at once and often.

--- a/proof/platform/clients.py
+++ b/proof/platform/clients.py
@@ -18,6 +18,7 @@
 UNREAD_US = 1_000_000
 NEVER_AGAIN = frozenset((400, 401, 404, 413, 431))
 MISSES = 2
+ABUSIVE_TRIES = 4
 CLIENT_IDLE_US = 8_000_000
 
 
@@ -132,6 +133,7 @@
         self.in_flight = 0
         self.is_open = True
         self.press = 1.0
+        self.abuse = 0.0  # the share that tries again at once, and more often
         self.owed: dict[str, Owed] = {}
         self.drafts: Callable[[str], list[RouteDraft]] = lambda kind: []
         self._clients = [
@@ -177,7 +179,8 @@
         tried: set[str] = set()
         first = ""
         row: Request | None = None
-        for number in range(1 + kind.further_tries):
+        is_abusive = self._rand.random() < self.abuse
+        for number in range(1 + kind.further_tries + ABUSIVE_TRIES * is_abusive):
             row = await self._try(
                 client=client, kind=kind, draft=draft, due_us=due_us, tried=tried, first=first,
                 is_new=number > 0,
@@ -188,7 +191,8 @@
             left_us = due_us - self._world.now_us()
             if left_us < 5_000:
                 break
-            await asyncio.sleep(self._pause_us(row=row, left_us=left_us) / 1_000_000)
+            pause_us = 0 if is_abusive else self._pause_us(row=row, left_us=left_us)
+            await asyncio.sleep(pause_us / 1_000_000)
         self._settle(kind=kind, row=row, started_us=started_us)
         self.in_flight -= 1
 
--- a/proof/platform/day.py
+++ b/proof/platform/day.py
@@ -40,6 +40,7 @@
     has_orders: bool = True
     start_us: int = 0  # when traffic starts, if not when the deployment says
     settle_s: int = 6  # calm after the last trouble
+    message_us: int = 150  # processor time of a node for each thing that comes in
 
 
 @dataclass(kw_only=True)
@@ -78,7 +79,7 @@
         )
         self.fleet = Fleet(
             world=world, shape=shape, day=self.day, rand=rand("fleet"), cloud=CLOUD,
-            list_per_s=shape.list_per_s,
+            list_per_s=shape.list_per_s, message_us=plan.message_us,
         )
         cloud = self._process(name="cloud", machine="cloud", zone="")
         world.homes[CLOUD] = cloud.machine
--- a/proof/platform/machines.py
+++ b/proof/platform/machines.py
@@ -64,8 +64,9 @@
 
     def __init__(
         self, *, world: PlatformWorld, shape: Shape, day: Day, rand: random.Random, cloud: str,
-        list_per_s: float,
+        list_per_s: float, message_us: int = 0,
     ) -> None:
+        self.message_us = message_us
         self.world = world
         self.shape = shape
         self.day = day
@@ -185,6 +186,7 @@
             world=self.world, name=f"{role}/{node.name}", machine=node.machine,
             life=node.lives[role],
         )
+        process.message_us = self.message_us
         process.on_own_end = lambda error: self._own_end(node=node, role=role, error=error)
         node.processes[role] = process
         env = self._env(node=node, role=role)
--- a/proof/platform/main.py
+++ b/proof/platform/main.py
@@ -21,7 +21,9 @@
     """The users' platform as their pages tell it, in virtual time."""
 
 
-def plan_mix(*, deployment: str, seed: int, seconds: int, rate: float, count: int) -> Plan:
+def plan_mix(
+    *, deployment: str, seed: int, seconds: int, rate: float, count: int, message_us: int = 150
+) -> Plan:
     """Several troubles by seed, and now and then a closing fault.
 
     >>> plan_mix(deployment="senegal", seed=1, seconds=9, rate=1.0, count=2).seed
@@ -32,6 +34,7 @@
         deployment=deployment, seed=seed, seconds=seconds, rate=rate,
         troubles=tuple(rand.choice(sorted(TROUBLES)) for _ in range(count)),
         closing=rand.choice(sorted(CLOSINGS)) if rand.random() < 0.4 else "",
+        message_us=message_us,
     )
 
 
@@ -56,6 +59,9 @@
     ),
     mix: int = typer.Option(0, min=0, max=12, help="So many troubles by lot."),
     closing: str = typer.Option("", help=f"A closing fault: {', '.join(CLOSINGS)}."),
+    message_us: int = typer.Option(
+        150, min=0, help="Processor time of a node for each message, datagram and timer."
+    ),
     workers: int = typer.Option(4, min=1, max=64, help="Days played side by side."),
     only_bad: bool = typer.Option(False, help="Print only days that broke a rule."),
 ) -> None:
@@ -74,12 +80,13 @@
     chosen = [(name,) for name in TROUBLES] if "each" in trouble else [tuple(trouble)]
     plans = [
         Plan(deployment=deployment, seed=seed, seconds=seconds, rate=rate, troubles=troubles,
-             closing=closing)
+             closing=closing, message_us=message_us)
         for seed in numbers for troubles in chosen
     ]
     if mix:
         plans = [
-            plan_mix(deployment=deployment, seed=seed, seconds=seconds, rate=rate, count=mix)
+            plan_mix(deployment=deployment, seed=seed, seconds=seconds, rate=rate, count=mix,
+                     message_us=message_us)
             for seed in numbers
         ]
     raise SystemExit(_play(plans=plans, workers=workers, only_bad=only_bad))
--- a/proof/platform/net.py
+++ b/proof/platform/net.py
@@ -71,9 +71,20 @@
         super().__init__(**fields)
         self.served: dict[int, "HttpLine"] = {}
         self.on_own_end: Callable[[BaseException], None] = lambda error: None
+        self.message_us = 0  # of the processor's time, for whatever comes in
+        self._free_us = 0
         self.ports.net = PlatformNet(process=self)
         self.ports.on_broken = lambda error: self.on_own_end(error)
 
+    def deliver(self, verb: Callable[[], None]) -> None:
+        """Something comes in; it is taken when what came before has had its time."""
+        if not self.message_us or not self.is_alive:
+            super().deliver(verb)
+            return
+        world = self.world
+        self._free_us = max(self._free_us, world.now_us()) + self.message_us
+        world.at(us=self._free_us, verb=lambda: super(HttpProcess, self).deliver(verb))
+
     def _ended(self, task: asyncio.Future) -> None:
         self._tasks.pop(task, None)
         if not task.cancelled() and task.exception() is not None and self.is_alive:
--- a/proof/platform/troubles.py
+++ b/proof/platform/troubles.py
@@ -199,6 +199,14 @@
     play.clients.press = 1.0
 
 
+@trouble
+async def retry_abuse(play: Any, rand: random.Random) -> None:
+    """Some clients repeat at once and often, while backends of many shards are slow."""
+    play.clients.abuse = 0.5
+    await many_slow(play, rand)
+    play.clients.abuse = 0.0
+
+
 # --- machines -------------------------------------------------------------------------------------
 
 
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,6 +9,8 @@
 from kelpstage.base import defects
 from kelpstage.base.env.read import CORE_FORM, EDGE_FORM
 from proof.check.register import CHECKERS
+from proof.platform.rules.register import RULES
+from proof.platform.troubles import CLOSINGS, TROUBLES
 from proof.sim.faults import FAULTS
 
 DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
@@ -40,6 +42,11 @@
         self.assertEqual([], [name for name in FAULTS if f"`{name}`" not in text])
         self.assertEqual([], [name for name in CHECKERS if f".{name}`" not in text])
 
+    def test_every_rule_and_trouble_of_the_platform_stands_in_the_table(self) -> None:
+        text = page(name="failures.md")
+        named = [*RULES, *TROUBLES, *CLOSINGS]
+        self.assertEqual([], [name for name in named if f"`{name}`" not in text])
+
     def test_links_between_pages_lead_somewhere(self) -> None:
         broken = []
         for path in [*DOCS.rglob("*.md"), DOCS.parent / "README.md"]:
