Platform model: one change of the configuration at a time; trouble at what may run once only

Cause: two troubles that each change the configuration worked on the same drafts, so that the second could put back what the first had changed and clients asked for routes that were gone (a 404 in order, but not what the trouble was for). srv_desk makes every backend of the requests that may run once only slow, resetting and garbling.

--- a/proof/platform/day.py
+++ b/proof/platform/day.py
@@ -65,6 +65,7 @@
         self._work: list[asyncio.Task] = []
         rand = lambda word: random.Random(f"{plan.seed}/{word}")  # noqa: E731
         self.rand = rand("day")
+        self.changing = asyncio.Lock()  # one change of the drafts at a time
         self.drafts = Drafts(shape=shape, rand=rand("drafts"))
         self.routes_in_use: dict[str, RouteDraft] = {}
         self.kinds = {kind.name: kind for kind in shape.kinds}
--- a/proof/platform/troubles.py
+++ b/proof/platform/troubles.py
@@ -188,6 +188,23 @@
         play.park.wake(backend=backend)
 
 
+@trouble
+async def srv_desk(play: Any, rand: random.Random) -> None:
+    """Every backend that runs what may run once only: slow, breaking off, answering badly."""
+    chosen = play.park.of(service=play.shape.other)
+    for backend in chosen:
+        backend.mood.slow = rand.choice((1.0, 3.0, 8.0))
+        backend.mood.bad_share, backend.mood.reset_share = 0.2, 0.15
+        backend.mood.forgets_idle = rand.random() < 0.5
+    await sleep(s=7)
+    play.park.crash(backend=chosen[0])
+    play.later(_again(play, backend=chosen[0], after_s=2))
+    await sleep(s=3)
+    for backend in chosen:
+        backend.mood.slow, backend.mood.bad_share, backend.mood.reset_share = 1.0, 0.0, 0.0
+        backend.mood.forgets_idle = False
+
+
 # --- clients ------------------------------------------------------------------------------------
 
 
@@ -361,6 +378,11 @@
 @trouble
 async def config_change(play: Any, rand: random.Random) -> None:
     """One change: a time-out, weights, a move, a route more or fewer."""
+    async with play.changing:
+        await _change(play, rand)
+
+
+async def _change(play: Any, rand: random.Random) -> None:
     before = dict(play.drafts.routes)
     what = rand.choice(("time", "split", "move", "add", "drop"))
     if what == "time":
@@ -389,35 +411,39 @@
 @trouble
 async def config_race(play: Any, rand: random.Random) -> None:
     """Two operators change the configuration on top of the same version."""
-    await play.race(rand)
+    async with play.changing:
+        await play.race(rand)
 
 
 @trouble
 async def config_invalid(play: Any, rand: random.Random) -> None:
     """Configurations that must be refused."""
-    await play.put_invalid(rand)
+    async with play.changing:
+        await play.put_invalid(rand)
 
 
 @trouble
 async def big_config(play: Any, rand: random.Random) -> None:
     """The configuration grows by many routes."""
-    before = dict(play.drafts.routes)
-    for number in range(300):
-        play.drafts.add(kind=play.shape.kinds[number % len(play.shape.kinds)], is_late=True)
-    await play.put(before=before)
+    async with play.changing:
+        before = dict(play.drafts.routes)
+        for number in range(300):
+            play.drafts.add(kind=play.shape.kinds[number % len(play.shape.kinds)], is_late=True)
+        await play.put(before=before)
 
 
 @trouble
 async def reshard(play: Any, rand: random.Random) -> None:
     """The index is cut again: new backends, a version that names them, the old ones drain."""
-    draft = next(d for d in play.drafts.routes.values() if d.fan_out)
-    old = draft.fan_out
-    new = play.shape.recut if old == play.shape.index else play.shape.index
-    play.start_services(names=new)
-    await sleep(s=4)
-    before = dict(play.drafts.routes)
-    play.drafts.recut()
-    order = await play.put(before=before)
+    async with play.changing:
+        draft = next(d for d in play.drafts.routes.values() if d.fan_out)
+        old = draft.fan_out
+        new = play.shape.recut if old == play.shape.index else play.shape.index
+        play.start_services(names=new)
+        await sleep(s=4)
+        before = dict(play.drafts.routes)
+        play.drafts.recut()
+        order = await play.put(before=before)
     if not order.acked_us:
         return
     await sleep(s=play.day.bounds.apply_us / 1_000_000 + 1)
