List: a quiet fleet's edges wake five times a second at most, and see who died before them

Cause: once an edge had asked a reader that was gone it looked every 50 ms until its own turn, up to half a minute for the last of ninety; and a sleep of up to a second hid that those who rank before it had been found dead meanwhile.

--- a/kelpstage/edge/backend/lists.py
+++ b/kelpstage/edge/backend/lists.py
@@ -40,7 +40,7 @@
 PAGES_AT_MOST, FIRST_PAGES_AT_MOST = 20, 60
 READING_US = 2_500_000
 SHARE_OF_CALLS = 0.5  # of the calls that the list takes from all nodes
-LEAST_WAIT_US = 50_000
+LEAST_WAIT_US, LOOK_US = 50_000, 200_000
 MEASURE_US = 5_000_000
 LEAVING_US = 8_000_000
 DIRECT_COUNT = 16
@@ -233,12 +233,15 @@
 
     def _wait_us(self, *, now_us: int) -> int:
         if self.is_reader:
-            due_us = self._read_us
-        elif not self.roll.is_known:
-            due_us = now_us + 2 * LEAST_WAIT_US
-        else:
-            due_us = min(self.roll.heard_us + ASK_US, self._own_turn_us())
-        return min(READ_US, max(LEAST_WAIT_US, due_us - now_us))
+            return min(READ_US, max(LEAST_WAIT_US, self._read_us - now_us))
+        if not self.roll.is_known:
+            return 2 * LEAST_WAIT_US
+        silent_us = self.roll.heard_us + ASK_US
+        due_us = max(self._own_turn_us(), self._blocked_us)
+        if now_us < silent_us:
+            return min(READ_US, max(LEAST_WAIT_US, min(due_us, silent_us) - now_us))
+        # Silence: those that rank before this edge may be found dead any moment.
+        return min(LOOK_US, max(LEAST_WAIT_US, due_us - now_us))
 
     def _is_read_due(self, *, now_us: int) -> bool:
         if self._adapter is None or self.is_leaving or now_us < self._blocked_us:
