Without a core a large fleet asks somewhat more than a majority, by lot, not everybody

When the whole core is gone every edge asks every other as a witness: 92 edges, each 600 ms, 14,000 calls a second, on machines of half a core. On rosters above 20 an edge that has had a grant in its life now asks 60 % of the roster each time, by lot among those that are not held dead; a word counts for a second, so who did not answer is replaced the next time. Fewer words are never less safe: what is needed is still a majority of the roster. Whoever has forgotten asks all, for what they remember of it. Weighed: one edge a zone that collects for all (docs/CAPACITY.md); not built.

--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -52,6 +52,7 @@
 TABLE_LONGEST_US = 3_600_000_000
 WITNESS_EVERY_US = 300_000
 LARGE_WITNESS_EVERY_US = 600_000
+WITNESS_SHARE = 0.6
 WITNESS_WAIT_US = 500_000
 WORRY_US = 800_000
 log = logger(name="grant")
@@ -332,8 +333,17 @@
                 for name, m in sorted(self._swim.members.items())
                 if name in (keeper.roster or [name]) and m.info.status in (ALIVE, SUSPECT)
             }
-            for name, address in addresses.items():
-                self._ports.spawn(self._ask_witness(name=name, address=address))
+            for name in self._whom_to_ask(names=list(addresses)):
+                self._ports.spawn(self._ask_witness(name=name, address=addresses[name]))
+
+    def _whom_to_ask(self, *, names: list[str]) -> list[str]:
+        """All of them, or in a large fleet somewhat more than a majority, by lot: others
+        the next time. Whoever has forgotten asks all, for what they remember of it."""
+        keeper = self.keeper
+        if self._is_small or keeper.has_forgotten:
+            return names
+        enough = int(len(keeper.roster) * WITNESS_SHARE) + 1
+        return self._ports.rand.sample(names, min(enough, len(names)))
 
     async def _ask_witness(self, *, name: str, address: str) -> None:
         keeper = self.keeper
--- a/proof/hollow/fleet.py
+++ b/proof/hollow/fleet.py
@@ -369,7 +369,7 @@
     if not values:
         return (0.0, 0.0, 0.0)
     ordered = sorted(values)
-    return (statistics.median(ordered), ordered[int(0.99 * (len(ordered) - 1))], ordered[-1])
+    return (statistics.median(ordered), ordered[round(0.99 * (len(ordered) - 1))], ordered[-1])
 
 
 async def measure(*, fleet: HollowFleet) -> dict[str, Any]:
@@ -421,6 +421,8 @@
         row |= _busy_figures(fleet=fleet, before=before, us=world.now_us() - started_us)
     if options.zone_loss:
         row |= await _lose_zone(fleet=fleet)
+    if options.core_loss:
+        row |= await _lose_cores(fleet=fleet)
     if options.cut_s:
         row |= await _cut(fleet=fleet)
     row["false_alarms"] = len(fleet.false_alarms)
@@ -567,6 +569,33 @@
     return row
 
 
+async def _lose_cores(*, fleet: HollowFleet) -> dict[str, Any]:
+    """All cores at once, for a while: who serves on, and what that costs the edges."""
+    for name in fleet.cores:
+        fleet.processes[name].kill()
+    await fleet.sleep(us=2 * SECOND)
+    before, started_us = fleet.reading(), fleet.world.now_us()
+    least = fleet.options.nodes
+    for _ in range(2 * fleet.options.seconds):
+        await fleet.sleep(us=SECOND // 2)
+        least = min(least, fleet.ready_count())
+    rates = fleet.rates(before=before, us=fleet.world.now_us() - started_us)
+    edges = [rates[name] for name in fleet.edges if name in rates]
+    for n in range(fleet.options.cores):
+        await fleet._start_core(n=n)
+    at_us = fleet.world.now_us()
+    await fleet.wait_for(
+        what="grants again", us=60 * SECOND,
+        is_there=lambda: fleet.leader() != "" and fleet.ready_to_put(),
+    )
+    return {
+        "coreless_serving_least": least,
+        "coreless_edge_cpu": round(statistics.fmean(rate["cpu"] for rate in edges), 5),
+        "coreless_edge_bytes": round(statistics.fmean(rate["bytes"] for rate in edges)),
+        "coreless_again_s": round((fleet.world.now_us() - at_us) / 1e6, 3),
+    }
+
+
 async def _cut(*, fleet: HollowFleet) -> dict[str, Any]:
     """One region without the leader is cut off for a while: who serves there, can a
     change be made, and when has everybody it after the cut?"""
--- a/proof/hollow/options.py
+++ b/proof/hollow/options.py
@@ -26,6 +26,7 @@
     failures: int = 0
     seed: int = 1
     zone_loss: bool = False
+    core_loss: bool = False
     cut_s: int = 0
     shards: int = 0
     queries: int = 0
--- a/proof/main.py
+++ b/proof/main.py
@@ -245,6 +245,7 @@
     changes: int = typer.Option(900, help="Changes of configuration an hour."),
     failures: int = typer.Option(720, help="Nodes killed an hour, each for 8 s."),
     zone_loss: bool = typer.Option(False, help="Then kill one whole zone for 19 s."),
+    core_loss: bool = typer.Option(False, help="Then kill all cores, for as long."),
     cut: int = typer.Option(0, help="Then cut one region off for so many seconds."),
     shards: int = typer.Option(0, help="Shards of a search, with two backends each."),
     queries: int = typer.Option(0, help="Searches a second over all shards, after the quiet."),
@@ -262,7 +263,7 @@
         Options(
             nodes=count, cores=cores, zones=zones, regions=regions, backends=backends,
             routes=routes, seconds=seconds, changes=changes, failures=failures, seed=seed,
-            zone_loss=zone_loss, cut_s=cut, shards=shards, queries=queries,
+            zone_loss=zone_loss, core_loss=core_loss, cut_s=cut, shards=shards, queries=queries,
         )
         for count in counts
     ]
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -317,6 +317,20 @@
         run_fleet(story, nodes=24, cores=3)
 
 
+    def test_all_cores_are_lost_and_everybody_serves_on(self) -> None:
+        """A majority by lot vouches, asked more often than its word lasts."""
+        async def story(fleet: HollowFleet) -> None:
+            for name in fleet.cores:
+                fleet.processes[name].kill()
+            least = 30
+            for _ in range(100):
+                await fleet.sleep(us=100_000)
+                least = min(least, fleet.ready_count())
+            self.assertEqual(30, least)
+
+        run_fleet(story, nodes=30)
+
+
 class Refusals(unittest.TestCase):
     def refused(self, *words: str) -> str:
         result = CliRunner().invoke(app, ["hollow", *words])
