--- a/kelpstage/edge/forward/sealed.py
+++ b/kelpstage/edge/forward/sealed.py
@@ -67,16 +67,21 @@
             body=request.body,
             wait_us=ask.wait_us,
             line_limit=ask.line_limit,
+            is_answer=lambda reply: self._is_to(reply=reply, request_id=request.request_id),
         )
 
+    def _is_to(self, *, reply: HttpReply, request_id: str) -> bool:
+        """Does the answer belong to this request? A late, second one to another may stand
+        where this one's is due: it is passed over, and the connection ends after."""
+        return reply.headers.get(self._request_id, request_id) == request_id
+
     def _refused(self, *, reply: HttpReply, backend: str, request_id: str) -> Any:
         """Why the answer is none to this request, or says that it did not run."""
         if reply.status == NOT_RUN_STATUS:
             return NotRun(backend=backend, answer=reply.status, why="another instance")
         if self._not_run in reply.headers:
             return NotRun(backend=backend, answer=reply.status, why="turned away")
-        given = reply.headers.get(self._request_id)
-        if given is not None and given != request_id:
+        if not self._is_to(reply=reply, request_id=request_id):
             return BadReply(backend=backend, part="request", why="an answer to another request")
         if reply.headers.get("content-encoding", "identity") != "identity":
             return BadReply(backend=backend, part="encoding", why=reply.headers["content-encoding"])
--- a/kelpstage/edge/web/forward.py
+++ b/kelpstage/edge/web/forward.py
@@ -91,7 +91,20 @@
     edge.ports.point("edge.before_verdict")
     if isinstance(outcome, Verdict):
         return success_reply(verdict=outcome, edge=edge)
-    return failure_reply(failure=outcome, has_run=record.has_run, edge=edge)
+    return failure_reply(failure=outcome, has_run=may_have_run(record=record), edge=edge)
+
+
+def may_have_run(*, record: Gathering) -> bool:
+    """May a backend have run this request, or any part of it?
+
+    >>> record = Gathering(key=1, kind=ROOT, collection="c", arrived_us=0, due_us=9)
+    >>> may_have_run(record=record)
+    False
+    >>> record.parts["s"] = None
+    >>> may_have_run(record=record)
+    True
+    """
+    return record.has_run or bool(record.parts) or any(kid.is_sent for kid in record.kids)
 
 
 def success_reply(*, verdict: Verdict, edge: "Edge") -> HttpReply:
--- /dev/null
+++ b/tests/test_forward.py
@@ -0,0 +1,194 @@
+"""Forwarded requests: what goes on, what an answer is worth, trees inside zones, statuses."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from types import SimpleNamespace
+
+from kelpstage.base.defects import (
+    BackendFailed,
+    BadReply,
+    ConnectRefused,
+    LineLost,
+    NoBackend,
+    NotRun,
+    QuorumNotMet,
+    UnknownRoute,
+    WaitOver,
+)
+from kelpstage.base.ports.types import HttpCall, HttpReply
+from kelpstage.edge.forward.names import HeaderNames
+from kelpstage.edge.forward.request import read_request
+from kelpstage.edge.forward.sealed import SealedCodec, WholeReply
+from kelpstage.edge.gather.order import ByteOrder, lowest_cut
+from kelpstage.edge.gather.passes.merge import surely_not_run
+from kelpstage.edge.gather.tree import Branch, grow_by_zone
+from kelpstage.edge.rounds.shed import IN_FLIGHT_AT_MOST, may_enter
+from kelpstage.edge.web.forward import failure_reply
+
+NAMES = HeaderNames()
+
+
+def reply(*, status: int = 200, request: str = "r-1", seal: str = "a.1", **fields) -> HttpReply:
+    headers = {"kelp-request-id": request, "kelp-seal": seal, **fields.pop("headers", {})}
+    return HttpReply(status=status, headers=headers, **fields)
+
+
+class RequestTest(unittest.TestCase):
+    def test_end_to_end_headers_go_along_in_order_and_case(self):
+        call = HttpCall(
+            method="GET",
+            url="/a/b%2f?x=1&x=2",
+            headers={"host": "h", "kelp-request-id": "r-1"},
+            raw_headers=(
+                ("Host", "h"), ("X-Odd", "1"), ("Connection", "keep-alive, X-Hop"), ("X-Hop", "2"),
+                ("Kelp-Request-Id", "r-1"), ("Kelp-Deadline-Ms", "50"), ("Content-Length", "3"),
+                ("X-odd", "3"),
+            ),
+            body=b"abc",
+        )
+        request = read_request(call=call, names=NAMES)
+        self.assertEqual(
+            request.headers,
+            (("Host", "h"), ("X-Odd", "1"), ("Kelp-Request-Id", "r-1"), ("X-odd", "3")),
+        )
+        self.assertEqual((request.target, request.body, request.host), ("/a/b%2f?x=1&x=2", b"abc", "h"))
+
+
+class SealedTest(unittest.TestCase):
+    def setUp(self):
+        self.codec = SealedCodec(names=NAMES)
+
+    def part(self, given: HttpReply):
+        return self.codec.read_part(reply=given, backend="i-1", shard="s", request_id="r-1")
+
+    def test_what_is_no_part(self):
+        for given, kind in (
+            (reply(request="r-2"), BadReply),
+            (reply(seal=""), BadReply),
+            (reply(seal="a,b"), BadReply),
+            (reply(headers={"content-encoding": "gzip"}), BadReply),
+            (reply(status=500), BackendFailed),
+            (reply(status=504), BackendFailed),
+            (reply(status=503, headers={"kelp-not-run": "1"}), NotRun),
+            (reply(status=429, headers={"kelp-not-run": "1"}), NotRun),
+            (reply(status=421), NotRun),
+        ):
+            with self.subTest(status=given.status, headers=given.headers):
+                self.assertIsInstance(self.part(given), kind)
+
+    def test_a_rest_of_fewer_than_16_bytes_is_no_record(self):
+        self.assertEqual(self.part(reply(body=b"x" * 47)).records, [b"x" * 16] * 2)
+
+    def test_a_503_that_does_not_say_so_has_run(self):
+        whole = self.codec.read_whole(reply=reply(status=503), backend="i-1", request_id="r-1")
+        self.assertIsInstance(whole, WholeReply)
+        self.assertFalse(whole.is_success)
+
+    def test_a_late_answer_to_another_request_is_passed_over(self):
+        request = SimpleNamespace(method="GET", target="/", request_id="r-1", headers=(), body=b"")
+        ask = SimpleNamespace(
+            record=SimpleNamespace(request=request), address="127.0.0.1:1", backend="i-1",
+            wait_us=9_000, line_limit=2,
+        )
+        call = self.codec.call(ask=ask)
+        self.assertTrue(call.is_answer(reply()))
+        self.assertTrue(call.is_answer(HttpReply(status=200)))
+        self.assertFalse(call.is_answer(reply(request="r-2")))
+        self.assertEqual(call.headers["Kelp-Expect-Instance"], "i-1")
+        self.assertEqual(call.headers["Kelp-Deadline-Ms"], "9")
+
+    def test_only_what_surely_did_not_run_may_be_sent_again_where_once_is_the_most(self):
+        for outcome, is_sure in (
+            (ConnectRefused(address="a"), True),
+            (NotRun(backend="i", answer=503, why="full"), True),
+            (LineLost(address="a", was_sent=False), True),
+            (LineLost(address="a"), False),
+            (WaitOver(address="a", after_us=1), False),
+            (BadReply(backend="i", part="seal", why="none"), False),
+            (BackendFailed(backend="i", answer=500), False),
+        ):
+            with self.subTest(outcome=outcome.kind):
+                self.assertEqual(surely_not_run(outcome=outcome), is_sure)
+
+
+class ZoneTreeTest(unittest.TestCase):
+    def test_every_shard_stands_once_and_the_tree_is_bounded(self):
+        rand = random.Random(3)
+        for _ in range(300):
+            zones = [f"z{n}" for n in range(rand.choice((1, 3, 6)))]
+            shards = [f"s{n}" for n in range(rand.choice((1, 5, 8, 12, 30, 45)))]
+            groups: dict[str, list[str]] = {}
+            for shard in shards:
+                groups.setdefault(rand.choice(zones), []).append(shard)
+            helpers = {
+                zone: [f"{zone}-{n}" for n in range(rand.randrange(16))] for zone in zones
+            }
+            tree = grow_by_zone(
+                root="r", zone="z0", groups=[(z, tuple(s)) for z, s in groups.items()],
+                helpers=helpers, fan_out=5,
+            )
+            self.assertEqual(sorted(shards), sorted(tree.all_shards()))
+            self.assertLessEqual(max(len(b.children) for b in walk(tree)), 8)
+
+    def test_what_is_asked_far_away_is_gathered_there(self):
+        tree = grow_by_zone(
+            root="r", zone="z0", fan_out=5,
+            groups=[("z0", ("a", "b", "c")), ("z1", ("d", "e")), ("z2", ("f",))],
+            helpers={"z0": ["n1", "n2"], "z1": ["m1"], "z2": []},
+        )
+        far = [child for child in tree.children if child.node == "m1"]
+        self.assertEqual([child.all_shards() for child in far], [("d", "e")])
+        near = {s for b in walk(tree) if b.node in ("r", "n1", "n2") for s in b.shards}
+        self.assertEqual(near, {"a", "b", "c", "f"})
+
+
+def walk(branch: Branch):
+    yield branch
+    for child in branch.children:
+        yield from walk(child)
+
+
+class ByteOrderTest(unittest.TestCase):
+    def test_cuts_on_the_way_up_never_change_the_body(self):
+        rand = random.Random(11)
+        for _ in range(200):
+            limit = rand.choice((1, 5, 10, 50))
+            parts = [
+                [bytes(rand.choices(range(4), k=16)) for _ in range(rand.randrange(150))]
+                for _ in range(rand.choice((1, 3, 8)))
+            ]
+            runs = [ByteOrder.sort_and_cut(records=p, cut=lowest_cut(limit=limit)) for p in parts]
+            split = rand.randrange(len(runs) + 1)
+            far = ByteOrder.merge(runs=runs[:split], limit=limit)
+            near = ByteOrder.merge(runs=runs[split:], limit=lowest_cut(limit=limit))
+            carried = ByteOrder.unpack(data=ByteOrder.pack(records=far))
+            got = ByteOrder.merge(runs=[carried, near], limit=limit)
+            self.assertEqual(got, sorted((r for p in parts for r in p), reverse=True)[:limit])
+
+
+class StatusTest(unittest.TestCase):
+    def status(self, failure, has_run=False):
+        edge = SimpleNamespace(is_leaving=False, counts={f"refused_{failure.kind}": 0})
+        given = failure_reply(failure=failure, has_run=has_run, edge=edge)
+        return given.status, given.headers.get("Retry-After")
+
+    def test_503_only_for_what_has_not_run(self):
+        failure = NoBackend(shard="s", why="none")
+        self.assertEqual(self.status(failure)[0], 503)
+        self.assertIsNotNone(self.status(failure)[1])
+        self.assertEqual(self.status(failure, has_run=True), (502, None))
+        short = QuorumNotMet(collection="c", blueprint=1, shards_in=1, quorum=2)
+        self.assertEqual(self.status(short, has_run=True), (502, None))
+        self.assertEqual(self.status(UnknownRoute(host="h", path="/"))[0], 404)
+
+
+class ShedTest(unittest.TestCase):
+    def test_the_lowest_rank_goes_first(self):
+        taken = [
+            next(n for n in range(IN_FLIGHT_AT_MOST + 1) if not may_enter(in_flight=n, rank=rank))
+            for rank in (0, 1, 2, 3, 9)
+        ]
+        self.assertEqual(taken, sorted(taken, reverse=True))
+        self.assertEqual(taken[0], IN_FLIGHT_AT_MOST)
