--- a/kelpstage/edge/gossip/swim.py
+++ b/kelpstage/edge/gossip/swim.py
@@ -501,6 +501,8 @@
             return
         known = self.members.get(info.name)
         if known is None:
+            if info.status in (DEAD, LEAVING) and not is_direct:
+                return  # else the dead would be told round for ever
             self.members[info.name] = Member(
                 info=info, since_us=now_us, packed=packed, seen_beat=info.beat, seen_us=now_us,
                 heard_us=now_us,
--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -280,15 +280,21 @@
 
     async def _table_loop(self) -> None:
         """While fewer edges are known than are on the roster, ask one that is known for
-        its whole table; rarely, if that brings nothing: some may be gone for good."""
-        wait_us = TABLE_US
+        its whole table; rarely, if that brings nothing: some may be gone for good. Soon
+        again, once others have turned up by another way, as after a cut."""
+        clock, wait_us, asked_us, known = self._ports.clock, TABLE_US, 0, 0
         while True:
-            await self._ports.clock.sleep(us=wait_us)
-            if self._is_small or self._swim.told_count() >= len(self.keeper.roster):
+            await clock.sleep(us=TABLE_US)
+            if known < self._swim.told_count():
                 wait_us = TABLE_US
+            known = self._swim.told_count()
+            if self._is_small or known >= len(self.keeper.roster):
                 continue
-            count = await self._ask_table()
-            wait_us = TABLE_US if count else min(2 * wait_us, TABLE_LONGEST_US)
+            if clock.now_us() - asked_us < wait_us:
+                continue
+            asked_us = clock.now_us()
+            if not await self._ask_table():
+                wait_us = min(2 * wait_us, TABLE_LONGEST_US)
 
     async def _ask_table(self) -> int:
         partners = [m for m in self._swim.members.values() if m.info.status == ALIVE]
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -16,13 +16,14 @@
 from kelpstage.base.wire.lines import IDLE_LOOK_US, IDLE_US
 from kelpstage.base.wire.messages import EdgeContact, MemberMsg
 from kelpstage.core.grants.ledger import Ledger
-from kelpstage.edge.gossip.swim import ALIVE, PING, SUSPECT, TICK_US, Swim
+from kelpstage.edge.gossip.swim import ALIVE, DEAD, PING, SUSPECT, TICK_US, Swim
 from kelpstage.edge.grant.task import LARGE_RENEW_WAIT_US, renew_period_us
 from proof.hollow.fleet import SECOND, HollowFleet, HollowStuck, document
 from proof.hollow.options import Options, check
 from proof.hollow.report import write_csv
 from proof.hollow.world import HollowWorld, metered_loop
 from proof.main import app
+from proof.measure.choices import constants_set
 from proof.sim.loop import VirtualLoop
 
 DATAGRAM_MOST = 1_400
@@ -160,6 +161,12 @@
         self.assertEqual(before, swim.live())
 
 
+    def test_the_dead_are_not_told_round_for_ever(self) -> None:
+        """Who had forgotten a dead member used to take it over again from who had not."""
+        swim = swim_of(n=0, count=3)
+        swim.take_table(table=[bytes(member(n=9, status=DEAD))], now_us=TICK_US)
+        self.assertNotIn("node-0009", swim.members)
+
     def test_the_newest_news_is_told_first(self) -> None:
         """A loss used to wait behind the news of a whole fleet's start."""
         swim = swim_of(n=0, count=60)
@@ -305,6 +312,29 @@
 
         run_fleet(story, nodes=12, cores=3)
 
+    def test_two_sides_that_forgot_each_other_meet_again(self) -> None:
+        """A cut that outlasts what gossip keeps of the dead: an hour's, made short."""
+        async def story(fleet: HollowFleet) -> None:
+            inside = fleet.cut_region(region="r2")
+            await fleet.sleep(us=75 * SECOND)
+            outside = set(fleet.edges) - set(inside)
+            for name in fleet.edges:
+                others = outside if name in inside else set(inside)
+                self.assertFalse(others & set(fleet.edges[name].swim.members))
+            self.assertEqual(len(outside), fleet.ready_count(), "a region alone serves nothing")
+            self.assertTrue(await fleet.put())
+            fleet.world.heal()
+            await fleet.wait_for(
+                what="everybody known to everybody again", us=15 * SECOND,
+                is_there=lambda: min(len(e.swim.live()) for e in fleet.edges.values()) == 24,
+            )
+            self.assertEqual(24, fleet.ready_count())
+            versions = {edge.keeper.blueprint.version for edge in fleet.edges.values()}
+            self.assertEqual({fleet.version}, versions)
+
+        with constants_set(constants={"kelpstage.edge.gossip.swim:FORGET_US": 15 * SECOND}):
+            run_fleet(story, nodes=24)
+
     def test_the_leader_is_lost_and_nobody_stops_serving(self) -> None:
         async def story(fleet: HollowFleet) -> None:
             fleet.processes[fleet.leader()].freeze()
