Rounds of confirmation: a round that breaks off does not end them for good

Found by reading: an exception in a round would have left the mark that one is under way, and no edge would have been granted anything by this leader again. The mark now goes with the rounds, whatever ends them.

--- a/kelpstage/core/grants/desk.py
+++ b/kelpstage/core/grants/desk.py
@@ -199,15 +199,20 @@
         return await asyncio.shield(asked)
 
     async def _confirm_rounds(self) -> None:
+        try:
+            while self._queued_confirm is not None:
+                asked, self._queued_confirm = self._queued_confirm, None
+                began_us = self._ports.clock.now_us()
+                asked.set_result(await self._task.confirm(wait_us=CONFIRM_US))
+                await self._pause_confirming(began_us=began_us)
+        finally:
+            self._is_confirming = False
+
+    async def _pause_confirming(self, *, began_us: int) -> None:
         clock = self._ports.clock
-        while self._queued_confirm is not None:
-            asked, self._queued_confirm = self._queued_confirm, None
-            began_us = clock.now_us()
-            asked.set_result(await self._task.confirm(wait_us=CONFIRM_US))
-            left_us = began_us + CONFIRM_GAP_US - clock.now_us()
-            if left_us > 0 and len(self._task.machine.state.roster) > RELAYED_FROM:
-                await clock.sleep(us=left_us)
-        self._is_confirming = False
+        left_us = began_us + CONFIRM_GAP_US - clock.now_us()
+        if left_us > 0 and len(self._task.machine.state.roster) > RELAYED_FROM:
+            await clock.sleep(us=left_us)
 
     def _begin_join(self, *, edge: str) -> None:
         self._joining[edge] = None
