A large fleet's start: fewer contacts told, tables from near, a few asked for a first state

Fleets up to 20 edges are as before.

Tests: hollow (23), the serving while cut off and vouching of the simulated fleets, callers' input: pass.

--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -47,6 +47,7 @@
 NO_PLACE_US = 250_000
 CONTACT_KEPT_US = 30_000_000
 CONTACTS_TOLD = 20
+SOME_CONTACTS = 8  # of more than that
 OPERATOR_BODY_LIMIT = 4 * 1024 * 1024 + 1024
 log = logger(name="core")
 
@@ -304,7 +305,7 @@
         partners = self.partners()
         if len(partners) <= CONTACTS_TOLD:
             return partners
-        return self.ports.rand.sample(partners, CONTACTS_TOLD)
+        return self.ports.rand.sample(partners, SOME_CONTACTS)
 
     def core_addresses(self) -> list[str]:
         return [m.address for m in self.task.raft.members.current] if self.task else []
--- a/kelpstage/core/grants/desk.py
+++ b/kelpstage/core/grants/desk.py
@@ -27,6 +27,7 @@
 RELAYED_FROM = 20  # edges; fewer than that are told directly
 ANNOUNCE_AGAIN_US = 250_000
 CONTACTS_TOLD = 32
+LARGE_CONTACTS_TOLD = 8  # edges learn the rest from each other's tables
 CONFIRM_US = 1_000_000
 CONFIRM_GAP_US = 50_000  # between the beginnings of two rounds, on rosters above that
 SETTLE_LOOK_US = 50_000
@@ -165,7 +166,8 @@
         is_on_roster = ask.edge in state.roster
         ledger.note_cores(cores=[member.address for member in task.raft.members.current])
         partners, cores = ledger.news_for(
-            known=ask.known, now_us=now_us, limit=CONTACTS_TOLD
+            known=ask.known, now_us=now_us,
+            limit=CONTACTS_TOLD if ledger.count() <= RELAYED_FROM else LARGE_CONTACTS_TOLD,
         )
         reply = GrantReply(
             is_granted=is_on_roster,
--- a/kelpstage/core/grants/ledger.py
+++ b/kelpstage/core/grants/ledger.py
@@ -144,6 +144,10 @@
             self._changes += 1
             self._cores, self._cores_changed_at = list(cores), self._changes
 
+    def count(self) -> int:
+        """Edges that were ever heard of."""
+        return len(self._holders)
+
     def mark(self) -> int:
         """Stands for the contacts and cores as they are now, in this ledger."""
         return self._era() | self._changes
--- a/kelpstage/edge/gossip/swim.py
+++ b/kelpstage/edge/gossip/swim.py
@@ -465,6 +465,12 @@
         del self._probes[message.number]
         return []
 
+    def some_partner(self) -> str | None:
+        """One that is alive, mostly in the own region."""
+        near = [name for name in self._list(key="near") if name not in self._odd]
+        names = near if near and self.rand.randrange(FAR_EVERY) else self._list(key="alive")
+        return self.rand.choice(names) if names else None
+
     def told_count(self) -> int:
         """Edges of which more than the address is known, this one among them."""
         return len(self._list(key="told")) + 1
--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -53,6 +53,7 @@
 WITNESS_EVERY_US = 300_000
 LARGE_WITNESS_EVERY_US = 600_000
 WITNESS_SHARE = 0.6
+FIRST_WITNESSES = 6
 WITNESS_WAIT_US = 500_000
 WORRY_US = 800_000
 log = logger(name="grant")
@@ -297,10 +298,10 @@
                 wait_us = min(2 * wait_us, TABLE_LONGEST_US)
 
     async def _ask_table(self) -> int:
-        partners = [m for m in self._swim.members.values() if m.info.status == ALIVE]
-        if not partners:
+        partner = self._swim.some_partner()
+        if partner is None:
             return 0
-        address = self._ports.rand.choice(partners).info.address
+        address = self._swim.members[partner].info.address
         message = AskMembers(cluster=self.keeper.cluster)
         reply = await self._lines.call(address=address, message=message, wait_us=RENEW_WAIT_US)
         if not isinstance(reply, Members) or reply.cluster != self.keeper.cluster:
@@ -344,8 +345,11 @@
 
     def _whom_to_ask(self, *, names: list[str]) -> list[str]:
         """All of them, or in a large fleet somewhat more than a majority, by lot: others
-        the next time. Whoever has forgotten asks all, for what they remember of it."""
+        the next time. Whoever has forgotten asks all, for what they remember of it; but
+        as long as it has no state either, a few, for that."""
         keeper = self.keeper
+        if keeper.has_forgotten and not keeper.roster and len(names) > SMALL_COUNT:
+            return self._ports.rand.sample(names, FIRST_WITNESSES)
         if self._is_small or keeper.has_forgotten:
             return names
         enough = int(len(keeper.roster) * WITNESS_SHARE) + 1
