--- a/kelpstage/base/http/head.py
+++ b/kelpstage/base/http/head.py
@@ -8,8 +8,17 @@
 
 # What this transport sets by itself, or what concerns one connection only.
 OWN_HEADERS = frozenset(
-    "connection content-length expect keep-alive proxy-connection te trailer transfer-encoding"
-    " upgrade".split()
+    [
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    ]
 )
 REASONS = {status.value: status.phrase for status in HTTPStatus}
 
--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -16,7 +16,6 @@
 
 from kelpstage.base.wire.codec import Message
 
-
 # --- shared pieces -------------------------------------------------------------
 
 
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -35,11 +35,11 @@
 )
 from kelpstage.core.grants.desk import Desk
 from kelpstage.core.handlers import handle
-from kelpstage.core.web.operators import serve_operators
 from kelpstage.core.raft import types as raft
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.store.records import DiskIdentity
 from kelpstage.core.store.store import Recovered, Store
+from kelpstage.core.web.operators import serve_operators
 
 LOOK_US = 300_000
 PLACE_LOOK_US = 100_000  # while this core belongs to no cluster
--- a/kelpstage/core/grants/desk.py
+++ b/kelpstage/core/grants/desk.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any, Callable
+from typing import Callable
 
 from tornado.locks import Condition, Lock
 
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -24,11 +24,12 @@
     VoteReply,
 )
 from kelpstage.core.raft.log import MemoryLog
+from kelpstage.core.raft.members import MemberList, write_members
 from kelpstage.core.raft.types import (
     CANDIDATE,
-    MEMBERSHIP,
     FOLLOWER,
     LEADER,
+    MEMBERSHIP,
     NOOP,
     PROSPECT,
     AskRead,
@@ -37,8 +38,8 @@
     Commit,
     FetchOffered,
     HandOver,
-    KeepCapture,
     Heard,
+    KeepCapture,
     LearnerAsks,
     NotLeader,
     Pace,
@@ -53,7 +54,6 @@
     Synced,
     Tick,
 )
-from kelpstage.core.raft.members import MemberList, write_members
 
 SILENT_US = 2_500_000
 FIRST_STAND_US = 250_000
--- a/kelpstage/edge/backend/choose.py
+++ b/kelpstage/edge/backend/choose.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 import random
-from math import log
 from dataclasses import dataclass
+from math import log
 
 from kelpstage.base.blueprint.types import Blueprint
 from kelpstage.edge.backend.book import DARK_KEPT_US, DARK_VOICES, Book, Entry
--- a/kelpstage/edge/backend/life.py
+++ b/kelpstage/edge/backend/life.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from typing import Iterable
 
 from kelpstage.base.wire.messages import LifeMsg
--- a/kelpstage/edge/gather/messages.py
+++ b/kelpstage/edge/gather/messages.py
@@ -8,7 +8,6 @@
 from kelpstage.base.defects import Defect
 from kelpstage.edge.gather.record import Gathering
 
-
 # --- events ---------------------------------------------------------------------
 
 
--- a/kelpstage/edge/gather/passes/merge.py
+++ b/kelpstage/edge/gather/passes/merge.py
@@ -9,8 +9,8 @@
 from kelpstage.base.wire.messages import Gathered, PartMsg
 from kelpstage.edge.backend.reply import SealedPart
 from kelpstage.edge.events import BadPart, PartnerEnded, RoundEnded
-from kelpstage.edge.gather.messages import BackendSaid, KidReply, KidSaid, WantState
 from kelpstage.edge.forward.sealed import WholeReply
+from kelpstage.edge.gather.messages import BackendSaid, KidReply, KidSaid, WantState
 from kelpstage.edge.gather.order import lowest_cut
 from kelpstage.edge.gather.passes.admit import end, note_again
 from kelpstage.edge.gather.record import (
--- a/kelpstage/edge/gather/task.py
+++ b/kelpstage/edge/gather/task.py
@@ -13,12 +13,12 @@
 from kelpstage.base.wire import frames
 from kelpstage.base.wire.lines import Lines
 from kelpstage.base.wire.messages import BranchMsg, Gather, Gathered
-from kelpstage.edge.backend.book import DRAINING, GONE
 from kelpstage.edge.backend import evidence
+from kelpstage.edge.backend.book import DRAINING, GONE
 from kelpstage.edge.backend.reply import SealedPart, read_reply
+from kelpstage.edge.events import Began, Ended
 from kelpstage.edge.forward.request import ClientRequest, pack_headers, unpack_headers
 from kelpstage.edge.forward.sealed import SealedCodec, WholeReply
-from kelpstage.edge.events import Began, Ended
 from kelpstage.edge.gather.messages import (
     Arrived,
     AskBackend,
@@ -26,10 +26,10 @@
     BackendSaid,
     BlueprintMoved,
     ClockEvent,
-    PartlySettled,
-    Resumed,
     KidReply,
     KidSaid,
+    PartlySettled,
+    Resumed,
     Settled,
     Verdict,
     WantState,
--- a/kelpstage/edge/web/callers.py
+++ b/kelpstage/edge/web/callers.py
@@ -229,9 +229,12 @@
     """
     out: dict[str, Any] = {}
     for name, given in parse_qsl(query, keep_blank_values=True):
-        if name == "only" and given in ("failed", "partial"):
-            out[name] = given
-        elif name == "collection" and re.fullmatch(NAME, given):
+        if (
+            name == "only"
+            and given in ("failed", "partial")
+            or name == "collection"
+            and re.fullmatch(NAME, given)
+        ):
             out[name] = given
         elif name in ("limit", "slower_than_us") and re.fullmatch(r"[1-9][0-9]{0,8}", given):
             out[name] = int(given)
--- a/kelpstage/edge/web/forward.py
+++ b/kelpstage/edge/web/forward.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 from kelpstage.base.blueprint.types import ForwardRoute
 from kelpstage.base.defects import (
--- a/proof/hollow/load.py
+++ b/proof/hollow/load.py
@@ -75,7 +75,7 @@
                 body_limit=65_536,
             )
 
-    def _server(self, *, instance: str):  # noqa: ANN202
+    def _server(self, *, instance: str):
         rand = random.Random(instance)
         ports = self.fleet.outside.ports
 
--- a/proof/main.py
+++ b/proof/main.py
@@ -19,8 +19,8 @@
 from proof.hollow.fleet import run_hollow
 from proof.hollow.options import Options, check, memory_of_machine
 from proof.measure.choices import CHOICES, run_variant, summarize
-from proof.platform.main import app as platform_app
 from proof.measure.http import measure_http
+from proof.platform.main import app as platform_app
 from proof.sim.faults import FAULTS
 from proof.sim.figures import figures, summary
 from proof.sim.story import Planned, as_text, plan_combination, run_plan
--- a/proof/platform/cloud.py
+++ b/proof/platform/cloud.py
@@ -9,7 +9,7 @@
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from proof.platform.backends import Park
 from proof.platform.history import Day, Shown
-from proof.platform.net import HttpLine, PlatformWorld, WHOLE
+from proof.platform.net import WHOLE, HttpLine, PlatformWorld
 
 PAGE = 50
 SECOND_US = 1_000_000
--- a/proof/sim/loop.py
+++ b/proof/sim/loop.py
@@ -17,22 +17,22 @@
         self.jump = lambda seconds: None
         self._keys: dict = {}
 
-    def register(self, fileobj, events, data=None):  # noqa: ANN001, ANN201
+    def register(self, fileobj, events, data=None):
         key = selectors.SelectorKey(fileobj, 0, events, data)
         self._keys[fileobj] = key
         return key
 
-    def unregister(self, fileobj):  # noqa: ANN001, ANN201
+    def unregister(self, fileobj):
         return self._keys.pop(fileobj)
 
-    def select(self, timeout=None):  # noqa: ANN001, ANN201
+    def select(self, timeout=None):
         if timeout is None:
             raise NothingLeft()
         if timeout > 0:
             self.jump(timeout)
         return []
 
-    def get_map(self):  # noqa: ANN201
+    def get_map(self):
         return self._keys
 
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -22,7 +22,7 @@
 from kelpstage.edge.backend.book import DARK, DRAINING, GONE, UP, Book
 from kelpstage.edge.backend.choose import Option, options
 from kelpstage.edge.backend.life import Life
-from kelpstage.edge.backend.lists import ListTask, OwnList, rank_key
+from kelpstage.edge.backend.lists import ListTask, OwnList
 from kelpstage.edge.backend.places import Places
 from kelpstage.edge.backend.roll import Roll
 from kelpstage.edge.backend.suspects import SuspectTask
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -7,8 +7,8 @@
 import unittest
 
 from kelpstage.base.blueprint.check import read_blueprint
-from kelpstage.base.journal import Journal
 from kelpstage.base.blueprint.types import Blueprint
+from kelpstage.base.journal import Journal
 from kelpstage.base.wire.messages import (
     Gathered,
     MemberMsg,
