--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -108,7 +108,7 @@
 
 
 @dataclass
-class CaptureOffer(Message):
+class InstallSnapshot(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
@@ -182,7 +182,7 @@
 
 
 @dataclass
-class FetchCapture(Message):
+class FetchSnapshot(Message):
     cluster: str = bp.string_field(1)
     index: int = bp.uint64_field(2)
     offset: int = bp.uint64_field(3)
@@ -196,7 +196,7 @@
 
 @dataclass
 class Chunk(Message):
-    """A piece of a capture or a state; `mark` is its index or epoch."""
+    """A piece of a snapshot or a state; `mark` is its index or epoch."""
 
     is_found: bool = bp.bool_field(1)
     mark: int = bp.uint64_field(2)
@@ -462,7 +462,7 @@
     2: VoteReply,
     3: Append,
     4: AppendReply,
-    5: CaptureOffer,
+    5: InstallSnapshot,
     6: TimeoutNow,
     10: SeedProbe,
     11: SeedState,
@@ -470,7 +470,7 @@
     14: Done,
     15: ProxyOperator,
     16: ProxyOperatorReply,
-    17: FetchCapture,
+    17: FetchSnapshot,
     18: FetchState,
     19: Chunk,
     30: Meet,
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -30,7 +30,7 @@
     FOUNDING_TERM,
     Join,
     Wait,
-    founding_capture,
+    founding_snapshot,
     judge_seeds,
 )
 from kelpstage.core.grants.desk import Desk
@@ -237,9 +237,9 @@
         return await self._begin(cluster=cluster, members=step.members)
 
     async def _begin(self, *, cluster: str, members: list[CoreMember]) -> Defect | None:
-        """Write the founding capture, then the identity that makes it count."""
-        defect = await self.store.keep_capture(
-            capture=founding_capture(cluster=cluster, members=members),
+        """Write the founding snapshot, then the identity that makes it count."""
+        defect = await self.store.keep_snapshot(
+            snapshot=founding_snapshot(cluster=cluster, members=members),
             tail=[],
             term=FOUNDING_TERM,
             vote="",
--- a/kelpstage/core/events.py
+++ b/kelpstage/core/events.py
@@ -52,7 +52,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class CaptureKept(Event):
+class SnapshotKept(Event):
     index: int
 
 
--- a/kelpstage/core/founding.py
+++ b/kelpstage/core/founding.py
@@ -19,7 +19,7 @@
 from kelpstage.base.defects import Defect
 from kelpstage.base.wire.messages import CoreMember, SeedState
 from kelpstage.core.state.machine import CoreState
-from kelpstage.core.store.records import DiskCapture
+from kelpstage.core.store.records import DiskSnapshot
 
 FOUNDING_INDEX = 1
 FOUNDING_TERM = 1
@@ -89,13 +89,13 @@
     )
 
 
-def founding_capture(*, cluster: str, members: list[CoreMember]) -> DiskCapture:
+def founding_snapshot(*, cluster: str, members: list[CoreMember]) -> DiskSnapshot:
     """What every founding replica begins with.
 
-    >>> founding_capture(cluster="c", members=[]).index
+    >>> founding_snapshot(cluster="c", members=[]).index
     1
     """
-    return DiskCapture(
+    return DiskSnapshot(
         index=FOUNDING_INDEX,
         term=FOUNDING_TERM,
         members=sorted(members, key=lambda m: m.replica),
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -12,12 +12,12 @@
     Append,
     AppendReply,
     AskVote,
-    CaptureOffer,
     Chunk,
     Done,
-    FetchCapture,
+    FetchSnapshot,
     FetchState,
     GrantReply,
+    InstallSnapshot,
     JoinCore,
     Meet,
     MeetReply,
@@ -45,7 +45,7 @@
         core.task.heard(message=message)
 
 
-for kind in (AskVote, VoteReply, Append, AppendReply, CaptureOffer, TimeoutNow):
+for kind in (AskVote, VoteReply, Append, AppendReply, InstallSnapshot, TimeoutNow):
     handle.register(kind, _raft)
 
 
@@ -70,10 +70,10 @@
 
 
 @handle.register
-async def _(message: FetchCapture, core: Any, source: str) -> Chunk:
+async def _(message: FetchSnapshot, core: Any, source: str) -> Chunk:
     if core.task is None:
         return Chunk(is_found=False)
-    return core.task.capture_chunk(ask=message)
+    return core.task.snapshot_chunk(ask=message)
 
 
 @handle.register
--- a/kelpstage/core/main.py
+++ b/kelpstage/core/main.py
@@ -22,7 +22,7 @@
     seed: Optional[List[str]] = typer.Option(
         None, help="IP:port of a core; give it three times. Founding needs all three."
     ),
-    data: Optional[str] = typer.Option(None, help="Folder for the log, captures and identity."),
+    data: Optional[str] = typer.Option(None, help="Folder for the log, snapshots and identity."),
 ) -> None:
     """Run a core: it keeps blueprints, the edge roster and grants in a replicated log."""
 
--- a/kelpstage/core/raft/log.py
+++ b/kelpstage/core/raft/log.py
@@ -1,4 +1,4 @@
-"""The log as a replica holds it in memory: entries behind a capture."""
+"""The log as a replica holds it in memory: entries behind a snapshot."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 
 
 class MemoryLog:
-    """Entries `first..last`; what is before `first` is in a capture.
+    """Entries `first..last`; what is before `first` is in a snapshot.
 
     >>> log = MemoryLog(base_index=0, base_term=0)
     >>> log.add(LogEntry(index=1, term=1)); log.last_index, log.term_at(index=1)
@@ -61,7 +61,7 @@
         return out
 
     def compact(self, *, index: int) -> None:
-        """Forget the entries up to `index`: a capture has them."""
+        """Forget the entries up to `index`: a snapshot has them."""
         term = self.term_at(index=index)
         if term is None or index <= self.base_index:
             return
--- a/kelpstage/core/raft/members.py
+++ b/kelpstage/core/raft/members.py
@@ -71,7 +71,7 @@
         self._steps = [self._steps[0]] + [s for s in self._steps[1:] if s[0] < index]
 
     def rebase(self, *, index: int) -> None:
-        """A capture holds everything up to `index`."""
+        """A snapshot holds everything up to `index`."""
         members = self.at(index=index)
         self._steps = [(index, members)] + [s for s in self._steps if s[0] > index]
 
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -17,8 +17,8 @@
     Append,
     AppendReply,
     AskVote,
-    CaptureOffer,
     CoreMember,
+    InstallSnapshot,
     LogEntry,
     TimeoutNow,
     VoteReply,
@@ -33,13 +33,11 @@
     NOOP,
     PROSPECT,
     AskRead,
-    CaptureFetched,
-    CaptureTaken,
     Commit,
     FetchOffered,
     HandOver,
     Heard,
-    KeepCapture,
+    KeepSnapshot,
     LearnerAsks,
     NotLeader,
     Pace,
@@ -51,6 +49,8 @@
     Removed,
     RoleChanged,
     Send,
+    SnapshotFetched,
+    SnapshotTaken,
     Synced,
     Tick,
 )
@@ -219,12 +219,12 @@
         self._try_handover()
 
     @_on.register
-    def _(self, event: CaptureTaken) -> None:
+    def _(self, event: SnapshotTaken) -> None:
         self.members.rebase(index=event.index)
         self.log.compact(index=event.index)
 
     @_on.register
-    def _(self, event: CaptureFetched) -> None:
+    def _(self, event: SnapshotFetched) -> None:
         if event.index <= self.commit:
             return
         self.log = MemoryLog(base_index=event.index, base_term=event.term)
@@ -234,7 +234,7 @@
         self.durable = min(self.durable, self.commit)
         self._number += 1
         self._unsynced.append((self._number, event.index, self._now))
-        self._emit(KeepCapture(number=self._number, term=self.term, vote=self.vote))
+        self._emit(KeepSnapshot(number=self._number, term=self.term, vote=self.vote))
         self._note_membership()
         leader = self.members.get(replica=event.leader)
         if leader is not None:
@@ -498,7 +498,7 @@
         prev = follow.next_index - 1
         prev_term = self.log.term_at(index=prev)
         if prev_term is None:
-            self._offer_capture(name=name, follow=follow)
+            self._offer_snapshot(name=name, follow=follow)
             return
         entries: list[LogEntry] = []
         if has_entries and follow.next_index <= self.log.last_index:
@@ -523,10 +523,10 @@
             ),
         )
 
-    def _offer_capture(self, *, name: str, follow: Follow) -> None:
+    def _offer_snapshot(self, *, name: str, follow: Follow) -> None:
         self._send(
             to=name,
-            message=CaptureOffer(
+            message=InstallSnapshot(
                 cluster=self.cluster,
                 sender=self.me,
                 to=name,
@@ -771,7 +771,7 @@
         self._send(to=to, message=reply, is_promise=True)
 
     @_on.register
-    def _(self, offer: CaptureOffer) -> None:
+    def _(self, offer: InstallSnapshot) -> None:
         if not self._accept_leader(
             term=offer.term, leader=offer.sender, address=offer.leader_address
         ):
--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -65,15 +65,15 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class CaptureTaken:
-    """The state machine's state up to `index` is on disk as a capture."""
+class SnapshotTaken:
+    """The state machine's state up to `index` is on disk as a snapshot."""
 
     index: int
 
 
 @dataclass(frozen=True, kw_only=True)
-class CaptureFetched:
-    """A capture offered by the leader is on disk; the log starts behind it."""
+class SnapshotFetched:
+    """A snapshot offered by the leader is on disk; the log starts behind it."""
 
     index: int
     term: int
@@ -112,8 +112,8 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class KeepCapture:
-    """Keep the fetched capture; the log goes on behind it."""
+class KeepSnapshot:
+    """Keep the fetched snapshot; the log goes on behind it."""
 
     number: int
     term: int
@@ -156,7 +156,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class FetchOffered:
-    """Fetch the capture that the leader offers."""
+    """Fetch the snapshot that the leader offers."""
 
     leader: str
     leader_address: str
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -17,20 +17,20 @@
 from kelpstage.base.wire import frames
 from kelpstage.base.wire.chunks import cut_chunk, fetch_chunks
 from kelpstage.base.wire.lines import Lines
-from kelpstage.base.wire.messages import Append, Chunk, CoreMember, FetchCapture
-from kelpstage.core.events import CaptureKept, MembersChanged, RoleTaken
+from kelpstage.base.wire.messages import Append, Chunk, CoreMember, FetchSnapshot
+from kelpstage.core.events import MembersChanged, RoleTaken, SnapshotKept
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.members import read_members
 from kelpstage.core.raft.replica import Replica
 from kelpstage.core.state.machine import CoreState, Machine
-from kelpstage.core.store.records import DiskCapture
+from kelpstage.core.store.records import DiskSnapshot
 from kelpstage.core.store.store import Recovered, Store
 from kelpstage.core.store.task import DiskTask, KeepThis
 from kelpstage.core.waiters import Waiters
 
 TICK_US = 20_000
-CAPTURE_ENTRIES = 400
-CAPTURE_BYTES = 4 * 1024 * 1024
+SNAPSHOT_ENTRIES = 400
+SNAPSHOT_BYTES = 4 * 1024 * 1024
 LARGE_BYTES = 64 * 1024
 LOST = "leadership was lost before the commit"
 
@@ -68,16 +68,16 @@
         self._proposals: dict[int, tuple[int, int]] = {}  # index -> token, term
         self._log_bytes = 0
         self._is_capturing = False
-        self._fetched: DiskCapture | None = None
+        self._fetched: DiskSnapshot | None = None
         self._fetching = 0
         members: list[CoreMember] = []
         state: CoreState | None = None
-        self._capture_bytes = b""
-        self._capture_mark = (0, 0)
-        if recovered.capture is not None:
-            members = list(recovered.capture.members)
-            state = CoreState().parse(recovered.capture.state)
-            self._show_capture(capture=recovered.capture)
+        self._snapshot_bytes = b""
+        self._snapshot_mark = (0, 0)
+        if recovered.snapshot is not None:
+            members = list(recovered.snapshot.members)
+            state = CoreState().parse(recovered.snapshot.state)
+            self._show_snapshot(snapshot=recovered.snapshot)
         self.machine = Machine(cluster=self.cluster, state=state)
         self.applied = recovered.log.base_index
         self.raft = Replica(
@@ -94,7 +94,7 @@
         self._disk = DiskTask(
             store=store,
             on_synced=lambda number: self.inbox.put_nowait(raft.Synced(number=number)),
-            on_kept=lambda index: self.inbox.put_nowait(raft.CaptureTaken(index=index)),
+            on_kept=lambda index: self.inbox.put_nowait(raft.SnapshotTaken(index=index)),
             on_defect=on_defect,
         )
         self._tasks = [
@@ -162,11 +162,11 @@
         if isinstance(event, raft.Synced):
             self._synced = max(self._synced, event.number)
             self._release()
-        if isinstance(event, raft.CaptureTaken):
+        if isinstance(event, raft.SnapshotTaken):
             self._is_capturing = False
             self._log_bytes = sum(len(e.data) for e in self.raft.log.entries)
-            self._journal.add(CaptureKept(index=event.index))
-        self._consider_capture()
+            self._journal.add(SnapshotKept(index=event.index))
+        self._consider_snapshot()
 
     @singledispatchmethod
     def _perform(self, effect: Any) -> None:
@@ -251,32 +251,32 @@
     def _(self, effect: raft.Removed) -> None:
         self._on_role("removed")
 
-    # --- captures -----------------------------------------------------------------------------
+    # --- snapshots -----------------------------------------------------------------------------
 
-    def _consider_capture(self) -> None:
+    def _consider_snapshot(self) -> None:
         if self._is_capturing:
             return
         behind = self.applied - self.raft.log.base_index
-        if behind < CAPTURE_ENTRIES and (self._log_bytes < CAPTURE_BYTES or behind < 2):
+        if behind < SNAPSHOT_ENTRIES and (self._log_bytes < SNAPSHOT_BYTES or behind < 2):
             return
-        self.capture_now()
+        self.snapshot_now()
 
-    def capture_now(self) -> None:
-        """Keep a capture of all that is applied, unless one is being written."""
+    def snapshot_now(self) -> None:
+        """Keep a snapshot of all that is applied, unless one is being written."""
         if self._is_capturing or self.applied == self.raft.log.base_index:
             return
         self._is_capturing = True
-        capture = DiskCapture(
+        snapshot = DiskSnapshot(
             index=self.applied,
             term=self.raft.log.term_at(index=self.applied) or 0,
             members=self.raft.members.at(index=self.applied),
             state=bytes(self.machine.state),
             cluster=self.cluster,
         )
-        self._show_capture(capture=capture)
+        self._show_snapshot(snapshot=snapshot)
         self._disk.inbox.put_nowait(
             KeepThis(
-                capture=capture,
+                snapshot=snapshot,
                 tail=self.raft.log.slice(start=self.applied + 1, stop=self.raft.log.last_index),
                 term=self.raft.term,
                 vote=self.raft.vote,
@@ -284,55 +284,57 @@
             )
         )
 
-    def _show_capture(self, *, capture: DiskCapture) -> None:
-        self._capture_bytes = bytes(capture)
-        self._capture_mark = (capture.index, capture.term)
+    def _show_snapshot(self, *, snapshot: DiskSnapshot) -> None:
+        self._snapshot_bytes = bytes(snapshot)
+        self._snapshot_mark = (snapshot.index, snapshot.term)
 
-    def capture_chunk(self, *, ask: FetchCapture) -> Chunk:
-        """A piece of the newest capture, for a replica that is far behind."""
-        index, term = self._capture_mark
+    def snapshot_chunk(self, *, ask: FetchSnapshot) -> Chunk:
+        """A piece of the newest snapshot, for a replica that is far behind."""
+        index, term = self._snapshot_mark
         if ask.cluster != self.cluster or ask.index != index or not index:
             return Chunk(is_found=False)
-        return cut_chunk(data=self._capture_bytes, offset=ask.offset, mark=index, mark_term=term)
+        return cut_chunk(data=self._snapshot_bytes, offset=ask.offset, mark=index, mark_term=term)
 
     @_perform.register
     def _(self, effect: raft.FetchOffered) -> None:
         if self._fetching == effect.index:
             return
         self._fetching = effect.index
-        self._ports.spawn(self._fetch_capture(offer=effect))
+        self._ports.spawn(self._fetch_snapshot(offer=effect))
 
-    async def _fetch_capture(self, *, offer: raft.FetchOffered) -> None:
+    async def _fetch_snapshot(self, *, offer: raft.FetchOffered) -> None:
         data = await fetch_chunks(
             lines=self._lines,
             address=offer.leader_address,
-            ask=lambda offset: FetchCapture(cluster=self.cluster, index=offer.index, offset=offset),
+            ask=lambda offset: FetchSnapshot(
+                cluster=self.cluster, index=offer.index, offset=offset
+            ),
         )
         self._fetching = 0
         if data is None or offer.index <= self.raft.commit:
             return
-        capture = DiskCapture().parse(data)
-        self._fetched = capture
+        snapshot = DiskSnapshot().parse(data)
+        self._fetched = snapshot
         self._take(
-            event=raft.CaptureFetched(
-                index=capture.index,
-                term=capture.term,
-                members=list(capture.members),
+            event=raft.SnapshotFetched(
+                index=snapshot.index,
+                term=snapshot.term,
+                members=list(snapshot.members),
                 leader=offer.leader,
                 beat=offer.beat,
             )
         )
 
     @_perform.register
-    def _(self, effect: raft.KeepCapture) -> None:
-        capture = self._fetched
+    def _(self, effect: raft.KeepSnapshot) -> None:
+        snapshot = self._fetched
         self._lose_proposals(start=0)
-        self.machine = Machine(cluster=self.cluster, state=CoreState().parse(capture.state))
-        self.applied = capture.index
-        self._show_capture(capture=capture)
-        self._on_applied(None, capture.index)
+        self.machine = Machine(cluster=self.cluster, state=CoreState().parse(snapshot.state))
+        self.applied = snapshot.index
+        self._show_snapshot(snapshot=snapshot)
+        self._on_applied(None, snapshot.index)
         self._disk.inbox.put_nowait(
             KeepThis(
-                capture=capture, tail=[], term=effect.term, vote=effect.vote, number=effect.number
+                snapshot=snapshot, tail=[], term=effect.term, vote=effect.vote, number=effect.number
             )
         )
--- a/kelpstage/core/salvage.py
+++ b/kelpstage/core/salvage.py
@@ -26,7 +26,7 @@
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.members import read_members
 from kelpstage.core.state.machine import CoreState, Machine
-from kelpstage.core.store.records import DiskCapture, DiskIdentity
+from kelpstage.core.store.records import DiskIdentity, DiskSnapshot
 from kelpstage.core.store.store import Recovered, Store
 
 ASK_US = 1_500_000
@@ -52,8 +52,8 @@
     operator was told `unresolved`, never that it was refused.
     """
     state = CoreState(cluster=recovered.identity.cluster)
-    if recovered.capture is not None:
-        state = CoreState().parse(recovered.capture.state)
+    if recovered.snapshot is not None:
+        state = CoreState().parse(recovered.snapshot.state)
     machine = Machine(cluster=recovered.identity.cluster, state=state)
     for entry in recovered.log.entries:
         if entry.kind == raft.COMMAND:
@@ -67,7 +67,7 @@
     >>> members_of(recovered=Recovered(identity=DiskIdentity(replica="r")))
     []
     """
-    members = list(recovered.capture.members) if recovered.capture else []
+    members = list(recovered.snapshot.members) if recovered.snapshot else []
     for entry in recovered.log.entries:
         if entry.kind == raft.MEMBERSHIP:
             members = read_members(data=entry.data)
@@ -193,14 +193,14 @@
     state.cluster = cluster
     state.epoch += 1
     state.old_roster = []
-    capture = DiskCapture(
+    snapshot = DiskSnapshot(
         index=recovered.log.last_index + 1,
         term=recovered.term + 1,
         members=[CoreMember(replica=replica, address=own, http=http, is_voter=True)],
         state=bytes(state),
         cluster=cluster,
     )
-    defect = await store.keep_capture(capture=capture, tail=[], term=recovered.term + 1, vote="")
+    defect = await store.keep_snapshot(snapshot=snapshot, tail=[], term=recovered.term + 1, vote="")
     if defect is not None:
         return defect
     defect = await store.write_identity(identity=DiskIdentity(replica=replica, cluster=cluster))
--- a/kelpstage/core/store/records.py
+++ b/kelpstage/core/store/records.py
@@ -1,4 +1,4 @@
-"""What stands on the disk: records in segments, captures, the identity.
+"""What stands on the disk: records in segments, snapshots, the identity.
 
 A segment is `KLOG`, a format number, then records. A record is a mark, a
 length, a checksum and one `DiskRecord`. One record holds all that was written
@@ -20,7 +20,7 @@
 
 FORMAT = 1
 SEGMENT_HEAD = b"KLOG" + struct.pack("!H", FORMAT)
-CAPTURE_HEAD = b"KCAP" + struct.pack("!H", FORMAT)
+SNAPSHOT_HEAD = b"KSNP" + struct.pack("!H", FORMAT)
 
 
 @dataclass
@@ -43,7 +43,7 @@
 
 
 @dataclass
-class DiskCapture(bp.Message):
+class DiskSnapshot(bp.Message):
     index: int = bp.uint64_field(1)
     term: int = bp.uint64_field(2)
     members: List[CoreMember] = bp.message_field(3)
@@ -107,30 +107,30 @@
     return records, offset
 
 
-def write_capture(*, capture: DiskCapture) -> bytes:
-    """A capture as its file.
+def write_snapshot(*, snapshot: DiskSnapshot) -> bytes:
+    """A snapshot as its file.
 
-    >>> read_capture(path="p", data=write_capture(capture=DiskCapture(index=4))).index
+    >>> read_snapshot(path="p", data=write_snapshot(snapshot=DiskSnapshot(index=4))).index
     4
     """
-    return CAPTURE_HEAD + seal(body=bytes(capture))
+    return SNAPSHOT_HEAD + seal(body=bytes(snapshot))
 
 
-def read_capture(*, path: str, data: bytes) -> DiskCapture | LogDamaged | FormatMismatch:
-    """The reverse of `write_capture`.
+def read_snapshot(*, path: str, data: bytes) -> DiskSnapshot | LogDamaged | FormatMismatch:
+    """The reverse of `write_snapshot`.
 
-    >>> read_capture(path="p", data=b"junk").kind
+    >>> read_snapshot(path="p", data=b"junk").kind
     'log_damaged'
     """
-    other = other_format(path=path, data=data, magic=b"KCAP")
+    other = other_format(path=path, data=data, magic=b"KSNP")
     if other is not None:
         return other
-    if not data.startswith(CAPTURE_HEAD):
-        return LogDamaged(path=path, offset=0, why="not a capture of this format")
-    found = unseal(data=data, offset=len(CAPTURE_HEAD))
+    if not data.startswith(SNAPSHOT_HEAD):
+        return LogDamaged(path=path, offset=0, why="not a snapshot of this format")
+    found = unseal(data=data, offset=len(SNAPSHOT_HEAD))
     if found is None or found[1] != len(data):
-        return LogDamaged(path=path, offset=len(CAPTURE_HEAD), why="fails its check")
+        return LogDamaged(path=path, offset=len(SNAPSHOT_HEAD), why="fails its check")
     try:
-        return DiskCapture().parse(found[0])
+        return DiskSnapshot().parse(found[0])
     except Exception as error:
         return LogDamaged(path=path, offset=0, why=f"unreadable: {type(error).__name__}")
--- a/kelpstage/core/store/store.py
+++ b/kelpstage/core/store/store.py
@@ -1,4 +1,4 @@
-"""The data folder: a log in segments, captures beside it, one identity.
+"""The data folder: a log in segments, snapshots beside it, one identity.
 
 Every verb returns a defect or its result. Nothing here is told of as done
 before file and folder are synced.
@@ -15,13 +15,13 @@
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.store.records import (
     SEGMENT_HEAD,
-    DiskCapture,
     DiskIdentity,
     DiskRecord,
+    DiskSnapshot,
     DiskStep,
-    read_capture,
     read_segment,
-    write_capture,
+    read_snapshot,
+    write_snapshot,
 )
 
 SEGMENT_LIMIT = 1024 * 1024
@@ -35,7 +35,7 @@
     term: int = 0
     vote: str = ""
     log: MemoryLog = field(default_factory=lambda: MemoryLog(base_index=0, base_term=0))
-    capture: DiskCapture | None = None
+    snapshot: DiskSnapshot | None = None
 
 
 @dataclass(kw_only=True)
@@ -70,12 +70,12 @@
         self._point = ports.point
         self._segment = 0
         self._size = 0
-        self._captures: list[str] = []
+        self._snapshots: list[str] = []
 
     # --- identity ------------------------------------------------------------------
 
     async def read_identity(self) -> DiskIdentity | None | Defect:
-        for folder in ("", "log", "captures"):  # looking into a folder makes it
+        for folder in ("", "log", "snapshots"):  # looking into a folder makes it
             names = await self._disk.names(folder=folder)
             if isinstance(names, Defect):
                 return names
@@ -111,10 +111,10 @@
     # --- recovery ----------------------------------------------------------------------
 
     async def recover(self, *, identity: DiskIdentity) -> Recovered | Defect:
-        """Read captures and segments; cut a torn tail; refuse damage."""
-        capture = await self._newest_capture()
-        if isinstance(capture, Defect):
-            return capture
+        """Read snapshots and segments; cut a torn tail; refuse damage."""
+        snapshot = await self._newest_snapshot()
+        if isinstance(snapshot, Defect):
+            return snapshot
         names = await self._disk.names(folder="log")
         if isinstance(names, Defect):
             return names
@@ -127,20 +127,20 @@
             )
             if isinstance(outcome, Defect):
                 return outcome
-        return self._settle(identity=identity, replay=replay, capture=capture)
+        return self._settle(identity=identity, replay=replay, snapshot=snapshot)
 
-    async def _newest_capture(self) -> DiskCapture | None | Defect:
-        names = await self._disk.names(folder="captures")
+    async def _newest_snapshot(self) -> DiskSnapshot | None | Defect:
+        names = await self._disk.names(folder="snapshots")
         if isinstance(names, Defect):
             return names
-        self._captures = [name for name in names if name.endswith(".cap")]
-        if not self._captures:
+        self._snapshots = [name for name in names if name.endswith(".cap")]
+        if not self._snapshots:
             return None
-        path = f"captures/{self._captures[-1]}"
+        path = f"snapshots/{self._snapshots[-1]}"
         data = await self._disk.read(path=path)
         if isinstance(data, Defect):
             return data
-        return read_capture(path=path, data=data or b"")
+        return read_snapshot(path=path, data=data or b"")
 
     async def _replay_segment(self, *, name: str, is_last: bool, replay: _Replay) -> Defect | None:
         path = f"log/{name}"
@@ -178,21 +178,21 @@
         return await self._disk.sync_folder(folder="log")
 
     def _settle(
-        self, *, identity: DiskIdentity, replay: _Replay, capture: DiskCapture | None
+        self, *, identity: DiskIdentity, replay: _Replay, snapshot: DiskSnapshot | None
     ) -> Recovered | Defect:
-        base = capture.index if capture else 0
+        base = snapshot.index if snapshot else 0
         if replay.base_index > base:
-            return LogDamaged(path="captures", offset=0, why="the log's capture is not here")
+            return LogDamaged(path="snapshots", offset=0, why="the log's snapshot is not here")
         log = MemoryLog(
             base_index=replay.base_index, base_term=replay.base_term, entries=replay.entries
         )
-        if capture is not None:
-            if log.term_at(index=base) == capture.term:
+        if snapshot is not None:
+            if log.term_at(index=base) == snapshot.term:
                 log.compact(index=base)
             else:
-                log = MemoryLog(base_index=base, base_term=capture.term)
+                log = MemoryLog(base_index=base, base_term=snapshot.term)
         return Recovered(
-            identity=identity, term=replay.term, vote=replay.vote, log=log, capture=capture
+            identity=identity, term=replay.term, vote=replay.vote, log=log, snapshot=snapshot
         )
 
     # --- writing -----------------------------------------------------------------------------
@@ -220,27 +220,27 @@
         self._size += len(data)
         return None
 
-    async def keep_capture(
-        self, *, capture: DiskCapture, tail: list[LogEntry], term: int, vote: str
+    async def keep_snapshot(
+        self, *, snapshot: DiskSnapshot, tail: list[LogEntry], term: int, vote: str
     ) -> Defect | None:
-        """Write a capture, begin a segment behind it, drop what came before."""
-        name = f"{capture.index:020d}.cap"
-        self._point("capture.before_write")
-        names = await self._disk.names(folder="captures")
+        """Write a snapshot, begin a segment behind it, drop what came before."""
+        name = f"{snapshot.index:020d}.cap"
+        self._point("snapshot.before_write")
+        names = await self._disk.names(folder="snapshots")
         if isinstance(names, Defect):
             return names
         outcome = await self._put_file(
-            path=f"captures/{name}", folder="captures", data=write_capture(capture=capture)
+            path=f"snapshots/{name}", folder="snapshots", data=write_snapshot(snapshot=snapshot)
         )
         if outcome is not None:
             return outcome
-        self._point("capture.after_write")
+        self._point("snapshot.after_write")
         old_segment = self._segment
         self._segment, self._size = old_segment + 1, len(SEGMENT_HEAD)
         step = DiskStep(
             is_base=True,
-            base_index=capture.index,
-            base_term=capture.term,
+            base_index=snapshot.index,
+            base_term=snapshot.term,
             entries=tail,
             has_vote=True,
             term=term,
@@ -251,18 +251,18 @@
         if outcome is not None:
             return outcome
         self._size = len(data)
-        self._point("capture.before_drop")
-        return await self._drop_before(segment=self._segment, capture=name)
+        self._point("snapshot.before_drop")
+        return await self._drop_before(segment=self._segment, snapshot=name)
 
-    async def _drop_before(self, *, segment: int, capture: str) -> Defect | None:
+    async def _drop_before(self, *, segment: int, snapshot: str) -> Defect | None:
         names = await self._disk.names(folder="log")
         if isinstance(names, Defect):
             return names
         old = [f"log/{n}" for n in names if n.endswith(".seg") and int(n.split(".")[0]) < segment]
-        names = await self._disk.names(folder="captures")
+        names = await self._disk.names(folder="snapshots")
         if isinstance(names, Defect):
             return names
-        old += [f"captures/{n}" for n in names if n != capture]
+        old += [f"snapshots/{n}" for n in names if n != snapshot]
         for path in old:
             outcome = await self._disk.delete(path=path)
             if outcome is not None:
@@ -271,7 +271,7 @@
 
     async def set_aside(self) -> Defect | None:
         """Forget a damaged replica: its files no longer count."""
-        for folder in ("log", "captures"):
+        for folder in ("log", "snapshots"):
             names = await self._disk.names(folder=folder)
             if isinstance(names, Defect):
                 return names
--- a/kelpstage/core/store/task.py
+++ b/kelpstage/core/store/task.py
@@ -11,15 +11,15 @@
 from kelpstage.base.defects import Defect
 from kelpstage.base.wire.messages import LogEntry
 from kelpstage.core.raft.types import Persist
-from kelpstage.core.store.records import DiskCapture, DiskStep
+from kelpstage.core.store.records import DiskSnapshot, DiskStep
 from kelpstage.core.store.store import Store
 
 
 @dataclass(frozen=True, kw_only=True)
 class KeepThis:
-    """A capture to keep, with the log's entries behind it."""
+    """A snapshot to keep, with the log's entries behind it."""
 
-    capture: DiskCapture
+    snapshot: DiskSnapshot
     tail: list[LogEntry]
     term: int
     vote: str
@@ -74,14 +74,14 @@
 
     @_write.register
     async def _(self, item: KeepThis) -> Defect | None:
-        outcome = await self._store.keep_capture(
-            capture=item.capture, tail=item.tail, term=item.term, vote=item.vote
+        outcome = await self._store.keep_snapshot(
+            snapshot=item.snapshot, tail=item.tail, term=item.term, vote=item.vote
         )
         if outcome is not None:
             return outcome
         if item.number:
             self._on_synced(item.number)
-        self._on_kept(item.capture.index)
+        self._on_kept(item.snapshot.index)
         return None
 
 
--- a/kelpstage/edge/backend/life.py
+++ b/kelpstage/edge/backend/life.py
@@ -36,6 +36,7 @@
     """64 bits of everything but the cold time.
 
     >>> life = Life(instance="i", service="s", address="127.0.0.1:1")
+    >>> from dataclasses import replace
     >>> hash_of(life=life) == hash_of(life=replace(life, cold_us=9))
     True
     >>> hash_of(life=life) == hash_of(life=replace(life, is_draining=True))
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -295,13 +295,13 @@
         self.assertLess(len(bytes(machine.state)), 400_000 + PUTS_KEPT * 120)
         self.assertEqual(PutApplied(version=3, epoch=1), self.put(machine, put_id="again", **taken))
 
-    def test_captures_from_before_are_read(self) -> None:
+    def test_snapshots_from_before_are_read(self) -> None:
         old = Machine(cluster="c")
         put = dict(expected=0, document=b"{}")
         self.put(old, put_id="a", **put)
-        capture = CoreState().parse(bytes(old.state))
-        capture.puts[0].asked = 0
-        machine = Machine(cluster="c", state=capture)
+        snapshot = CoreState().parse(bytes(old.state))
+        snapshot.puts[0].asked = 0
+        machine = Machine(cluster="c", state=snapshot)
         self.assertEqual(PutApplied(version=1, epoch=1), self.put(machine, put_id="a", **put))
         self.assertEqual(PutApplied(version=1, epoch=1), self.put(machine, put_id="b", **put))
 
--- a/tests/test_points.py
+++ b/tests/test_points.py
@@ -60,7 +60,7 @@
             await fleet.put_next(wait_us=6_000_000)
             if hits:
                 break
-            await force_capture(fleet=fleet)
+            await force_snapshot(fleet=fleet)
         del world.armed[point]
         await fleet.sleep(us=1_500_000)
         for process_name in hits:
@@ -78,12 +78,12 @@
     return story
 
 
-async def force_capture(*, fleet: SimFleet) -> None:
-    """Have every core keep a capture now, as it does after many entries."""
+async def force_snapshot(*, fleet: SimFleet) -> None:
+    """Have every core keep a snapshot now, as it does after many entries."""
     for name in fleet.core_address:
         core = fleet.daemons[f"core/{name}"]
         if fleet.processes[f"core/{name}"].is_alive and core.task is not None:
-            core.task.capture_now()
+            core.task.snapshot_now()
     await fleet.sleep(us=200_000)
 
 
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -8,7 +8,7 @@
 
 from kelpstage.base.defects import DiskDefect, LogDamaged
 from kelpstage.base.wire.messages import LogEntry
-from kelpstage.core.store.records import DiskCapture, DiskIdentity, DiskStep
+from kelpstage.core.store.records import DiskIdentity, DiskSnapshot, DiskStep
 from kelpstage.core.store.store import Store
 from proof.sim.loop import VirtualLoop
 from proof.sim.world import SimProcess, World
@@ -88,12 +88,14 @@
 
         self.run_story(story)
 
-    def test_damaged_identity_and_capture_are_told(self) -> None:
+    def test_damaged_identity_and_snapshot_are_told(self) -> None:
         async def story() -> None:
             store = await self.fresh()
             await store.append(steps=[DiskStep(entries=[entry(1), entry(2)])])
-            capture = DiskCapture(index=2, term=1, state=b"s", cluster="c")
-            self.assertIsNone(await store.keep_capture(capture=capture, tail=[], term=3, vote="v"))
+            snapshot = DiskSnapshot(index=2, term=1, state=b"s", cluster="c")
+            self.assertIsNone(
+                await store.keep_snapshot(snapshot=snapshot, tail=[], term=3, vote="v")
+            )
             found = await self.reopened()
             self.assertEqual((2, 3, "v"), (found.log.base_index, found.term, found.vote))
             name = next(p for p in self.platter.files if p.endswith(".cap"))
@@ -129,7 +131,7 @@
 
         self.run_story(story)
 
-    def test_capture_cut_at_every_moment_leaves_a_readable_folder(self) -> None:
+    def test_snapshot_cut_at_every_moment_leaves_a_readable_folder(self) -> None:
         for moment in range(1, 14):
             with self.subTest(moment=moment):
 
@@ -146,8 +148,8 @@
                         ]
                     )
                     work = asyncio.ensure_future(
-                        store.keep_capture(
-                            capture=DiskCapture(index=2, term=1, state=b"s", cluster="c"),
+                        store.keep_snapshot(
+                            snapshot=DiskSnapshot(index=2, term=1, state=b"s", cluster="c"),
                             tail=[entry(3)],
                             term=1,
                             vote="r",
