--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -59,25 +59,25 @@
 
 
 @dataclass
-class AskVote(Message):
+class RequestVote(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
-    last_index: int = bp.uint64_field(5)
-    last_term: int = bp.uint64_field(6)
-    is_pre: bool = bp.bool_field(7)
+    last_log_index: int = bp.uint64_field(5)
+    last_log_term: int = bp.uint64_field(6)
+    is_pre_vote: bool = bp.bool_field(7)
     is_handover: bool = bp.bool_field(8)
     address: str = bp.string_field(9)
 
 
 @dataclass
-class VoteReply(Message):
+class RequestVoteReply(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
-    is_pre: bool = bp.bool_field(5)
+    is_pre_vote: bool = bp.bool_field(5)
     is_granted: bool = bp.bool_field(6)
 
 
@@ -458,8 +458,8 @@
 
 
 TYPES: dict[int, type] = {
-    1: AskVote,
-    2: VoteReply,
+    1: RequestVote,
+    2: RequestVoteReply,
     3: Append,
     4: AppendReply,
     5: InstallSnapshot,
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -11,7 +11,6 @@
 from kelpstage.base.wire.messages import (
     Append,
     AppendReply,
-    AskVote,
     Chunk,
     Done,
     FetchSnapshot,
@@ -24,10 +23,11 @@
     ProxyOperator,
     ProxyOperatorReply,
     Renew,
+    RequestVote,
+    RequestVoteReply,
     SeedProbe,
     SeedState,
     TimeoutNow,
-    VoteReply,
 )
 from kelpstage.core.raft.types import LearnerAsks
 
@@ -45,7 +45,7 @@
         core.task.heard(message=message)
 
 
-for kind in (AskVote, VoteReply, Append, AppendReply, InstallSnapshot, TimeoutNow):
+for kind in (RequestVote, RequestVoteReply, Append, AppendReply, InstallSnapshot, TimeoutNow):
     handle.register(kind, _raft)
 
 
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -16,12 +16,12 @@
 from kelpstage.base.wire.messages import (
     Append,
     AppendReply,
-    AskVote,
     CoreMember,
     InstallSnapshot,
     LogEntry,
+    RequestVote,
+    RequestVoteReply,
     TimeoutNow,
-    VoteReply,
 )
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.raft.members import MemberList, write_members
@@ -306,7 +306,7 @@
         if self.members.is_majority(names=self._votes):
             self._stand(is_handover=False)
             return
-        self._ask_votes(term=self.term + 1, is_pre=True, is_handover=False)
+        self._request_votes(term=self.term + 1, is_pre_vote=True, is_handover=False)
 
     def _stand(self, *, is_handover: bool) -> None:
         self.term += 1
@@ -316,82 +316,85 @@
         self._votes = set()
         self._set_clock_event()
         self._self_vote_number = self._persist(term=self.term, vote=self.vote)
-        self._ask_votes(term=self.term, is_pre=False, is_handover=is_handover)
+        self._request_votes(term=self.term, is_pre_vote=False, is_handover=is_handover)
 
-    def _ask_votes(self, *, term: int, is_pre: bool, is_handover: bool) -> None:
+    def _request_votes(self, *, term: int, is_pre_vote: bool, is_handover: bool) -> None:
         for member in self.members.others(replica=self.me):
             if not member.is_voter:
                 continue
             self._send(
                 to=member.replica,
-                message=AskVote(
+                message=RequestVote(
                     cluster=self.cluster,
                     sender=self.me,
                     to=member.replica,
                     term=term,
-                    last_index=self.log.last_index,
-                    last_term=self.log.last_term,
-                    is_pre=is_pre,
+                    last_log_index=self.log.last_index,
+                    last_log_term=self.log.last_term,
+                    is_pre_vote=is_pre_vote,
                     is_handover=is_handover,
                     address=self.members.address(replica=self.me),
                 ),
             )
 
     @_on.register
-    def _(self, ask: AskVote) -> None:
+    def _(self, request: RequestVote) -> None:
         has_leader = self._now - self._heard_leader_us < self._pace.election_low_us or (
             self.role == LEADER and self._hears_majority()
         )
-        if has_leader and not ask.is_handover:
-            if ask.is_pre:
-                self._reply_vote(ask=ask, is_granted=False)
+        if has_leader and not request.is_handover:
+            if request.is_pre_vote:
+                self._reply_request_vote(request=request, is_granted=False)
             return
-        if ask.is_pre:
-            is_granted = ask.term > self.term and self._is_log_enough(ask=ask)
-            self._reply_vote(ask=ask, is_granted=is_granted)
+        if request.is_pre_vote:
+            is_granted = request.term > self.term and self._is_log_up_to_date(request=request)
+            self._reply_request_vote(request=request, is_granted=is_granted)
             return
-        if ask.term > self.term:
-            self._fall_back(term=ask.term)
+        if request.term > self.term:
+            self._fall_back(term=request.term)
         is_granted = (
-            ask.term == self.term
-            and self.vote in ("", ask.sender)
-            and self._is_log_enough(ask=ask)
+            request.term == self.term
+            and self.vote in ("", request.sender)
+            and self._is_log_up_to_date(request=request)
             and not self._is_sync_stalled()
         )
         if is_granted and not self.vote:
-            self.vote = ask.sender
+            self.vote = request.sender
             self._persist(term=self.term, vote=self.vote)
         if is_granted:
             self._set_clock_event()
-        self._reply_vote(ask=ask, is_granted=is_granted)
+        self._reply_request_vote(request=request, is_granted=is_granted)
 
-    def _is_log_enough(self, *, ask: AskVote) -> bool:
-        return (ask.last_term, ask.last_index) >= (self.log.last_term, self.log.last_index)
+    def _is_log_up_to_date(self, *, request: RequestVote) -> bool:
+        return (request.last_log_term, request.last_log_index) >= (
+            self.log.last_term,
+            self.log.last_index,
+        )
 
-    def _reply_vote(self, *, ask: AskVote, is_granted: bool) -> None:
-        reply = VoteReply(
+    def _reply_request_vote(self, *, request: RequestVote, is_granted: bool) -> None:
+        reply = RequestVoteReply(
             cluster=self.cluster,
             sender=self.me,
-            to=ask.sender,
-            term=ask.term if is_granted else self.term,
-            is_pre=ask.is_pre,
+            to=request.sender,
+            term=request.term if is_granted else self.term,
+            is_pre_vote=request.is_pre_vote,
             is_granted=is_granted,
         )
-        self._send(to=ask.sender, message=reply, is_promise=True, address=ask.address)
+        self._send(to=request.sender, message=reply, is_promise=True, address=request.address)
 
     @_on.register
-    def _(self, reply: VoteReply) -> None:
-        if reply.term > self.term and not (reply.is_pre and reply.is_granted):
+    def _(self, reply: RequestVoteReply) -> None:
+        if reply.term > self.term and not (reply.is_pre_vote and reply.is_granted):
             self._fall_back(term=reply.term)
             return
         if not reply.is_granted:
             return
-        if reply.is_pre and self.role == PROSPECT and reply.term == self.term + 1:
+        if reply.is_pre_vote and self.role == PROSPECT and reply.term == self.term + 1:
             self._votes.add(reply.sender)
             if self.members.is_majority(names=self._votes):
                 self._stand(is_handover=False)
             return
-        if not reply.is_pre and self.role == CANDIDATE and reply.term == self.term:
+        if not reply.is_pre_vote and self.role == CANDIDATE and reply.term == self.term:
             self._count_vote(voter=reply.sender)
 
     def _count_vote(self, *, voter: str) -> None:
