Raft names: AppendEntries and its reply, commit_index, match_index

The messages, their fields (prev_log_index, prev_log_term, commit_index, match_index, conflict_index) and their callers; what the operators' interface calls its fields is unchanged, and so are the numbers on the wire.

--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -82,28 +82,28 @@
 
 
 @dataclass
-class Append(Message):
+class AppendEntries(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
-    prev_index: int = bp.uint64_field(5)
-    prev_term: int = bp.uint64_field(6)
+    prev_log_index: int = bp.uint64_field(5)
+    prev_log_term: int = bp.uint64_field(6)
     entries: List[LogEntry] = bp.message_field(7)
-    commit: int = bp.uint64_field(8)
+    commit_index: int = bp.uint64_field(8)
     beat: int = bp.uint64_field(9)
     leader_address: str = bp.string_field(10)
 
 
 @dataclass
-class AppendReply(Message):
+class AppendEntriesReply(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
     is_ok: bool = bp.bool_field(5)
-    match: int = bp.uint64_field(6)
-    hint: int = bp.uint64_field(7)
+    match_index: int = bp.uint64_field(6)
+    conflict_index: int = bp.uint64_field(7)
     beat: int = bp.uint64_field(8)
 
 
@@ -460,8 +460,8 @@
 TYPES: dict[int, type] = {
     1: RequestVote,
     2: RequestVoteReply,
-    3: Append,
-    4: AppendReply,
+    3: AppendEntries,
+    4: AppendEntriesReply,
     5: InstallSnapshot,
     6: TimeoutNow,
     10: SeedProbe,
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -9,8 +9,8 @@
 from kelpstage.base.wire import frames
 from kelpstage.base.wire.chunks import cut_chunk
 from kelpstage.base.wire.messages import (
-    Append,
-    AppendReply,
+    AppendEntries,
+    AppendEntriesReply,
     Chunk,
     Done,
     FetchSnapshot,
@@ -45,7 +45,14 @@
         core.task.heard(message=message)
 
 
-for kind in (RequestVote, RequestVoteReply, Append, AppendReply, InstallSnapshot, TimeoutNow):
+for kind in (
+    RequestVote,
+    RequestVoteReply,
+    AppendEntries,
+    AppendEntriesReply,
+    InstallSnapshot,
+    TimeoutNow,
+):
     handle.register(kind, _raft)
 
 
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -14,8 +14,8 @@
 from typing import Any
 
 from kelpstage.base.wire.messages import (
-    Append,
-    AppendReply,
+    AppendEntries,
+    AppendEntriesReply,
     CoreMember,
     InstallSnapshot,
     LogEntry,
@@ -64,7 +64,7 @@
     """What a leader knows of one other replica."""
 
     next_index: int
-    match: int = 0
+    match_index: int = 0
     heard_us: int = 0
     sent_us: int = -1_000_000
     beat: int = 0
@@ -103,7 +103,7 @@
         self.term = term
         self.vote = vote
         self.log = log or MemoryLog(base_index=0, base_term=0)
-        self.commit = self.log.base_index
+        self.commit_index = self.log.base_index
         self.role = FOLLOWER
         self.leader = ""
         self.leader_address = ""
@@ -194,11 +194,11 @@
         if self.role != LEADER:
             self._emit(ReadLost(token=event.token))
             return
-        if self.log.term_at(index=self.commit) != self.term:
+        if self.log.term_at(index=self.commit_index) != self.term:
             self._early_reads.append(event.token)  # until its first entry is committed
             return
         self._beat += 1
-        self._reads.append((event.token, self._beat, self.commit))
+        self._reads.append((event.token, self._beat, self.commit_index))
         self._send_beats()
         self._settle_reads()
 
@@ -207,7 +207,7 @@
         if self.role != LEADER:
             return
         others = [
-            (follow.match, name)
+            (follow.match_index, name)
             for name, follow in self._follow.items()
             if self.members.is_voter(replica=name)
             and self._now - follow.heard_us < self._pace.election_low_us
@@ -225,20 +225,22 @@
 
     @_on.register
     def _(self, event: SnapshotFetched) -> None:
-        if event.index <= self.commit:
+        if event.index <= self.commit_index:
             return
         self.log = MemoryLog(base_index=event.index, base_term=event.term)
         self.members = MemberList(base=event.members, entries=[], base_index=event.index)
-        self.commit = event.index
+        self.commit_index = event.index
         self._cut_number = self._number + 1
-        self.durable = min(self.durable, self.commit)
+        self.durable = min(self.durable, self.commit_index)
         self._number += 1
         self._unsynced.append((self._number, event.index, self._now))
         self._emit(KeepSnapshot(number=self._number, term=self.term, vote=self.vote))
         self._note_membership()
         leader = self.members.get(replica=event.leader)
         if leader is not None:
-            self._reply_append(to=event.leader, is_ok=True, match=event.index, beat=event.beat)
+            self._reply_append_entries(
+                to=event.leader, is_ok=True, match_index=event.index, beat=event.beat
+            )
 
     @_on.register
     def _(self, event: LearnerAsks) -> None:
@@ -486,7 +488,7 @@
                 continue
             behind = follow.next_index <= self.log.last_index
             is_due = follow.is_probing or self._now - follow.sent_us > 4 * self._pace.beat_us
-            self._send_append(name=member.replica, has_entries=behind and is_due)
+            self._send_append_entries(name=member.replica, has_entries=behind and is_due)
 
     def _replicate(self, *, name: str) -> None:
         follow = self._follow.get(name)
@@ -494,13 +496,13 @@
             return
         if follow.is_probing and self._now - follow.sent_us < self._pace.beat_us:
             return
-        self._send_append(name=name, has_entries=True)
+        self._send_append_entries(name=name, has_entries=True)
 
-    def _send_append(self, *, name: str, has_entries: bool) -> None:
+    def _send_append_entries(self, *, name: str, has_entries: bool) -> None:
         follow = self._follow[name]
         prev = follow.next_index - 1
-        prev_term = self.log.term_at(index=prev)
-        if prev_term is None:
+        prev_log_term = self.log.term_at(index=prev)
+        if prev_log_term is None:
             self._offer_snapshot(name=name, follow=follow)
             return
         entries: list[LogEntry] = []
@@ -512,15 +514,15 @@
                 follow.next_index = entries[-1].index + 1
         self._send(
             to=name,
-            message=Append(
+            message=AppendEntries(
                 cluster=self.cluster,
                 sender=self.me,
                 to=name,
                 term=self.term,
-                prev_index=prev,
-                prev_term=prev_term,
+                prev_log_index=prev,
+                prev_log_term=prev_log_term,
                 entries=entries,
-                commit=self.commit,
+                commit_index=self.commit_index,
                 beat=self._beat,
                 leader_address=self.members.address(replica=self.me),
             ),
@@ -542,7 +544,7 @@
         )
 
     @_on.register
-    def _(self, reply: AppendReply) -> None:
+    def _(self, reply: AppendEntriesReply) -> None:
         if reply.term > self.term:
             self._fall_back(term=reply.term)
             return
@@ -552,24 +554,28 @@
         follow.heard_us = self._now
         follow.beat = max(follow.beat, reply.beat)
         if reply.is_ok:
-            follow.match = max(follow.match, reply.match)
-            follow.next_index = max(follow.next_index, follow.match + 1)
+            follow.match_index = max(follow.match_index, reply.match_index)
+            follow.next_index = max(follow.next_index, follow.match_index + 1)
             was_probing, follow.is_probing = follow.is_probing, False
             self._advance()
             if self.role == LEADER and was_probing and follow.next_index <= self.log.last_index:
-                self._send_append(name=reply.sender, has_entries=True)
+                self._send_append_entries(name=reply.sender, has_entries=True)
             self._try_handover()
         else:
             follow.is_probing = True
-            follow.next_index = max(follow.match + 1, min(reply.hint + 1, follow.next_index))
-            self._send_append(name=reply.sender, has_entries=True)
+            follow.next_index = max(
+                follow.match_index + 1, min(reply.conflict_index + 1, follow.next_index)
+            )
+            self._send_append_entries(name=reply.sender, has_entries=True)
         self._settle_reads()
 
     def _advance(self) -> None:
         """Commit what a majority has on disk, if it is of this term."""
         matches = sorted(
             (
-                self.durable if member.replica == self.me else self._follow[member.replica].match
+                self.durable
+                if member.replica == self.me
+                else self._follow[member.replica].match_index
                 for member in self.members.current
                 if member.is_voter
             ),
@@ -578,23 +584,23 @@
         if not matches:
             return
         index = min(matches[len(matches) // 2], self.log.last_index)
-        if index <= self.commit or self.log.term_at(index=index) != self.term:
+        if index <= self.commit_index or self.log.term_at(index=index) != self.term:
             return
         self._commit_to(index=index)
         if self.role != LEADER:
             return
         for member in self.members.others(replica=self.me):
-            self._send_append(name=member.replica, has_entries=False)
+            self._send_append_entries(name=member.replica, has_entries=False)
         early, self._early_reads = self._early_reads, []
         for token in early:
             self._on(AskRead(token=token))
 
     def _commit_to(self, *, index: int) -> None:
         index = min(index, self.log.last_index)
-        if index <= self.commit:
+        if index <= self.commit_index:
             return
-        entries = self.log.slice(start=self.commit + 1, stop=index)
-        self.commit = index
+        entries = self.log.slice(start=self.commit_index + 1, stop=index)
+        self.commit_index = index
         self._emit(Commit(entries=entries))
         if self._has_been_member and not self.members.has(replica=self.me):
             if index >= self.members.index:
@@ -616,7 +622,7 @@
         if not self._handover_to:
             return
         follow = self._follow.get(self._handover_to)
-        if follow is None or follow.match < self.log.last_index:
+        if follow is None or follow.match_index < self.log.last_index:
             return
         self._send(
             to=self._handover_to,
@@ -629,7 +635,10 @@
 
     def _is_membership_open(self) -> bool:
         """Is a change of members still on its way, or this term not yet proved?"""
-        return self.members.index > self.commit or self.log.term_at(index=self.commit) != self.term
+        return (
+            self.members.index > self.commit_index
+            or self.log.term_at(index=self.commit_index) != self.term
+        )
 
     def _propose_members(self, *, members: list[CoreMember]) -> None:
         self._append(kind=MEMBERSHIP, data=write_members(members=members))
@@ -695,7 +704,7 @@
 
     def _is_caught_up(self, *, name: str) -> bool:
         """Has it all that is committed on its disk, and is it there now?"""
-        return self._is_heard(name=name) and self._follow[name].match >= self.commit
+        return self._is_heard(name=name) and self._follow[name].match_index >= self.commit_index
 
     # --- following ----------------------------------------------------------------------------
 
@@ -711,31 +720,38 @@
         return True
 
     @_on.register
-    def _(self, message: Append) -> None:
+    def _(self, message: AppendEntries) -> None:
         if not self._accept_leader(
             term=message.term, leader=message.sender, address=message.leader_address
         ):
-            self._reply_append(to=message.sender, is_ok=False, match=0, beat=0)
+            self._reply_append_entries(to=message.sender, is_ok=False, match_index=0, beat=0)
             return
-        prev = message.prev_index
+        prev = message.prev_log_index
         entries = message.entries
         if prev < self.log.base_index:
             skip = self.log.base_index - prev
             if len(entries) < skip:
-                self._reply_append(
-                    to=message.sender, is_ok=True, match=self.log.base_index, beat=message.beat
+                self._reply_append_entries(
+                    to=message.sender,
+                    is_ok=True,
+                    match_index=self.log.base_index,
+                    beat=message.beat,
                 )
                 return
             entries = entries[skip:]
             prev = self.log.base_index
-        elif self.log.term_at(index=prev) != message.prev_term:
-            hint = min(self.log.last_index, max(prev - 1, self.commit))
-            self._reply_append(to=message.sender, is_ok=False, hint=hint, beat=message.beat)
+        elif self.log.term_at(index=prev) != message.prev_log_term:
+            conflict_index = min(self.log.last_index, max(prev - 1, self.commit_index))
+            self._reply_append_entries(
+                to=message.sender, is_ok=False, conflict_index=conflict_index, beat=message.beat
+            )
             return
         self._take_entries(entries=entries)
-        match = prev + len(entries)
-        self._commit_to(index=min(message.commit, match))
-        self._reply_append(to=message.sender, is_ok=True, match=match, beat=message.beat)
+        match_index = prev + len(entries)
+        self._commit_to(index=min(message.commit_index, match_index))
+        self._reply_append_entries(
+            to=message.sender, is_ok=True, match_index=match_index, beat=message.beat
+        )
 
     def _take_entries(self, *, entries: list[LogEntry]) -> None:
         cut_from: int | None = None
@@ -758,17 +774,17 @@
         self._persist(cut_from=cut_from, entries=fresh)
         self._note_membership()
 
-    def _reply_append(
-        self, *, to: str, is_ok: bool, match: int = 0, hint: int = 0, beat: int = 0
+    def _reply_append_entries(
+        self, *, to: str, is_ok: bool, match_index: int = 0, conflict_index: int = 0, beat: int = 0
     ) -> None:
-        reply = AppendReply(
+        reply = AppendEntriesReply(
             cluster=self.cluster,
             sender=self.me,
             to=to,
             term=self.term,
             is_ok=is_ok,
-            match=match,
-            hint=hint,
+            match_index=match_index,
+            conflict_index=conflict_index,
             beat=beat,
         )
         self._send(to=to, message=reply, is_promise=True)
@@ -778,10 +794,12 @@
         if not self._accept_leader(
             term=offer.term, leader=offer.sender, address=offer.leader_address
         ):
-            self._reply_append(to=offer.sender, is_ok=False)
+            self._reply_append_entries(to=offer.sender, is_ok=False)
             return
-        if offer.index <= self.commit:
-            self._reply_append(to=offer.sender, is_ok=True, match=self.commit, beat=offer.beat)
+        if offer.index <= self.commit_index:
+            self._reply_append_entries(
+                to=offer.sender, is_ok=True, match_index=self.commit_index, beat=offer.beat
+            )
             return
         self._emit(
             FetchOffered(
@@ -832,7 +850,7 @@
                 "replica": member.replica,
                 "address": member.address,
                 "is_voter": member.is_voter,
-                "match": self.durable if member.replica == self.me else follow.match,
+                "match": self.durable if member.replica == self.me else follow.match_index,
                 "heard_us_ago": 0 if member.replica == self.me else self._now - follow.heard_us,
             }
             for member in self.members.current
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -17,7 +17,7 @@
 from kelpstage.base.wire import frames
 from kelpstage.base.wire.chunks import cut_chunk, fetch_chunks
 from kelpstage.base.wire.lines import Lines
-from kelpstage.base.wire.messages import Append, Chunk, CoreMember, FetchSnapshot
+from kelpstage.base.wire.messages import AppendEntries, Chunk, CoreMember, FetchSnapshot
 from kelpstage.core.events import MembersChanged, RoleTaken, SnapshotKept
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.members import read_members
@@ -182,7 +182,7 @@
     def _dispatch(self, *, send: raft.Send) -> None:
         lane = frames.CONTROL
         if (
-            isinstance(send.message, Append)
+            isinstance(send.message, AppendEntries)
             and sum(len(entry.data) for entry in send.message.entries) > LARGE_BYTES
         ):
             lane = frames.BULK
@@ -311,7 +311,7 @@
             ),
         )
         self._fetching = 0
-        if data is None or offer.index <= self.raft.commit:
+        if data is None or offer.index <= self.raft.commit_index:
             return
         snapshot = DiskSnapshot().parse(data)
         self._fetched = snapshot
--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -302,7 +302,7 @@
             "first": task.raft.log.base_index + 1,
             "last": task.raft.log.last_index,
             "durable": task.raft.durable,
-            "commit": task.raft.commit,
+            "commit": task.raft.commit_index,
             "applied": task.applied,
         },
         "members": task.raft.lag()
