--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -113,8 +113,8 @@
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
-    index: int = bp.uint64_field(5)
-    index_term: int = bp.uint64_field(6)
+    last_included_index: int = bp.uint64_field(5)
+    last_included_term: int = bp.uint64_field(6)
     leader_address: str = bp.string_field(7)
     beat: int = bp.uint64_field(8)
 
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -536,8 +536,8 @@
                 sender=self.me,
                 to=name,
                 term=self.term,
-                index=self.log.base_index,
-                index_term=self.log.base_term,
+                last_included_index=self.log.base_index,
+                last_included_term=self.log.base_term,
                 leader_address=self.members.address(replica=self.me),
                 beat=self._beat,
             ),
@@ -796,7 +796,7 @@
         ):
             self._reply_append_entries(to=offer.sender, is_ok=False)
             return
-        if offer.index <= self.commit_index:
+        if offer.last_included_index <= self.commit_index:
             self._reply_append_entries(
                 to=offer.sender, is_ok=True, match_index=self.commit_index, beat=offer.beat
             )
@@ -805,8 +805,8 @@
             FetchOffered(
                 leader=offer.sender,
                 leader_address=offer.leader_address,
-                index=offer.index,
-                term=offer.index_term,
+                index=offer.last_included_index,
+                term=offer.last_included_term,
                 beat=offer.beat,
             )
         )
