--- a/kelpstage/core/raft/members.py
+++ b/kelpstage/core/raft/members.py
@@ -46,7 +46,7 @@
     def __init__(self, *, base: list[CoreMember], entries: list[LogEntry], base_index: int) -> None:
         self._steps: list[tuple[int, list[CoreMember]]] = [(base_index, list(base))]
         for entry in entries:
-            self.follow(entry=entry)
+            self.append(entry=entry)
 
     @property
     def current(self) -> list[CoreMember]:
@@ -62,7 +62,7 @@
         fitting = [members for step, members in self._steps if step <= index]
         return fitting[-1] if fitting else self._steps[0][1]
 
-    def follow(self, *, entry: LogEntry) -> None:
+    def append(self, *, entry: LogEntry) -> None:
         if entry.kind == MEMBERSHIP:
             self._steps.append((entry.index, read_members(data=entry.data)))
 
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -60,7 +60,7 @@
 
 
 @dataclass(kw_only=True)
-class Follow:
+class Progress:
     """What a leader knows of one other replica."""
 
     next_index: int
@@ -123,7 +123,7 @@
         self.durable = self.log.last_index
         self._self_vote_number = 0
         self._votes: set[str] = set()
-        self._follow: dict[str, Follow] = {}
+        self._progress: dict[str, Progress] = {}
         self._beat = 0
         self._beat_due = 0
         self._reads: list[tuple[int, int, int]] = []  # token, beat, index
@@ -207,10 +207,10 @@
         if self.role != LEADER:
             return
         others = [
-            (follow.match_index, name)
-            for name, follow in self._follow.items()
+            (progress.match_index, name)
+            for name, progress in self._progress.items()
             if self.members.is_voter(replica=name)
-            and self._now - follow.heard_us < self._pace.election_low_us
+            and self._now - progress.heard_us < self._pace.election_low_us
         ]
         if not others:
             return
@@ -437,7 +437,7 @@
     def _take_lead(self) -> None:
         self.leader = self.me
         self._led_since = self._now
-        self._follow = {}
+        self._progress = {}
         self._askers = {}
         self._beat += 1
         self._become(role=LEADER)
@@ -463,14 +463,16 @@
         if self._now - self._led_since < limit:
             return True
         heard = {self.me} | {
-            name for name, follow in self._follow.items() if self._now - follow.heard_us < limit
+            name
+            for name, progress in self._progress.items()
+            if self._now - progress.heard_us < limit
         }
         return self.members.is_majority(names=heard)
 
     def _append(self, *, kind: int, data: bytes) -> int:
         entry = LogEntry(index=self.log.last_index + 1, term=self.term, kind=kind, data=data)
         self.log.add(entry)
-        self.members.follow(entry=entry)
+        self.members.append(entry=entry)
         self._persist(entries=[entry])
         if kind == MEMBERSHIP:
             self._note_membership()
@@ -483,35 +485,35 @@
     def _send_beats(self) -> None:
         self._beat_due = self._now + self._pace.beat_us
         for member in self.members.others(replica=self.me):
-            follow = self._follow.get(member.replica)
-            if follow is None:
+            progress = self._progress.get(member.replica)
+            if progress is None:
                 continue
-            behind = follow.next_index <= self.log.last_index
-            is_due = follow.is_probing or self._now - follow.sent_us > 4 * self._pace.beat_us
+            behind = progress.next_index <= self.log.last_index
+            is_due = progress.is_probing or self._now - progress.sent_us > 4 * self._pace.beat_us
             self._send_append_entries(name=member.replica, has_entries=behind and is_due)
 
     def _replicate(self, *, name: str) -> None:
-        follow = self._follow.get(name)
-        if follow is None:
+        progress = self._progress.get(name)
+        if progress is None:
             return
-        if follow.is_probing and self._now - follow.sent_us < self._pace.beat_us:
+        if progress.is_probing and self._now - progress.sent_us < self._pace.beat_us:
             return
         self._send_append_entries(name=name, has_entries=True)
 
     def _send_append_entries(self, *, name: str, has_entries: bool) -> None:
-        follow = self._follow[name]
-        prev = follow.next_index - 1
+        progress = self._progress[name]
+        prev = progress.next_index - 1
         prev_log_term = self.log.term_at(index=prev)
         if prev_log_term is None:
-            self._offer_snapshot(name=name, follow=follow)
+            self._offer_snapshot(name=name, progress=progress)
             return
         entries: list[LogEntry] = []
-        if has_entries and follow.next_index <= self.log.last_index:
-            entries = self.log.batch(start=follow.next_index, limit=self._pace.batch_bytes)
+        if has_entries and progress.next_index <= self.log.last_index:
+            entries = self.log.batch(start=progress.next_index, limit=self._pace.batch_bytes)
         if entries:
-            follow.sent_us = self._now
-            if not follow.is_probing:
-                follow.next_index = entries[-1].index + 1
+            progress.sent_us = self._now
+            if not progress.is_probing:
+                progress.next_index = entries[-1].index + 1
         self._send(
             to=name,
             message=AppendEntries(
@@ -528,7 +530,7 @@
             ),
         )
 
-    def _offer_snapshot(self, *, name: str, follow: Follow) -> None:
+    def _offer_snapshot(self, *, name: str, progress: Progress) -> None:
         self._send(
             to=name,
             message=InstallSnapshot(
@@ -548,23 +550,23 @@
         if reply.term > self.term:
             self._fall_back(term=reply.term)
             return
-        follow = self._follow.get(reply.sender)
-        if self.role != LEADER or reply.term != self.term or follow is None:
+        progress = self._progress.get(reply.sender)
+        if self.role != LEADER or reply.term != self.term or progress is None:
             return
-        follow.heard_us = self._now
-        follow.beat = max(follow.beat, reply.beat)
+        progress.heard_us = self._now
+        progress.beat = max(progress.beat, reply.beat)
         if reply.is_ok:
-            follow.match_index = max(follow.match_index, reply.match_index)
-            follow.next_index = max(follow.next_index, follow.match_index + 1)
-            was_probing, follow.is_probing = follow.is_probing, False
+            progress.match_index = max(progress.match_index, reply.match_index)
+            progress.next_index = max(progress.next_index, progress.match_index + 1)
+            was_probing, progress.is_probing = progress.is_probing, False
             self._advance()
-            if self.role == LEADER and was_probing and follow.next_index <= self.log.last_index:
+            if self.role == LEADER and was_probing and progress.next_index <= self.log.last_index:
                 self._send_append_entries(name=reply.sender, has_entries=True)
             self._try_handover()
         else:
-            follow.is_probing = True
-            follow.next_index = max(
-                follow.match_index + 1, min(reply.conflict_index + 1, follow.next_index)
+            progress.is_probing = True
+            progress.next_index = max(
+                progress.match_index + 1, min(reply.conflict_index + 1, progress.next_index)
             )
             self._send_append_entries(name=reply.sender, has_entries=True)
         self._settle_reads()
@@ -575,7 +577,7 @@
             (
                 self.durable
                 if member.replica == self.me
-                else self._follow[member.replica].match_index
+                else self._progress[member.replica].match_index
                 for member in self.members.current
                 if member.is_voter
             ),
@@ -608,7 +610,7 @@
                 self._emit(Removed())
 
     def _settle_reads(self) -> None:
-        beats = {self.me: self._beat} | {name: f.beat for name, f in self._follow.items()}
+        beats = {self.me: self._beat} | {name: f.beat for name, f in self._progress.items()}
         kept = []
         for token, beat, index in self._reads:
             names = {name for name, seen in beats.items() if seen >= beat}
@@ -621,8 +623,8 @@
     def _try_handover(self) -> None:
         if not self._handover_to:
             return
-        follow = self._follow.get(self._handover_to)
-        if follow is None or follow.match_index < self.log.last_index:
+        progress = self._progress.get(self._handover_to)
+        if progress is None or progress.match_index < self.log.last_index:
             return
         self._send(
             to=self._handover_to,
@@ -650,10 +652,10 @@
         if self.role != LEADER:
             return
         names = {member.replica for member in self.members.others(replica=self.me)}
-        for name in sorted(names - set(self._follow)):
-            self._follow[name] = Follow(next_index=self.log.last_index + 1, heard_us=self._now)
-        for name in sorted(set(self._follow) - names):
-            del self._follow[name]
+        for name in sorted(names - set(self._progress)):
+            self._progress[name] = Progress(next_index=self.log.last_index + 1, heard_us=self._now)
+        for name in sorted(set(self._progress) - names):
+            del self._progress[name]
 
     def _tend_members(self) -> None:
         """One change at a time: who asks becomes a learner; caught-up learners are
@@ -686,7 +688,7 @@
     def _is_lost(self, *, member: CoreMember) -> bool:
         """Silent for long, or with another replica at its address: a core that came
         back without its disk is a new replica, and the one before is gone for good."""
-        if self._now - self._follow[member.replica].heard_us > SILENT_US:
+        if self._now - self._progress[member.replica].heard_us > SILENT_US:
             return True
         return any(
             other.address == member.address
@@ -697,14 +699,14 @@
         )
 
     def _is_heard(self, *, name: str) -> bool:
-        follow = self._follow.get(name)
-        if follow is None:
+        progress = self._progress.get(name)
+        if progress is None:
             return name == self.me
-        return self._now - follow.heard_us < self._pace.election_low_us
+        return self._now - progress.heard_us < self._pace.election_low_us
 
     def _is_caught_up(self, *, name: str) -> bool:
         """Has it all that is committed on its disk, and is it there now?"""
-        return self._is_heard(name=name) and self._follow[name].match_index >= self.commit_index
+        return self._is_heard(name=name) and self._progress[name].match_index >= self.commit_index
 
     # --- following ----------------------------------------------------------------------------
 
@@ -770,7 +772,7 @@
             self._cut_number = self._number + 1
         for entry in fresh:
             self.log.add(entry)
-            self.members.follow(entry=entry)
+            self.members.append(entry=entry)
         self._persist(cut_from=cut_from, entries=fresh)
         self._note_membership()
 
@@ -850,9 +852,9 @@
                 "replica": member.replica,
                 "address": member.address,
                 "is_voter": member.is_voter,
-                "match": self.durable if member.replica == self.me else follow.match_index,
-                "heard_us_ago": 0 if member.replica == self.me else self._now - follow.heard_us,
+                "match": self.durable if member.replica == self.me else progress.match_index,
+                "heard_us_ago": 0 if member.replica == self.me else self._now - progress.heard_us,
             }
             for member in self.members.current
-            for follow in [self._follow.get(member.replica, Follow(next_index=0))]
+            for progress in [self._progress.get(member.replica, Progress(next_index=0))]
         ]
