--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -91,7 +91,7 @@
     prev_log_term: int = bp.uint64_field(6)
     entries: List[LogEntry] = bp.message_field(7)
     commit_index: int = bp.uint64_field(8)
-    beat: int = bp.uint64_field(9)
+    heartbeat: int = bp.uint64_field(9)
     leader_address: str = bp.string_field(10)
 
 
@@ -104,7 +104,7 @@
     is_ok: bool = bp.bool_field(5)
     match_index: int = bp.uint64_field(6)
     conflict_index: int = bp.uint64_field(7)
-    beat: int = bp.uint64_field(8)
+    heartbeat: int = bp.uint64_field(8)
 
 
 @dataclass
@@ -116,7 +116,7 @@
     last_included_index: int = bp.uint64_field(5)
     last_included_term: int = bp.uint64_field(6)
     leader_address: str = bp.string_field(7)
-    beat: int = bp.uint64_field(8)
+    heartbeat: int = bp.uint64_field(8)
 
 
 @dataclass
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -67,7 +67,7 @@
     match_index: int = 0
     heard_us: int = 0
     sent_us: int = -1_000_000
-    beat: int = 0
+    heartbeat: int = 0
     is_probing: bool = True
 
 
@@ -124,9 +124,9 @@
         self._self_vote_number = 0
         self._votes: set[str] = set()
         self._progress: dict[str, Progress] = {}
-        self._beat = 0
-        self._beat_due = 0
-        self._reads: list[tuple[int, int, int]] = []  # token, beat, index
+        self._heartbeat = 0
+        self._heartbeat_due_us = 0
+        self._reads: list[tuple[int, int, int]] = []  # token, heartbeat, index
         self._early_reads: list[int] = []
         self._led_since = 0
         self._handover_to = ""
@@ -197,9 +197,9 @@
         if self.log.term_at(index=self.commit_index) != self.term:
             self._early_reads.append(event.token)  # until its first entry is committed
             return
-        self._beat += 1
-        self._reads.append((event.token, self._beat, self.commit_index))
-        self._send_beats()
+        self._heartbeat += 1
+        self._reads.append((event.token, self._heartbeat, self.commit_index))
+        self._send_heartbeats()
         self._settle_reads()
 
     @_on.register
@@ -239,7 +239,7 @@
         leader = self.members.get(replica=event.leader)
         if leader is not None:
             self._reply_append_entries(
-                to=event.leader, is_ok=True, match_index=event.index, beat=event.beat
+                to=event.leader, is_ok=True, match_index=event.index, heartbeat=event.heartbeat
             )
 
     @_on.register
@@ -279,7 +279,7 @@
     def _set_clock_event(self) -> None:
         """When to stand if no leader is heard until then: soon in a life that has heard
         none yet. After a loss of all cores each would else wait as if for a leader; where
-        there is one, its beat comes first, or the others' word in the vote before."""
+        there is one, its heartbeat comes first, or the others' word in the vote before."""
         low, high = self._pace.election_low_us, self._pace.election_high_us
         if self._heard_leader_us < 0 and self._has_log:
             low, high = self._pace.wake_low_us, self._pace.wake_high_us
@@ -439,7 +439,7 @@
         self._led_since = self._now
         self._progress = {}
         self._askers = {}
-        self._beat += 1
+        self._heartbeat += 1
         self._become(role=LEADER)
         self._note_membership()
         self._append(kind=NOOP, data=b"")
@@ -452,9 +452,9 @@
             return
         if self._handover_to and self._now > self._handover_until:
             self._handover_to = ""
-        if self._now >= self._beat_due:
-            self._beat += 1
-            self._send_beats()
+        if self._now >= self._heartbeat_due_us:
+            self._heartbeat += 1
+            self._send_heartbeats()
         self._tend_members()
 
     def _hears_majority(self) -> bool:
@@ -482,21 +482,23 @@
         for member in self.members.others(replica=self.me):
             self._replicate(name=member.replica)
 
-    def _send_beats(self) -> None:
-        self._beat_due = self._now + self._pace.beat_us
+    def _send_heartbeats(self) -> None:
+        self._heartbeat_due_us = self._now + self._pace.heartbeat_us
         for member in self.members.others(replica=self.me):
             progress = self._progress.get(member.replica)
             if progress is None:
                 continue
             behind = progress.next_index <= self.log.last_index
-            is_due = progress.is_probing or self._now - progress.sent_us > 4 * self._pace.beat_us
+            is_due = (
+                progress.is_probing or self._now - progress.sent_us > 4 * self._pace.heartbeat_us
+            )
             self._send_append_entries(name=member.replica, has_entries=behind and is_due)
 
     def _replicate(self, *, name: str) -> None:
         progress = self._progress.get(name)
         if progress is None:
             return
-        if progress.is_probing and self._now - progress.sent_us < self._pace.beat_us:
+        if progress.is_probing and self._now - progress.sent_us < self._pace.heartbeat_us:
             return
         self._send_append_entries(name=name, has_entries=True)
 
@@ -525,7 +527,7 @@
                 prev_log_term=prev_log_term,
                 entries=entries,
                 commit_index=self.commit_index,
-                beat=self._beat,
+                heartbeat=self._heartbeat,
                 leader_address=self.members.address(replica=self.me),
             ),
         )
@@ -541,7 +543,7 @@
                 last_included_index=self.log.base_index,
                 last_included_term=self.log.base_term,
                 leader_address=self.members.address(replica=self.me),
-                beat=self._beat,
+                heartbeat=self._heartbeat,
             ),
         )
 
@@ -554,7 +556,7 @@
         if self.role != LEADER or reply.term != self.term or progress is None:
             return
         progress.heard_us = self._now
-        progress.beat = max(progress.beat, reply.beat)
+        progress.heartbeat = max(progress.heartbeat, reply.heartbeat)
         if reply.is_ok:
             progress.match_index = max(progress.match_index, reply.match_index)
             progress.next_index = max(progress.next_index, progress.match_index + 1)
@@ -610,14 +612,16 @@
                 self._emit(Removed())
 
     def _settle_reads(self) -> None:
-        beats = {self.me: self._beat} | {name: f.beat for name, f in self._progress.items()}
+        heartbeats = {self.me: self._heartbeat} | {
+            name: f.heartbeat for name, f in self._progress.items()
+        }
         kept = []
-        for token, beat, index in self._reads:
-            names = {name for name, seen in beats.items() if seen >= beat}
+        for token, heartbeat, index in self._reads:
+            names = {name for name, seen in heartbeats.items() if seen >= heartbeat}
             if self.members.is_majority(names=names):
                 self._emit(ReadReady(token=token, index=index))
             else:
-                kept.append((token, beat, index))
+                kept.append((token, heartbeat, index))
         self._reads = kept
 
     def _try_handover(self) -> None:
@@ -726,7 +730,7 @@
         if not self._accept_leader(
             term=message.term, leader=message.sender, address=message.leader_address
         ):
-            self._reply_append_entries(to=message.sender, is_ok=False, match_index=0, beat=0)
+            self._reply_append_entries(to=message.sender, is_ok=False, match_index=0, heartbeat=0)
             return
         prev = message.prev_log_index
         entries = message.entries
@@ -737,7 +741,7 @@
                     to=message.sender,
                     is_ok=True,
                     match_index=self.log.base_index,
-                    beat=message.beat,
+                    heartbeat=message.heartbeat,
                 )
                 return
             entries = entries[skip:]
@@ -745,14 +749,17 @@
         elif self.log.term_at(index=prev) != message.prev_log_term:
             conflict_index = min(self.log.last_index, max(prev - 1, self.commit_index))
             self._reply_append_entries(
-                to=message.sender, is_ok=False, conflict_index=conflict_index, beat=message.beat
+                to=message.sender,
+                is_ok=False,
+                conflict_index=conflict_index,
+                heartbeat=message.heartbeat,
             )
             return
         self._take_entries(entries=entries)
         match_index = prev + len(entries)
         self._commit_to(index=min(message.commit_index, match_index))
         self._reply_append_entries(
-            to=message.sender, is_ok=True, match_index=match_index, beat=message.beat
+            to=message.sender, is_ok=True, match_index=match_index, heartbeat=message.heartbeat
         )
 
     def _take_entries(self, *, entries: list[LogEntry]) -> None:
@@ -777,7 +784,13 @@
         self._note_membership()
 
     def _reply_append_entries(
-        self, *, to: str, is_ok: bool, match_index: int = 0, conflict_index: int = 0, beat: int = 0
+        self,
+        *,
+        to: str,
+        is_ok: bool,
+        match_index: int = 0,
+        conflict_index: int = 0,
+        heartbeat: int = 0,
     ) -> None:
         reply = AppendEntriesReply(
             cluster=self.cluster,
@@ -787,7 +800,7 @@
             is_ok=is_ok,
             match_index=match_index,
             conflict_index=conflict_index,
-            beat=beat,
+            heartbeat=heartbeat,
         )
         self._send(to=to, message=reply, is_promise=True)
 
@@ -800,7 +813,10 @@
             return
         if offer.last_included_index <= self.commit_index:
             self._reply_append_entries(
-                to=offer.sender, is_ok=True, match_index=self.commit_index, beat=offer.beat
+                to=offer.sender,
+                is_ok=True,
+                match_index=self.commit_index,
+                heartbeat=offer.heartbeat,
             )
             return
         self._emit(
@@ -809,7 +825,7 @@
                 leader_address=offer.leader_address,
                 index=offer.last_included_index,
                 term=offer.last_included_term,
-                beat=offer.beat,
+                heartbeat=offer.heartbeat,
             )
         )
 
--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -16,7 +16,7 @@
 class Pace:
     """Raft's spans."""
 
-    beat_us: int = 100_000
+    heartbeat_us: int = 100_000
     election_low_us: int = 800_000
     election_high_us: int = 1_600_000
     wake_low_us: int = 150_000  # in a life that has heard no leader yet
@@ -79,7 +79,7 @@
     term: int
     members: list[CoreMember]
     leader: str
-    beat: int
+    heartbeat: int
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -162,7 +162,7 @@
     leader_address: str
     index: int
     term: int
-    beat: int
+    heartbeat: int
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -321,7 +321,7 @@
                 term=snapshot.term,
                 members=list(snapshot.members),
                 leader=offer.leader,
-                beat=offer.beat,
+                heartbeat=offer.heartbeat,
             )
         )
 
