--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -40,7 +40,6 @@
     KeepSnapshot,
     LearnerAsks,
     NotLeader,
-    Pace,
     Persist,
     Propose,
     Proposed,
@@ -53,6 +52,7 @@
     SnapshotTaken,
     Synced,
     Tick,
+    Timing,
 )
 
 SILENT_US = 2_500_000
@@ -95,7 +95,7 @@
         term: int = 0,
         vote: str = "",
         log: MemoryLog | None = None,
-        pace: Pace = Pace(),
+        timing: Timing = Timing(),
         voters: int = 3,
     ) -> None:
         self.me = me
@@ -111,7 +111,7 @@
             base=members, entries=self.log.entries, base_index=self.log.base_index
         )
         self._rand = rand
-        self._pace = pace
+        self._timing = timing
         self._voters_wanted = voters
         self._askers: dict[str, CoreMember] = {}  # that wait for a place, one change at a time
         self._now = now_us
@@ -210,12 +210,12 @@
             (progress.match_index, name)
             for name, progress in self._progress.items()
             if self.members.is_voter(replica=name)
-            and self._now - progress.heard_us < self._pace.election_low_us
+            and self._now - progress.heard_us < self._timing.election_low_us
         ]
         if not others:
             return
         self._handover_to = max(others)[1]
-        self._handover_until = self._now + self._pace.election_low_us
+        self._handover_until = self._now + self._timing.election_low_us
         self._try_handover()
 
     @_on.register
@@ -280,9 +280,9 @@
         """When to stand if no leader is heard until then: soon in a life that has heard
         none yet. After a loss of all cores each would else wait as if for a leader; where
         there is one, its heartbeat comes first, or the others' word in the vote before."""
-        low, high = self._pace.election_low_us, self._pace.election_high_us
+        low, high = self._timing.election_low_us, self._timing.election_high_us
         if self._heard_leader_us < 0 and self._has_log:
-            low, high = self._pace.wake_low_us, self._pace.wake_high_us
+            low, high = self._timing.wake_low_us, self._timing.wake_high_us
         self._clock_event_us = self._now + low + int(self._rand.random() * (high - low))
 
     def _hasten_first(self) -> None:
@@ -295,7 +295,7 @@
 
     def _is_sync_stalled(self) -> bool:
         return bool(self._unsynced) and (
-            self._now - self._unsynced[0][2] > self._pace.sync_limit_us
+            self._now - self._unsynced[0][2] > self._timing.sync_limit_us
         )
 
     def _stand_before(self) -> None:
@@ -341,7 +341,7 @@
 
     @_on.register
     def _(self, request: RequestVote) -> None:
-        has_leader = self._now - self._heard_leader_us < self._pace.election_low_us or (
+        has_leader = self._now - self._heard_leader_us < self._timing.election_low_us or (
             self.role == LEADER and self._hears_majority()
         )
         if has_leader and not request.is_handover:
@@ -459,7 +459,7 @@
 
     def _hears_majority(self) -> bool:
         """Check-quorum: a leader that hears no majority must not act as one."""
-        limit = self._pace.election_high_us
+        limit = self._timing.election_high_us
         if self._now - self._led_since < limit:
             return True
         heard = {self.me} | {
@@ -483,14 +483,14 @@
             self._replicate(name=member.replica)
 
     def _send_heartbeats(self) -> None:
-        self._heartbeat_due_us = self._now + self._pace.heartbeat_us
+        self._heartbeat_due_us = self._now + self._timing.heartbeat_us
         for member in self.members.others(replica=self.me):
             progress = self._progress.get(member.replica)
             if progress is None:
                 continue
             behind = progress.next_index <= self.log.last_index
             is_due = (
-                progress.is_probing or self._now - progress.sent_us > 4 * self._pace.heartbeat_us
+                progress.is_probing or self._now - progress.sent_us > 4 * self._timing.heartbeat_us
             )
             self._send_append_entries(name=member.replica, has_entries=behind and is_due)
 
@@ -498,7 +498,7 @@
         progress = self._progress.get(name)
         if progress is None:
             return
-        if progress.is_probing and self._now - progress.sent_us < self._pace.heartbeat_us:
+        if progress.is_probing and self._now - progress.sent_us < self._timing.heartbeat_us:
             return
         self._send_append_entries(name=name, has_entries=True)
 
@@ -511,7 +511,7 @@
             return
         entries: list[LogEntry] = []
         if has_entries and progress.next_index <= self.log.last_index:
-            entries = self.log.batch(start=progress.next_index, limit=self._pace.batch_bytes)
+            entries = self.log.batch(start=progress.next_index, limit=self._timing.batch_bytes)
         if entries:
             progress.sent_us = self._now
             if not progress.is_probing:
@@ -706,7 +706,7 @@
         progress = self._progress.get(name)
         if progress is None:
             return name == self.me
-        return self._now - progress.heard_us < self._pace.election_low_us
+        return self._now - progress.heard_us < self._timing.election_low_us
 
     def _is_caught_up(self, *, name: str) -> bool:
         """Has it all that is committed on its disk, and is it there now?"""
--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -13,7 +13,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Pace:
+class Timing:
     """Raft's spans."""
 
     heartbeat_us: int = 100_000
