Raft names: campaign, pre-candidate, election timeout, leadership transfer, read index

_stand, PROSPECT, _set_clock_event, _tend_members, HandOver, AskRead, Heard, LearnerAsks and kin get the names that the paper and the thesis use.

--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -67,7 +67,7 @@
     last_log_index: int = bp.uint64_field(5)
     last_log_term: int = bp.uint64_field(6)
     is_pre_vote: bool = bp.bool_field(7)
-    is_handover: bool = bp.bool_field(8)
+    is_transfer: bool = bp.bool_field(8)
     address: str = bp.string_field(9)
 
 
@@ -282,7 +282,7 @@
     vouches: bool = bp.bool_field(3)
     epoch: int = bp.uint64_field(4)
     cluster: str = bp.string_field(5)
-    asker_version: int = bp.uint64_field(6)  # what the asker was last heard to serve
+    asker_version: int = bp.uint64_field(6)  # what the applicant was last heard to serve
 
 
 # --- gathering -----------------------------------------------------------------------------
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -313,7 +313,7 @@
         for _ in range(20):
             if task is None or not task.is_leader:
                 break
-            task.inbox.put_nowait(raft.HandOver())
+            task.inbox.put_nowait(raft.TransferLeadership())
             await self.ports.clock.sleep(us=100_000)
         self.server.close()
         if self._http_listener is not None:
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -29,7 +29,7 @@
     SeedState,
     TimeoutNow,
 )
-from kelpstage.core.raft.types import LearnerAsks
+from kelpstage.core.raft.types import JoinRequested
 
 PROXY_WAIT_US = 1_500_000
 
@@ -67,7 +67,7 @@
     if task is None or message.cluster != task.cluster:
         return Done(why="another cluster")
     if task.is_leader:
-        task.inbox.put_nowait(LearnerAsks(member=message.member))
+        task.inbox.put_nowait(JoinRequested(member=message.member))
         return Done(is_ok=True)
     if message.is_proxied or not task.leader_address:
         return Done(why="no leader")
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -31,20 +31,19 @@
     LEADER,
     MEMBERSHIP,
     NOOP,
-    PROSPECT,
-    AskRead,
+    PRE_CANDIDATE,
     Commit,
     FetchOffered,
-    HandOver,
-    Heard,
+    JoinRequested,
     KeepSnapshot,
-    LearnerAsks,
     NotLeader,
     Persist,
     Propose,
     Proposed,
+    ReadIndex,
     ReadLost,
     ReadReady,
+    Received,
     Removed,
     RoleChanged,
     Send,
@@ -53,10 +52,11 @@
     Synced,
     Tick,
     Timing,
+    TransferLeadership,
 )
 
-SILENT_US = 2_500_000
-FIRST_STAND_US = 250_000
+LOST_AFTER_US = 2_500_000
+FIRST_CAMPAIGN_US = 250_000
 
 
 @dataclass(kw_only=True)
@@ -113,7 +113,9 @@
         self._rand = rand
         self._timing = timing
         self._voters_wanted = voters
-        self._askers: dict[str, CoreMember] = {}  # that wait for a place, one change at a time
+        self._join_requests: dict[
+            str, CoreMember
+        ] = {}  # that wait for a place, one change at a time
         self._now = now_us
         self._effects: list[Any] = []
         self._number = 0
@@ -129,13 +131,13 @@
         self._reads: list[tuple[int, int, int]] = []  # token, heartbeat, index
         self._early_reads: list[int] = []
         self._led_since = 0
-        self._handover_to = ""
-        self._handover_until = 0
+        self._transfer_target = ""
+        self._transfer_until_us = 0
         self._heard_leader_us = -(10**12)
         self._has_log = self.log.last_index > 0 and term > 1
         self._has_been_member = self.members.has(replica=me)
-        self._set_clock_event()
-        self._hasten_first()
+        self._reset_election_timeout()
+        self._hasten_first_campaign()
 
     # --- taking events in ----------------------------------------------------
 
@@ -153,16 +155,16 @@
     @_on.register
     def _(self, event: Tick) -> None:
         if self.role == LEADER:
-            self._lead()
+            self._tick_leader()
             return
         if self._is_sync_stalled():
-            self._set_clock_event()  # a disk that hangs gives no right to stand
+            self._reset_election_timeout()  # a disk that hangs gives no right to campaign
             return
-        if self._now >= self._clock_event_us and self.members.is_voter(replica=self.me):
-            self._stand_before()
+        if self._now >= self._election_due_us and self.members.is_voter(replica=self.me):
+            self._start_pre_vote()
 
     @_on.register
-    def _(self, event: Heard) -> None:
+    def _(self, event: Received) -> None:
         message = event.message
         if message.cluster != self.cluster or message.to != self.me:
             return
@@ -178,11 +180,11 @@
         if self.role == CANDIDATE and self._self_vote_number <= self._synced:
             self._count_vote(voter=self.me)
         if self.role == LEADER:
-            self._advance()
+            self._advance_commit_index()
 
     @_on.register
     def _(self, event: Propose) -> None:
-        if self.role != LEADER or self._handover_to:
+        if self.role != LEADER or self._transfer_target:
             self._emit(NotLeader(token=event.token))
             return
         index = self._append(kind=event.kind, data=event.data)
@@ -190,7 +192,7 @@
         self._replicate_all()
 
     @_on.register
-    def _(self, event: AskRead) -> None:
+    def _(self, event: ReadIndex) -> None:
         if self.role != LEADER:
             self._emit(ReadLost(token=event.token))
             return
@@ -200,10 +202,10 @@
         self._heartbeat += 1
         self._reads.append((event.token, self._heartbeat, self.commit_index))
         self._send_heartbeats()
-        self._settle_reads()
+        self._confirm_reads()
 
     @_on.register
-    def _(self, event: HandOver) -> None:
+    def _(self, event: TransferLeadership) -> None:
         if self.role != LEADER:
             return
         others = [
@@ -214,9 +216,9 @@
         ]
         if not others:
             return
-        self._handover_to = max(others)[1]
-        self._handover_until = self._now + self._timing.election_low_us
-        self._try_handover()
+        self._transfer_target = max(others)[1]
+        self._transfer_until_us = self._now + self._timing.election_low_us
+        self._try_transfer()
 
     @_on.register
     def _(self, event: SnapshotTaken) -> None:
@@ -235,7 +237,7 @@
         self._number += 1
         self._unsynced.append((self._number, event.index, self._now))
         self._emit(KeepSnapshot(number=self._number, term=self.term, vote=self.vote))
-        self._note_membership()
+        self._membership_changed()
         leader = self.members.get(replica=event.leader)
         if leader is not None:
             self._reply_append_entries(
@@ -243,30 +245,33 @@
             )
 
     @_on.register
-    def _(self, event: LearnerAsks) -> None:
+    def _(self, event: JoinRequested) -> None:
         if self.role != LEADER:
             return
-        self._askers[event.member.replica] = event.member
-        if not self._is_membership_open():
-            self._place_asker()
+        self._join_requests[event.member.replica] = event.member
+        if not self._is_change_pending():
+            self._admit_next()
 
-    def _place_asker(self) -> bool:
+    def _admit_next(self) -> bool:
         """Give the next one that asks its place, as a learner, or its new address."""
-        while self._askers:
-            _, asker = self._askers.popitem()
-            known = self.members.get(replica=asker.replica)
+        while self._join_requests:
+            _, applicant = self._join_requests.popitem()
+            known = self.members.get(replica=applicant.replica)
             if known is None:
                 learner = CoreMember(
-                    replica=asker.replica, address=asker.address, http=asker.http, is_voter=False
+                    replica=applicant.replica,
+                    address=applicant.address,
+                    http=applicant.http,
+                    is_voter=False,
                 )
                 self._propose_members(members=self.members.current + [learner])
                 return True
-            if (known.address, known.http) == (asker.address, asker.http):
+            if (known.address, known.http) == (applicant.address, applicant.http):
                 continue
             fresh = CoreMember(
                 replica=known.replica,
-                address=asker.address,
-                http=asker.http,
+                address=applicant.address,
+                http=applicant.http,
                 is_voter=known.is_voter,
             )
             others = [m for m in self.members.current if m.replica != known.replica]
@@ -274,53 +279,53 @@
             return True
         return False
 
-    # --- standing for election ---------------------------------------------------
+    # --- elections ---------------------------------------------------
 
-    def _set_clock_event(self) -> None:
-        """When to stand if no leader is heard until then: soon in a life that has heard
+    def _reset_election_timeout(self) -> None:
+        """When to campaign if no leader is heard until then: soon in a life that has heard
         none yet. After a loss of all cores each would else wait as if for a leader; where
         there is one, its heartbeat comes first, or the others' word in the vote before."""
         low, high = self._timing.election_low_us, self._timing.election_high_us
         if self._heard_leader_us < 0 and self._has_log:
             low, high = self._timing.wake_low_us, self._timing.wake_high_us
-        self._clock_event_us = self._now + low + int(self._rand.random() * (high - low))
+        self._election_due_us = self._now + low + int(self._rand.random() * (high - low))
 
-    def _hasten_first(self) -> None:
+    def _hasten_first_campaign(self) -> None:
         """Of a cluster that was founded a moment ago, the member with the least name
-        stands first and soon; there is no leader yet whom that could disturb."""
+        campaigns first and soon; there is no leader yet whom that could disturb."""
         names = [m.replica for m in self.members.current if m.is_voter]
         is_new = self.term <= 1 and not self.log.entries and not self.vote
         if is_new and self.me == min(names, default=""):
-            self._clock_event_us = self._now + FIRST_STAND_US
+            self._election_due_us = self._now + FIRST_CAMPAIGN_US
 
     def _is_sync_stalled(self) -> bool:
         return bool(self._unsynced) and (
             self._now - self._unsynced[0][2] > self._timing.sync_limit_us
         )
 
-    def _stand_before(self) -> None:
+    def _start_pre_vote(self) -> None:
         """Ask whether an election could be won, before a term is spent on it."""
-        self._become(role=PROSPECT)
+        self._become(role=PRE_CANDIDATE)
         self.leader = ""
         self._votes = {self.me}
-        self._set_clock_event()
-        self._hasten_first()
+        self._reset_election_timeout()
+        self._hasten_first_campaign()
         if self.members.is_majority(names=self._votes):
-            self._stand(is_handover=False)
+            self._campaign(is_transfer=False)
             return
-        self._request_votes(term=self.term + 1, is_pre_vote=True, is_handover=False)
+        self._request_votes(term=self.term + 1, is_pre_vote=True, is_transfer=False)
 
-    def _stand(self, *, is_handover: bool) -> None:
+    def _campaign(self, *, is_transfer: bool) -> None:
         self.term += 1
         self.vote = self.me
         self.leader = ""
         self._become(role=CANDIDATE)
         self._votes = set()
-        self._set_clock_event()
+        self._reset_election_timeout()
         self._self_vote_number = self._persist(term=self.term, vote=self.vote)
-        self._request_votes(term=self.term, is_pre_vote=False, is_handover=is_handover)
+        self._request_votes(term=self.term, is_pre_vote=False, is_transfer=is_transfer)
 
-    def _request_votes(self, *, term: int, is_pre_vote: bool, is_handover: bool) -> None:
+    def _request_votes(self, *, term: int, is_pre_vote: bool, is_transfer: bool) -> None:
         for member in self.members.others(replica=self.me):
             if not member.is_voter:
                 continue
@@ -334,7 +339,7 @@
                     last_log_index=self.log.last_index,
                     last_log_term=self.log.last_term,
                     is_pre_vote=is_pre_vote,
-                    is_handover=is_handover,
+                    is_transfer=is_transfer,
                     address=self.members.address(replica=self.me),
                 ),
             )
@@ -342,9 +347,9 @@
     @_on.register
     def _(self, request: RequestVote) -> None:
         has_leader = self._now - self._heard_leader_us < self._timing.election_low_us or (
-            self.role == LEADER and self._hears_majority()
+            self.role == LEADER and self._has_quorum_contact()
         )
-        if has_leader and not request.is_handover:
+        if has_leader and not request.is_transfer:
             if request.is_pre_vote:
                 self._reply_request_vote(request=request, is_granted=False)
             return
@@ -353,7 +358,7 @@
             self._reply_request_vote(request=request, is_granted=is_granted)
             return
         if request.term > self.term:
-            self._fall_back(term=request.term)
+            self._become_follower(term=request.term)
         is_granted = (
             request.term == self.term
             and self.vote in ("", request.sender)
@@ -364,7 +369,7 @@
             self.vote = request.sender
             self._persist(term=self.term, vote=self.vote)
         if is_granted:
-            self._set_clock_event()
+            self._reset_election_timeout()
         self._reply_request_vote(request=request, is_granted=is_granted)
 
     def _is_log_up_to_date(self, *, request: RequestVote) -> bool:
@@ -387,14 +392,14 @@
     @_on.register
     def _(self, reply: RequestVoteReply) -> None:
         if reply.term > self.term and not (reply.is_pre_vote and reply.is_granted):
-            self._fall_back(term=reply.term)
+            self._become_follower(term=reply.term)
             return
         if not reply.is_granted:
             return
-        if reply.is_pre_vote and self.role == PROSPECT and reply.term == self.term + 1:
+        if reply.is_pre_vote and self.role == PRE_CANDIDATE and reply.term == self.term + 1:
             self._votes.add(reply.sender)
             if self.members.is_majority(names=self._votes):
-                self._stand(is_handover=False)
+                self._campaign(is_transfer=False)
             return
         if not reply.is_pre_vote and self.role == CANDIDATE and reply.term == self.term:
             self._count_vote(voter=reply.sender)
@@ -402,13 +407,13 @@
     def _count_vote(self, *, voter: str) -> None:
         self._votes.add(voter)
         if self.members.is_majority(names=self._votes):
-            self._take_lead()
+            self._become_leader()
 
     @_on.register
     def _(self, message: TimeoutNow) -> None:
         if message.term != self.term or not self.members.is_voter(replica=self.me):
             return
-        self._stand(is_handover=True)
+        self._campaign(is_transfer=True)
 
     def _become(self, *, role: str) -> None:
         if self.role == role:
@@ -418,11 +423,11 @@
                 self._emit(ReadLost(token=token))
             self._reads.clear()
             self._early_reads.clear()
-            self._handover_to = ""
+            self._transfer_target = ""
         self.role = role
         self._emit(RoleChanged(role=role, term=self.term))
 
-    def _fall_back(self, *, term: int) -> None:
+    def _become_follower(self, *, term: int) -> None:
         """Become a follower; a higher term comes with a fresh vote."""
         if term > self.term:
             self.term = term
@@ -430,34 +435,34 @@
             self._persist(term=self.term, vote="")
             self.leader = ""
         self._become(role=FOLLOWER)
-        self._set_clock_event()
+        self._reset_election_timeout()
 
     # --- leading ---------------------------------------------------------------------
 
-    def _take_lead(self) -> None:
+    def _become_leader(self) -> None:
         self.leader = self.me
         self._led_since = self._now
         self._progress = {}
-        self._askers = {}
+        self._join_requests = {}
         self._heartbeat += 1
         self._become(role=LEADER)
-        self._note_membership()
+        self._membership_changed()
         self._append(kind=NOOP, data=b"")
         self._replicate_all()
 
-    def _lead(self) -> None:
-        if self._is_sync_stalled() or not self._hears_majority():
-            self._fall_back(term=self.term)
+    def _tick_leader(self) -> None:
+        if self._is_sync_stalled() or not self._has_quorum_contact():
+            self._become_follower(term=self.term)
             self.leader = ""
             return
-        if self._handover_to and self._now > self._handover_until:
-            self._handover_to = ""
+        if self._transfer_target and self._now > self._transfer_until_us:
+            self._transfer_target = ""
         if self._now >= self._heartbeat_due_us:
             self._heartbeat += 1
             self._send_heartbeats()
-        self._tend_members()
+        self._maintain_membership()
 
-    def _hears_majority(self) -> bool:
+    def _has_quorum_contact(self) -> bool:
         """Check-quorum: a leader that hears no majority must not act as one."""
         limit = self._timing.election_high_us
         if self._now - self._led_since < limit:
@@ -475,7 +480,7 @@
         self.members.append(entry=entry)
         self._persist(entries=[entry])
         if kind == MEMBERSHIP:
-            self._note_membership()
+            self._membership_changed()
         return entry.index
 
     def _replicate_all(self) -> None:
@@ -550,7 +555,7 @@
     @_on.register
     def _(self, reply: AppendEntriesReply) -> None:
         if reply.term > self.term:
-            self._fall_back(term=reply.term)
+            self._become_follower(term=reply.term)
             return
         progress = self._progress.get(reply.sender)
         if self.role != LEADER or reply.term != self.term or progress is None:
@@ -561,19 +566,19 @@
             progress.match_index = max(progress.match_index, reply.match_index)
             progress.next_index = max(progress.next_index, progress.match_index + 1)
             was_probing, progress.is_probing = progress.is_probing, False
-            self._advance()
+            self._advance_commit_index()
             if self.role == LEADER and was_probing and progress.next_index <= self.log.last_index:
                 self._send_append_entries(name=reply.sender, has_entries=True)
-            self._try_handover()
+            self._try_transfer()
         else:
             progress.is_probing = True
             progress.next_index = max(
                 progress.match_index + 1, min(reply.conflict_index + 1, progress.next_index)
             )
             self._send_append_entries(name=reply.sender, has_entries=True)
-        self._settle_reads()
+        self._confirm_reads()
 
-    def _advance(self) -> None:
+    def _advance_commit_index(self) -> None:
         """Commit what a majority has on disk, if it is of this term."""
         matches = sorted(
             (
@@ -597,7 +602,7 @@
             self._send_append_entries(name=member.replica, has_entries=False)
         early, self._early_reads = self._early_reads, []
         for token in early:
-            self._on(AskRead(token=token))
+            self._on(ReadIndex(token=token))
 
     def _commit_to(self, *, index: int) -> None:
         index = min(index, self.log.last_index)
@@ -611,7 +616,7 @@
                 self._become(role=FOLLOWER)
                 self._emit(Removed())
 
-    def _settle_reads(self) -> None:
+    def _confirm_reads(self) -> None:
         heartbeats = {self.me: self._heartbeat} | {
             name: f.heartbeat for name, f in self._progress.items()
         }
@@ -624,22 +629,22 @@
                 kept.append((token, heartbeat, index))
         self._reads = kept
 
-    def _try_handover(self) -> None:
-        if not self._handover_to:
+    def _try_transfer(self) -> None:
+        if not self._transfer_target:
             return
-        progress = self._progress.get(self._handover_to)
+        progress = self._progress.get(self._transfer_target)
         if progress is None or progress.match_index < self.log.last_index:
             return
         self._send(
-            to=self._handover_to,
+            to=self._transfer_target,
             message=TimeoutNow(
-                cluster=self.cluster, sender=self.me, to=self._handover_to, term=self.term
+                cluster=self.cluster, sender=self.me, to=self._transfer_target, term=self.term
             ),
         )
 
     # --- membership -----------------------------------------------------------------------
 
-    def _is_membership_open(self) -> bool:
+    def _is_change_pending(self) -> bool:
         """Is a change of members still on its way, or this term not yet proved?"""
         return (
             self.members.index > self.commit_index
@@ -650,7 +655,7 @@
         self._append(kind=MEMBERSHIP, data=write_members(members=members))
         self._replicate_all()
 
-    def _note_membership(self) -> None:
+    def _membership_changed(self) -> None:
         if self.members.has(replica=self.me):
             self._has_been_member = True
         if self.role != LEADER:
@@ -661,10 +666,10 @@
         for name in sorted(set(self._progress) - names):
             del self._progress[name]
 
-    def _tend_members(self) -> None:
+    def _maintain_membership(self) -> None:
         """One change at a time: who asks becomes a learner; caught-up learners are
         raised until there are enough voters; one takes a lost voter's place."""
-        if self._is_membership_open() or self._handover_to or self._place_asker():
+        if self._is_change_pending() or self._transfer_target or self._admit_next():
             return
         current = self.members.current
         voters = [m for m in current if m.is_voter]
@@ -692,17 +697,17 @@
     def _is_lost(self, *, member: CoreMember) -> bool:
         """Silent for long, or with another replica at its address: a core that came
         back without its disk is a new replica, and the one before is gone for good."""
-        if self._now - self._progress[member.replica].heard_us > SILENT_US:
+        if self._now - self._progress[member.replica].heard_us > LOST_AFTER_US:
             return True
         return any(
             other.address == member.address
             for other in self.members.current
             if other.replica != member.replica
-            and self._is_heard(name=other.replica)
-            and not self._is_heard(name=member.replica)
+            and self._is_active(name=other.replica)
+            and not self._is_active(name=member.replica)
         )
 
-    def _is_heard(self, *, name: str) -> bool:
+    def _is_active(self, *, name: str) -> bool:
         progress = self._progress.get(name)
         if progress is None:
             return name == self.me
@@ -710,7 +715,7 @@
 
     def _is_caught_up(self, *, name: str) -> bool:
         """Has it all that is committed on its disk, and is it there now?"""
-        return self._is_heard(name=name) and self._progress[name].match_index >= self.commit_index
+        return self._is_active(name=name) and self._progress[name].match_index >= self.commit_index
 
     # --- following ----------------------------------------------------------------------------
 
@@ -718,11 +723,11 @@
         if term < self.term:
             return False
         if term > self.term or self.role != FOLLOWER:
-            self._fall_back(term=term)
+            self._become_follower(term=term)
         self.leader = leader
         self.leader_address = address
         self._heard_leader_us = self._now
-        self._set_clock_event()
+        self._reset_election_timeout()
         return True
 
     @_on.register
@@ -781,7 +786,7 @@
             self.log.add(entry)
             self.members.append(entry=entry)
         self._persist(cut_from=cut_from, entries=fresh)
-        self._note_membership()
+        self._membership_changed()
 
     def _reply_append_entries(
         self,
--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -9,7 +9,7 @@
 
 NOOP, MEMBERSHIP, COMMAND = 0, 1, 2
 
-FOLLOWER, PROSPECT, CANDIDATE, LEADER = "follower", "prospect", "candidate", "leader"
+FOLLOWER, PRE_CANDIDATE, CANDIDATE, LEADER = "follower", "pre_candidate", "candidate", "leader"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -34,7 +34,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Heard:
+class Received:
     message: Any
 
 
@@ -46,7 +46,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class AskRead:
+class ReadIndex:
     """Tell me (by `ReadReady`) when this leader is confirmed as of now."""
 
     token: int
@@ -60,7 +60,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class HandOver:
+class TransferLeadership:
     """Give leadership to the voter that is furthest on."""
 
 
@@ -83,7 +83,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class LearnerAsks:
+class JoinRequested:
     member: CoreMember
 
 
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -134,7 +134,7 @@
     async def confirm(self, *, wait_us: int) -> NoLeader | None:
         """Is this the leader now, and is all that was acknowledged applied here?"""
         token, future = self.waiters.open()
-        self.inbox.put_nowait(raft.AskRead(token=token))
+        self.inbox.put_nowait(raft.ReadIndex(token=token))
         outcome = await self._ports.clock.within(future, us=wait_us)
         self.waiters.drop(token=token)
         if outcome is True:
@@ -142,7 +142,7 @@
         return outcome or NoLeader(why="no majority of cores confirmed the leader in time")
 
     def heard(self, *, message: Any) -> None:
-        self.inbox.put_nowait(raft.Heard(message=message))
+        self.inbox.put_nowait(raft.Received(message=message))
 
     # --- the task ------------------------------------------------------------------------
 
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -97,7 +97,7 @@
             if self.rand.random() < 0.05:
                 self.bag.append((to, message))
             if self.rand.random() > 0.06:
-                self.step(to, t.Heard(message=message))
+                self.step(to, t.Received(message=message))
         elif lot < 0.70 and self.disks[name].queue:
             number = self.disks[name].sync_one()
             self.synced[name] = number
@@ -116,11 +116,11 @@
         elif lot < 0.995:
             self.proposals += 1
             self.asked[self.proposals] = max(self.committed, default=0)
-            self.step(name, t.AskRead(token=self.proposals))
+            self.step(name, t.ReadIndex(token=self.proposals))
         elif lot < 0.998:
             self.replicas[name] = self.boot(name)
         else:
-            self.step(name, t.HandOver())
+            self.step(name, t.TransferLeadership())
 
 
 class RaftTest(unittest.TestCase):
