--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -222,24 +222,34 @@
 
     @_on.register
     def _(self, event: SnapshotTaken) -> None:
+        if event.index <= self.log.base_index:
+            return  # a newer one was installed in the meantime
         self.members.rebase(index=event.index)
         self.log.compact(index=event.index)
 
     @_on.register
     def _(self, event: SnapshotFetched) -> None:
-        if event.index <= self.commit_index:
+        """Figure 13 of the paper, judged by what holds on arrival: in the meantime other
+        entries may have come, from another leader in a later term, and been acknowledged."""
+        if self.role == LEADER or event.index <= self.commit_index:
             return
-        self.log = MemoryLog(base_index=event.index, base_term=event.term)
-        self.members = MemberList(base=event.members, entries=[], base_index=event.index)
+        is_suffix_kept = self.log.term_at(index=event.index) == event.term
+        if is_suffix_kept:
+            self.log.compact(index=event.index)
+        else:
+            self.log = MemoryLog(base_index=event.index, base_term=event.term)
+            self.durable = min(self.durable, self.commit_index)
+            self._cut_number = self._number + 1
+        self.members = MemberList(
+            base=event.members, entries=self.log.entries, base_index=event.index
+        )
         self.commit_index = event.index
-        self._cut_number = self._number + 1
-        self.durable = min(self.durable, self.commit_index)
         self._number += 1
-        self._unsynced.append((self._number, event.index, self._now))
-        self._emit(KeepSnapshot(number=self._number, term=self.term, vote=self.vote))
+        self._unsynced.append((self._number, self.log.last_index, self._now))
+        tail = list(self.log.entries)
+        self._emit(KeepSnapshot(number=self._number, term=self.term, vote=self.vote, tail=tail))
         self._membership_changed()
-        leader = self.members.get(replica=event.leader)
-        if leader is not None:
+        if event.leader_term == self.term:
             self._reply_append_entries(
                 to=event.leader, is_ok=True, match_index=event.index, heartbeat=event.heartbeat
             )
@@ -824,10 +834,20 @@
                 heartbeat=offer.heartbeat,
             )
             return
+        if self.log.term_at(index=offer.last_included_index) == offer.last_included_term:
+            self._commit_to(index=offer.last_included_index)  # all that it holds is here
+            self._reply_append_entries(
+                to=offer.sender,
+                is_ok=True,
+                match_index=offer.last_included_index,
+                heartbeat=offer.heartbeat,
+            )
+            return
         self._emit(
             FetchOffered(
                 leader=offer.sender,
                 leader_address=offer.leader_address,
+                leader_term=offer.term,
                 index=offer.last_included_index,
                 term=offer.last_included_term,
                 heartbeat=offer.heartbeat,
--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -73,12 +73,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class SnapshotFetched:
-    """A snapshot offered by the leader is on disk; the log starts behind it."""
+    """The snapshot that a leader offered has arrived; `leader_term` is the term of that
+    offer, which may be over by now."""
 
     index: int
     term: int
     members: list[CoreMember]
     leader: str
+    leader_term: int
     heartbeat: int
 
 
@@ -113,11 +115,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class KeepSnapshot:
-    """Keep the fetched snapshot; the log goes on behind it."""
+    """Keep the fetched snapshot; the log goes on behind it with the entries of `tail`."""
 
     number: int
     term: int
     vote: str
+    tail: list[LogEntry] = field(default_factory=list)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -156,10 +159,11 @@
 
 @dataclass(frozen=True, kw_only=True)
 class FetchOffered:
-    """Fetch the snapshot that the leader offers."""
+    """Fetch the snapshot that the leader of a term offers."""
 
     leader: str
     leader_address: str
+    leader_term: int
     index: int
     term: int
     heartbeat: int
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -321,6 +321,7 @@
                 term=snapshot.term,
                 members=list(snapshot.members),
                 leader=offer.leader,
+                leader_term=offer.leader_term,
                 heartbeat=offer.heartbeat,
             )
         )
@@ -335,6 +336,10 @@
         self._on_applied(None, snapshot.index)
         self._disk.inbox.put_nowait(
             KeepThis(
-                snapshot=snapshot, tail=[], term=effect.term, vote=effect.vote, number=effect.number
+                snapshot=snapshot,
+                tail=effect.tail,
+                term=effect.term,
+                vote=effect.vote,
+                number=effect.number,
             )
         )
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -3,13 +3,23 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
+from collections import Counter
 
-from kelpstage.base.wire.messages import CoreMember, LogEntry
+from kelpstage.base.journal import Journal
+from kelpstage.base.wire.lines import Lines
+from kelpstage.base.wire.messages import AppendEntries, CoreMember, InstallSnapshot, LogEntry
 from kelpstage.core.raft import types as t
 from kelpstage.core.raft.log import MemoryLog
+from kelpstage.core.raft.members import write_members
 from kelpstage.core.raft.replica import Replica
+from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.store.records import DiskIdentity, DiskSnapshot
+from kelpstage.core.store.store import Recovered, Store
+from proof.sim.loop import VirtualLoop
+from proof.sim.world import SimProcess, World
 
 NAMES = ("a", "b", "c")
 MEMBERS = [CoreMember(replica=n, address=n, is_voter=True) for n in NAMES]
@@ -156,3 +166,242 @@
             net.now += 100_000
             leader.step(now_us=net.now, event=t.Tick())
         self.assertNotEqual(t.LEADER, leader.role)
+
+
+class Follower:
+    """One replica of three that is fed by hand; its disk syncs when it is told to."""
+
+    def __init__(self, *, base: int = 50, last: int = 80, term: int = 2) -> None:
+        entries = [LogEntry(index=i, term=term, kind=t.COMMAND) for i in range(base + 1, last + 1)]
+        self.now = 0
+        self.replica = Replica(
+            me="a",
+            cluster="k",
+            members=MEMBERS,
+            rand=random.Random(1),
+            now_us=0,
+            term=term,
+            log=MemoryLog(base_index=base, base_term=term, entries=entries),
+        )
+
+    def step(self, event: object) -> list[object]:
+        self.now += 1_000
+        return self.replica.step(now_us=self.now, event=event)
+
+    def receive(self, message: object) -> list[object]:
+        return self.step(t.Received(message=message))
+
+    def append(self, *, term: int, sender: str, index: int, commit_index: int = 0) -> list[object]:
+        """An AppendEntries with no entries, behind the entry at `index`."""
+        return self.receive(
+            AppendEntries(
+                cluster="k",
+                sender=sender,
+                to="a",
+                term=term,
+                prev_log_index=index,
+                prev_log_term=self.replica.log.term_at(index=index) or 0,
+                commit_index=commit_index,
+                leader_address=sender,
+            )
+        )
+
+    def offer(self, *, term: int, sender: str, index: int, index_term: int, heartbeat: int = 0):
+        return self.receive(
+            InstallSnapshot(
+                cluster="k",
+                sender=sender,
+                to="a",
+                term=term,
+                last_included_index=index,
+                last_included_term=index_term,
+                leader_address=sender,
+                heartbeat=heartbeat,
+            )
+        )
+
+    def fetched(self, offer: t.FetchOffered) -> list[object]:
+        return self.step(
+            t.SnapshotFetched(
+                index=offer.index,
+                term=offer.term,
+                members=MEMBERS,
+                leader=offer.leader,
+                leader_term=offer.leader_term,
+                heartbeat=offer.heartbeat,
+            )
+        )
+
+
+def only(effects: list[object], kind: type) -> list:
+    return [effect for effect in effects if isinstance(effect, kind)]
+
+
+class InstalledSnapshotTest(unittest.TestCase):
+    """The paper's figure 13: what an installed snapshot leaves of the log."""
+
+    def late_fetch(self) -> tuple[Follower, list[object]]:
+        """Entries up to 80 are appended, synced and acknowledged to the leader of term
+        3 while the transfer of a snapshot up to 60, offered in term 2, is under way."""
+        one = Follower(base=50, last=50)
+        offers = only(one.offer(term=2, sender="b", index=60, index_term=2), t.FetchOffered)
+        self.assertEqual(60, offers[0].index)
+        entries = [LogEntry(index=i, term=2, kind=t.COMMAND) for i in range(51, 81)]
+        one.receive(
+            AppendEntries(
+                cluster="k",
+                sender="c",
+                to="a",
+                term=3,
+                prev_log_index=50,
+                prev_log_term=2,
+                entries=entries,
+                commit_index=55,
+            )
+        )
+        one.step(t.Synced(number=one.replica._number))
+        self.assertEqual((80, 80, 55), self.ends(one))
+        return one, one.fetched(offers[0])
+
+    def ends(self, one: Follower) -> tuple[int, int, int]:
+        replica = one.replica
+        return replica.log.last_index, replica.durable, replica.commit_index
+
+    def test_an_acknowledged_suffix_stays_in_the_log_and_on_disk(self) -> None:
+        one, effects = self.late_fetch()
+        self.assertEqual((80, 80, 60), self.ends(one))
+        kept = only(effects, t.KeepSnapshot)
+        self.assertEqual(list(range(61, 81)), [entry.index for entry in kept[0].tail])
+
+    def test_a_membership_change_in_the_suffix_stays_in_force(self) -> None:
+        one = Follower(base=50, last=50, term=2)
+        offers = only(one.offer(term=2, sender="b", index=60, index_term=2), t.FetchOffered)
+        more = [*MEMBERS, CoreMember(replica="d", address="d")]
+        entries = [LogEntry(index=i, term=2, kind=t.COMMAND) for i in range(51, 71)]
+        entries[-1] = LogEntry(
+            index=70, term=2, kind=t.MEMBERSHIP, data=write_members(members=more)
+        )
+        one.receive(
+            AppendEntries(
+                cluster="k",
+                sender="b",
+                to="a",
+                term=2,
+                prev_log_index=50,
+                prev_log_term=2,
+                entries=entries,
+            )
+        )
+        one.fetched(offers[0])
+        self.assertTrue(one.replica.members.has(replica="d"))
+        self.assertEqual(70, one.replica.members.index)
+
+    def test_a_log_that_differs_at_the_last_included_index_is_discarded(self) -> None:
+        one = Follower(base=50, last=80, term=2)
+        offers = only(one.offer(term=4, sender="b", index=60, index_term=3), t.FetchOffered)
+        effects = one.fetched(offers[0])
+        self.assertEqual((60, 50, 60), self.ends(one))
+        self.assertEqual([], only(effects, t.KeepSnapshot)[0].tail)
+        one.step(t.Synced(number=one.replica._number))
+        self.assertEqual((60, 60, 60), self.ends(one))
+
+    def test_a_log_that_holds_the_last_included_entry_needs_no_transfer(self) -> None:
+        one = Follower(base=50, last=80, term=2)
+        effects = one.offer(term=3, sender="b", index=60, index_term=2)
+        self.assertEqual([], only(effects, t.FetchOffered))
+        self.assertEqual((80, 80, 60), self.ends(one))
+        replies = [effect.message for effect in only(effects, t.Send)]
+        self.assertEqual([(True, 60)], [(r.is_ok, r.match_index) for r in replies])
+
+    def test_a_leader_keeps_its_own_log(self) -> None:
+        one = Follower(base=50, last=50, term=2)
+        offers = only(one.offer(term=2, sender="b", index=60, index_term=2), t.FetchOffered)
+        one.append(term=2, sender="b", index=50)
+        one.replica.role = t.LEADER
+        one.fetched(offers[0])
+        self.assertEqual(50, one.replica.log.base_index)
+
+    def test_a_fetch_offered_in_an_older_term_answers_no_later_leader(self) -> None:
+        """The reply would carry the heartbeat of the older term under the new term: a
+        leader that was restarted in between would take it for contact after a read."""
+        one = Follower(base=50, last=50)
+        offers = only(
+            one.offer(term=2, sender="b", index=60, index_term=2, heartbeat=900), t.FetchOffered
+        )
+        one.append(term=3, sender="b", index=50)
+        effects = one.fetched(offers[0])
+        self.assertEqual(60, one.replica.log.base_index)
+        self.assertEqual([], only(effects, t.Send))
+
+    def test_a_fetch_of_the_same_term_is_answered(self) -> None:
+        one = Follower(base=50, last=50)
+        offers = only(
+            one.offer(term=2, sender="b", index=60, index_term=2, heartbeat=9), t.FetchOffered
+        )
+        replies = [send.message for send in only(one.fetched(offers[0]), t.Send)]
+        self.assertEqual([(60, 9, 2)], [(r.match_index, r.heartbeat, r.term) for r in replies])
+
+
+class InstalledSnapshotOnDiskTest(unittest.TestCase):
+    def test_an_acknowledged_suffix_is_there_after_a_loss_of_power(self) -> None:
+        """The same late fetch as above, with the disk under it."""
+        loop = VirtualLoop()
+        asyncio.set_event_loop(loop)
+        try:
+            recovered = loop.run_until_complete(self.late_fetch_on_disk(loop))
+        finally:
+            asyncio.set_event_loop(None)
+            loop.close()
+        self.assertEqual(60, recovered.snapshot.index)
+        self.assertEqual((60, 80), (recovered.log.base_index, recovered.log.last_index))
+        self.assertEqual((3, ""), (recovered.term, recovered.vote))
+
+    async def late_fetch_on_disk(self, loop: VirtualLoop) -> Recovered:
+        world = World(seed=1, loop=loop)
+        machine = world.add_machine(name="m", domain="d")
+        process = SimProcess(world=world, name="p", machine=machine, life=1)
+        store = Store(ports=process.ports)
+        identity = DiskIdentity(replica="a", cluster="k")
+        await store.read_identity()
+        await store.write_identity(identity=identity)
+        founding = DiskSnapshot(index=1, term=1, members=MEMBERS, cluster="k")
+        await store.keep_snapshot(snapshot=founding, tail=[], term=1, vote="")
+        failures: list[object] = []
+        task = ReplicaTask(
+            ports=process.ports,
+            store=store,
+            lines=Lines(ports=process.ports, counts=Counter()),
+            journal=Journal(now=process.ports.clock.now_us),
+            recovered=await store.recover(identity=identity),
+            own="10.0.0.1:7100",
+            on_applied=lambda outcome, index: None,
+            on_role=lambda role: None,
+            on_defect=failures.append,
+        )
+        entries = [LogEntry(index=i, term=2, kind=t.NOOP) for i in range(2, 81)]
+        task.heard(
+            message=AppendEntries(
+                cluster="k",
+                sender="c",
+                to="a",
+                term=3,
+                prev_log_index=1,
+                prev_log_term=1,
+                entries=entries,
+                commit_index=55,
+            )
+        )
+        await asyncio.sleep(0.1)
+        self.assertEqual(80, task.raft.durable)
+        task._fetched = DiskSnapshot(index=60, term=2, members=MEMBERS, cluster="k")
+        task._take(
+            event=t.SnapshotFetched(
+                index=60, term=2, members=MEMBERS, leader="b", leader_term=2, heartbeat=0
+            )
+        )
+        await asyncio.sleep(0.1)
+        self.assertEqual([], failures)
+        process.kill()
+        machine.platter.cut_power()
+        store = Store(ports=SimProcess(world=world, name="p", machine=machine, life=2).ports)
+        return await store.recover(identity=await store.read_identity())
