--- a/kelpstage/base/blueprint/forward.py
+++ b/kelpstage/base/blueprint/forward.py
@@ -139,29 +139,14 @@
     *, name: str, raw: dict, path: str, services: Any, known: dict, faults: list[Fault]
 ) -> ForwardRoute | None:
     """One route; None where host or prefix can't be read."""
-    if not raw.keys() <= KEYS:
-        for key in raw.keys() - KEYS:
-            faults.append(Fault(path=f"{path}.{key}", why="is not allowed key"))
+    for key in sorted(raw.keys() - KEYS):
+        faults.append(Fault(path=f"{path}.{key}", why="is not allowed key"))
     host, prefix = raw.get("host"), raw.get("prefix")
-    is_placed = True
-    if not is_host(value=host):
-        faults.append(Fault(path=f"{path}.host", why="value is not a host name"))
-        is_placed = False
-    why = _prefix_fault(value=prefix)
-    if why:
-        faults.append(Fault(path=f"{path}.prefix", why=why))
-        is_placed = False
+    is_placed = _check_place(host=host, prefix=prefix, path=path, faults=faults)
     is_repeatable = raw.get("is_repeatable", False)
     if type(is_repeatable) is not bool:
         faults.append(Fault(path=f"{path}.is_repeatable", why="value is not true or false"))
-    wholes: dict[str, int] = {}
-    for key, (low, default) in WHOLES.items():
-        value = raw.get(key, default)
-        if type(value) is int and low <= value <= WHOLE_LIMIT:
-            wholes[key] = value
-            continue
-        why = "is required" if value is None else f"value is not a whole number from {low}"
-        faults.append(Fault(path=f"{path}.{key}", why=why))
+    wholes = _read_wholes(raw=raw, path=path, faults=faults)
     weights: tuple[tuple[str, float], ...] = ()
     fan_out: tuple[str, ...] = ()
     limit, quorum = 0, 1
@@ -198,6 +183,30 @@
     )
 
 
+def _check_place(*, host: Any, prefix: Any, path: str, faults: list[Fault]) -> bool:
+    """Whether host and path prefix are usable; adds a fault for each that is not."""
+    before = len(faults)
+    if not is_host(value=host):
+        faults.append(Fault(path=f"{path}.host", why="value is not a host name"))
+    why = _prefix_fault(value=prefix)
+    if why:
+        faults.append(Fault(path=f"{path}.prefix", why=why))
+    return len(faults) == before
+
+
+def _read_wholes(*, raw: dict, path: str, faults: list[Fault]) -> dict[str, int]:
+    """The whole-number fields that are in range; adds a fault for each that is not."""
+    wholes: dict[str, int] = {}
+    for key, (low, default) in WHOLES.items():
+        value = raw.get(key, default)
+        if type(value) is int and low <= value <= WHOLE_LIMIT:
+            wholes[key] = value
+            continue
+        why = "is required" if value is None else f"value is not a whole number from {low}"
+        faults.append(Fault(path=f"{path}.{key}", why=why))
+    return wholes
+
+
 def _read_weights(
     *, raw: Any, path: str, services: Any, faults: list[Fault]
 ) -> tuple[tuple[str, float], ...]:
--- a/kelpstage/base/http/head.py
+++ b/kelpstage/base/http/head.py
@@ -73,8 +73,10 @@
     4.0
     >>> kept_for_s(keep_alive="timeout=1", default_s=20.0)
     0.5
-    >>> kept_for_s(keep_alive="", default_s=20.0), kept_for_s(keep_alive="timeout=x", default_s=20.0)
-    (20.0, 20.0)
+    >>> kept_for_s(keep_alive="", default_s=20.0)
+    20.0
+    >>> kept_for_s(keep_alive="timeout=x", default_s=20.0)
+    20.0
     """
     for part in keep_alive.split(","):
         name, _, value = part.partition("=")
--- a/kelpstage/base/wire/delta.py
+++ b/kelpstage/base/wire/delta.py
@@ -31,7 +31,8 @@
 def pack_delta(*, base: bytes, whole: bytes) -> bytes:
     """What turns `base` into `whole`; with an empty base, `whole` compressed.
 
-    >>> base, whole = bytes(range(256)) * 40, bytes(range(256)) * 20 + b"new" + bytes(range(256)) * 20
+    >>> base = bytes(range(256)) * 40
+    >>> whole = base[: len(base) // 2] + b"new" + base[len(base) // 2 :]
     >>> len(pack_delta(base=base, whole=whole)) < 40
     True
     >>> apply_delta(base=base, delta=pack_delta(base=base, whole=whole)) == whole
--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -347,7 +347,7 @@
     records: bytes = bp.bytes_field(5)
     is_open: bool = bp.bool_field(6)
 
-    # --- gossip (datagrams) ------------------------------------------------------------------------
+    # --- gossip (datagrams) -------------------------------------------------------------------
     has_sent_nothing: bool = bp.bool_field(7)  # stale before it asked anybody
 
 
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -282,7 +282,7 @@
         for address in sorted(known - {self.own}):
             self.lines.send(address=address, message=JoinCore(cluster=task.cluster, member=member))
 
-    # --- edges heard of ------------------------------------------------------------------------
+    # --- edges heard of -----------------------------------------------------------------------
 
     def meet(self, *, contact: EdgeContact) -> None:
         if not contact.name:
@@ -304,7 +304,7 @@
     def core_addresses(self) -> list[str]:
         return [m.address for m in self.task.raft.members.current] if self.task else []
 
-    # --- end ---------------------------------------------------------------------------------------
+    # --- end ----------------------------------------------------------------------------------
 
     async def stop(self) -> None:
         """Planned stop: leadership is handed on first."""
--- a/kelpstage/core/grants/desk.py
+++ b/kelpstage/core/grants/desk.py
@@ -306,7 +306,7 @@
         try:
             for edge in edges:
                 command = Command(remove=RemoveEdge(edge=edge))
-                defect = await self._set_roster(make=lambda: command)
+                defect = await self._set_roster(make=lambda command=command: command)
                 if defect is not None:
                     return defect
         finally:
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -593,10 +593,10 @@
         entries = self.log.slice(start=self.commit + 1, stop=index)
         self.commit = index
         self._emit(Commit(entries=entries))
-        if self._has_been_member and not self.members.has(replica=self.me):
-            if index >= self.members.index:
-                self._become(role=FOLLOWER)
-                self._emit(Removed())
+        is_removed = self._has_been_member and not self.members.has(replica=self.me)
+        if is_removed and index >= self.members.index:
+            self._become(role=FOLLOWER)
+            self._emit(Removed())
 
     def _settle_reads(self) -> None:
         beats = {self.me: self._beat} | {name: f.beat for name, f in self._follow.items()}
@@ -790,7 +790,7 @@
             )
         )
 
-    # --- effects ---------------------------------------------------------------------------------
+    # --- effects ------------------------------------------------------------------------------
 
     def _emit(self, effect: Any) -> None:
         self._effects.append(effect)
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -251,7 +251,7 @@
     def _(self, effect: raft.Removed) -> None:
         self._on_role("removed")
 
-    # --- snapshots -----------------------------------------------------------------------------
+    # --- snapshots ----------------------------------------------------------------------------
 
     def _consider_snapshot(self) -> None:
         if self._is_capturing:
--- a/kelpstage/core/salvage.py
+++ b/kelpstage/core/salvage.py
@@ -154,7 +154,7 @@
     replies = await asyncio.gather(
         *(lines.call(address=a, message=SeedProbe(), wait_us=ASK_US) for a in addresses)
     )
-    return [a for a, reply in zip(addresses, replies) if isinstance(reply, SeedState)]
+    return [a for a, reply in zip(addresses, replies, strict=True) if isinstance(reply, SeedState)]
 
 
 async def _ask_edges(*, lines: Lines, edges: list[str], cluster: str) -> list[tuple[str, int, str]]:
@@ -163,7 +163,7 @@
     )
     return [
         (reply.edge, reply.epoch, address)
-        for address, reply in zip(edges, replies)
+        for address, reply in zip(edges, replies, strict=True)
         if isinstance(reply, WitnessReply) and reply.cluster == cluster and reply.vouches
     ]
 
--- a/kelpstage/ctl/commands/views.py
+++ b/kelpstage/ctl/commands/views.py
@@ -109,9 +109,8 @@
             lines.append(f"  backend {row['name']}: {state} ({row['why']})")
     for collection, row in view["searches"].items():
         ends = ", ".join(f"{count} {end}" for end, count in row["ends"].items())
-        lines.append(
-            f"  {collection}: {ends}; half within {row['p50_us']} us, 99 % within {row['p99_us']} us"
-        )
+        times = f"half within {row['p50_us']} us, 99 % within {row['p99_us']} us"
+        lines.append(f"  {collection}: {ends}; {times}")
     for service, row in view["budget"].items():
         lines.append(
             f"  {service}, last 10 s: {row['first']} first sends, {row['extra']} extra; "
--- a/kelpstage/ctl/out.py
+++ b/kelpstage/ctl/out.py
@@ -52,5 +52,6 @@
     cells = [heads] + [["-" if v is None else str(v) for v in row] for row in rows]
     widths = [max(len(row[i]) for row in cells) for i in range(len(heads))]
     return "\n".join(
-        "  ".join(cell.ljust(width) for cell, width in zip(row, widths)).rstrip() for row in cells
+        "  ".join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
+        for row in cells
     )
--- a/kelpstage/edge/backend/reply.py
+++ b/kelpstage/edge/backend/reply.py
@@ -109,6 +109,27 @@
     return fields
 
 
+def _check_head(*, backend: str, reply: HttpReply) -> BadReply | None:
+    """The first fault of the status line, the headers or the body's length, if any."""
+
+    def bad(part: str, why: str) -> BadReply:
+        return BadReply(backend=backend, part=part, why=why)
+
+    if reply.status != 200:
+        return bad("status", str(reply.status))
+    kind = reply.headers.get("content-type", "").split(";")[0].strip().lower()
+    if kind != "application/json":
+        return bad("type", kind or "none")
+    if reply.headers.get("content-encoding", "identity") != "identity":
+        return bad("encoding", reply.headers["content-encoding"])
+    if len(reply.body) > REPLY_LIMIT:
+        return bad("length", f"{len(reply.body)} bytes")
+    stated = reply.headers.get("content-length")
+    if stated is not None and stated != str(len(reply.body)):
+        return bad("length", f"{len(reply.body)} of {stated} bytes")
+    return None
+
+
 def read_reply(
     *, backend: str, reply: HttpReply, shard: str, cut: str, order_by: str
 ) -> SealedPart | BadReply:
@@ -129,18 +150,9 @@
     def bad(part: str, why: str) -> BadReply:
         return BadReply(backend=backend, part=part, why=why)
 
-    if reply.status != 200:
-        return bad("status", str(reply.status))
-    kind = reply.headers.get("content-type", "").split(";")[0].strip().lower()
-    if kind != "application/json":
-        return bad("type", kind or "none")
-    if reply.headers.get("content-encoding", "identity") != "identity":
-        return bad("encoding", reply.headers["content-encoding"])
-    if len(reply.body) > REPLY_LIMIT:
-        return bad("length", f"{len(reply.body)} bytes")
-    stated = reply.headers.get("content-length")
-    if stated is not None and stated != str(len(reply.body)):
-        return bad("length", f"{len(reply.body)} of {stated} bytes")
+    head_fault = _check_head(backend=backend, reply=reply)
+    if head_fault is not None:
+        return head_fault
     try:
         fields = _scan_reply(text=reply.body.decode("utf-8"))
     except UnicodeDecodeError:
@@ -160,7 +172,7 @@
     if fields.get("stamp") != stamp_of(records=raw):
         return bad("stamp", "does not fit the records")
     records: list[tuple[int, bytes]] = []
-    for (value, _), data in zip(scanned, raw):
+    for (value, _), data in zip(scanned, raw, strict=False):
         rank = value.get(order_by) if isinstance(value, dict) else None
         if type(rank) is not int or not LOW <= rank <= HIGH:
             return bad("record", f"{order_by} is not a whole number of 64 bits")
--- a/kelpstage/edge/forward/sealed.py
+++ b/kelpstage/edge/forward/sealed.py
@@ -48,7 +48,8 @@
     """Calls to backends, and what their answers are worth.
 
     >>> codec = SealedCodec(names=HeaderNames())
-    >>> reply = HttpReply(status=200, headers={"kelp-seal": "a.1", "kelp-request-id": "r"}, body=b"x" * 35)
+    >>> headers = {"kelp-seal": "a.1", "kelp-request-id": "r"}
+    >>> reply = HttpReply(status=200, headers=headers, body=b"x" * 35)
     >>> codec.read_part(reply=reply, backend="i-1", shard="s", request_id="r").count
     2
     >>> codec.read_part(reply=reply, backend="i-1", shard="s", request_id="q").part
--- a/kelpstage/edge/gather/passes/admit.py
+++ b/kelpstage/edge/gather/passes/admit.py
@@ -23,9 +23,9 @@
     has been replaced for a while."""
     if record.stage == GATHERS:
         _look_again(record=record, world=world)
-    if record.stage == AWAITS and record.kind == ROOT:
-        if world.keeper.blueprint.version >= record.awaits_version:
-            record.begin_again()
+    is_awaiting = record.stage == AWAITS and record.kind == ROOT
+    if is_awaiting and world.keeper.blueprint.version >= record.awaits_version:
+        record.begin_again()
     if record.stage not in (NEW, AWAITS):
         return
     if world.now_us >= record.due_us:
@@ -121,7 +121,8 @@
 def draw(*, weights: tuple[tuple[str, float], ...], lot: float) -> str:
     """The service that a lot from 0 to 1 falls on.
 
-    >>> draw(weights=(("a", 1.0), ("b", 3.0)), lot=0.2), draw(weights=(("a", 1.0), ("b", 3.0)), lot=0.3)
+    >>> weights = (("a", 1.0), ("b", 3.0))
+    >>> draw(weights=weights, lot=0.2), draw(weights=weights, lot=0.3)
     ('a', 'b')
     """
     place = lot * sum(weight for _, weight in weights)
--- a/kelpstage/edge/gather/task.py
+++ b/kelpstage/edge/gather/task.py
@@ -240,7 +240,7 @@
         if isinstance(said.outcome, (ConnectRefused, LineLost)):
             world.swim.suspect(name=said.node, now_us=now_us, why=said.outcome.kind)
 
-    # --- effects ----------------------------------------------------------------------------------
+    # --- effects ------------------------------------------------------------------------------
 
     @singledispatchmethod
     def _perform(self, effect: Any) -> None:
--- a/kelpstage/edge/gather/tree.py
+++ b/kelpstage/edge/gather/tree.py
@@ -21,7 +21,8 @@
     def all_shards(self) -> tuple[str, ...]:
         """Every shard under this node.
 
-        >>> Branch(node="a", shards=("s",), children=(Branch(node="b", shards=("t",)),)).all_shards()
+        >>> child = Branch(node="b", shards=("t",))
+        >>> Branch(node="a", shards=("s",), children=(child,)).all_shards()
         ('s', 't')
         """
         return self.shards + tuple(s for child in self.children for s in child.all_shards())
--- a/kelpstage/edge/grant/keeper.py
+++ b/kelpstage/edge/grant/keeper.py
@@ -2,8 +2,9 @@
 
 Plain. An edge serves while it holds a grant, or while it hears from a majority
 of the roster and none of them has a newer epoch installed. One that has had no grant
-in this life has forgotten what it knew: it may hear a majority, but is none of it. Time is the edge's own, on a
-clock that runs through a freeze, and a grant counts from when it was asked for.
+in this life has forgotten what it knew: it may hear a majority, but is none of it.
+Time is the edge's own, on a clock that runs through a freeze, and a grant counts from
+when it was asked for.
 """
 
 from __future__ import annotations
@@ -175,7 +176,7 @@
         """The blueprint to run a query of this version under, if there is one."""
         if version == self.blueprint.version:
             return self.blueprint
-        if self.previous is not None and version == self.previous.version:
-            if now_us - self.installed_us <= MOVED_ON_US:
-                return self.previous
+        is_previous = self.previous is not None and version == self.previous.version
+        if is_previous and now_us - self.installed_us <= MOVED_ON_US:
+            return self.previous
         return None
--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -368,9 +368,9 @@
             return
         keeper.take_witness(reply=reply, asked_us=asked_us)
         is_first = keeper.has_forgotten and not keeper.cluster and reply.vouches
-        if is_first or reply.cluster == keeper.cluster:
-            if keeper.note_epoch(epoch=reply.epoch, source=address):
-                self.fetch_soon(first=address)
+        is_known = is_first or reply.cluster == keeper.cluster
+        if is_known and keeper.note_epoch(epoch=reply.epoch, source=address):
+            self.fetch_soon(first=address)
 
     # --- states -----------------------------------------------------------------------------
 
@@ -391,7 +391,7 @@
             data = await fetch_chunks(
                 lines=self._lines,
                 address=address,
-                ask=lambda offset: FetchState(epoch=epoch + 1, offset=offset),
+                ask=lambda offset, after=epoch: FetchState(epoch=after + 1, offset=offset),
             )
             if data is not None and self._install(data=data, source=address):
                 break
@@ -443,7 +443,7 @@
         self.renew_soon()
         return True
 
-    # --- leaving -------------------------------------------------------------------------------
+    # --- leaving ------------------------------------------------------------------------------
 
     async def leave(self) -> None:
         """Give the grant back: this edge serves no more."""
--- a/kelpstage/edge/web/explain.py
+++ b/kelpstage/edge/web/explain.py
@@ -55,7 +55,7 @@
     view = {"node": edge.name, **as_json(line=line)}
     asked = dict.fromkeys(row["node"] for row in view["timeline"] if row["event"] == "PartnerAsked")
     parts = await asyncio.gather(*(_part_of(edge=edge, node=n, search=search) for n in asked))
-    view["partners"] = dict(zip(asked, parts))
+    view["partners"] = dict(zip(asked, parts, strict=True))
     return view
 
 
--- a/proof/fleet/demo.py
+++ b/proof/fleet/demo.py
@@ -62,7 +62,9 @@
         )
         await stand_in.open()
     document = demo_blueprint(collection=collection, cut=cut, addresses=addresses)
-    pathlib.Path(blueprint).write_text(json.dumps(document, indent=1), encoding="utf-8")
+    pathlib.Path(blueprint).write_text(  # noqa: ASYNC240 -- once, before anything is served
+        json.dumps(document, indent=1), encoding="utf-8"
+    )
     print(f"{len(addresses)} backends; blueprint in {blueprint}", flush=True)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/proof/hollow/fleet.py
+++ b/proof/hollow/fleet.py
@@ -502,7 +502,7 @@
 
 
 async def _busy(*, fleet: HollowFleet) -> None:
-    options, world = fleet.options, fleet.world
+    options = fleet.options
     tasks: list[asyncio.Task] = []
 
     async def spread(count: int, work: Callable[[], Any]) -> None:
--- a/proof/hollow/report.py
+++ b/proof/hollow/report.py
@@ -99,7 +99,10 @@
     out: dict[str, Any] = {}
     for name, value in row.items():
         if isinstance(value, list):
-            out |= {f"{name}_{part}": v for part, v in zip(("median", "99", "worst"), value)}
+            out |= {
+                f"{name}_{part}": v
+                for part, v in zip(("median", "99", "worst"), value, strict=True)
+            }
         else:
             out[name] = value
     return out
@@ -124,7 +127,7 @@
     rows = sorted(rows, key=lambda row: row["nodes"])
     lines = lines_of(rows=rows)
     figure, axes = pyplot.subplots(2, 4, figsize=(16, 7))
-    for axis, name in zip(axes.flat, FITTED):
+    for axis, name in zip(axes.flat, FITTED, strict=True):
         xs = [row["nodes"] for row in rows]
         axis.plot(xs, [row[name] for row in rows], "o")
         if name in lines:
--- a/proof/main.py
+++ b/proof/main.py
@@ -258,8 +258,10 @@
     csv: Optional[str] = typer.Option(None, help="Write the figures here."),
     plot: Optional[str] = typer.Option(None, help="Draw them here (needs the extra `plot`)."),
 ) -> None:
-    """Run the control code of many nodes on virtual time, with a made-up load or none,
-    and measure bytes, processor time and memory a node, and how soon changes and losses are known."""
+    """Run the control code of many nodes on virtual time, with a made-up load or none.
+
+    Measures bytes, processor time and memory a node, and how soon changes and losses are known.
+    """
     try:
         counts = read_counts(text=nodes)
     except ValueError:
--- a/proof/platform/backends.py
+++ b/proof/platform/backends.py
@@ -440,7 +440,7 @@
             )
         return out
 
-    # --- answers ---------------------------------------------------------------------------------
+    # --- answers ------------------------------------------------------------------------------
 
     def body_of(self, *, kind: KindShape | None) -> bytes:
         """Records in no order, now and then with bytes that are no record behind them."""
--- a/proof/platform/clients.py
+++ b/proof/platform/clients.py
@@ -182,7 +182,7 @@
                 return
             await asyncio.sleep(0.05)
 
-    # --- one request with its further tries -----------------------------------------------------
+    # --- one request with its further tries ---------------------------------------------------
 
     async def ask(self, *, client: Client, kind: KindShape, draft: RouteDraft) -> None:
         self.in_flight += 1
@@ -373,7 +373,7 @@
             return
         row.end = "unconnected" if isinstance(outcome, ConnectRefused) else "gave up"
 
-    # --- requests straight to a node ------------------------------------------------------------
+    # --- requests straight to a node ----------------------------------------------------------
 
     async def ask_node(self, *, node: FrontNode, draft: RouteDraft, kind: KindShape) -> Request:
         """A request that shows which configuration is in force on a node."""
--- a/proof/platform/day.py
+++ b/proof/platform/day.py
@@ -149,7 +149,7 @@
         await asyncio.sleep(self.shape.catch_up_us / 1_000_000)
         self._losses.release()
 
-    # --- what is asked for ---------------------------------------------------------------------
+    # --- what is asked for --------------------------------------------------------------------
 
     def kind_of(self, *, host: str, target: str) -> Any:
         path = target.partition("?")[0]
@@ -185,7 +185,7 @@
             )
         )
 
-    # --- the operator's orders -------------------------------------------------------------------
+    # --- the operator's orders ----------------------------------------------------------------
 
     async def put(self, *, before: dict[str, RouteDraft], who: Operator | None = None) -> Order:
         """Send the drafts as they stand; on success clients use them."""
@@ -290,7 +290,7 @@
             )
             await self.operator.send(order=order, give_up_us=15_000_000)
 
-    # --- requests straight to nodes ----------------------------------------------------------------
+    # --- requests straight to nodes -----------------------------------------------------------
 
     async def _ask_directly(self, *, before: dict[str, RouteDraft]) -> None:
         """Routes just added or removed, or that never were, at each node that takes clients."""
@@ -312,7 +312,7 @@
                     self.clients.ask_node(node=node, draft=draft, kind=self.kinds[draft.kind])
                 )
 
-    # --- the day -----------------------------------------------------------------------------------
+    # --- the day ------------------------------------------------------------------------------
 
     async def run(self) -> None:
         shape = self.shape
--- a/proof/platform/history.py
+++ b/proof/platform/history.py
@@ -73,8 +73,11 @@
     def route_for(self, *, host: str, target: str) -> RouteSpec | None:
         """The route of the longest prefix that begins the path.
 
-        >>> order = Order(key="k", revision=1, base=0, body=b"", routes=(
-        ...     RouteSpec(name="r", host="h", prefix="/a/"), RouteSpec(name="s", host="h", prefix="/")))
+        >>> routes = (
+        ...     RouteSpec(name="r", host="h", prefix="/a/"),
+        ...     RouteSpec(name="s", host="h", prefix="/"),
+        ... )
+        >>> order = Order(key="k", revision=1, base=0, body=b"", routes=routes)
         >>> order.route_for(host="h", target="/a/b?c").name
         'r'
         """
--- a/proof/platform/machines.py
+++ b/proof/platform/machines.py
@@ -198,7 +198,7 @@
             raise NotStarted(f"{role}/{node.name}: {env}")
         return env
 
-    # --- processes --------------------------------------------------------------------------------
+    # --- processes ----------------------------------------------------------------------------
 
     async def start(self, *, node: Node, role: str) -> None:
         """Start a process with the settings current now."""
@@ -267,7 +267,7 @@
         self.day.troubles.append(trouble)
         return trouble
 
-    # --- what is done to machines ----------------------------------------------------------------------
+    # --- what is done to machines -------------------------------------------------------------
 
     async def kill(
         self,
@@ -328,7 +328,7 @@
             if process.is_alive
         ]
         grace_us = self.day.bounds.grace_us
-        for task, (role, process) in zip(stopping, list(node.processes.items())):
+        for task, (_role, process) in zip(stopping, list(node.processes.items()), strict=True):
             task.add_done_callback(lambda _, p=process: p.kill())
         if stopping:
             await asyncio.wait(stopping, timeout=grace_us / 1_000_000)
--- a/proof/platform/rules/configuration.py
+++ b/proof/platform/rules/configuration.py
@@ -63,9 +63,8 @@
         request.end == "answered"
         and request.status == 404
         and is_own_answer(request=request, arrivals=arrivals)
-    ):
-        if max(orders.without_route(**where, until_us=request.done_us)) < floor:
-            out.append((floor, request.done_us, {request.node}, "got 404"))
+    ) and max(orders.without_route(**where, until_us=request.done_us)) < floor:
+        out.append((floor, request.done_us, {request.node}, "got 404"))
     return out
 
 
--- a/proof/platform/traffic.py
+++ b/proof/platform/traffic.py
@@ -113,7 +113,7 @@
             return None
         return self.routes.pop(self.rand.choice(late).name)
 
-    # --- how it is written ---------------------------------------------------------------------
+    # --- how it is written --------------------------------------------------------------------
 
     def specs(self) -> tuple[RouteSpec, ...]:
         return tuple(self._spec(draft=draft) for draft in self.routes.values())
--- a/proof/platform/troubles.py
+++ b/proof/platform/troubles.py
@@ -208,7 +208,7 @@
         backend.mood.forgets_idle = False
 
 
-# --- clients ------------------------------------------------------------------------------------
+# --- clients ----------------------------------------------------------------------------------
 
 
 @trouble
@@ -227,7 +227,7 @@
     play.clients.abuse = 0.0
 
 
-# --- machines -------------------------------------------------------------------------------------
+# --- machines ---------------------------------------------------------------------------------
 
 
 def _helpers(play: Any) -> list:
@@ -390,7 +390,7 @@
     play.world.flush()
 
 
-# --- the operator ---------------------------------------------------------------------------------
+# --- the operator -----------------------------------------------------------------------------
 
 
 @trouble
@@ -470,7 +470,7 @@
             play.park.drain(backend=backend)
 
 
-# --- closing faults ------------------------------------------------------------------------------------
+# --- closing faults ---------------------------------------------------------------------------
 
 
 @closing
--- a/proof/standin/host.py
+++ b/proof/standin/host.py
@@ -63,7 +63,7 @@
 
 
 async def main(path: str) -> None:
-    with open(path, encoding="utf-8") as file:
+    with open(path, encoding="utf-8") as file:  # noqa: ASYNC230 -- before anything is served
         host = Host(plan=json.load(file))
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -292,13 +292,15 @@
             for turn in range(6):
                 victim = self.readers()[0]
                 before = len(self.list.readings)
-                await self.wait_for(lambda: len(self.list.readings) > before, 2 * SECOND)
+                await self.wait_for(
+                    lambda before=before: len(self.list.readings) > before, 2 * SECOND
+                )
                 await self.wait(turn * 7_000)  # between its pages, or as it tells the others
                 name = f"i{turn}"
                 self.list.row(name)["state"] = "draining"
                 victim.process.kill()
                 await self.wait_for(
-                    lambda: all(n.book.entries[name].is_draining for n in self.alive()),
+                    lambda name=name: all(n.book.entries[name].is_draining for n in self.alive()),
                     3 * SECOND,
                 )
                 await self.start(victim)
@@ -613,7 +615,7 @@
         book = self.book(life("i1"), life("i2"))
         book.note_answer(name="i1", took_us=12_000, now_us=SECOND)
         seen = book.entries["i1"].seen
-        for n in range(5):  # sent just before the caller's time was over
+        for _n in range(5):  # sent just before the caller's time was over
             self.assertFalse(
                 book.note_failure(name="i1", why=evidence.SILENT, now_us=SECOND, waited_us=90_000)
             )
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -377,7 +377,7 @@
                 cores.add(name=fresh, domain=f"d{turn}")
                 cores.world.machines[fresh].platter = cores.world.machines[moved].platter
                 await cores.start(fresh, seeds=cores.names[:2])
-                await cores.wait_for(lambda: cores.address(fresh) in cores.voters())
+                await cores.wait_for(lambda fresh=fresh: cores.address(fresh) in cores.voters())
                 self.assertEqual(replica, cores.daemons[fresh].identity.replica)
                 self.assertEqual(cores.version, (await cores.read())[0])
                 await cores.wait_for(lambda: len(cores.voters()) == 3)
@@ -473,7 +473,7 @@
     async def put(
         self, rand: random.Random, *, base: int, version: int, body: bytes, put_id: str
     ) -> None:
-        cores, turn, is_sent = self.cores, 0, False
+        cores, turn = self.cores, 0
         while self.is_open:
             turn += 1
             reply = await cores.call(
@@ -488,7 +488,6 @@
                 },
             )
             if isinstance(reply, Defect) or reply.status == 503:
-                is_sent = True
                 await cores.sleep(rand.randrange(20_000, 400_000))
                 continue
             if reply.status == 200:
@@ -573,7 +572,8 @@
         for _ in range(8):
             before = len(register.acked)
             await cores.wait_for(
-                lambda: len(register.acked) > before or any(w.done() for w in work), us=30_000_000
+                lambda before=before: len(register.acked) > before or any(w.done() for w in work),
+                us=30_000_000,
             )
             await hurt(cores, rand)
             await cores.wait_for(  # the machines count as made good
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -4,6 +4,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import socket
 import struct
@@ -29,7 +30,7 @@
 async def until(is_there: Callable[[], bool]) -> None:
     """Give way until something is so."""
     async with asyncio.timeout(PATIENCE_S):
-        while not is_there():
+        while not is_there():  # noqa: ASYNC110 -- a condition of real sockets, without an event
             await asyncio.sleep(0)
 
 
@@ -105,7 +106,15 @@
 
     async def raw(self, data: bytes = b"") -> Raw:
         host, _, port = self.address.partition(":")
-        raw = Raw(**dict(zip(("reader", "writer"), await asyncio.open_connection(host, int(port)))))
+        raw = Raw(
+            **dict(
+                zip(
+                    ("reader", "writer"),
+                    await asyncio.open_connection(host, int(port)),
+                    strict=True,
+                )
+            )
+        )
         self.raws.append(raw)
         raw.send(data)
         return raw
@@ -475,10 +484,10 @@
             self.lines += 1
             number = self.lines
             self.writers.append(writer)
-            try:
+            with contextlib.suppress(
+                asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError
+            ):
                 await script(number, reader, writer)
-            except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
-                pass
             self.ended.append(number)
 
         host, _, port = self.address.partition(":")
@@ -605,7 +614,7 @@
             tasks.append(asyncio.ensure_future(self.fetch(f"/{number}", line_limit=1)))
             await asyncio.sleep(0)
         for number in range(6):
-            await until(lambda: len(self.requests) == number + 1)
+            await until(lambda number=number: len(self.requests) == number + 1)
             self.assertIn(f"GET /{number} ".encode(), self.requests[number])
             gates[number].set()
         self.assertEqual([200] * 6, [(await task).status for task in tasks])
@@ -748,7 +757,8 @@
             b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\nLink: x\r\n\r\n" + OK,
             b"HTTP/1.1 204 None\r\n\r\n",
             b"HTTP/1.1 304 Same\r\nContent-Length: 50\r\n\r\n",
-            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n2;x\r\nbc\r\n0\r\nT: t\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1\r\na\r\n2;x\r\nbc\r\n0\r\nT: t\r\n\r\n",
             b"HTTP/1.1 500\r\nContent-Length: 0\r\n\r\n",
         )
         got = [await self.fetch() for _ in range(5)]
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -145,9 +145,12 @@
                 file = Path(folder, "local.conf")
                 file.write_text(json.dumps({**FIELDS, **without}))
                 errors = io.StringIO()
-                with mock.patch.dict(os.environ, KELPSTAGE_SETTINGS=str(file)):
-                    with redirect_stderr(errors), self.assertRaises(SystemExit) as end:
-                        edge.read()
+                with (
+                    mock.patch.dict(os.environ, KELPSTAGE_SETTINGS=str(file)),
+                    redirect_stderr(errors),
+                    self.assertRaises(SystemExit) as end,
+                ):
+                    edge.read()
                 self.assertEqual(end.exception.code, 2)
                 self.assertIn(path, errors.getvalue())
 
@@ -157,9 +160,12 @@
             with self.subTest(text), tempfile.TemporaryDirectory() as folder:
                 file = Path(folder, "local.conf")
                 file.write_text(text)
-                with mock.patch.dict(os.environ, KELPSTAGE_SETTINGS=str(file)):
-                    with redirect_stderr(io.StringIO()), self.assertRaises(SystemExit) as end:
-                        core.read()
+                with (
+                    mock.patch.dict(os.environ, KELPSTAGE_SETTINGS=str(file)),
+                    redirect_stderr(io.StringIO()),
+                    self.assertRaises(SystemExit) as end,
+                ):
+                    core.read()
                 self.assertEqual(end.exception.code, 2)
 
 
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -78,9 +78,8 @@
             elif isinstance(effect, t.RoleChanged) and effect.role == t.LEADER:
                 if self.leaders.setdefault(effect.term, name) != name:
                     self.problems.append(f"two leaders in term {effect.term}")
-            elif isinstance(effect, t.ReadReady):
-                if effect.index < self.asked[effect.token]:
-                    self.problems.append("a read behind what was committed when it was asked")
+            elif isinstance(effect, t.ReadReady) and effect.index < self.asked[effect.token]:
+                self.problems.append("a read behind what was committed when it was asked")
 
     def note_commit(self, name: str, entries: list[LogEntry]) -> None:
         for entry in entries:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -316,7 +316,7 @@
     arrivals_of(day, request_of(day, "/one/"))[0].service = "p"
 
 
-# --- leaving ------------------------------------------------------------------------------------
+# --- leaving ----------------------------------------------------------------------------------
 
 
 @plants("DRAIN")
@@ -373,7 +373,7 @@
     drop(day, request_of(day, "/one/", after_us=41 * S))
 
 
-# --- configuration --------------------------------------------------------------------------------
+# --- configuration ----------------------------------------------------------------------------
 
 
 def move_single(day, *, at_us: int = 40 * S) -> None:
@@ -513,7 +513,7 @@
     day.read_backs[0] = ReadBack(at_us=99 * S, revision=3, body=b"body-3", is_last=True)
 
 
-# --- tries, recovery, the gate ------------------------------------------------------------------------
+# --- tries, recovery, the gate ----------------------------------------------------------------
 
 
 @plants("BUDGET")
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -53,7 +53,7 @@
         for seed in range(30):
             with self.subTest(seed=seed):
 
-                async def story() -> None:
+                async def story(seed: int = seed) -> None:
                     rand = random.Random(seed)
                     store = await self.fresh()
                     written = 0
@@ -135,7 +135,7 @@
         for moment in range(1, 14):
             with self.subTest(moment=moment):
 
-                async def story() -> None:
+                async def story(moment: int = moment) -> None:
                     store = await self.fresh()
                     await store.append(
                         steps=[
