--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -621,10 +621,10 @@
         entries = self.log.slice(start=self.commit_index + 1, stop=index)
         self.commit_index = index
         self._emit(Commit(entries=entries))
-        if self._has_been_member and not self.members.has(replica=self.me):
-            if index >= self.members.index:
-                self._become(role=FOLLOWER)
-                self._emit(Removed())
+        is_removed = self._has_been_member and not self.members.has(replica=self.me)
+        if is_removed and index >= self.members.index:
+            self._become(role=FOLLOWER)
+            self._emit(Removed())
 
     def _confirm_reads(self) -> None:
         heartbeats = {self.me: self._heartbeat} | {
@@ -854,7 +854,7 @@
             )
         )
 
-    # --- effects ---------------------------------------------------------------------------------
+    # --- effects ------------------------------------------------------------------------------
 
     def _emit(self, effect: Any) -> None:
         self._effects.append(effect)
