Raft: votes are asked for when term and vote are on disk; transfer holds off changes

Cause: a candidate sent RequestVote while its term and its vote for itself were still being written, and won with the grants of the others alone. After a crash it could forget the term, and campaign in it again: with a shorter log that late grants for the longer one would elect (leader completeness), or as a second leader's life in one term (log matching). RequestVote now waits for the sync, as each answer does, and a grant that comes before counts for nothing. Price: one sync more, one after the other, in an election.

During a transfer of leadership a request to join was still proposed (thesis, 3.10: no proposals); it waits now until the transfer ends. TimeoutNow does not make a replica campaign whose disk is stalled, as the election timeout does not.

--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -259,7 +259,7 @@
         if self.role != LEADER:
             return
         self._join_requests[event.member.replica] = event.member
-        if not self._is_change_pending():
+        if not self._is_change_pending() and not self._transfer_target:
             self._admit_next()
 
     def _admit_next(self) -> bool:
@@ -336,6 +336,8 @@
         self._request_votes(term=self.term, is_pre_vote=False, is_transfer=is_transfer)
 
     def _request_votes(self, *, term: int, is_pre_vote: bool, is_transfer: bool) -> None:
+        """Ask the other voters; for a vote that counts only when the term, this replica's
+        own vote in it and the log that it tells of are on its disk."""
         for member in self.members.others(replica=self.me):
             if not member.is_voter:
                 continue
@@ -352,6 +354,7 @@
                     is_transfer=is_transfer,
                     address=self.members.address(replica=self.me),
                 ),
+                is_promise=not is_pre_vote,
             )
 
     @_on.register
@@ -411,7 +414,9 @@
             if self.members.is_majority(names=self._votes):
                 self._campaign(is_transfer=False)
             return
-        if not reply.is_pre_vote and self.role == CANDIDATE and reply.term == self.term:
+        if reply.is_pre_vote or self.role != CANDIDATE or reply.term != self.term:
+            return
+        if self._self_vote_number <= self._synced:  # else it is for an earlier life of this one
             self._count_vote(voter=reply.sender)
 
     def _count_vote(self, *, voter: str) -> None:
@@ -423,6 +428,8 @@
     def _(self, message: TimeoutNow) -> None:
         if message.term != self.term or not self.members.is_voter(replica=self.me):
             return
+        if self._is_sync_stalled():
+            return
         self._campaign(is_transfer=True)
 
     def _become(self, *, role: str) -> None:
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -10,7 +10,16 @@
 
 from kelpstage.base.journal import Journal
 from kelpstage.base.wire.lines import Lines
-from kelpstage.base.wire.messages import AppendEntries, CoreMember, InstallSnapshot, LogEntry
+from kelpstage.base.wire.messages import (
+    AppendEntries,
+    AppendEntriesReply,
+    CoreMember,
+    InstallSnapshot,
+    LogEntry,
+    RequestVote,
+    RequestVoteReply,
+    TimeoutNow,
+)
 from kelpstage.core.raft import types as t
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.raft.members import write_members
@@ -404,3 +413,104 @@
         machine.platter.cut_power()
         store = Store(ports=SimProcess(world=world, name="p", machine=machine, life=2).ports)
         return await store.recover(identity=await store.read_identity())
+
+
+class DurableTermTest(unittest.TestCase):
+    """What a replica says in a term is on its disk before it says it."""
+
+    def candidate(self) -> tuple[Follower, list[object]]:
+        one = Follower(base=0, last=5, term=3)
+        one.now = 10_000_000
+        one.step(t.Tick())  # pre-vote
+        effects = []
+        for sender in ("b", "c"):
+            effects += one.receive(
+                RequestVoteReply(
+                    cluster="k", sender=sender, to="a", term=4, is_pre_vote=True, is_granted=True
+                )
+            )
+        self.assertEqual((t.CANDIDATE, 4), (one.replica.role, one.replica.term))
+        return one, effects
+
+    def test_votes_are_asked_for_when_term_and_own_vote_are_synced(self) -> None:
+        """Else a crash could forget the term, and the same replica would ask for votes in
+        it again, with a shorter log: late grants for the longer one would count."""
+        one, effects = self.candidate()
+        persisted = only(effects, t.Persist)[-1]
+        self.assertEqual((4, "a"), (persisted.term, persisted.vote))
+        asked = [s for s in only(effects, t.Send) if isinstance(s.message, RequestVote)]
+        self.assertEqual(2, len(asked))
+        self.assertTrue(all(send.after >= persisted.number for send in asked))
+
+    def test_a_term_that_is_not_synced_has_no_leader(self) -> None:
+        """Grants that come before can only be for an earlier life of this replica."""
+        one, _ = self.candidate()
+        grants = [
+            RequestVoteReply(cluster="k", sender=sender, to="a", term=4, is_granted=True)
+            for sender in ("b", "c")
+        ]
+        for grant in grants:
+            one.receive(grant)
+        self.assertEqual(t.CANDIDATE, one.replica.role)
+        one.step(t.Synced(number=one.replica._number))
+        self.assertEqual(t.CANDIDATE, one.replica.role)
+        one.receive(grants[0])
+        self.assertEqual(t.LEADER, one.replica.role)
+
+
+class TransferTest(unittest.TestCase):
+    def leader(self) -> Follower:
+        one, _ = DurableTermTest().candidate()
+        one.step(t.Synced(number=one.replica._number))
+        one.receive(RequestVoteReply(cluster="k", sender="b", to="a", term=4, is_granted=True))
+        self.assertEqual(t.LEADER, one.replica.role)
+        one.step(t.Synced(number=one.replica._number))
+        self.acknowledge(one, "b")
+        self.assertEqual(6, one.replica.commit_index)
+        return one
+
+    def acknowledge(self, one: Follower, *names: str) -> list[object]:
+        effects = []
+        for name in names:
+            effects += one.receive(
+                AppendEntriesReply(
+                    cluster="k",
+                    sender=name,
+                    to="a",
+                    term=one.replica.term,
+                    is_ok=True,
+                    match_index=one.replica.log.last_index,
+                )
+            )
+        return effects
+
+    def test_nothing_is_proposed_while_the_lead_is_transferred(self) -> None:
+        one = self.leader()
+        one.step(t.TransferLeadership())
+        last = one.replica.log.last_index
+        self.assertTrue(only(one.step(t.Propose(kind=t.COMMAND, data=b"", token=1)), t.NotLeader))
+        one.step(t.JoinRequested(member=CoreMember(replica="d", address="d")))
+        self.assertEqual(last, one.replica.log.last_index)
+
+    def test_a_transfer_that_comes_to_nothing_is_given_up_in_time(self) -> None:
+        one = self.leader()
+        one.step(t.TransferLeadership())
+        one.now += 900_000
+        one.step(t.Tick())
+        effects = one.step(t.Propose(kind=t.COMMAND, data=b"", token=1))
+        self.assertTrue(only(effects, t.Proposed))
+
+    def test_a_join_that_came_during_a_transfer_is_taken_up_after_it(self) -> None:
+        one = self.leader()
+        one.step(t.TransferLeadership())
+        one.step(t.JoinRequested(member=CoreMember(replica="d", address="d")))
+        one.now += 900_000
+        one.step(t.Tick())
+        self.assertTrue(one.replica.members.has(replica="d"))
+
+    def test_a_stalled_disk_does_not_campaign_when_told_to(self) -> None:
+        one = Follower(base=0, last=5, term=3)
+        one.append(term=4, sender="b", index=5)  # the new term is never synced
+        one.now += 2_000_000
+        one.receive(TimeoutNow(cluster="k", sender="b", to="a", term=4))
+        self.assertEqual((t.FOLLOWER, 4), (one.replica.role, one.replica.term))
