Raft: one module for each job over one typed state, step on top

Imports go one way: state, roles, replication, the rest, leadership, elections, replica. Each module begins with the invariants that it upholds.

--- /dev/null
+++ b/kelpstage/core/raft/elections.py
@@ -0,0 +1,176 @@
+"""Leader election, with pre-vote (thesis, 9.6) and leader stickiness (4.2.3).
+
+Invariants: a replica votes once in a term, and only for a log at least as up to date as
+its own; term and vote are on disk before anybody hears of them, the candidate's own as
+well; a replica that hears a leader lets nobody disturb it, but for a transfer that the
+leader itself has asked for.
+"""
+
+from __future__ import annotations
+
+from kelpstage.base.wire.messages import RequestVote, RequestVoteReply, TimeoutNow
+from kelpstage.core.raft.leadership import become_leader
+from kelpstage.core.raft.roles import become, become_follower, reset_election_timeout
+from kelpstage.core.raft.state import RaftState
+from kelpstage.core.raft.types import CANDIDATE, LEADER, PRE_CANDIDATE
+
+FIRST_CAMPAIGN_US = 250_000
+
+
+def tick_elections(state: RaftState) -> None:
+    """Campaign if no leader was heard for the election timeout."""
+    if state.is_sync_stalled:
+        reset_election_timeout(state)  # a disk that hangs gives no right to campaign
+        return
+    is_due = state.now_us >= state.election_due_us
+    if is_due and state.members.is_voter(replica=state.me):
+        _start_pre_vote(state)
+
+
+def hasten_first_campaign(state: RaftState) -> None:
+    """Of a cluster that was founded a moment ago, the member with the least name
+    campaigns first and soon; there is no leader yet whom that could disturb."""
+    names = [m.replica for m in state.members.current if m.is_voter]
+    is_new = state.term <= 1 and not state.log.entries and not state.vote
+    if is_new and state.me == min(names, default=""):
+        state.election_due_us = state.now_us + FIRST_CAMPAIGN_US
+
+
+def _start_pre_vote(state: RaftState) -> None:
+    """Ask whether an election could be won, before a term is spent on it."""
+    become(state, role=PRE_CANDIDATE)
+    state.leader = ""
+    state.votes = {state.me}
+    reset_election_timeout(state)
+    hasten_first_campaign(state)
+    if state.members.is_majority(names=state.votes):
+        _campaign(state, is_transfer=False)
+        return
+    _request_votes(state, term=state.term + 1, is_pre_vote=True, is_transfer=False)
+
+
+def _campaign(state: RaftState, *, is_transfer: bool) -> None:
+    state.term += 1
+    state.vote = state.me
+    state.leader = ""
+    become(state, role=CANDIDATE)
+    state.votes = set()
+    reset_election_timeout(state)
+    state.self_vote_number = state.persist(term=state.term, vote=state.vote)
+    _request_votes(state, term=state.term, is_pre_vote=False, is_transfer=is_transfer)
+
+
+def _request_votes(state: RaftState, *, term: int, is_pre_vote: bool, is_transfer: bool) -> None:
+    """Ask the other voters; for a vote that counts only when the term, this replica's
+    own vote in it and the log that it tells of are on its disk."""
+    for member in state.members.others(replica=state.me):
+        if not member.is_voter:
+            continue
+        state.send(
+            to=member.replica,
+            message=RequestVote(
+                cluster=state.cluster,
+                sender=state.me,
+                to=member.replica,
+                term=term,
+                last_log_index=state.log.last_index,
+                last_log_term=state.log.last_term,
+                is_pre_vote=is_pre_vote,
+                is_transfer=is_transfer,
+                address=state.members.address(replica=state.me),
+            ),
+            is_promise=not is_pre_vote,
+        )
+
+
+def on_request_vote(state: RaftState, request: RequestVote) -> None:
+    """Grant a vote, or say in a pre-vote whether one would be granted."""
+    if _has_leader(state) and not request.is_transfer:
+        if request.is_pre_vote:
+            _reply_request_vote(state, request=request, is_granted=False)
+        return
+    if request.is_pre_vote:
+        is_granted = request.term > state.term and _is_up_to_date(state, request=request)
+        _reply_request_vote(state, request=request, is_granted=is_granted)
+        return
+    if request.term > state.term:
+        become_follower(state, term=request.term)
+    is_granted = (
+        request.term == state.term
+        and state.vote in ("", request.sender)
+        and _is_up_to_date(state, request=request)
+        and not state.is_sync_stalled
+    )
+    if is_granted and not state.vote:
+        state.vote = request.sender
+        state.persist(term=state.term, vote=state.vote)
+    if is_granted:
+        reset_election_timeout(state)
+    _reply_request_vote(state, request=request, is_granted=is_granted)
+
+
+def _has_leader(state: RaftState) -> bool:
+    if state.now_us - state.heard_leader_us < state.timing.election_low_us:
+        return True
+    return state.role == LEADER and state.has_quorum_contact()
+
+
+def _is_up_to_date(state: RaftState, *, request: RequestVote) -> bool:
+    theirs = (request.last_log_term, request.last_log_index)
+    return theirs >= (state.log.last_term, state.log.last_index)
+
+
+def _reply_request_vote(state: RaftState, *, request: RequestVote, is_granted: bool) -> None:
+    reply = RequestVoteReply(
+        cluster=state.cluster,
+        sender=state.me,
+        to=request.sender,
+        term=request.term if is_granted else state.term,
+        is_pre_vote=request.is_pre_vote,
+        is_granted=is_granted,
+    )
+    state.send(to=request.sender, message=reply, is_promise=True, address=request.address)
+
+
+def on_request_vote_reply(state: RaftState, reply: RequestVoteReply) -> None:
+    """Count a vote; a majority of pre-votes begins the election, one of votes wins it."""
+    if reply.term > state.term and not (reply.is_pre_vote and reply.is_granted):
+        become_follower(state, term=reply.term)
+        return
+    if not reply.is_granted:
+        return
+    if reply.is_pre_vote:
+        if state.role == PRE_CANDIDATE and reply.term == state.term + 1:
+            _count_pre_vote(state, voter=reply.sender)
+        return
+    # A grant before the own vote is on disk is for an earlier life of this replica.
+    is_asked = state.writes.is_synced(number=state.self_vote_number)
+    if state.role == CANDIDATE and reply.term == state.term and is_asked:
+        _count_vote(state, voter=reply.sender)
+
+
+def _count_pre_vote(state: RaftState, *, voter: str) -> None:
+    state.votes.add(voter)
+    if state.members.is_majority(names=state.votes):
+        _campaign(state, is_transfer=False)
+
+
+def _count_vote(state: RaftState, *, voter: str) -> None:
+    state.votes.add(voter)
+    if state.members.is_majority(names=state.votes):
+        become_leader(state)
+
+
+def count_own_vote(state: RaftState) -> None:
+    """Count a candidate's vote for itself once it is on disk."""
+    if state.role == CANDIDATE and state.writes.is_synced(number=state.self_vote_number):
+        _count_vote(state, voter=state.me)
+
+
+def on_timeout_now(state: RaftState, message: TimeoutNow) -> None:
+    """Campaign at once: the leader hands leadership to this replica."""
+    if message.term != state.term or not state.members.is_voter(replica=state.me):
+        return
+    if state.is_sync_stalled:
+        return
+    _campaign(state, is_transfer=True)
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -267,7 +267,7 @@
                 commit_index=55,
             )
         )
-        one.step(t.Synced(number=one.replica._number))
+        one.step(t.Synced(number=one.replica.state.writes.last_number))
         self.assertEqual((80, 80, 55), self.ends(one))
         return one, one.fetched(offers[0])
 
@@ -310,7 +310,7 @@
         effects = one.fetched(offers[0])
         self.assertEqual((60, 50, 60), self.ends(one))
         self.assertEqual([], only(effects, t.KeepSnapshot)[0].tail)
-        one.step(t.Synced(number=one.replica._number))
+        one.step(t.Synced(number=one.replica.state.writes.last_number))
         self.assertEqual((60, 60, 60), self.ends(one))
 
     def test_a_log_that_holds_the_last_included_entry_needs_no_transfer(self) -> None:
@@ -325,7 +325,7 @@
         one = Follower(base=50, last=50, term=2)
         offers = only(one.offer(term=2, sender="b", index=60, index_term=2), t.FetchOffered)
         one.append(term=2, sender="b", index=50)
-        one.replica.role = t.LEADER
+        one.replica.state.role = t.LEADER
         one.fetched(offers[0])
         self.assertEqual(50, one.replica.log.base_index)
 
@@ -452,7 +452,7 @@
         for grant in grants:
             one.receive(grant)
         self.assertEqual(t.CANDIDATE, one.replica.role)
-        one.step(t.Synced(number=one.replica._number))
+        one.step(t.Synced(number=one.replica.state.writes.last_number))
         self.assertEqual(t.CANDIDATE, one.replica.role)
         one.receive(grants[0])
         self.assertEqual(t.LEADER, one.replica.role)
@@ -461,10 +461,10 @@
 class TransferTest(unittest.TestCase):
     def leader(self) -> Follower:
         one, _ = DurableTermTest().candidate()
-        one.step(t.Synced(number=one.replica._number))
+        one.step(t.Synced(number=one.replica.state.writes.last_number))
         one.receive(RequestVoteReply(cluster="k", sender="b", to="a", term=4, is_granted=True))
         self.assertEqual(t.LEADER, one.replica.role)
-        one.step(t.Synced(number=one.replica._number))
+        one.step(t.Synced(number=one.replica.state.writes.last_number))
         self.acknowledge(one, "b")
         self.assertEqual(6, one.replica.commit_index)
         return one
