Membership: a voter that stops is replaced before it goes; the margin of losses is told

Cause: a planned stop handed the lead on and closed; its vote stayed until 2.5 s of silence had removed it, so a loss right after it left no majority.

The leader takes LeaveRequested: it raises a caught-up learner first and removes the leaving voter when that is committed. leave_status says whether a member may go: its removal is committed, or nobody can replace it and enough others hold all that it does (t + 1 of them, judged against its last index, by a leader of its term or a later one). A removal that the members in reach could not commit is not proposed.

Raising first, weighed: an even number of 2t + 2 voters bears t losses, as 2t + 1 do. Joint consensus bears as much as raising first for a second kind of majority in each count; nothing is left for it to gain. A voter that is lost already is still removed first: raising first would make the newcomer's life a condition.

--- a/kelpstage/core/events.py
+++ b/kelpstage/core/events.py
@@ -33,6 +33,23 @@
     members: list
 
 
+@dataclass(frozen=True, kw_only=True)
+class MarginNoted(Event):
+    """How many voters the leader could lose from then on with a majority left."""
+
+    losses_borne: int
+    losses_wanted: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaveEnded(Event):
+    """A planned stop: how the others let this core go."""
+
+    state: str
+    losses_borne: int
+    losses_wanted: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class PutDecided(Event):
     put_id: str
--- a/kelpstage/core/raft/leadership.py
+++ b/kelpstage/core/raft/leadership.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from kelpstage.base.wire.messages import AppendEntriesReply
-from kelpstage.core.raft.membership import maintain_membership
+from kelpstage.core.raft.membership import carry_silence, maintain_membership
 from kelpstage.core.raft.reads import begin_early_reads, confirm_reads
 from kelpstage.core.raft.replication import (
     advance_commit_index,
@@ -28,9 +28,12 @@
     state.led_since_us = state.now_us
     state.progress = {}
     state.join_requests = {}
+    state.leave_requests = {}
+    state.losses_borne = None
     state.heartbeat += 1
     become(state, role=LEADER)
     state.members_changed()
+    carry_silence(state)
     append_own(state, kind=NOOP, data=b"")
     replicate_all(state)
 
--- a/kelpstage/core/raft/members.py
+++ b/kelpstage/core/raft/members.py
@@ -92,6 +92,25 @@
     def others(self, *, replica: str) -> list[CoreMember]:
         return [m for m in self.current if m.replica != replica]
 
+    @property
+    def voters(self) -> list[CoreMember]:
+        """The members that vote."""
+        return [m for m in self.current if m.is_voter]
+
     def is_majority(self, *, names: set[str]) -> bool:
-        voters = {m.replica for m in self.current if m.is_voter}
-        return bool(voters) and len(voters & names) * 2 > len(voters)
+        return is_majority_of(members=self.current, names=names)
+
+
+def quorum_size(*, voters: int) -> int:
+    """The least majority of so many voters.
+
+    >>> [quorum_size(voters=count) for count in (1, 2, 3, 4, 5)]
+    [1, 2, 2, 3, 3]
+    """
+    return voters // 2 + 1
+
+
+def is_majority_of(*, members: list[CoreMember], names: set[str]) -> bool:
+    """Are these names a majority of the voters among the members?"""
+    voters = {m.replica for m in members if m.is_voter}
+    return bool(voters) and len(voters & names) >= quorum_size(voters=len(voters))
--- a/kelpstage/core/raft/membership.py
+++ b/kelpstage/core/raft/membership.py
@@ -2,18 +2,34 @@
 
 Invariant: a change is proposed only when the one before is committed and an entry of the
 leader's own term is; so any two majorities that may decide at the same time share a
-replica. A learner becomes a voter only when all that is committed is on its disk.
+replica. A learner becomes a voter only when all that is committed is on its disk, and no
+change is proposed that the members in reach cannot commit.
+
+A member that is about to stop is replaced by raising a learner first and removing it
+afterwards. For a moment there is a voter more, and an even number of 2t + 2 bears as many
+losses t as the 2t + 1 before and after; removing it first would leave 2t voters, which bear
+one less. A voter that is lost already is removed first: raising first would make the
+newcomer's life a condition of the majority, and nothing is gained by its vote.
 """
 
 from __future__ import annotations
 
 from kelpstage.base.wire.messages import CoreMember
-from kelpstage.core.raft.members import write_members
+from kelpstage.core.raft.members import is_majority_of, quorum_size, write_members
 from kelpstage.core.raft.replication import append_own, replicate_all
 from kelpstage.core.raft.state import RaftState
-from kelpstage.core.raft.types import LEADER, MEMBERSHIP, JoinRequested
+from kelpstage.core.raft.types import (
+    LEADER,
+    MEMBERSHIP,
+    JoinRequested,
+    LeaveRequested,
+    LeaveState,
+    LeaveStatus,
+    MarginChanged,
+)
 
 LOST_AFTER_US = 2_500_000
+LEAVE_REQUEST_KEPT_US = 1_000_000  # a member that leaves asks several times a second
 
 
 def on_join_requested(state: RaftState, event: JoinRequested) -> None:
@@ -21,35 +37,154 @@
     if state.role != LEADER:
         return
     state.join_requests[event.member.replica] = event.member
+    state.leave_requests.pop(event.member.replica, None)
     if not is_change_pending(state) and not state.transfer_target:
         _admit_next(state)
 
 
+def on_leave_requested(state: RaftState, event: LeaveRequested) -> None:
+    """Note who is about to stop; the next ticks replace it."""
+    if state.role != LEADER or event.replica == state.me:
+        return
+    state.leave_requests[event.replica] = state.now_us
+    state.join_requests.pop(event.replica, None)
+
+
 def is_change_pending(state: RaftState) -> bool:
     """Is a change of members still on its way, or this term not yet proved?"""
     return state.members.index > state.commit_index or not state.is_term_committed
 
 
 def maintain_membership(state: RaftState) -> None:
-    """One change at a time: who asks becomes a learner; caught-up learners are
-    raised until there are enough voters; one takes a lost voter's place."""
+    """Make the change that is due, if any: one at a time."""
+    _note_margin(state)
+    oldest_us = state.now_us - LEAVE_REQUEST_KEPT_US
+    for name in [n for n, at_us in state.leave_requests.items() if at_us < oldest_us]:
+        del state.leave_requests[name]
     if is_change_pending(state) or state.transfer_target or _admit_next(state):
         return
-    current = state.members.current
-    voters = [m for m in current if m.is_voter]
-    ready = [m for m in current if not m.is_voter and _is_caught_up(state, name=m.replica)]
-    if len(voters) < state.voters_wanted and ready:
-        _raise_to_voter(state, learner=min(ready, key=lambda m: m.replica))
-        return
-    lost = [m for m in current if m.replica != state.me and _is_lost(state, member=m)]
+    for change in (_fill_voters, _replace_leaving, _remove_lost):
+        if change(state):
+            return
+
+
+def _fill_voters(state: RaftState) -> bool:
+    """Raise a learner while there are fewer voters than wanted."""
+    ready = _ready_learners(state)
+    if len(state.members.voters) >= state.voters_wanted or not ready:
+        return False
+    _raise_to_voter(state, learner=ready[0])
+    return True
+
+
+def _replace_leaving(state: RaftState) -> bool:
+    """Raise a learner for a voter that is about to stop, then remove that voter."""
+    leaving = [m for m in state.members.current if m.replica in state.leave_requests]
+    leaving_learners = [m for m in leaving if not m.is_voter]
+    leaving_voters = [m for m in leaving if m.is_voter]
+    if leaving_learners:
+        return _remove(state, member=leaving_learners[0])
+    if not leaving_voters:
+        return False
+    if len(state.members.voters) > state.voters_wanted:
+        return _remove(state, member=leaving_voters[0])
+    ready = _ready_learners(state)
+    if ready:
+        _raise_to_voter(state, learner=ready[0])
+    return bool(ready)
+
+
+def _remove_lost(state: RaftState) -> bool:
+    """Remove a lost learner, or a lost voter whose place can be taken."""
+    others = state.members.others(replica=state.me)
+    lost = [m for m in others if _is_lost(state, member=m)]
     lost_learners = [m for m in lost if not m.is_voter]
     lost_voters = [m for m in lost if m.is_voter]
     if lost_learners:
-        _remove(state, member=lost_learners[0])
+        return _remove(state, member=lost_learners[0])
+    voters = len(state.members.voters)
+    is_replaceable = voters > state.voters_wanted or bool(_ready_learners(state))
+    if not lost_voters or not is_replaceable or voters <= 2:
+        return False
+    return _remove(state, member=lost_voters[0])
+
+
+def _ready_learners(state: RaftState) -> list[CoreMember]:
+    """Learners that can vote from now on, in the order of their names."""
+    learners = [
+        m
+        for m in state.members.current
+        if not m.is_voter
+        and m.replica not in state.leave_requests
+        and _is_caught_up(state, name=m.replica)
+    ]
+    return sorted(learners, key=lambda m: m.replica)
+
+
+# --- leaving -------------------------------------------------------------------------
+
+
+def leave_status(state: RaftState, *, replica: str, term: int, last_index: int) -> LeaveStatus:
+    """May a member stop that has this term and this last index? It may when its removal
+    is committed, or when nobody can replace it and enough others hold all that it does."""
+    if state.role != LEADER or term > state.term:
+        return LeaveStatus(state=LeaveState.NOT_LEADER)
+    is_committed = state.members.index <= state.commit_index
+    if not state.members.has(replica=replica):
+        return _leave_status(state, LeaveState.REPLACED if is_committed else LeaveState.WAIT)
+    is_waiting = (
+        not is_committed
+        or replica == state.me
+        or not state.members.is_voter(replica=replica)
+        or _has_replacement(state)
+        or not _is_copied(state, replica=replica, last_index=last_index)
+    )
+    return _leave_status(
+        state, LeaveState.WAIT if is_waiting else LeaveState.COPIED, without=replica
+    )
+
+
+def _leave_status(state: RaftState, leave: LeaveState, *, without: str = "") -> LeaveStatus:
+    return LeaveStatus(
+        state=leave,
+        losses_borne=_count_losses_borne(state, without=without),
+        losses_wanted=state.losses_wanted,
+    )
+
+
+def _has_replacement(state: RaftState) -> bool:
+    """Is there a learner that can take a voter's place, now or when it has caught up?"""
+    return bool(state.join_requests) or any(
+        not m.is_voter and m.replica not in state.leave_requests and state.is_active(name=m.replica)
+        for m in state.members.current
+    )
+
+
+def _is_copied(state: RaftState, *, replica: str, last_index: int) -> bool:
+    """Do enough other voters hold all that this one has, to lose the wanted number?"""
+    others = [m.replica for m in state.members.voters if m.replica != replica]
+    index = min(last_index, state.log.last_index)
+    holders = [n for n in others if state.match_index_of(name=n) >= index]
+    return len(holders) >= min(state.losses_wanted + 1, len(others))
+
+
+def _count_losses_borne(state: RaftState, *, without: str = "") -> int:
+    """How many voters in reach can be lost with a majority left; below zero: none is."""
+    voters = state.members.voters
+    active = [m for m in voters if m.replica != without and state.is_active(name=m.replica)]
+    return len(active) - quorum_size(voters=len(voters))
+
+
+def _note_margin(state: RaftState) -> None:
+    losses_borne = _count_losses_borne(state)
+    if losses_borne == state.losses_borne:
         return
-    can_spare = len(voters) > 2 and (ready or len(voters) > state.voters_wanted)
-    if lost_voters and can_spare:
-        _remove(state, member=lost_voters[0])
+    state.losses_borne = losses_borne
+    state.margin_since_us = state.now_us
+    state.emit(MarginChanged(losses_borne=losses_borne, losses_wanted=state.losses_wanted))
+
+
+# --- changes -------------------------------------------------------------------------
 
 
 def _propose(state: RaftState, *, members: list[CoreMember]) -> None:
@@ -57,8 +192,14 @@
     replicate_all(state)
 
 
-def _remove(state: RaftState, *, member: CoreMember) -> None:
-    _propose(state, members=[m for m in state.members.current if m.replica != member.replica])
+def _remove(state: RaftState, *, member: CoreMember) -> bool:
+    """Remove a member, if those in reach can commit that without it."""
+    rest = [m for m in state.members.current if m.replica != member.replica]
+    active = {m.replica for m in rest if state.is_active(name=m.replica)}
+    if not is_majority_of(members=rest, names=active):
+        return False
+    _propose(state, members=rest)
+    return True
 
 
 def _replace(state: RaftState, *, member: CoreMember) -> None:
@@ -91,6 +232,15 @@
     return False
 
 
+def carry_silence(state: RaftState) -> None:
+    """A new leader counts the silence of the one before from when it heard that one last,
+    but leaves it the shortest election timeout to answer."""
+    progress = state.progress.get(state.heard_leader)
+    if progress is not None:
+        latest_us = state.now_us - (LOST_AFTER_US - state.timing.election_low_us)
+        progress.heard_us = max(state.heard_leader_us, latest_us)
+
+
 def _is_lost(state: RaftState, *, member: CoreMember) -> bool:
     """Silent for long, or with another replica at its address: a core that came
     back without its disk is a new replica, and the one before is gone for good."""
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -36,7 +36,7 @@
 )
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.raft.members import MemberList
-from kelpstage.core.raft.membership import on_join_requested
+from kelpstage.core.raft.membership import leave_status, on_join_requested, on_leave_requested
 from kelpstage.core.raft.pending_writes import PendingWrites
 from kelpstage.core.raft.reads import on_read_index
 from kelpstage.core.raft.replication import on_append_entries
@@ -51,6 +51,8 @@
 from kelpstage.core.raft.types import (
     LEADER,
     JoinRequested,
+    LeaveRequested,
+    LeaveStatus,
     Propose,
     ReadIndex,
     Received,
@@ -103,6 +105,7 @@
     SnapshotTaken: on_snapshot_taken,
     SnapshotFetched: on_snapshot_fetched,
     JoinRequested: on_join_requested,
+    LeaveRequested: on_leave_requested,
 }
 
 
@@ -215,6 +218,21 @@
         """Where that leader said that it is."""
         return self.state.leader_address
 
+    def leave_status(self, *, replica: str, term: int, last_index: int) -> LeaveStatus:
+        """May a member stop that has this term and this last index?"""
+        return leave_status(self.state, replica=replica, term=term, last_index=last_index)
+
+    def margin(self) -> dict[str, Any] | None:
+        """How many losses the voters bear now, for status pages; only a leader knows."""
+        state = self.state
+        if state.role != LEADER or state.losses_borne is None:
+            return None
+        return {
+            "losses_borne": state.losses_borne,
+            "losses_wanted": state.losses_wanted,
+            "since_us_ago": state.now_us - state.margin_since_us,
+        }
+
     def lag(self) -> list[dict[str, Any]]:
         """How far each replica is, for status pages; only a leader knows."""
         state = self.state
--- a/kelpstage/core/raft/roles.py
+++ b/kelpstage/core/raft/roles.py
@@ -48,6 +48,7 @@
         become_follower(state, term=term)
     state.leader = leader
     state.leader_address = address
+    state.heard_leader = leader
     state.heard_leader_us = state.now_us
     reset_election_timeout(state)
     return True
--- a/kelpstage/core/raft/state.py
+++ b/kelpstage/core/raft/state.py
@@ -70,6 +70,7 @@
     role: str = FOLLOWER
     leader: str = ""
     leader_address: str = ""
+    heard_leader: str = ""  # the last that was, and when
     heard_leader_us: int = LONG_AGO_US
     election_due_us: int = 0
     began_with_log: bool = False
@@ -89,6 +90,9 @@
     transfer_target: str = ""
     transfer_until_us: int = 0
     join_requests: dict[str, CoreMember] = field(default_factory=dict)
+    leave_requests: dict[str, int] = field(default_factory=dict)  # replica -> last asked, us
+    losses_borne: int | None = None
+    margin_since_us: int = 0
 
     effects: list[Any] = field(default_factory=list)
 
@@ -125,6 +129,11 @@
         """Up to which index a member is known to have the log on its disk."""
         return self.writes.durable if name == self.me else self.progress[name].match_index
 
+    @property
+    def losses_wanted(self) -> int:
+        """How many losses the wanted number of voters bears."""
+        return (self.voters_wanted - 1) // 2
+
     # --- changes that more than one module makes ---------------------------------------
 
     def append(self, *, entries: list[LogEntry], cut_from: int | None = None) -> None:
--- a/kelpstage/core/raft/transfer.py
+++ b/kelpstage/core/raft/transfer.py
@@ -13,17 +13,18 @@
 
 
 def on_transfer_leadership(state: RaftState, event: TransferLeadership) -> None:
-    """Begin to hand leadership to the voter that is furthest on."""
+    """Begin to hand leadership to the voter that is furthest on; to one that leaves
+    itself only if there is no other."""
     if state.role != LEADER:
         return
     candidates = [
-        (progress.match_index, name)
+        (name not in state.leave_requests, progress.match_index, name)
         for name, progress in state.progress.items()
         if state.members.is_voter(replica=name) and state.is_active(name=name)
     ]
     if not candidates:
         return
-    state.transfer_target = max(candidates)[1]
+    state.transfer_target = max(candidates)[-1]
     state.transfer_until_us = state.now_us + state.timing.election_low_us
     try_transfer(state)
 
--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -89,6 +90,31 @@
     member: CoreMember
 
 
+@dataclass(frozen=True, kw_only=True)
+class LeaveRequested:
+    """A member is about to stop; it asks again until it is told that it may."""
+
+    replica: str
+
+
+class LeaveState(enum.IntEnum):
+    """What a leader says to a member that is about to stop."""
+
+    NOT_LEADER = 0
+    WAIT = 1  # a replacement is under way, or the others lack what it holds
+    REPLACED = 2  # its removal is committed
+    COPIED = 3  # none can replace it; the others hold all that it holds
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaveStatus:
+    """How far a leaving has come, and how many further losses the log then bears."""
+
+    state: LeaveState
+    losses_borne: int = 0
+    losses_wanted: int = 0
+
+
 # --- effects ---------------------------------------------------------------------
 
 
@@ -169,6 +195,14 @@
     heartbeat: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class MarginChanged:
+    """How many voters the leader can lose now and still have a majority."""
+
+    losses_borne: int
+    losses_wanted: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class Removed:
     """This replica is in no configuration any more."""
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -13,12 +13,13 @@
 
 from kelpstage.base.defects import Defect, NoLeader, Unresolved
 from kelpstage.base.journal import Journal
+from kelpstage.base.log.ring import logger
 from kelpstage.base.ports.types import Ports
 from kelpstage.base.wire import frames
 from kelpstage.base.wire.chunks import cut_chunk, fetch_chunks
 from kelpstage.base.wire.lines import Lines
 from kelpstage.base.wire.messages import AppendEntries, Chunk, CoreMember, FetchSnapshot
-from kelpstage.core.events import MembersChanged, RoleTaken, SnapshotKept
+from kelpstage.core.events import MarginNoted, MembersChanged, RoleTaken, SnapshotKept
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.members import read_members
 from kelpstage.core.raft.replica import Replica
@@ -33,6 +34,7 @@
 SNAPSHOT_BYTES = 4 * 1024 * 1024
 LARGE_BYTES = 64 * 1024
 LOST = "leadership was lost before the commit"
+log = logger(name="replica")
 
 
 class ReplicaTask:
@@ -247,6 +249,15 @@
         self._journal.add(RoleTaken(role=effect.role, term=effect.term))
         self._on_role(effect.role)
 
+    @_perform.register
+    def _(self, effect: raft.MarginChanged) -> None:
+        if effect.losses_borne < effect.losses_wanted:
+            text = "the voters in reach bear the loss of {} more, {} are wanted"
+            log.warning(text, max(0, effect.losses_borne), effect.losses_wanted)
+        self._journal.add(
+            MarginNoted(losses_borne=effect.losses_borne, losses_wanted=effect.losses_wanted)
+        )
+
     @_perform.register
     def _(self, effect: raft.Removed) -> None:
         self._on_role("removed")
--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,645 @@
+"""Changes of membership: every loss at every step of a leaving, at three and five voters.
+
+A small cluster of the product's own replicas runs over simulated time, disks and network.
+While a voter leaves, and after it has left, the run is copied at each step, and in each
+copy machines are lost for good, as many as the voters are to bear; the others go on or
+lose power. Then there must be a leader that has all that was acknowledged and commits more.
+"""
+
+from __future__ import annotations
+
+import copy
+import heapq
+import itertools
+import random
+import unittest
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from unittest import mock
+
+from kelpstage.base.wire.messages import (
+    AppendEntries,
+    AppendEntriesReply,
+    CoreMember,
+    LogEntry,
+    RequestVote,
+    RequestVoteReply,
+)
+from kelpstage.core.raft import membership
+from kelpstage.core.raft import types as t
+from kelpstage.core.raft.log import MemoryLog
+from kelpstage.core.raft.members import read_members, write_members
+from kelpstage.core.raft.replica import Replica
+from kelpstage.core.raft.state import RaftState
+
+TICK_US = 20_000
+LEAVE_ASK_US = 100_000
+PROPOSE_US = 37_000
+SYNC_US = (500, 4_000)
+LATENCY_US = (1_000, 6_000)
+AFTER_US = 200_000  # how long losses are tried after the leaving one has gone
+
+
+def voter(name: str) -> CoreMember:
+    return CoreMember(replica=name, address=name, is_voter=True)
+
+
+@dataclass
+class Disk:
+    """What a node has synced."""
+
+    term: int
+    vote: str
+    entries: list[LogEntry] = field(default_factory=list)
+
+    def apply(self, write: t.Persist) -> None:
+        if write.cut_from is not None:
+            self.entries = [e for e in self.entries if e.index < write.cut_from]
+        self.entries += write.entries
+        if write.term is not None:
+            self.term, self.vote = write.term, write.vote
+
+
+@dataclass
+class Node:
+    replica: Replica
+    disk: Disk
+    life: int = 1
+    is_alive: bool = True
+    synced: int = 0
+    unsynced: list[t.Persist] = field(default_factory=list)
+    held: list[t.Send] = field(default_factory=list)
+
+
+class Cluster:
+    """Replicas over a heap of events; copying it copies the whole run."""
+
+    def __init__(self, *, voters: int, learners: int, seed: int) -> None:
+        self.rand = random.Random(seed)
+        self.now = 0
+        self.voters = voters
+        self.heap: list[tuple[int, int, str, str, int, object]] = []
+        self.serial = itertools.count()
+        names = [chr(ord("a") + place) for place in range(voters + learners)]
+        self.voter_names_at_start = names[:voters]
+        self.base = [voter(name) for name in names[:voters]]
+        self.nodes: dict[str, Node] = {}
+        for name in names:
+            self.start(name, Disk(term=1, vote=""))
+        self.are_messages_lost = True
+        self.token = 0
+        self.proposed: dict[int, bytes] = {}  # token -> data
+        self.acknowledged: dict[int, bytes] = {}  # index -> data
+        self.leaving = ""
+        self.left_us = 0
+        self.statuses: list[t.LeaveState] = []
+        self.schedule(PROPOSE_US, "propose", "")
+
+    # --- the run -------------------------------------------------------------------------
+
+    def start(self, name: str, disk: Disk) -> None:
+        life = self.nodes[name].life + 1 if name in self.nodes else 1
+        replica = Replica(
+            me=name,
+            cluster="k",
+            members=self.base,
+            rand=self.rand,
+            now_us=self.now,
+            term=disk.term,
+            vote=disk.vote,
+            log=MemoryLog(base_index=0, base_term=0, entries=list(disk.entries)),
+            voters=self.voters,
+        )
+        self.nodes[name] = Node(replica=replica, disk=disk, life=life)
+        self.schedule(self.rand.randrange(TICK_US), "tick", name)
+
+    def schedule(self, after_us: int, kind: str, name: str, what: object = None) -> None:
+        life = self.nodes[name].life if name else 0
+        entry = (self.now + after_us, next(self.serial), kind, name, life, what)
+        heapq.heappush(self.heap, entry)
+
+    def turn(self) -> str:
+        """Take the next event; its kind."""
+        self.now, _, kind, name, life, what = heapq.heappop(self.heap)
+        if name:
+            node = self.nodes[name]
+            if not node.is_alive or (node.life != life and kind != "message"):
+                return "none"
+        getattr(self, f"do_{kind}")(name, what)
+        return kind
+
+    def do_tick(self, name: str, what: object) -> None:
+        self.step(name, t.Tick())
+        self.schedule(TICK_US, "tick", name)
+
+    def do_message(self, name: str, what: object) -> None:
+        self.step(name, t.Received(message=what))
+
+    def do_sync(self, name: str, what: object) -> None:
+        node = self.nodes[name]
+        write = node.unsynced.pop(0)
+        node.disk.apply(write)
+        node.synced = write.number
+        self.step(name, t.Synced(number=write.number))
+        while node.held and node.held[0].after <= node.synced:
+            self.dispatch(node.held.pop(0))
+
+    def do_propose(self, name: str, what: object) -> None:
+        leader = self.leader()
+        if leader:
+            self.propose(leader)
+        self.schedule(PROPOSE_US, "propose", "")
+
+    def do_ask_leave(self, name: str, what: object) -> None:
+        """The leaving member asks the leader, as `core/leaving.py` does."""
+        replica = self.nodes[name].replica
+        if replica.role == t.LEADER:
+            self.step(name, t.TransferLeadership())
+        leader = self.leader()
+        if leader and leader != name:
+            self.step(leader, t.LeaveRequested(replica=name))
+            status = self.nodes[leader].replica.leave_status(
+                replica=name, term=replica.term, last_index=replica.log.last_index
+            )
+            self.statuses.append(status.state)
+            if status.state in (t.LeaveState.REPLACED, t.LeaveState.COPIED):
+                self.nodes[name].is_alive = False
+                self.left_us = self.now
+                return
+        self.schedule(LEAVE_ASK_US, "ask_leave", name)
+
+    def step(self, name: str, event: object) -> None:
+        node = self.nodes[name]
+        for effect in node.replica.step(now_us=self.now, event=event):
+            if isinstance(effect, t.Persist):
+                node.unsynced.append(effect)
+                busy = SYNC_US[1] * (len(node.unsynced) - 1)
+                self.schedule(busy + self.rand.randrange(*SYNC_US), "sync", name)
+            elif isinstance(effect, t.Send):
+                if effect.after > node.synced:
+                    node.held.append(effect)
+                else:
+                    self.dispatch(effect)
+            elif isinstance(effect, t.Commit) and node.replica.role == t.LEADER:
+                for entry in effect.entries:
+                    self.acknowledged[entry.index] = bytes(entry)
+
+    def dispatch(self, send: t.Send) -> None:
+        to = send.to.replica
+        if to in self.nodes:
+            self.schedule(self.rand.randrange(*LATENCY_US), "message", to, send.message)
+
+    def propose(self, leader: str) -> int:
+        self.token += 1
+        data = b"put %d" % self.token
+        self.step(leader, t.Propose(kind=t.COMMAND, data=data, token=self.token))
+        return self.token
+
+    # --- what tests ask ------------------------------------------------------------------
+
+    def leader(self) -> str:
+        """The living leader of the highest term, if any."""
+        leaders = [
+            (node.replica.term, name)
+            for name, node in self.nodes.items()
+            if node.is_alive and node.replica.role == t.LEADER
+        ]
+        return max(leaders, default=(0, ""))[1]
+
+    def voter_names(self) -> list[str]:
+        return [m.replica for m in self.nodes[self.leader()].replica.members.voters]
+
+    def run_until(self, is_there: Callable[[], bool], *, us: int) -> bool:
+        until_us = self.now + us
+        while not is_there():
+            if self.now > until_us:
+                return False
+            self.turn()
+        return True
+
+    def join(self, *names: str) -> None:
+        for name in names:
+            self.step(self.leader(), t.JoinRequested(member=CoreMember(replica=name, address=name)))
+
+    def settle(self, *, learners: Iterable[str] = ()) -> None:
+        assert self.run_until(lambda: bool(self.leader()), us=5_000_000)
+        self.run_until(lambda: False, us=300_000)
+        self.join(*learners)
+        self.run_until(lambda: False, us=500_000)
+
+    def begin_leave(self, name: str) -> None:
+        self.leaving = name
+        self.schedule(0, "ask_leave", name)
+
+    def lose(self, *names: str) -> None:
+        """Machines are gone for good, and what they had sent is still on its way or is not."""
+        for name in names:
+            self.nodes[name].is_alive = False
+        if self.are_messages_lost:
+            kept = [e for e in self.heap if e[2] != "message" or e[5].sender not in names]
+            heapq.heapify(kept)
+            self.heap = kept
+
+    def cut_power(self) -> None:
+        """All that live lose what they have not synced, and start again."""
+        for name, node in self.nodes.items():
+            if node.is_alive:
+                self.start(name, node.disk)
+
+    def recovers(self, *, us: int = 8_000_000) -> str:
+        """Empty if a leader has all that was acknowledged and commits more; else why not."""
+        acknowledged = dict(self.acknowledged)
+        last = max(acknowledged, default=0)
+
+        def commits_more() -> bool:
+            leader = self.leader()
+            if not leader or not self.nodes[leader].replica.state.is_term_committed:
+                return False
+            return max(self.acknowledged, default=0) > last + 1
+
+        if not self.run_until(commits_more, us=us):
+            return f"nothing more is committed, leader {self.leader() or 'none'}"
+        log = self.nodes[self.leader()].replica.log
+        kept = {entry.index: bytes(entry) for entry in log.entries}
+        gone = [index for index, data in acknowledged.items() if kept.get(index) != data]
+        return f"acknowledged entries {gone} are gone" if gone else ""
+
+    def signature(self) -> tuple:
+        """What tells one step from another: logs, disks, commits, members, roles."""
+        return tuple(
+            (
+                name,
+                node.is_alive,
+                node.replica.role,
+                node.replica.log.last_index,
+                node.replica.commit_index,
+                node.replica.durable,
+                node.replica.members.index,
+            )
+            for name, node in sorted(self.nodes.items())
+        )
+
+
+@dataclass
+class Exploration:
+    """What came of all runs of `explore_leave`."""
+
+    runs: int = 0
+    problems: list[str] = field(default_factory=list)
+    statuses: list[t.LeaveState] = field(default_factory=list)
+
+
+def explore_leave(
+    *, voters: int, leaver: str, seed: int, is_power: bool = False, learners: int = 1
+) -> Exploration:
+    """Let a voter leave; at each step, and for a while after it has left, lose each set of
+    machines that the voters are to bear."""
+    cluster = Cluster(voters=voters, learners=learners, seed=seed)
+    cluster.settle(learners=[n for n in cluster.nodes if n not in cluster.voter_names_at_start])
+    name = cluster.leader() if leaver == "leader" else a_follower(cluster)
+    cluster.begin_leave(name)
+    seen: set[tuple] = set()
+    found = Exploration(statuses=cluster.statuses)
+    while not cluster.left_us or cluster.now < cluster.left_us + AFTER_US:
+        if cluster.now > 10_000_000:
+            found.problems.append("it never left")
+            break
+        cluster.turn()
+        signature = cluster.signature()
+        if signature not in seen:
+            seen.add(signature)
+            lose_each(cluster=cluster, found=found, is_power=is_power)
+    return found
+
+
+def lose_each(*, cluster: Cluster, found: Exploration, is_power: bool) -> None:
+    """Copy the run for each set of machines that the voters are to bear the loss of."""
+    alive = [name for name, node in cluster.nodes.items() if node.is_alive]
+    for lost in itertools.combinations(alive, (cluster.voters - 1) // 2):
+        fork = copy.deepcopy(cluster)
+        fork.lose(*lost)
+        if is_power:
+            fork.cut_power()
+        found.runs += 1
+        why = fork.recovers()
+        if why:
+            found.problems.append(f"at {cluster.now}, {cluster.leaving} leaving, {lost}: {why}")
+
+
+def a_follower(cluster: Cluster) -> str:
+    """A voter that does not lead."""
+    return next(n for n in cluster.voter_names() if n != cluster.leader())
+
+
+class EveryLossAtEveryStepTest(unittest.TestCase):
+    def explore(self, **choices) -> None:
+        found = explore_leave(**choices)
+        self.assertEqual([], found.problems[:5])
+        self.assertGreater(found.runs, 200)
+        self.assertEqual(t.LeaveState.REPLACED, found.statuses[-1])
+
+    def test_a_follower_of_three_is_replaced(self) -> None:
+        self.explore(voters=3, leaver="follower", seed=1)
+
+    def test_the_leader_of_three_is_replaced(self) -> None:
+        self.explore(voters=3, leaver="leader", seed=2)
+
+    def test_one_of_three_is_replaced_and_the_power_fails_as_well(self) -> None:
+        for seed in range(3, 6):
+            self.explore(voters=3, leaver="follower", seed=seed, is_power=True)
+            self.explore(voters=3, leaver="leader", seed=seed, is_power=True)
+
+    def test_a_follower_of_five_is_replaced(self) -> None:
+        self.explore(voters=5, leaver="follower", seed=6)
+
+    def test_the_leader_of_five_is_replaced_and_the_power_fails_as_well(self) -> None:
+        self.explore(voters=5, leaver="leader", seed=7, is_power=True)
+
+
+def remove_first(state: RaftState) -> bool:
+    """A planted fault: the leaving voter is removed before a learner is raised."""
+    for member in state.members.voters:
+        if member.replica in state.leave_requests:
+            return membership._remove(state, member=member)
+    return False
+
+
+class PlantedFaultTest(unittest.TestCase):
+    """The exploration above finds what it is there to find."""
+
+    def problems(self, **choices) -> list[str]:
+        return explore_leave(**{"voters": 3, "leaver": "follower", "seed": 1} | choices).problems
+
+    def test_removing_before_raising_is_found(self) -> None:
+        with mock.patch.object(membership, "_replace_leaving", remove_first):
+            self.assertIn("nothing more is committed", self.problems()[0])
+
+    def test_going_without_being_replaced_is_found(self) -> None:
+        go = t.LeaveStatus(state=t.LeaveState.COPIED)
+        with mock.patch.object(Replica, "leave_status", lambda self, **asked: go):
+            self.assertIn("nothing more is committed", self.problems()[0])
+
+    def test_going_before_the_removal_is_committed_is_found(self) -> None:
+        def status(self: Replica, *, replica: str, **asked) -> t.LeaveStatus:
+            is_member = self.members.has(replica=replica)
+            state = t.LeaveState.WAIT if is_member else t.LeaveState.REPLACED
+            return t.LeaveStatus(state=state)
+
+        with (
+            mock.patch.object(Replica, "leave_status", status),
+            mock.patch("tests.test_membership.LEAVE_ASK_US", 1_000),
+        ):
+            self.assertIn("nothing more is committed", self.problems()[0])
+
+
+class LeavingWithoutReplacementTest(unittest.TestCase):
+    """No learner is there: a leaving voter may go once the others hold all that it has."""
+
+    def cluster(self, *, voters: int = 3) -> tuple[Cluster, str]:
+        cluster = Cluster(voters=voters, learners=0, seed=11)
+        cluster.settle()
+        return cluster, a_follower(cluster)
+
+    def status(self, cluster: Cluster, name: str, **more) -> t.LeaveStatus:
+        replica = cluster.nodes[name].replica
+        asked = {"term": replica.term, "last_index": replica.log.last_index} | more
+        return cluster.nodes[cluster.leader()].replica.leave_status(replica=name, **asked)
+
+    def test_it_goes_when_all_is_copied_and_is_told_what_is_left(self) -> None:
+        cluster, name = self.cluster()
+        cluster.begin_leave(name)
+        self.assertTrue(cluster.run_until(lambda: bool(cluster.left_us), us=2_000_000))
+        self.assertEqual(t.LeaveState.COPIED, cluster.statuses[-1])
+        status = self.status(cluster, name)
+        self.assertEqual((0, 1), (status.losses_borne, status.losses_wanted))
+        self.assertIn(name, cluster.voter_names())
+        self.assertEqual("", cluster.recovers())
+
+    def test_it_waits_while_another_lacks_what_it_holds(self) -> None:
+        cluster, name = self.cluster()
+        leader = cluster.leader()
+        slow = next(n for n in cluster.nodes if n not in (name, leader))
+        cluster.nodes[slow].is_alive = False
+        cluster.run_until(lambda: False, us=300_000)
+        self.assertEqual(t.LeaveState.WAIT, self.status(cluster, name).state)
+        last = cluster.nodes[slow].replica.log.last_index
+        self.assertEqual(t.LeaveState.COPIED, self.status(cluster, name, last_index=last).state)
+
+    def test_a_leader_of_an_older_term_is_not_believed(self) -> None:
+        cluster, name = self.cluster()
+        term = cluster.nodes[name].replica.term + 1
+        self.assertEqual(t.LeaveState.NOT_LEADER, self.status(cluster, name, term=term).state)
+
+    def test_the_leader_tells_when_the_voters_bear_less_than_wanted(self) -> None:
+        cluster, name = self.cluster()
+        replica = cluster.nodes[cluster.leader()].replica
+        self.assertEqual(1, replica.margin()["losses_borne"])
+        cluster.lose(name)
+        cluster.run_until(lambda: False, us=1_200_000)
+        margin = replica.margin()
+        self.assertEqual((0, 1), (margin["losses_borne"], margin["losses_wanted"]))
+        self.assertGreater(margin["since_us_ago"], 0)
+
+
+class ReplacingLostTest(unittest.TestCase):
+    """A voter is lost for good while a learner is there."""
+
+    def replaced_after_us(self, *, of_leader: bool, seed: int) -> int:
+        cluster = Cluster(voters=3, learners=1, seed=seed)
+        cluster.settle(learners=["d"])
+        lost = cluster.leader() if of_leader else a_follower(cluster)
+        began_us = cluster.now
+        cluster.lose(lost)
+
+        def is_replaced() -> bool:
+            leader = cluster.leader()
+            if not leader:
+                return False
+            replica = cluster.nodes[leader].replica
+            names = cluster.voter_names()
+            is_committed = replica.members.index <= replica.commit_index
+            return is_committed and lost not in names and len(names) == 3
+
+        self.assertTrue(cluster.run_until(is_replaced, us=10_000_000))
+        return cluster.now - began_us
+
+    def test_a_lost_leader_is_replaced_as_soon_as_a_lost_follower(self) -> None:
+        """Its successor counts the silence from when it heard the leader last, not from its
+        own election: the next loss may come four seconds after this one."""
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                self.assertLess(self.replaced_after_us(of_leader=False, seed=seed), 2_800_000)
+                self.assertLess(self.replaced_after_us(of_leader=True, seed=seed), 2_800_000)
+
+
+class SingleServerChangeTest(unittest.TestCase):
+    """The rules of the thesis, 4.1 and 4.2, and the correction to them."""
+
+    def cluster(self, *, learners: int = 1, seed: int = 21) -> tuple[Cluster, Replica]:
+        cluster = Cluster(voters=3, learners=learners, seed=seed)
+        cluster.settle(learners=[n for n in cluster.nodes if n not in "abc"])
+        return cluster, cluster.nodes[cluster.leader()].replica
+
+    def test_no_change_before_an_entry_of_the_leaders_own_term_is_committed(self) -> None:
+        cluster, old = self.cluster()
+        cluster.lose(old.me)
+        while not cluster.leader():
+            cluster.turn()
+        leader = cluster.nodes[cluster.leader()].replica
+        last = leader.log.last_index
+        self.assertNotEqual(leader.term, leader.log.term_at(index=leader.commit_index))
+        cluster.step(leader.me, t.JoinRequested(member=CoreMember(replica="z", address="z")))
+        cluster.step(leader.me, t.Tick())
+        self.assertEqual(last, leader.log.last_index)
+        self.assertTrue(cluster.run_until(lambda: leader.members.has(replica="z"), us=500_000))
+        self.assertEqual(leader.term, leader.log.term_at(index=leader.commit_index))
+
+    def test_no_change_while_one_is_not_committed(self) -> None:
+        cluster, leader = self.cluster()
+        for name in ("x", "y"):
+            cluster.step(leader.me, t.JoinRequested(member=CoreMember(replica=name, address=name)))
+        before = leader.members.index
+        self.assertGreater(before, leader.commit_index)
+        cluster.step(leader.me, t.Tick())
+        self.assertEqual(before, leader.members.index)
+        self.assertEqual(1, sum(leader.members.has(replica=name) for name in ("x", "y")))
+
+    def test_a_change_that_is_truncated_is_undone(self) -> None:
+        cluster, leader = self.cluster()
+        follower = cluster.nodes[a_follower(cluster)].replica
+        before = [m.replica for m in follower.members.current]
+        previous = follower.log.last_index
+        previous_term = follower.log.last_term
+        change = LogEntry(
+            index=previous + 1,
+            term=follower.term,
+            kind=t.MEMBERSHIP,
+            data=write_members(members=[voter("a"), voter("z")]),
+        )
+        message = AppendEntries(
+            cluster="k",
+            sender=leader.me,
+            to=follower.me,
+            term=follower.term,
+            prev_log_index=previous,
+            prev_log_term=previous_term,
+            entries=[change],
+        )
+        cluster.step(follower.me, t.Received(message=message))
+        self.assertTrue(follower.members.has(replica="z"))
+        message.term += 1
+        message.entries = [LogEntry(index=previous + 1, term=message.term, kind=t.NOOP)]
+        cluster.step(follower.me, t.Received(message=message))
+        self.assertEqual(before, [m.replica for m in follower.members.current])
+
+    def test_a_removed_member_disturbs_nobody(self) -> None:
+        cluster, leader = self.cluster()
+        removed = a_follower(cluster)
+        cluster.begin_leave(removed)
+        self.assertTrue(cluster.run_until(lambda: bool(cluster.left_us), us=2_000_000))
+        cluster.start(removed, cluster.nodes[removed].disk)  # with the membership of before
+        term = leader.term
+        cluster.run_until(lambda: False, us=5_000_000)
+        self.assertEqual((t.LEADER, term), (leader.role, leader.term))
+        self.assertNotIn(removed, cluster.voter_names())
+
+    def test_a_removed_leader_steps_down_only_when_that_is_committed(self) -> None:
+        cluster, leader = self.cluster(learners=0)
+        rest = [m for m in leader.members.current if m.replica != leader.me]
+        membership._propose(leader.state, members=rest)
+        cluster.step(leader.me, t.Tick())
+        self.assertEqual(t.LEADER, leader.role)
+        change = leader.members.index
+        for member in rest:
+            self.assertEqual(t.LEADER, leader.role)
+            reply = AppendEntriesReply(
+                cluster="k",
+                sender=member.replica,
+                to=leader.me,
+                term=leader.term,
+                is_ok=True,
+                match_index=change,
+            )
+            cluster.step(leader.me, t.Received(message=reply))
+        self.assertEqual((t.FOLLOWER, change), (leader.role, leader.commit_index))
+
+    def test_a_removed_leader_does_not_count_itself(self) -> None:
+        cluster, leader = self.cluster(learners=0)
+        rest = [m for m in leader.members.current if m.replica != leader.me]
+        membership._propose(leader.state, members=rest)
+        reply = AppendEntriesReply(
+            cluster="k",
+            sender=rest[0].replica,
+            to=leader.me,
+            term=leader.term,
+            is_ok=True,
+            match_index=leader.log.last_index,
+        )
+        cluster.step(leader.me, t.Synced(number=leader.state.writes.last_number))
+        cluster.step(leader.me, t.Received(message=reply))
+        self.assertLess(leader.commit_index, leader.members.index)
+
+    def test_a_learner_is_raised_only_with_all_that_is_committed_on_its_disk(self) -> None:
+        cluster, leader = self.cluster()
+        cluster.run_until(lambda: leader.commit_index == leader.log.last_index, us=500_000)
+        cluster.step(leader.me, t.LeaveRequested(replica=a_follower(cluster)))
+        progress = leader.state.progress["d"]
+        progress.match_index, progress.heard_us = leader.commit_index - 1, leader.state.now_us
+        membership.maintain_membership(leader.state)
+        self.assertFalse(leader.members.is_voter(replica="d"))
+        progress.match_index = leader.commit_index
+        membership.maintain_membership(leader.state)
+        self.assertTrue(leader.members.is_voter(replica="d"))
+
+    def test_a_vote_of_a_learner_counts_for_nothing(self) -> None:
+        cluster, leader = self.cluster()
+        follower = cluster.nodes[a_follower(cluster)].replica
+        cluster.lose(*(n for n in "abc" if n != follower.me))
+        while follower.role != t.PRE_CANDIDATE:
+            cluster.turn()
+        asked = [e for e in cluster.heap if isinstance(e[5], RequestVote)]
+        self.assertEqual({n for n in "abc" if n != follower.me}, {e[3] for e in asked})
+        grant = RequestVoteReply(
+            cluster="k",
+            sender="d",
+            to=follower.me,
+            term=follower.term + 1,
+            is_pre_vote=True,
+            is_granted=True,
+        )
+        cluster.step(follower.me, t.Received(message=grant))
+        self.assertEqual(t.PRE_CANDIDATE, follower.role)
+
+    def test_nobody_is_removed_if_those_in_reach_could_not_commit_it(self) -> None:
+        cluster, leader = self.cluster(learners=0)
+        state = leader.state
+        members = [voter(name) for name in "abcd"]
+        membership._propose(state, members=members)
+        cluster.run_until(lambda: leader.commit_index >= leader.members.index, us=500_000)
+        others = [n for n in "abc" if n != leader.me]
+        state.progress[others[1]].heard_us = state.progress["d"].heard_us = state.now_us - 900_000
+        cluster.step(leader.me, t.LeaveRequested(replica=others[0]))
+        membership.maintain_membership(state)
+        self.assertTrue(leader.members.has(replica=others[0]))
+
+    def test_a_request_to_leave_lapses_if_it_is_not_repeated(self) -> None:
+        cluster, leader = self.cluster(learners=0)
+        name = a_follower(cluster)
+        cluster.step(leader.me, t.LeaveRequested(replica=name))
+        cluster.run_until(lambda: False, us=900_000)
+        self.assertIn(name, leader.state.leave_requests)
+        cluster.run_until(lambda: False, us=300_000)
+        self.assertNotIn(name, leader.state.leave_requests)
+
+    def test_the_lead_goes_to_one_that_stays(self) -> None:
+        cluster, leader = self.cluster(learners=0)
+        others = [n for n in "abc" if n != leader.me]
+        leaving = max(others)
+        cluster.step(leader.me, t.LeaveRequested(replica=leaving))
+        cluster.step(leader.me, t.TransferLeadership())
+        self.assertEqual(min(others), leader.state.transfer_target)
+
+    def test_members_in_an_entry_are_read_as_they_were_written(self) -> None:
+        members = [voter("b"), CoreMember(replica="a", address="x", http="y")]
+        read = read_members(data=write_members(members=members))
+        self.assertEqual(["a", "b"], [m.replica for m in read])
