Core: a planned stop leaves by agreement, inside its grace

A core that is told to stop asks the leader (LeaveCore) until its removal is committed; a leader transfers leadership first. It asks for no place any more meanwhile. The status of a leader shows the margin of losses.

Simulated: 20 planned replacements, leaders and followers, each followed by a lost disk 0 to 0.9 s after the stopped one had gone: all read back. The same with the core going at once is not read back: planted, found.

--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -160,6 +160,25 @@
     why: str = bp.string_field(2)
 
 
+@dataclass
+class LeaveCore(Message):
+    """A core that is about to stop asks the leader whether it may."""
+
+    cluster: str = bp.string_field(1)
+    replica: str = bp.string_field(2)
+    term: int = bp.uint64_field(3)
+    last_index: int = bp.uint64_field(4)
+
+
+@dataclass
+class LeaveCoreReply(Message):
+    """`state` is a `LeaveState`."""
+
+    state: int = bp.uint32_field(1)
+    losses_borne: int = bp.uint32_field(2)
+    losses_wanted: int = bp.uint32_field(3)
+
+
 @dataclass
 class ProxyOperator(Message):
     method: str = bp.string_field(1)
@@ -473,6 +492,8 @@
     17: FetchSnapshot,
     18: FetchState,
     19: Chunk,
+    20: LeaveCore,
+    21: LeaveCoreReply,
     30: Meet,
     31: MeetReply,
     32: Renew,
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -23,6 +23,7 @@
     DiskFailed,
     Founded,
     JoinedCluster,
+    LeaveEnded,
     SetAside,
     Started,
 )
@@ -35,6 +36,7 @@
 )
 from kelpstage.core.grants.desk import Desk
 from kelpstage.core.handlers import handle
+from kelpstage.core.leaving import Leaving
 from kelpstage.core.raft import types as raft
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.store.records import DiskIdentity
@@ -42,6 +44,7 @@
 from kelpstage.core.web.operators import serve_operators
 
 LOOK_US = 300_000
+LEAVE_SHARE = 0.6  # of the grace for a stop, spent on leaving
 PLACE_LOOK_US = 100_000  # while this core belongs to no cluster
 REJOIN_US = 1_000_000
 NO_PLACE_US = 250_000
@@ -267,7 +270,7 @@
             has_place = task is not None and task.raft.members.has(replica=task.me)
             await self.ports.clock.sleep(us=REJOIN_US if has_place else NO_PLACE_US)
             task = self.task
-            if task is None:
+            if task is None or self.is_stopping:
                 continue
             mine = task.raft.members.get(replica=task.me)
             if mine is not None and mine.address == self.own and task.raft.leader:
@@ -307,14 +310,24 @@
     # --- end ----------------------------------------------------------------------------------
 
     async def stop(self) -> None:
-        """Planned stop: leadership is handed on first."""
+        """Planned stop: this core leaves the cluster by agreement, if time allows."""
         self.is_stopping = True
         task = self.task
-        for _ in range(20):
-            if task is None or not task.is_leader:
-                break
-            task.inbox.put_nowait(raft.TransferLeadership())
-            await self.ports.clock.sleep(us=100_000)
+        if task is not None:
+            leaving = Leaving(
+                task=task,
+                lines=self.lines,
+                clock=self.ports.clock,
+                limit_us=int(self.bounds.grace_us * LEAVE_SHARE),
+            )
+            outcome = await leaving.run()
+            self.journal.add(
+                LeaveEnded(
+                    state=outcome.state.name,
+                    losses_borne=outcome.losses_borne,
+                    losses_wanted=outcome.losses_wanted,
+                )
+            )
         self.server.close()
         if self._http_listener is not None:
             self._http_listener.close()
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -18,6 +18,8 @@
     GrantReply,
     InstallSnapshot,
     JoinCore,
+    LeaveCore,
+    LeaveCoreReply,
     Meet,
     MeetReply,
     ProxyOperator,
@@ -29,7 +31,7 @@
     SeedState,
     TimeoutNow,
 )
-from kelpstage.core.raft.types import JoinRequested
+from kelpstage.core.raft.types import JoinRequested, LeaveRequested, LeaveState
 
 PROXY_WAIT_US = 1_500_000
 
@@ -76,6 +78,22 @@
     return Done(is_ok=True)
 
 
+@handle.register
+async def _(message: LeaveCore, core: Any, source: str) -> LeaveCoreReply:
+    task = core.task
+    if task is None or message.cluster != task.cluster or not task.is_leader:
+        return LeaveCoreReply(state=LeaveState.NOT_LEADER)
+    task.inbox.put_nowait(LeaveRequested(replica=message.replica))
+    status = task.raft.leave_status(
+        replica=message.replica, term=message.term, last_index=message.last_index
+    )
+    return LeaveCoreReply(
+        state=status.state,
+        losses_borne=max(0, status.losses_borne),
+        losses_wanted=status.losses_wanted,
+    )
+
+
 @handle.register
 async def _(message: FetchSnapshot, core: Any, source: str) -> Chunk:
     if core.task is None:
--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -315,6 +315,7 @@
         "epoch": task.machine.state.epoch,
     }
     if task.is_leader:
+        view["margin"] = task.raft.margin()
         view["roster"] = roster_view(core=core)["edges"]
     return view
 
--- a/kelpstage/ctl/commands/views.py
+++ b/kelpstage/ctl/commands/views.py
@@ -83,6 +83,12 @@
             else ""
         )
         lines.append(f"  {kind} {member['address']}{more}")
+    margin = view.get("margin")
+    if margin is not None and margin["losses_borne"] < margin["losses_wanted"]:
+        lines.append(
+            f"  bears the loss of {max(0, margin['losses_borne'])} voters more,"
+            f" {margin['losses_wanted']} are wanted, for {margin['since_us_ago']} us now"
+        )
     if "roster" in view:
         body = {"epoch": view["epoch"], "version": view["version"], "edges": view["roster"]}
         lines += ["  " + line for line in roster_text(view=body).splitlines()[1:]]
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import copy
 import heapq
 import itertools
@@ -25,12 +26,15 @@
     RequestVote,
     RequestVoteReply,
 )
+from kelpstage.core.leaving import LeaveOutcome, Leaving
 from kelpstage.core.raft import membership
 from kelpstage.core.raft import types as t
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.raft.members import read_members, write_members
 from kelpstage.core.raft.replica import Replica
 from kelpstage.core.raft.state import RaftState
+from kelpstage.core.raft.types import LeaveState
+from tests.test_cores import Cores, play
 
 TICK_US = 20_000
 LEAVE_ASK_US = 100_000
@@ -92,7 +96,7 @@
         self.acknowledged: dict[int, bytes] = {}  # index -> data
         self.leaving = ""
         self.left_us = 0
-        self.statuses: list[t.LeaveState] = []
+        self.statuses: list[LeaveState] = []
         self.schedule(PROPOSE_US, "propose", "")
 
     # --- the run -------------------------------------------------------------------------
@@ -162,7 +166,7 @@
                 replica=name, term=replica.term, last_index=replica.log.last_index
             )
             self.statuses.append(status.state)
-            if status.state in (t.LeaveState.REPLACED, t.LeaveState.COPIED):
+            if status.state in (LeaveState.REPLACED, LeaveState.COPIED):
                 self.nodes[name].is_alive = False
                 self.left_us = self.now
                 return
@@ -286,7 +290,7 @@
 
     runs: int = 0
     problems: list[str] = field(default_factory=list)
-    statuses: list[t.LeaveState] = field(default_factory=list)
+    statuses: list[LeaveState] = field(default_factory=list)
 
 
 def explore_leave(
@@ -336,7 +340,7 @@
         found = explore_leave(**choices)
         self.assertEqual([], found.problems[:5])
         self.assertGreater(found.runs, 200)
-        self.assertEqual(t.LeaveState.REPLACED, found.statuses[-1])
+        self.assertEqual(LeaveState.REPLACED, found.statuses[-1])
 
     def test_a_follower_of_three_is_replaced(self) -> None:
         self.explore(voters=3, leaver="follower", seed=1)
@@ -375,14 +379,14 @@
             self.assertIn("nothing more is committed", self.problems()[0])
 
     def test_going_without_being_replaced_is_found(self) -> None:
-        go = t.LeaveStatus(state=t.LeaveState.COPIED)
+        go = t.LeaveStatus(state=LeaveState.COPIED)
         with mock.patch.object(Replica, "leave_status", lambda self, **asked: go):
             self.assertIn("nothing more is committed", self.problems()[0])
 
     def test_going_before_the_removal_is_committed_is_found(self) -> None:
         def status(self: Replica, *, replica: str, **asked) -> t.LeaveStatus:
             is_member = self.members.has(replica=replica)
-            state = t.LeaveState.WAIT if is_member else t.LeaveState.REPLACED
+            state = LeaveState.WAIT if is_member else LeaveState.REPLACED
             return t.LeaveStatus(state=state)
 
         with (
@@ -409,7 +413,7 @@
         cluster, name = self.cluster()
         cluster.begin_leave(name)
         self.assertTrue(cluster.run_until(lambda: bool(cluster.left_us), us=2_000_000))
-        self.assertEqual(t.LeaveState.COPIED, cluster.statuses[-1])
+        self.assertEqual(LeaveState.COPIED, cluster.statuses[-1])
         status = self.status(cluster, name)
         self.assertEqual((0, 1), (status.losses_borne, status.losses_wanted))
         self.assertIn(name, cluster.voter_names())
@@ -421,14 +425,14 @@
         slow = next(n for n in cluster.nodes if n not in (name, leader))
         cluster.nodes[slow].is_alive = False
         cluster.run_until(lambda: False, us=300_000)
-        self.assertEqual(t.LeaveState.WAIT, self.status(cluster, name).state)
+        self.assertEqual(LeaveState.WAIT, self.status(cluster, name).state)
         last = cluster.nodes[slow].replica.log.last_index
-        self.assertEqual(t.LeaveState.COPIED, self.status(cluster, name, last_index=last).state)
+        self.assertEqual(LeaveState.COPIED, self.status(cluster, name, last_index=last).state)
 
     def test_a_leader_of_an_older_term_is_not_believed(self) -> None:
         cluster, name = self.cluster()
         term = cluster.nodes[name].replica.term + 1
-        self.assertEqual(t.LeaveState.NOT_LEADER, self.status(cluster, name, term=term).state)
+        self.assertEqual(LeaveState.NOT_LEADER, self.status(cluster, name, term=term).state)
 
     def test_the_leader_tells_when_the_voters_bear_less_than_wanted(self) -> None:
         cluster, name = self.cluster()
@@ -643,3 +647,131 @@
         members = [voter("b"), CoreMember(replica="a", address="x", http="y")]
         read = read_members(data=write_members(members=members))
         self.assertEqual(["a", "b"], [m.replica for m in read])
+
+
+class PlannedStopTest(unittest.TestCase):
+    """Whole cores are told to stop: the simulated daemons, with their lines and disks."""
+
+    async def stopped(self, cores: Cores, name: str) -> tuple[str, int]:
+        """Stop a core as the platform does; how the others let it go, and after how long."""
+        core = cores.daemons[name]
+        began_us = cores.world.now_us()
+        await asyncio.wait({cores.processes[name].spawn(core.stop())}, timeout=6.0)
+        took_us = cores.world.now_us() - began_us
+        cores.kill(name)
+        ends = [e for e in core.journal.tail(limit=50) if e["event"] == "LeaveEnded"]
+        return (ends[-1]["state"] if ends else "none"), took_us
+
+    async def begin(self, cores: Cores) -> None:
+        await cores.start(is_first=True)
+        voters = min(2 * cores.tolerance + 1, len(cores.names))
+        await cores.wait_for(lambda: len(cores.voters()) == voters)
+        await cores.put()
+
+    def replacement(
+        self, *, is_leader: bool, after_us: int, states: list[str], spans: list[int]
+    ) -> Callable:
+        """The new one comes first; the old one is told to stop, leader or not; some time
+        after that one has gone another disk is lost for good."""
+
+        async def story(cores: Cores) -> None:
+            await self.begin(cores)
+            cores.add(name="c3", domain="d0")
+            await cores.start("c3", seeds=cores.names[:3])
+            await cores.sleep(1_500_000)
+            await cores.put()
+            leader = cores.leader()
+            gone = leader if is_leader else next(n for n in cores.names[:3] if n != leader)
+            state, took_us = await self.stopped(cores, gone)
+            states.append(state)
+            spans.append(took_us)
+            cores.names.remove(gone)
+            await cores.sleep(after_us)
+            lost = cores.leader() or cores.names[0]
+            cores.kill(lost, is_disk=True)
+            cores.names.remove(lost)
+            self.assertEqual(cores.version, (await cores.read())[0])
+
+        return story
+
+    def test_a_loss_at_any_moment_after_a_planned_replacement(self) -> None:
+        states: list[str] = []
+        spans: list[int] = []
+        for place in range(20):
+            with self.subTest(place=place):
+                story = self.replacement(
+                    is_leader=bool(place % 2),
+                    after_us=place // 2 * 100_000,
+                    states=states,
+                    spans=spans,
+                )
+                play(story, seed=place, count=3, tolerance=1)
+        self.assertEqual({"REPLACED"}, set(states))
+        self.assertLess(max(spans), 1_500_000)
+
+    def test_going_at_once_is_found(self) -> None:
+        async def go(self: Leaving) -> LeaveOutcome:
+            return LeaveOutcome(state=LeaveState.REPLACED)
+
+        story = self.replacement(is_leader=False, after_us=0, states=[], spans=[])
+        with (
+            mock.patch.object(Leaving, "run", go),
+            self.assertRaisesRegex(AssertionError, "not read back"),
+        ):
+            play(story, seed=0, count=3, tolerance=1)
+
+    def test_without_a_replacement_it_goes_and_says_what_is_left(self) -> None:
+        async def story(cores: Cores) -> None:
+            await self.begin(cores)
+            gone = cores.leader()
+            state, took_us = await self.stopped(cores, gone)
+            self.assertEqual("COPIED", state)
+            self.assertLess(took_us, 3_000_000)
+            await cores.wait_for(lambda: cores.leader() not in (None, gone))
+            await cores.sleep(1_500_000)
+            margin = cores.daemons[cores.leader()].task.raft.margin()
+            self.assertEqual((0, 1), (margin["losses_borne"], margin["losses_wanted"]))
+            await cores.start(gone)
+            await cores.wait_for(lambda: len(cores.voters()) == 3)
+            await cores.sleep(300_000)
+            self.assertEqual(1, cores.daemons[cores.leader()].task.raft.margin()["losses_borne"])
+
+        for seed in range(3):
+            play(story, seed=seed, count=3, tolerance=1)
+
+    def test_six_are_restarted_in_turn(self) -> None:
+        async def story(cores: Cores) -> None:
+            await self.begin(cores)
+            await cores.wait_for(
+                lambda: len(cores.daemons[cores.leader()].task.raft.members.current) == 6
+            )
+            for name in list(cores.names):
+                state, _ = await self.stopped(cores, name)
+                self.assertEqual("REPLACED", state)
+                self.assertEqual(5, len(cores.voters()))
+                await cores.put()
+                await cores.start(name)
+                await cores.wait_for(
+                    lambda: len(cores.daemons[cores.leader()].task.raft.lag()) == 6
+                )
+                await cores.sleep(300_000)
+
+        play(story, seed=1, count=6, tolerance=2)
+
+    def test_all_are_told_to_stop_at_once(self) -> None:
+        async def story(cores: Cores) -> None:
+            await self.begin(cores)
+            ends = await asyncio.gather(*(self.stopped(cores, name) for name in cores.names))
+            self.assertLess(max(took_us for _, took_us in ends), 4_500_000)
+            await cores.start()
+            self.assertEqual(cores.version, (await cores.read())[0])
+
+        play(story, seed=1, count=3, tolerance=1)
+
+    def test_one_alone_stops_at_once(self) -> None:
+        async def story(cores: Cores) -> None:
+            await self.begin(cores)
+            _, took_us = await self.stopped(cores, cores.names[0])
+            self.assertLess(took_us, 100_000)
+
+        play(story, seed=1, count=1, tolerance=0)
