--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -22,6 +22,7 @@
 from kelpstage.base.wire.http import JSON_TYPE, defect_reply, json_reply
 from kelpstage.base.wire.messages import ProxyOperator, ProxyOperatorReply
 from kelpstage.core.handlers import proxy_to_leader
+from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import PutApplied
 
 if TYPE_CHECKING:
@@ -80,7 +81,7 @@
     called would come back later than it is there. How long it took."""
     clock = core.ports.clock
     began_us = clock.now_us()
-    until_us = began_us + min(LEADER_WAIT_US, wait_us // 2)
+    until_us = began_us + _kept_us(wait_us=wait_us)
     while core.task is not None and not core.task.leader_address:
         if clock.now_us() >= until_us:
             break
@@ -88,6 +89,11 @@
     return clock.now_us() - began_us
 
 
+def _kept_us(*, wait_us: int) -> int:
+    """How long a call is kept while no leader is known."""
+    return min(LEADER_WAIT_US, wait_us // 2)
+
+
 def _wait_us(*, call: HttpCall) -> int | BadRequest:
     given = call.headers.get("kelp-time-left-us")
     if given is None:
@@ -192,11 +198,11 @@
         if isinstance(outcome, Defect):
             return defect_reply(defect=outcome)
         return json_reply(body={"epoch": outcome.epoch, "roster": task.machine.state.roster})
-    defect = await task.confirm(wait_us=min(ask.wait_us * 9 // 10, READ_WAIT_US))
+    defect = await _confirm_read(core=core, task=task, wait_us=ask.wait_us * 9 // 10)
     if defect is not None:
         return defect_reply(defect=defect)
     if ask.url == "/v1/blueprint":
-        return _get_blueprint(core=core)
+        return _get_blueprint(task=task)
     if ask.url == "/v1/roster":
         return json_reply(body=roster_view(core=core))
     return _get_put(core=core, put_id=unquote(ask.url.removeprefix("/v1/puts/")))
@@ -213,8 +219,27 @@
     return defect_reply(defect=outcome)
 
 
-def _get_blueprint(*, core: "Core") -> HttpReply:
-    state = core.task.machine.state
+async def _confirm_read(*, core: "Core", task: ReplicaTask, wait_us: int) -> Defect | None:
+    """Is what `task` has applied fit to be read, by a majority's word since the call came?
+
+    The word is void if the process stood still meanwhile, so that the call's time is over,
+    or if the replica was built anew from its disk: that one may have applied less.
+    """
+    clock = core.ports.clock
+    wait_us = min(wait_us, READ_WAIT_US)
+    until_us = clock.now_us() + wait_us
+    defect = await task.confirm(wait_us=wait_us)
+    if defect is not None:
+        return defect
+    if core.task is not task:
+        return NoLeader(why="this replica was started anew meanwhile")
+    if clock.now_us() > until_us:
+        return NoLeader(why="confirmed too late: this process stood still")
+    return None
+
+
+def _get_blueprint(*, task: ReplicaTask) -> HttpReply:
+    state = task.machine.state
     if not state.version:
         return defect_reply(defect=NoBlueprint(why="none was put yet"))
     return HttpReply(
