A replica that hears no leader for an election timeout forgets it, learners too

Only voters forgot a silent leader, since only they stand for election. A learner (each core beyond the voters) that was cut off named that leader for ever: it said it was ready, sent every order there and answered 503 after 0.78 s instead of at once, and gave edges an address of no use. Worse, a leader takes a silent learner off the membership after 2.5 s; healed, the learner still knew a leader and its own place, so that it never asked for one: four cores, one cut for 24 s, its commit index stood at 4 for ever while the others went on, and it answered 503 for good once the leader had gone elsewhere. A voter with a stalled disk kept the name of its leader in the same way.

Failing test first (tests/test_core_cuts.py, Learner): the address was still given 4 s after the cut. Now it is forgotten, the answer comes within 0.5 s, and after the cut has healed the learner has its place again and all that is committed within 4 s.

Ruled out: a timer of its own for learners; the election timeout is what says that a leader is silent, whoever hears it.

--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -155,11 +155,13 @@
         if self.role == LEADER:
             self._lead()
             return
-        if self._is_sync_stalled():
-            self._set_clock_event()  # a disk that hangs gives no right to stand
+        if self._now < self._clock_event_us:
             return
-        if self._now >= self._clock_event_us and self.members.is_voter(replica=self.me):
-            self._stand_before()
+        self.leader = ""  # silent for an election timeout: nobody is to be sent there
+        if self._is_sync_stalled() or not self.members.is_voter(replica=self.me):
+            self._set_clock_event()  # a disk that hangs gives no right to stand; nor a learner's
+            return
+        self._stand_before()
 
     @_on.register
     def _(self, event: Heard) -> None:
--- a/tests/test_core_cuts.py
+++ b/tests/test_core_cuts.py
@@ -455,5 +455,35 @@
         self.assertEqual(self.read_over(meanwhile=begin_anew).status, 503)
 
 
+class Learner(unittest.TestCase):
+    """A fourth core, no voter: it forgets a leader that is silent, and returns."""
+
+    def test_a_learner_that_was_cut_off_returns(self) -> None:
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            await cores.wait_for(lambda: len(cores.voters()) == 3)
+            await cores.sleep(2_000_000)
+            await cores.put()
+            voters = cores.voters()
+            learner = next(n for n in cores.names if cores.address(n) not in voters)
+            cores.world.cuts |= set(both_ways(cores=cores, name=learner))
+            await cores.sleep(4_000_000)
+            task = cores.daemons[learner].task
+            self.assertEqual(task.leader_address, "")  # it says no more who leads
+            began_us = cores.world.now_us()
+            reply = await cores.call(learner, "GET", headers={"Kelp-Time-Left-Us": "800000"})
+            self.assertEqual(reply.status, 503)
+            self.assertLess(cores.world.now_us() - began_us, 500_000)
+            await cores.sleep(CUT_US)
+            cores.world.heal()
+            await cores.put()
+            await cores.wait_for(
+                lambda: task.applied == cores.daemons[cores.leader()].task.applied, us=4_000_000
+            )
+
+        for seed in SEEDS:
+            play(story, seed=seed, count=4, tolerance=1)
+
+
 if __name__ == "__main__":
     unittest.main()
