Raft: a learner that hears no leader any more forgets it, and so asks for its place

A learner that was cut off for more than 2.5 s is removed from the membership. Nothing is sent to it after that, so it never hears of its own removal: it goes on believing that it has a place and a leader, and a replica that believes both never asks to be admitted. It stayed out until its process was started anew, and the cluster was one replica short for the next repair. A voter was safe from it: its election timeout clears the leader.

Ruled out: the request for a place lost or refused. None was sent.

Now the election timeout of a replica that may not campaign clears the leader that it knew.

--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -160,8 +160,15 @@
         if self._is_sync_stalled():
             self._reset_election_timeout()  # a disk that hangs gives no right to campaign
             return
-        if self._now >= self._election_due_us and self.members.is_voter(replica=self.me):
+        if self._now < self._election_due_us:
+            return
+        if self.members.is_voter(replica=self.me):
             self._start_pre_vote()
+            return
+        # A learner may have been removed without hearing of it: it must ask for a place again.
+        self.leader = ""
+        self.leader_address = ""
+        self._reset_election_timeout()
 
     @_on.register
     def _(self, event: Received) -> None:
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -6,7 +6,7 @@
 import random
 import unittest
 
-from kelpstage.base.wire.messages import CoreMember, LogEntry
+from kelpstage.base.wire.messages import AppendEntries, CoreMember, LogEntry
 from kelpstage.core.raft import types as t
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.raft.replica import Replica
@@ -155,3 +155,13 @@
             net.now += 100_000
             leader.step(now_us=net.now, event=t.Tick())
         self.assertNotEqual(t.LEADER, leader.role)
+
+    def test_learner_forgets_a_leader_that_it_no_longer_hears(self) -> None:
+        members = [*MEMBERS, CoreMember(replica="d", address="d")]
+        learner = Replica(me="d", cluster="k", members=members, rand=random.Random(1), now_us=0)
+        heartbeat = AppendEntries(cluster="k", sender="a", to="d", term=1, leader_address="a")
+        learner.step(now_us=1_000, event=t.Received(message=heartbeat))
+        learner.step(now_us=1_000, event=t.Synced(number=1))
+        self.assertEqual("a", learner.leader)
+        learner.step(now_us=2_000_000, event=t.Tick())
+        self.assertEqual(("", ""), (learner.leader, learner.leader_address))
