--- /dev/null
+++ b/proof/model/__init__.py
@@ -0,0 +1,1 @@
+"""A model checker of the control side's own plain code."""
--- /dev/null
+++ b/proof/model/adapter.py
@@ -0,0 +1,253 @@
+"""The one place of the model checker that knows the names of the code under check.
+
+Events and effects of `Replica` are given here under the names that the rest of the
+package uses, together with the few readings of its state that the invariants need.
+"""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+from kelpstage.base.blueprint.types import EMPTY
+from kelpstage.base.wire.messages import (
+    AppendEntries,
+    AppendEntriesReply,
+    CoreMember,
+    GrantReply,
+    InstallSnapshot,
+    LogEntry,
+    RequestVote,
+    RequestVoteReply,
+    StateDoc,
+    TimeoutNow,
+)
+from kelpstage.core.founding import FOUNDING_INDEX, FOUNDING_TERM
+from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
+from kelpstage.core.grants.puts import as_verdict
+from kelpstage.core.raft import types as raft
+from kelpstage.core.raft.log import MemoryLog
+from kelpstage.core.raft.members import read_members, write_members
+from kelpstage.core.raft.replica import Replica
+from kelpstage.core.state.machine import (
+    Command,
+    CoreState,
+    Machine,
+    PutApplied,
+    PutBlueprint,
+    PutClash,
+    PutLost,
+    PutNotAbove,
+    put_digest,
+)
+from kelpstage.core.store.records import DiskSnapshot
+from kelpstage.edge.grant.keeper import Keeper
+
+CLUSTER = "k"
+
+# Effects.
+Send, Persist, Commit = raft.Send, raft.Persist, raft.Commit
+KeepSnapshot, FetchOffered = raft.KeepSnapshot, raft.FetchOffered
+ReadReady, ReadLost = raft.ReadReady, raft.ReadLost
+Proposed, NotLeader = raft.Proposed, raft.NotLeader
+RoleChanged, Removed = raft.RoleChanged, raft.Removed
+
+# Events.
+Received, Synced, SnapshotFetched = raft.Received, raft.Synced, raft.SnapshotFetched
+SnapshotTaken, ReadIndexRequest = raft.SnapshotTaken, raft.ReadIndex
+Propose, Tick, TransferLeadership = raft.Propose, raft.Tick, raft.TransferLeadership
+JoinRequest = raft.JoinRequested
+
+LEADER, COMMAND, MEMBERSHIP = raft.LEADER, raft.COMMAND, raft.MEMBERSHIP
+LEASE_US = GRANT_SPAN_US
+
+__all__ = [
+    "CLUSTER",
+    "COMMAND",
+    "FOUNDING_INDEX",
+    "FOUNDING_TERM",
+    "LEADER",
+    "LEASE_US",
+    "MEMBERSHIP",
+    "AppendEntries",
+    "AppendEntriesReply",
+    "Commit",
+    "CoreMember",
+    "CoreState",
+    "DiskSnapshot",
+    "FetchOffered",
+    "InstallSnapshot",
+    "JoinRequest",
+    "KeepSnapshot",
+    "Keeper",
+    "Ledger",
+    "LogEntry",
+    "Machine",
+    "MemoryLog",
+    "NotLeader",
+    "Persist",
+    "Propose",
+    "Proposed",
+    "PutApplied",
+    "ReadIndexRequest",
+    "ReadLost",
+    "ReadReady",
+    "Received",
+    "Removed",
+    "Replica",
+    "RequestVote",
+    "RequestVoteReply",
+    "RoleChanged",
+    "Send",
+    "SnapshotFetched",
+    "SnapshotTaken",
+    "Synced",
+    "Tick",
+    "TimeoutNow",
+    "TransferLeadership",
+    "read_members",
+    "write_members",
+]
+
+
+def make_replica(
+    *,
+    me: str,
+    members: list[CoreMember],
+    rand: random.Random,
+    now_us: int,
+    term: int,
+    vote: str,
+    log: MemoryLog,
+    voters: int,
+) -> Replica:
+    """A replica as the daemon makes it from what it recovered."""
+    return Replica(
+        me=me,
+        cluster=CLUSTER,
+        members=members,
+        rand=rand,
+        now_us=now_us,
+        term=term,
+        vote=vote,
+        log=log,
+        voters=voters,
+    )
+
+
+def role_of(replica: Replica) -> str:
+    """Follower, pre-candidate, candidate or leader."""
+    return replica.role
+
+
+def term_of(replica: Replica) -> int:
+    """The current term."""
+    return replica.term
+
+
+def commit_index_of(replica: Replica) -> int:
+    """The commit index in memory."""
+    return replica.commit_index
+
+
+def members_of(replica: Replica) -> list[CoreMember]:
+    """The members of the newest configuration in the log, committed or not."""
+    return replica.members.current
+
+
+def members_at(replica: Replica, *, index: int) -> list[CoreMember]:
+    """The members in force at a log index."""
+    return replica.members.at(index=index)
+
+
+def knows_leader(replica: Replica) -> bool:
+    """Has it heard a leader of its term?"""
+    return bool(replica.leader)
+
+
+def tail_of(effect: KeepSnapshot) -> list[LogEntry]:
+    """Entries that stay behind a fetched snapshot."""
+    return list(getattr(effect, "tail", []))
+
+
+def fetched_event(*, snapshot: DiskSnapshot, offer: FetchOffered) -> SnapshotFetched:
+    """What the daemon tells its replica when a snapshot has arrived whole."""
+    return SnapshotFetched(
+        index=snapshot.index,
+        term=snapshot.term,
+        members=list(snapshot.members),
+        leader=offer.leader,
+        heartbeat=offer.heartbeat,
+    )
+
+
+def order_bytes(*, put_id: str, expected: int, version: int, document: bytes) -> bytes:
+    """An operator's order as a command of the log."""
+    put = PutBlueprint(put_id=put_id, expected=expected, version=version, document=document)
+    return bytes(Command(put=put))
+
+
+def order_digest(*, expected: int, version: int, document: bytes) -> bytes:
+    """What tells a repeat of an order from another one."""
+    return put_digest(document=document, expected=expected, version=version)
+
+
+def is_put_outcome(outcome: Any) -> bool:
+    """Was this order decided by the state machine?"""
+    return isinstance(outcome, (PutApplied, PutLost, PutNotAbove, PutClash))
+
+
+def is_refusal(outcome: Any) -> bool:
+    """Would the operator hear that the order was refused for good?"""
+    if not is_put_outcome(outcome):
+        return False
+    return not isinstance(as_verdict(outcome=outcome, put_id=""), PutApplied)
+
+
+def refusal_of_base(*, expected: int, version: int, current: int) -> Any:
+    """What the leader says of an order that does not build on the version in force."""
+    if current != expected:
+        return PutLost(expected=expected, current=current)
+    if version and version <= current:
+        return PutNotAbove(version=version, current=current)
+    return None
+
+
+def first_state(*, edges: list[str]) -> CoreState:
+    """The state of a cluster in which these edges have joined."""
+    return CoreState(cluster=CLUSTER, epoch=1, roster=sorted(edges))
+
+
+def lease_reply(*, epoch: int) -> GrantReply:
+    """A lease for this epoch."""
+    return GrantReply(is_granted=True, cluster=CLUSTER, epoch=epoch, span_us=LEASE_US)
+
+
+def install(keeper: Keeper, *, doc: StateDoc, now_us: int) -> None:
+    """An edge takes a state into use."""
+    keeper.install(doc=doc, blueprint=EMPTY, now_us=now_us)
+
+
+def take_lease(keeper: Keeper, *, reply: GrantReply, sent_us: int) -> None:
+    """An edge takes a lease that it asked for at `sent_us`."""
+    keeper.take_grant(reply=reply, sent_us=sent_us)
+
+
+def has_lease(keeper: Keeper, *, now_us: int) -> bool:
+    """May the edge serve what it has installed, by its lease alone?"""
+    return keeper.has_grant(now_us=now_us)
+
+
+def ledger_hears(ledger: Ledger, *, edge: str, incarnation: int, epoch: int, now_us: int) -> None:
+    """The leader hears what an edge has installed."""
+    ledger.heard(edge=edge, incarnation=incarnation, epoch=epoch, contact=None, now_us=now_us)
+
+
+def ledger_gives(ledger: Ledger, *, edge: str, epoch: int, now_us: int) -> None:
+    """The leader notes a lease that it gives."""
+    ledger.grant(edge=edge, epoch=epoch, now_us=now_us)
+
+
+def ledger_settled(ledger: Ledger, *, state: CoreState, epoch: int, now_us: int) -> bool:
+    """Can no edge serve an older epoch any more, as far as the leader knows?"""
+    return ledger.is_settled(epoch=epoch, roster=list(state.roster), now_us=now_us)
--- /dev/null
+++ b/proof/model/sessions.py
@@ -0,0 +1,362 @@
+"""Operators with their orders, and edges with their leases, as the leader serves them.
+
+An order is looked up under a read index, judged, proposed, and acknowledged when no edge
+can serve an older epoch; a lease is given under a read index. The calls may be lost,
+late, doubled or sent again; an operator without a clear answer repeats its order.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, Any
+
+from proof.model import adapter as core
+
+if TYPE_CHECKING:
+    from proof.model.node import Node
+    from proof.model.world import World
+
+ORDER_WAIT_US = 10_000_000
+ACKNOWLEDGED_KEPT = 40
+
+LOOK_UP, TURN, PROPOSED, SETTLE = "look-up", "turn", "proposed", "settle"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Order:
+    """One order of an operator's: compare-and-set on the version that it builds on."""
+
+    operator: str
+    expected: int
+    version: int
+    document: bytes
+    put_id: str
+
+    @property
+    def digest(self) -> bytes:
+        """What tells a repeat from another order."""
+        return core.order_digest(
+            expected=self.expected, version=self.version, document=self.document
+        )
+
+
+# --- what travels ---------------------------------------------------------------------
+
+
+@dataclass(frozen=True, kw_only=True)
+class OrderCall:
+    """An operator sends an order."""
+
+    order: Order
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReadCall:
+    """An operator reads the configuration; `floor` is what was acknowledged before."""
+
+    floor: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class OrderAnswer:
+    """What the operator hears of an order."""
+
+    order: Order
+    is_refused: bool
+    version: int  # in force
+
+
+@dataclass(frozen=True, kw_only=True)
+class RenewCall:
+    """An edge asks for a lease."""
+
+    edge: str
+    incarnation: int
+    epoch: int
+    sent_us: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaseAnswer:
+    """A lease, for the incarnation that asked."""
+
+    incarnation: int
+    reply: Any
+    sent_us: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class StateAnswer:
+    """The state that an edge is to install."""
+
+    doc: Any
+
+
+# --- who holds state --------------------------------------------------------------------
+
+
+@dataclass(kw_only=True, eq=False)
+class Operator:
+    """Knows a version; has one order under way at the most."""
+
+    name: str
+    known: int = 0
+    count: int = 0
+    pending: Order | None = None
+    acknowledged: list[Order] = field(default_factory=list)
+
+    def order(self) -> Order:
+        """The order under way, or a new one with the next number."""
+        if self.pending is None:
+            self.count += 1
+            mark = f"{self.name}-{self.count}"
+            self.pending = Order(
+                operator=self.name,
+                expected=self.known,
+                version=self.known + 1,
+                document=mark.encode(),
+                put_id=mark,
+            )
+        return self.pending
+
+    def hear(self, *, answer: OrderAnswer) -> None:
+        """Take an answer; one that belongs to no order under way is old."""
+        self.known = max(self.known, answer.version)
+        if self.pending is None or self.pending.digest != answer.order.digest:
+            return
+        if not answer.is_refused:
+            self.acknowledged.append(self.pending)
+            del self.acknowledged[:-ACKNOWLEDGED_KEPT]
+        self.pending = None
+
+
+@dataclass(kw_only=True, eq=False)
+class Edge:
+    """An edge with what it has installed and its leases."""
+
+    name: str
+    keeper: core.Keeper
+    incarnation: int = 1
+    renewed_us: int = -(10**9)
+
+
+@dataclass(kw_only=True, eq=False)
+class Work:
+    """A call that a node has not answered yet."""
+
+    address: str
+    starts: int
+    call: Any
+    ledger: core.Ledger
+    until_us: int
+    source: str = ""
+    stage: str = LOOK_UP
+    epoch: int = 0
+    version: int = 0
+
+
+class Sessions:
+    """All operators and edges, and their calls under way."""
+
+    def __init__(self, *, world: "World", operators: int, edges: int) -> None:
+        self.world = world
+        self.operators = {f"op{i}": Operator(name=f"op{i}") for i in range(operators)}
+        self.edges: dict[str, Edge] = {}
+        self._work: dict[int, Work] = {}
+        self._token = 0
+        names = [f"e{i}" for i in range(edges)]
+        doc = core.Machine(cluster=core.CLUSTER, state=core.first_state(edges=names)).doc()
+        for name in names:
+            self.edges[name] = Edge(name=name, keeper=core.Keeper(me=name))
+            core.install(self.edges[name].keeper, doc=doc, now_us=0)
+
+    # --- calls arrive at a node --------------------------------------------------------
+
+    def arrive(self, *, node: "Node", source: str, call: Any) -> None:
+        """A call of an operator's or an edge's; one that is not the leader gives no
+        clear answer."""
+        if core.role_of(node.replica) != core.LEADER:
+            return
+        if isinstance(call, RenewCall):
+            self._note_edge(node=node, call=call)
+        self._token += 1
+        self._work[self._token] = Work(
+            address=node.address,
+            starts=node.starts,
+            call=call,
+            ledger=node.ledger,
+            until_us=self.world.now_us + ORDER_WAIT_US,
+            source=source,
+        )
+        node.take(core.ReadIndexRequest(token=self._token))
+
+    def _note_edge(self, *, node: "Node", call: RenewCall) -> None:
+        core.ledger_hears(
+            node.ledger,
+            edge=call.edge,
+            incarnation=call.incarnation,
+            epoch=call.epoch,
+            now_us=self.world.now_us,
+        )
+
+    # --- what the replica says --------------------------------------------------------------
+
+    def read_lost(self, *, token: int) -> None:
+        """The lead was lost before the read index was confirmed."""
+        self._work.pop(token, None)
+
+    def proposal_lost(self, *, token: int) -> None:
+        """Nobody knows what becomes of the entry: no clear answer."""
+        self._work.pop(token, None)
+
+    def read_ready(self, *, node: "Node", token: int, index: int) -> None:
+        """The read index is confirmed by a majority."""
+        work = self._work.get(token)
+        if work is None:
+            return
+        if isinstance(work.call, OrderCall):
+            self._look_up(node=node, token=token, work=work)
+            return
+        del self._work[token]
+        if isinstance(work.call, ReadCall):
+            self.world.checks.read_done(
+                node=node, floor=work.call.floor, version=node.machine.state.version
+            )
+        if isinstance(work.call, RenewCall):
+            self._give_lease(node=node, work=work)
+
+    def _give_lease(self, *, node: "Node", work: Work) -> None:
+        if work.ledger is not node.ledger:
+            return
+        call, epoch = work.call, node.machine.state.epoch
+        core.ledger_gives(node.ledger, edge=call.edge, epoch=epoch, now_us=self.world.now_us)
+        answer = LeaseAnswer(
+            incarnation=call.incarnation,
+            reply=core.lease_reply(epoch=epoch),
+            sent_us=call.sent_us,
+        )
+        self.world.send(source=node.address, to=call.edge, body=answer)
+        if call.epoch < epoch:
+            state = StateAnswer(doc=node.machine.doc())
+            self.world.send(source=node.address, to=call.edge, body=state)
+
+    # --- orders -------------------------------------------------------------------------------
+
+    def _look_up(self, *, node: "Node", token: int, work: Work) -> None:
+        order = work.call.order
+        outcome = node.machine.decided(put_id=order.put_id, digest=order.digest)
+        if outcome is not None:
+            self._decided(node=node, token=token, work=work, outcome=outcome)
+            return
+        current = node.machine.state.version
+        refusal = core.refusal_of_base(
+            expected=order.expected, version=order.version, current=current
+        )
+        if refusal is not None:
+            self._refuse(node=node, token=token, work=work)
+            return
+        work.stage = TURN
+        self._propose(node=node, token=token, work=work)
+
+    def _propose(self, *, node: "Node", token: int, work: Work) -> None:
+        """Propose the order when the change before it is settled; the state machine
+        judges it once more, by what is in force at its place in the log."""
+        order, state = work.call.order, node.machine.state
+        if not core.ledger_settled(
+            node.ledger, state=state, epoch=state.epoch, now_us=self.world.now_us
+        ):
+            return
+        work.stage = PROPOSED
+        data = core.order_bytes(
+            put_id=order.put_id,
+            expected=order.expected,
+            version=order.version,
+            document=order.document,
+        )
+        node.take(core.Propose(kind=core.COMMAND, data=data, token=token))
+
+    def applied(self, *, node: "Node", token: int, outcome: Any) -> None:
+        """The state machine decided an order that was proposed here."""
+        work = self._work.get(token)
+        if work is not None:
+            self._decided(node=node, token=token, work=work, outcome=outcome)
+
+    def _decided(self, *, node: "Node", token: int, work: Work, outcome: Any) -> None:
+        if core.is_refusal(outcome):
+            self._refuse(node=node, token=token, work=work)
+            return
+        self.world.checks.order_took_effect(order=work.call.order)
+        work.stage, work.epoch, work.version = SETTLE, outcome.epoch, outcome.version
+        self._settle(node=node, token=token, work=work)
+
+    def _refuse(self, *, node: "Node", token: int, work: Work) -> None:
+        del self._work[token]
+        self.world.checks.refused_order(order=work.call.order)
+        self._answer(node=node, work=work, is_refused=True, version=node.machine.state.version)
+
+    def _settle(self, *, node: "Node", token: int, work: Work) -> None:
+        """Acknowledge when no edge can serve an older epoch."""
+        state = node.machine.state
+        if not core.ledger_settled(
+            work.ledger, state=state, epoch=work.epoch, now_us=self.world.now_us
+        ):
+            return
+        del self._work[token]
+        order = work.call.order
+        self.world.checks.acknowledged_order(order=order, version=work.version, epoch=work.epoch)
+        self._answer(node=node, work=work, is_refused=False, version=work.version)
+
+    def _answer(self, *, node: "Node", work: Work, is_refused: bool, version: int) -> None:
+        answer = OrderAnswer(order=work.call.order, is_refused=is_refused, version=version)
+        self.world.send(source=node.address, to=work.source, body=answer)
+
+    def tick(self, *, node: "Node") -> None:
+        """Orders that wait for a settled epoch are looked at again."""
+        waiting = [
+            (token, work)
+            for token, work in self._work.items()
+            if work.address == node.address and work.stage in (TURN, SETTLE)
+        ]
+        for token, work in waiting:
+            if work.ledger is not node.ledger or self.world.now_us > work.until_us:
+                del self._work[token]
+            elif work.stage == SETTLE:
+                self._settle(node=node, token=token, work=work)
+            elif core.role_of(node.replica) != core.LEADER:
+                del self._work[token]
+            else:
+                self._propose(node=node, token=token, work=work)
+
+    def node_ended(self, *, node: "Node") -> None:
+        """The calls at a process that ended hear nothing."""
+        self._work = {t: w for t, w in self._work.items() if w.address != node.address}
+
+    # --- answers arrive ---------------------------------------------------------------------------
+
+    def hear(self, *, name: str, body: Any) -> None:
+        """An operator or an edge takes an answer."""
+        if name in self.operators:
+            self.operators[name].hear(answer=body)
+            return
+        edge = self.edges[name]
+        if isinstance(body, StateAnswer):
+            core.install(edge.keeper, doc=body.doc, now_us=self.world.now_us)
+        elif body.incarnation == edge.incarnation:
+            core.take_lease(edge.keeper, reply=body.reply, sent_us=body.sent_us)
+        self.world.checks.edge_changed(edge=edge)
+
+    def renew(self, *, edge: Edge, to: str) -> None:
+        """An edge asks a node for a lease."""
+        edge.renewed_us = self.world.now_us
+        call = RenewCall(
+            edge=edge.name,
+            incarnation=edge.incarnation,
+            epoch=edge.keeper.epoch,
+            sent_us=self.world.now_us,
+        )
+        self.world.send(source=edge.name, to=to, body=call)
+
+    def restart_edge(self, *, edge: Edge) -> None:
+        """An edge starts anew and has forgotten everything."""
+        edge.incarnation += 1
+        edge.keeper = core.Keeper(me=edge.name)
--- /dev/null
+++ b/proof/model/walk.py
@@ -0,0 +1,267 @@
+"""Seeded random walks, the liveness check at their end, and the shortening of one that failed."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+
+from proof.model import adapter as core
+from proof.model.checks import LIVENESS, InvariantViolated
+from proof.model.node import Hooks
+from proof.model.world import Action, Scope, World
+
+SETTLE_ROUNDS = 1_000  # 20 s of virtual time
+ORDER_ROUNDS = 500
+SHRINK_RUNS = 400
+
+# How often each action is chosen, for each kind of walk.
+CHAOS = {
+    "deliver": 300,
+    "drop": 12,
+    "duplicate": 12,
+    "tick": 60,
+    "sync": 90,
+    "crash": 4,
+    "power": 1,
+    "start": 12,
+    "wipe": 1,
+    "freeze": 2,
+    "wake": 6,
+    "cut": 3,
+    "isolate": 2,
+    "heal": 6,
+    "snapshot": 6,
+    "fetch": 20,
+    "transfer": 2,
+    "order": 30,
+    "repeat": 6,
+    "read": 8,
+    "renew": 15,
+    "restart_edge": 1,
+    "rounds": 8,
+    "busy": 4,
+}
+LONG = CHAOS | {"busy": 40, "rounds": 20, "wipe": 4, "isolate": 6, "heal": 10, "start": 30}
+PROFILES = {"chaos": CHAOS, "long": LONG}
+
+
+@dataclass(kw_only=True)
+class Walk:
+    """What is needed to run a walk again."""
+
+    scope: Scope
+    seed: int
+    actions: list[Action] = field(default_factory=list)
+    is_settled_at_end: bool = True
+
+
+@dataclass(kw_only=True)
+class Outcome:
+    """How a walk ended."""
+
+    walk: Walk
+    invariant: str = ""
+    detail: str = ""
+    steps: int = 0
+    entries: int = 0
+    terms: int = 0
+    acknowledged: int = 0
+    membership_changes: int = 0
+    snapshots_fetched: int = 0
+    seconds: float = 0.0
+
+    @property
+    def is_kept(self) -> bool:
+        """Did all invariants hold?"""
+        return not self.invariant
+
+
+def choose(*, rand: random.Random, world: World, profile: dict[str, int]) -> Action:
+    """The next action of a random walk."""
+    name = rand.choices(list(profile), weights=list(profile.values()))[0]
+    machines, operators = world.scope.machines, max(1, world.scope.operators)
+    machine = rand.randrange(machines)
+    if name in ("deliver", "drop", "duplicate"):
+        # Mostly the oldest, so that something comes about; at times any.
+        place = 0 if rand.random() < 0.6 else rand.randrange(max(1, len(world.packets)))
+        return Action(name, place)
+    if name == "tick":
+        step = rand.choices(range(6), weights=[30, 60, 25, 8, 3, 1])[0]
+        return Action(name, machine, step)
+    if name == "sync":
+        return Action(name, machine, rand.choice([0, 0, 1, 9]))
+    if name == "crash":
+        return Action(name, machine, rand.choice([0, 0, 1, 2, 3, 9]))
+    if name == "power":
+        return Action(name, 0, rand.choice([0, 0, 1, 2, 4]))
+    if name in ("order", "repeat"):
+        leader = world.leader()
+        place = machine
+        if leader is not None and rand.random() < 0.8:
+            place = list(world.nodes).index(leader.address)
+        return Action(name, rand.randrange(operators), place + machines * 8 * rand.randrange(40))
+    if name == "renew":
+        leader = world.leader()
+        if leader is not None and rand.random() < 0.8:
+            machine = list(world.nodes).index(leader.address)
+        return Action(name, rand.randrange(max(1, world.scope.edges)), machine)
+    if name in ("rounds", "busy"):
+        return Action(name, rand.choice([1, 3, 10, 30, 90]))
+    if name == "isolate":
+        return Action(name, machine, rand.randrange(3))
+    return Action(name, machine, rand.randrange(machines))
+
+
+def settle(*, world: World) -> None:
+    """Everything is mended: one leader, and all members reach its commit index within
+    bounded virtual time; then a new order is acknowledged."""
+    world.cuts.clear()
+    for node in world.nodes.values():
+        if not node.is_up:
+            node.start()
+        node.is_frozen = False
+    for _ in range(SETTLE_ROUNDS):
+        world.act(Action("rounds", 1))
+        if _is_settled(world=world):
+            break
+    else:
+        raise InvariantViolated(invariant=LIVENESS, detail=f"not settled: {_roles(world=world)}")
+    before = world.checks.newest_version
+    for number in range(ORDER_ROUNDS):
+        world.act(Action("busy" if number % 10 == 0 else "rounds", 1))
+        if world.checks.newest_version > before and _is_settled(world=world):
+            for node in world.nodes.values():
+                world.checks.compare_state(node=node)
+            return
+    if world.scope.operators:
+        raise InvariantViolated(
+            invariant=LIVENESS, detail=f"no order is acknowledged: {_roles(world=world)}"
+        )
+
+
+def _is_settled(*, world: World) -> bool:
+    nodes = list(world.nodes.values())
+    leaders = [node for node in nodes if core.role_of(node.replica) == core.LEADER]
+    if len(leaders) != 1:
+        return False
+    members = core.members_of(leaders[0].replica)
+    voters = [member for member in members if member.is_voter]
+    if {node.identity for node in nodes} != {member.replica for member in members}:
+        return False
+    if len(voters) != world.scope.voters:
+        return False
+    commit = core.commit_index_of(leaders[0].replica)
+    return all(core.commit_index_of(node.replica) == commit for node in nodes)
+
+
+def _roles(*, world: World) -> str:
+    return "; ".join(
+        f"{n.identity} {core.role_of(n.replica)} term {core.term_of(n.replica)} commit "
+        f"{core.commit_index_of(n.replica)} members "
+        + ",".join(m.replica + ("+" if m.is_voter else "") for m in core.members_of(n.replica))
+        for n in world.nodes.values()
+    )
+
+
+def random_walk(
+    *,
+    scope: Scope,
+    seed: int,
+    steps: int,
+    profile: str = "chaos",
+    hooks: Hooks | None = None,
+) -> Outcome:
+    """A walk of so many actions, chosen by the seed."""
+    rand = random.Random(f"walk/{seed}")
+    world = World(scope=scope, seed=seed, hooks=hooks)
+    walk = Walk(scope=scope, seed=seed)
+    try:
+        for _ in range(steps):
+            action = choose(rand=rand, world=world, profile=PROFILES[profile])
+            walk.actions.append(action)
+            world.act(action)
+        settle(world=world)
+    except InvariantViolated as violated:
+        walk.is_settled_at_end = violated.invariant == LIVENESS
+        return _outcome(world=world, walk=walk, violated=violated)
+    return _outcome(world=world, walk=walk, violated=None)
+
+
+def replay(*, walk: Walk, hooks: Hooks | None = None) -> Outcome:
+    """Run the actions of a walk."""
+    world = World(scope=walk.scope, seed=walk.seed, hooks=hooks)
+    try:
+        for action in walk.actions:
+            world.act(Action(*action))
+        if walk.is_settled_at_end:
+            settle(world=world)
+    except InvariantViolated as violated:
+        return _outcome(world=world, walk=walk, violated=violated)
+    return _outcome(world=world, walk=walk, violated=None)
+
+
+def _outcome(*, world: World, walk: Walk, violated: InvariantViolated | None) -> Outcome:
+    checks = world.checks
+    return Outcome(
+        walk=walk,
+        invariant=violated.invariant if violated else "",
+        detail=violated.detail if violated else "",
+        steps=world.steps,
+        entries=checks.newest_committed,
+        terms=max(checks.leaders, default=0),
+        acknowledged=len(checks.acknowledged),
+        membership_changes=checks.membership_changes,
+        snapshots_fetched=checks.snapshots_installed,
+        seconds=world.now_us / 1_000_000,
+    )
+
+
+def shrink(*, outcome: Outcome, hooks: Hooks | None = None, runs: int = SHRINK_RUNS) -> Outcome:
+    """Leave out what the failure does not need, greedily, from large pieces to single
+    actions; the shortest walk that breaks the same invariant."""
+    best = outcome
+    size = max(1, len(best.walk.actions) // 2)
+    while runs > 0:
+        place, is_shorter = 0, False
+        while place < len(best.walk.actions) and runs > 0:
+            actions = best.walk.actions
+            fewer = Walk(
+                scope=best.walk.scope,
+                seed=best.walk.seed,
+                actions=actions[:place] + actions[place + size :],
+                is_settled_at_end=best.walk.is_settled_at_end,
+            )
+            runs -= 1
+            again = replay(walk=fewer, hooks=hooks)
+            if again.invariant == best.invariant:
+                best, is_shorter = again, True
+            else:
+                place += size
+        if size == 1 and not is_shorter:
+            break
+        size = max(1, size // 2)
+    return best
+
+
+def as_test(*, outcome: Outcome) -> str:
+    """A walk as a ready test method.
+
+    >>> print(as_test(outcome=Outcome(walk=Walk(scope=Scope(), seed=3))).splitlines()[0])
+        def test_walk_of_seed_3(self) -> None:
+    """
+    walk = outcome.walk
+    lines = [
+        f"    def test_walk_of_seed_{walk.seed}(self) -> None:",
+        f"        # {outcome.invariant}: {outcome.detail}"[:99],
+        "        actions = [",
+        *(f"            Action({a.name!r}, {a.a}, {a.b})," for a in walk.actions),
+        "        ]",
+        "        walk = Walk(",
+        f"            scope={walk.scope!r},",
+        f"            seed={walk.seed},",
+        "            actions=actions,",
+        f"            is_settled_at_end={walk.is_settled_at_end},",
+        "        )",
+        '        self.assertEqual("", replay(walk=walk).detail)',
+    ]
+    return "\n".join(lines)
