--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -175,6 +175,16 @@
             leader.step(now_us=net.now, event=t.Tick())
         self.assertNotEqual(t.LEADER, leader.role)
 
+    def test_learner_forgets_a_leader_that_it_no_longer_hears(self) -> None:
+        members = [*MEMBERS, CoreMember(replica="d", address="d")]
+        learner = Replica(me="d", cluster="k", members=members, rand=random.Random(1), now_us=0)
+        heartbeat = AppendEntries(cluster="k", sender="a", to="d", term=1, leader_address="a")
+        learner.step(now_us=1_000, event=t.Received(message=heartbeat))
+        learner.step(now_us=1_000, event=t.Synced(number=1))
+        self.assertEqual("a", learner.leader)
+        learner.step(now_us=2_000_000, event=t.Tick())
+        self.assertEqual(("", ""), (learner.leader, learner.leader_address))
+
 
 class Follower:
     """One replica of three that is fed by hand; its disk syncs when it is told to."""
