Replication: the next batch goes out as soon as the one before is acknowledged

A member that was behind got one batch for each proposal, and without proposals one in 400 ms: the reply to a batch led to the next one only while the leader was probing.

Now a leader sends the next batch when all that it has sent is acknowledged. What is under way to a member stays bounded as before: one batch, and one for each new proposal.

--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -553,7 +553,9 @@
             follow.next_index = max(follow.next_index, follow.match + 1)
             was_probing, follow.is_probing = follow.is_probing, False
             self._advance()
-            if self.role == LEADER and was_probing and follow.next_index <= self.log.last_index:
+            is_all_here = follow.match == follow.next_index - 1  # nothing is under way to it
+            is_behind = follow.next_index <= self.log.last_index
+            if self.role == LEADER and is_behind and (was_probing or is_all_here):
                 self._send_append(name=reply.sender, has_entries=True)
             self._try_handover()
         else:
