--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -184,19 +184,21 @@
 @dataclass
 class FetchSnapshot(Message):
     cluster: str = bp.string_field(1)
-    index: int = bp.uint64_field(2)
+    index: int = bp.uint64_field(2)  # a snapshot of this index or a later one
     offset: int = bp.uint64_field(3)
+    pinned: int = bp.uint64_field(4)  # index of the one whose transfer has begun; 0: none
 
 
 @dataclass
 class FetchState(Message):
-    epoch: int = bp.uint64_field(1)
+    epoch: int = bp.uint64_field(1)  # a state of this epoch or a later one
     offset: int = bp.uint64_field(2)
+    pinned: int = bp.uint64_field(3)  # epoch of the one whose transfer has begun; 0: none
 
 
 @dataclass
 class Chunk(Message):
-    """A piece of a snapshot or a state; `mark` is its index or epoch."""
+    """A piece of a compressed snapshot or state; `mark` is its index or epoch."""
 
     is_found: bool = bp.bool_field(1)
     mark: int = bp.uint64_field(2)
--- a/kelpstage/core/events.py
+++ b/kelpstage/core/events.py
@@ -56,6 +56,21 @@
     index: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class SnapshotInstalled(Event):
+    """A snapshot that another core served has replaced this replica's state."""
+
+    index: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class SnapshotFetchFailed(Event):
+    """A transfer of a snapshot broke off; the next begins at the earliest after this."""
+
+    index: int
+    again_after_us: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class DiskFailed(Event):
     path: str
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -7,7 +7,6 @@
 
 from kelpstage.base.defects import Defect
 from kelpstage.base.wire import frames
-from kelpstage.base.wire.chunks import cut_chunk
 from kelpstage.base.wire.messages import (
     Append,
     AppendReply,
@@ -80,10 +79,7 @@
 async def _(message: FetchState, core: Any, source: str) -> Chunk:
     if core.task is None:
         return Chunk(is_found=False)
-    doc = core.task.machine.doc()
-    if doc.epoch < message.epoch:
-        return Chunk(is_found=False)
-    return cut_chunk(data=bytes(doc), offset=message.offset, mark=doc.epoch)
+    return core.task.state_chunk(ask=message)
 
 
 @handle.register
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -15,10 +15,17 @@
 from kelpstage.base.journal import Journal
 from kelpstage.base.ports.types import Ports
 from kelpstage.base.wire import frames
-from kelpstage.base.wire.chunks import cut_chunk, fetch_chunks
+from kelpstage.base.wire.chunks import ChunkSource, backoff_us, fetch_chunks
+from kelpstage.base.wire.delta import apply_delta, pack_delta
 from kelpstage.base.wire.lines import Lines
-from kelpstage.base.wire.messages import Append, Chunk, CoreMember, FetchSnapshot
-from kelpstage.core.events import MembersChanged, RoleTaken, SnapshotKept
+from kelpstage.base.wire.messages import Append, Chunk, CoreMember, FetchSnapshot, FetchState
+from kelpstage.core.events import (
+    MembersChanged,
+    RoleTaken,
+    SnapshotFetchFailed,
+    SnapshotInstalled,
+    SnapshotKept,
+)
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.members import read_members
 from kelpstage.core.raft.replica import Replica
@@ -31,6 +38,8 @@
 TICK_US = 20_000
 SNAPSHOT_ENTRIES = 400
 SNAPSHOT_BYTES = 4 * 1024 * 1024
+HELD_BACK_FACTOR = 4  # how much longer the log may grow while a member fetches a snapshot
+HELD_BACK_LONGEST_US = 60_000_000
 LARGE_BYTES = 64 * 1024
 LOST = "leadership was lost before the commit"
 
@@ -67,17 +76,21 @@
         self._synced = 0
         self._proposals: dict[int, tuple[int, int]] = {}  # index -> token, term
         self._log_bytes = 0
-        self._is_capturing = False
+        self._in_writing: DiskSnapshot | None = None  # taken here, not on disk yet
+        self._transfer_began_us = 0  # since when a transfer has held back the next snapshot
         self._fetched: DiskSnapshot | None = None
-        self._fetching = 0
+        self._offer: raft.FetchOffered | None = None  # the newest one
+        self._is_fetching = False
+        self._fetch_failures = 0
+        self._fetch_not_before_us = 0
+        self.snapshots = ChunkSource()
+        self.states = ChunkSource()
         members: list[CoreMember] = []
         state: CoreState | None = None
-        self._snapshot_bytes = b""
-        self._snapshot_mark = (0, 0)
         if recovered.snapshot is not None:
             members = list(recovered.snapshot.members)
             state = CoreState().parse(recovered.snapshot.state)
-            self._show_snapshot(snapshot=recovered.snapshot)
+            self._publish_snapshot(snapshot=recovered.snapshot)
         self.machine = Machine(cluster=self.cluster, state=state)
         self.applied = recovered.log.base_index
         self.raft = Replica(
@@ -163,9 +176,7 @@
             self._synced = max(self._synced, event.number)
             self._release()
         if isinstance(event, raft.SnapshotTaken):
-            self._is_capturing = False
-            self._log_bytes = sum(len(e.data) for e in self.raft.log.entries)
-            self._journal.add(SnapshotKept(index=event.index))
+            self._snapshot_is_on_disk(index=event.index)
         self._consider_snapshot()
 
     @singledispatchmethod
@@ -254,18 +265,33 @@
     # --- snapshots ----------------------------------------------------------------------------
 
     def _consider_snapshot(self) -> None:
-        if self._is_capturing:
+        """Take a snapshot when the log has grown long, in entries or in bytes.
+
+        While a member is fetching the one before, the next waits: the entries behind that
+        one stay in the log, so that the member finds them there once it has installed it.
+        """
+        if self._in_writing is not None:
             return
         behind = self.applied - self.raft.log.base_index
-        if behind < SNAPSHOT_ENTRIES and (self._log_bytes < SNAPSHOT_BYTES or behind < 2):
-            return
-        self.snapshot_now()
+        factor = HELD_BACK_FACTOR if self._is_held_back() else 1
+        is_long = behind >= SNAPSHOT_ENTRIES * factor
+        is_large = self._log_bytes >= SNAPSHOT_BYTES * factor and behind > 1
+        if is_long or is_large:
+            self.snapshot_now()
+
+    def _is_held_back(self) -> bool:
+        """Does a transfer hold back the next snapshot, and has it not done so for long?"""
+        now_us = self._ports.clock.now_us()
+        if not self.snapshots.is_in_transfer(now_us=now_us):
+            self._transfer_began_us = 0
+            return False
+        self._transfer_began_us = self._transfer_began_us or now_us
+        return now_us - self._transfer_began_us < HELD_BACK_LONGEST_US
 
     def snapshot_now(self) -> None:
-        """Keep a snapshot of all that is applied, unless one is being written."""
-        if self._is_capturing or self.applied == self.raft.log.base_index:
+        """Write a snapshot of all that is applied, unless one is being written."""
+        if self._in_writing is not None or self.applied == self.raft.log.base_index:
             return
-        self._is_capturing = True
         snapshot = DiskSnapshot(
             index=self.applied,
             term=self.raft.log.term_at(index=self.applied) or 0,
@@ -273,7 +299,7 @@
             state=bytes(self.machine.state),
             cluster=self.cluster,
         )
-        self._show_snapshot(snapshot=snapshot)
+        self._in_writing = snapshot
         self._disk.inbox.put_nowait(
             KeepThis(
                 snapshot=snapshot,
@@ -284,36 +310,75 @@
             )
         )
 
-    def _show_snapshot(self, *, snapshot: DiskSnapshot) -> None:
-        self._snapshot_bytes = bytes(snapshot)
-        self._snapshot_mark = (snapshot.index, snapshot.term)
+    def _snapshot_is_on_disk(self, *, index: int) -> None:
+        """The log begins behind this snapshot now, so it is what members are offered."""
+        snapshot = self._in_writing
+        if snapshot is not None and snapshot.index == index:
+            self._in_writing = None
+            if index == self.raft.log.base_index:  # none of another core's came meanwhile
+                self._publish_snapshot(snapshot=snapshot)
+        self._log_bytes = sum(len(entry.data) for entry in self.raft.log.entries)
+        self._journal.add(SnapshotKept(index=index))
+
+    def _publish_snapshot(self, *, snapshot: DiskSnapshot) -> None:
+        """Serve this snapshot: its index is the log's base, which offers name."""
+        self.snapshots.publish(
+            mark=snapshot.index,
+            mark_term=snapshot.term,
+            data=pack_delta(base=b"", whole=bytes(snapshot)),
+            now_us=self._ports.clock.now_us(),
+        )
 
     def snapshot_chunk(self, *, ask: FetchSnapshot) -> Chunk:
-        """A piece of the newest snapshot, for a replica that is far behind."""
-        index, term = self._snapshot_mark
-        if ask.cluster != self.cluster or ask.index != index or not index:
+        """A piece of the newest snapshot, or of the one that the asker has begun."""
+        if ask.cluster != self.cluster:
             return Chunk(is_found=False)
-        return cut_chunk(data=self._snapshot_bytes, offset=ask.offset, mark=index, mark_term=term)
+        return self.snapshots.chunk(
+            least=ask.index,
+            pinned=ask.pinned,
+            offset=ask.offset,
+            now_us=self._ports.clock.now_us(),
+        )
+
+    def state_chunk(self, *, ask: FetchState) -> Chunk:
+        """A piece of the newest applied state, or of the one that the asker has begun."""
+        now_us = self._ports.clock.now_us()
+        epoch = self.machine.state.epoch
+        if self.states.mark != epoch:
+            packed = pack_delta(base=b"", whole=bytes(self.machine.doc()))
+            self.states.publish(mark=epoch, data=packed, now_us=now_us)
+        return self.states.chunk(
+            least=ask.epoch, pinned=ask.pinned, offset=ask.offset, now_us=now_us
+        )
 
     @_perform.register
     def _(self, effect: raft.FetchOffered) -> None:
-        if self._fetching == effect.index:
+        """One fetch at a time; the leader offers again with each heartbeat."""
+        self._offer = effect
+        if self._is_fetching or self._ports.clock.now_us() < self._fetch_not_before_us:
             return
-        self._fetching = effect.index
+        self._is_fetching = True
         self._ports.spawn(self._fetch_snapshot(offer=effect))
 
     async def _fetch_snapshot(self, *, offer: raft.FetchOffered) -> None:
-        data = await fetch_chunks(
+        packed = await fetch_chunks(
             lines=self._lines,
+            clock=self._ports.clock,
             address=offer.leader_address,
-            ask=lambda offset: FetchSnapshot(
-                cluster=self.cluster, index=offer.index, offset=offset
+            ask=lambda pinned, offset: FetchSnapshot(
+                cluster=self.cluster, index=offer.index, offset=offset, pinned=pinned
             ),
+            is_wanted=lambda: self._offer.leader_address == offer.leader_address,
         )
-        self._fetching = 0
-        if data is None or offer.index <= self.raft.commit:
+        self._is_fetching = False
+        data = None if packed is None else apply_delta(base=b"", delta=packed)
+        if data is None:
+            self._fetch_failed(offer=offer)
             return
+        self._fetch_failures = 0
         snapshot = DiskSnapshot().parse(data)
+        if snapshot.cluster != self.cluster or snapshot.index <= self.raft.commit:
+            return
         self._fetched = snapshot
         self._take(
             event=raft.SnapshotFetched(
@@ -324,6 +389,13 @@
                 beat=offer.beat,
             )
         )
+        self._fetched = None
+
+    def _fetch_failed(self, *, offer: raft.FetchOffered) -> None:
+        self._fetch_failures += 1
+        wait_us = backoff_us(failures=self._fetch_failures)
+        self._fetch_not_before_us = self._ports.clock.now_us() + wait_us
+        self._journal.add(SnapshotFetchFailed(index=offer.index, again_after_us=wait_us))
 
     @_perform.register
     def _(self, effect: raft.KeepSnapshot) -> None:
@@ -331,7 +403,8 @@
         self._lose_proposals(start=0)
         self.machine = Machine(cluster=self.cluster, state=CoreState().parse(snapshot.state))
         self.applied = snapshot.index
-        self._show_snapshot(snapshot=snapshot)
+        self._publish_snapshot(snapshot=snapshot)
+        self._journal.add(SnapshotInstalled(index=snapshot.index))
         self._on_applied(None, snapshot.index)
         self._disk.inbox.put_nowait(
             KeepThis(
--- a/kelpstage/core/salvage.py
+++ b/kelpstage/core/salvage.py
@@ -11,8 +11,9 @@
 from dataclasses import dataclass
 
 from kelpstage.base.defects import Defect, LogDamaged, SalvageRefused
-from kelpstage.base.ports.types import Ports
+from kelpstage.base.ports.types import Clock, Ports
 from kelpstage.base.wire.chunks import fetch_chunks
+from kelpstage.base.wire.delta import apply_delta
 from kelpstage.base.wire.lines import Lines
 from kelpstage.base.wire.messages import (
     CoreMember,
@@ -123,7 +124,7 @@
     source = "this folder"
     epoch, address = max(((e, a) for _, e, a in told), default=(0, ""))
     if epoch > state.epoch:
-        doc = await _fetch_state(lines=lines, address=address, epoch=epoch)
+        doc = await _fetch_state(lines=lines, clock=ports.clock, address=address, epoch=epoch)
         if doc is None:
             return SalvageRefused(
                 why=f"the edge at {address} has epoch {epoch} but did not give it"
@@ -168,12 +169,14 @@
     ]
 
 
-async def _fetch_state(*, lines: Lines, address: str, epoch: int) -> StateDoc | None:
-    data = await fetch_chunks(
+async def _fetch_state(*, lines: Lines, clock: Clock, address: str, epoch: int) -> StateDoc | None:
+    packed = await fetch_chunks(
         lines=lines,
+        clock=clock,
         address=address,
-        ask=lambda offset: FetchState(epoch=epoch, offset=offset),
+        ask=lambda pinned, offset: FetchState(epoch=epoch, offset=offset, pinned=pinned),
     )
+    data = None if packed is None else apply_delta(base=b"", delta=packed)
     return None if data is None else StateDoc().parse(data)
 
 
--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -11,12 +11,13 @@
 from kelpstage.base.journal import Journal
 from kelpstage.base.log.ring import logger
 from kelpstage.base.ports.types import Ports
-from kelpstage.base.wire.chunks import fetch_chunks
-from kelpstage.base.wire.delta import apply_delta
+from kelpstage.base.wire.chunks import ChunkSource, fetch_chunks
+from kelpstage.base.wire.delta import apply_delta, pack_delta
 from kelpstage.base.wire.lines import Lines
 from kelpstage.base.wire.messages import (
     Announce,
     AskMembers,
+    Chunk,
     EdgeContact,
     FetchState,
     GrantReply,
@@ -103,6 +104,7 @@
         self._is_relaying = False
         self._relayed_us = 0
         self._fetching = False
+        self._state_source = ChunkSource()
         self._wake = asyncio.Event()
         self.is_leaving = False
         for work in (
@@ -368,9 +370,9 @@
             return
         keeper.take_witness(reply=reply, asked_us=asked_us)
         is_first = keeper.has_forgotten and not keeper.cluster and reply.vouches
-        is_known = is_first or reply.cluster == keeper.cluster
-        if is_known and keeper.note_epoch(epoch=reply.epoch, source=address):
-            self.fetch_soon(first=address)
+        if is_first or reply.cluster == keeper.cluster:
+            if keeper.note_epoch(epoch=reply.epoch, source=address):
+                self.fetch_soon(first=address)
 
     # --- states -----------------------------------------------------------------------------
 
@@ -388,11 +390,16 @@
         ]
         for address in sources:
             epoch = keeper.epoch
-            data = await fetch_chunks(
+            packed = await fetch_chunks(
                 lines=self._lines,
+                clock=self._ports.clock,
                 address=address,
-                ask=lambda offset, after=epoch: FetchState(epoch=after + 1, offset=offset),
+                ask=lambda pinned, offset, least=epoch + 1: FetchState(
+                    epoch=least, offset=offset, pinned=pinned
+                ),
+                is_wanted=lambda least=epoch + 1: keeper.epoch < least,
             )
+            data = None if packed is None else apply_delta(base=b"", delta=packed)
             if data is not None and self._install(data=data, source=address):
                 break
         self._fetching = False
@@ -400,6 +407,16 @@
             await self._ports.clock.sleep(us=RETRY_US)
             self.fetch_soon()
 
+    def state_chunk(self, *, ask: FetchState) -> Chunk:
+        """A piece of what is installed here, for an edge or a recovery tool that asks."""
+        keeper, source, now_us = self.keeper, self._state_source, self._ports.clock.now_us()
+        if not keeper.doc_bytes:
+            return Chunk(is_found=False)
+        if source.mark != keeper.epoch:
+            packed = pack_delta(base=b"", whole=keeper.doc_bytes)
+            source.publish(mark=keeper.epoch, data=packed, now_us=now_us)
+        return source.chunk(least=ask.epoch, pinned=ask.pinned, offset=ask.offset, now_us=now_us)
+
     def take_announced(self, *, announce: Announce) -> None:
         """Install a state that came with its announcement: so that all edges move on
         within one line's time of each other, however far the leader. Then hand it on
@@ -443,7 +460,7 @@
         self.renew_soon()
         return True
 
-    # --- leaving ------------------------------------------------------------------------------
+    # --- leaving -------------------------------------------------------------------------------
 
     async def leave(self) -> None:
         """Give the grant back: this edge serves no more."""
--- a/kelpstage/edge/handlers.py
+++ b/kelpstage/edge/handlers.py
@@ -7,7 +7,6 @@
 from typing import Any
 
 from kelpstage.base.defects import Defect
-from kelpstage.base.wire.chunks import cut_chunk
 from kelpstage.base.wire.messages import (
     Announce,
     AskList,
@@ -102,10 +101,7 @@
 
 @handle.register
 async def _(message: FetchState, edge: Any, source: str) -> Chunk:
-    keeper = edge.keeper
-    if not keeper.doc_bytes or keeper.epoch < message.epoch:
-        return Chunk(is_found=False)
-    return cut_chunk(data=keeper.doc_bytes, offset=message.offset, mark=keeper.epoch)
+    return edge.grants.state_chunk(ask=message)
 
 
 @handle.register
