--- a/proof/hollow/world.py
+++ b/proof/hollow/world.py
@@ -18,6 +18,8 @@
 from typing import Any, Awaitable, Callable, Iterator
 
 from kelpstage.base.defects import ConnectRefused, Defect, WaitOver
+from kelpstage.base.wire import frames
+from kelpstage.base.wire.messages import TYPES
 from proof.sim.world import Machine, SimDatagrams, SimNet, SimProcess, SimStream, World
 
 DATAGRAM_HEAD = 28  # IP and UDP
@@ -61,6 +63,7 @@
         self.sent: Counter = Counter()  # bytes by way
         self.packets = 0
         self.kinds: Counter = Counter()
+        self.messages: Counter = Counter()  # bytes by way and message type
         self.cpu_ns = 0
         self.context = contextvars.copy_context()
         self.context.run(OWNER.set, self)
@@ -119,12 +122,33 @@
         asyncio.events.Handle._run = plain
 
 
+def message_sizes(*, data: bytes) -> Iterator[tuple[str, int]]:
+    """The message types in what a process writes at once, with their bytes.
+
+    >>> from kelpstage.base.wire.messages import Done
+    >>> frame = frames.pack(message=Done(), flag=frames.ASK, mark=1)
+    >>> list(message_sizes(data=frames.preface(lane=frames.BULK) + frame))
+    [('preface', 8), ('Done', 16)]
+    """
+    if data.startswith(frames.MAGIC):
+        yield "preface", frames.PREFACE.size
+        data = data[frames.PREFACE.size :]
+    while data:
+        size, number, _, _ = frames.HEAD.unpack_from(data)
+        size += frames.HEAD.size
+        yield TYPES[number].__name__, size
+        data = data[size:]
+
+
 class HollowStream(SimStream):
     def write(self, *, data: bytes) -> None:
         if not self.is_closed:
-            self.process.note_sent(
-                target=self.other.process.machine, size=len(data) + SEGMENT_HEAD, kind="tcp"
-            )
+            target = self.other.process.machine
+            self.process.note_sent(target=target, size=len(data) + SEGMENT_HEAD, kind="tcp")
+            if target is not self.process.machine:
+                way = self.process.world.way(source=self.process.machine, target=target)
+                for name, size in message_sizes(data=data):
+                    self.process.messages[way, name] += size
         super().write(data=data)
 
 
