Edge: the lint mend of the witness reply, undone by a merge, stands again

Cause: a merge brought the nested conditions back that the linter asks to join. Change: joined again; behaviour unchanged. Measured: ruff check clean.

--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -370,9 +370,9 @@
             return
         keeper.take_witness(reply=reply, asked_us=asked_us)
         is_first = keeper.has_forgotten and not keeper.cluster and reply.vouches
-        if is_first or reply.cluster == keeper.cluster:
-            if keeper.note_epoch(epoch=reply.epoch, source=address):
-                self.fetch_soon(first=address)
+        is_known = is_first or reply.cluster == keeper.cluster
+        if is_known and keeper.note_epoch(epoch=reply.epoch, source=address):
+            self.fetch_soon(first=address)
 
     # --- states -----------------------------------------------------------------------------
 
@@ -460,7 +460,7 @@
         self.renew_soon()
         return True
 
-    # --- leaving -------------------------------------------------------------------------------
+    # --- leaving ------------------------------------------------------------------------------
 
     async def leave(self) -> None:
         """Give the grant back: this edge serves no more."""
