Log: a put is an entry with the difference from the document that it replaces

A put that replaces the document in force is now told as its difference from that document, another one compressed. The base is named by the version that the put expects and by a digest; the whole is checked against the put's own digest, which also tells repeats. It is safe because a version has one document in one cluster's log, and a put that finds another version in force is refused without a look at its document. Where the difference does not fit, the put leaves no trace and its operator hears no clear answer. Entries with whole documents are still read.

tests/test_catch_up.py: two state machines, one fed whole puts, one differences, with puts on other versions, repeats and restarts between, agree byte for byte over 12 seeds.

--- a/kelpstage/core/grants/puts.py
+++ b/kelpstage/core/grants/puts.py
@@ -26,13 +26,14 @@
 from kelpstage.core.grants.ledger import GRANT_SPAN_US
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import (
-    Command,
     PutApplied,
     PutBlueprint,
     PutClash,
     PutLost,
     PutNotAbove,
+    PutUnreadable,
     outcome_of,
+    put_command,
     put_digest,
 )
 
@@ -164,8 +165,9 @@
         if not await self._desk.settled(epoch=state.epoch, wait_us=self._left_us(until_us)):
             return NoLeader(why="the change before this one is not settled yet")
         self._ports.point("core.before_propose")
+        command = put_command(put=put, state=self._task.machine.state)
         outcome = await self._task.propose(
-            data=bytes(Command(put=put)), put_id=put.put_id, wait_us=self._left_us(until_us)
+            data=bytes(command), put_id=put.put_id, wait_us=self._left_us(until_us)
         )
         verdict = as_verdict(outcome=outcome, put_id=put.put_id)
         if isinstance(outcome, (PutApplied, PutLost, PutNotAbove)):
@@ -235,6 +237,8 @@
         return VersionNotAbove(version=outcome.version, current=outcome.current)
     if isinstance(outcome, PutClash):
         return PutIdReused(put_id=put_id, why="it named another put")
+    if isinstance(outcome, PutUnreadable):
+        return Unresolved(put_id=put_id, why="another change came between; send it again")
     if isinstance(outcome, Unresolved):
         return Unresolved(put_id=put_id, why=outcome.why)
     return outcome
--- a/kelpstage/core/state/machine.py
+++ b/kelpstage/core/state/machine.py
@@ -12,9 +12,11 @@
 
 import betterproto as bp
 
+from kelpstage.base.wire.delta import apply_delta, pack_delta
 from kelpstage.base.wire.messages import StateDoc
 
 PUTS_KEPT = 512
+PACKED_FROM_BYTES = 512  # shorter documents travel as they are
 
 
 @dataclass
@@ -25,6 +27,22 @@
     version: int = bp.uint64_field(4)  # that the operator gives it; 0: the next one
 
 
+@dataclass
+class PutDelta(bp.Message):
+    """A put whose document is told as its difference from the one that it replaces.
+
+    `expected` names the base; with `has_base` false the document is only compressed.
+    """
+
+    put_id: str = bp.string_field(1)
+    expected: int = bp.uint64_field(2)
+    delta: bytes = bp.bytes_field(3)
+    version: int = bp.uint64_field(4)  # that the operator gives it; 0: the next one
+    digest: bytes = bp.bytes_field(5)  # of the whole put, as `put_digest` makes it
+    has_base: bool = bp.bool_field(6)
+    base_digest: bytes = bp.bytes_field(7)
+
+
 @dataclass
 class AddEdge(bp.Message):
     edge: str = bp.string_field(1)
@@ -41,6 +59,7 @@
     put: PutBlueprint = bp.message_field(1, group="what")
     add: AddEdge = bp.message_field(2, group="what")
     remove: RemoveEdge = bp.message_field(3, group="what")
+    put_delta: PutDelta = bp.message_field(4, group="what")
 
 
 @dataclass
@@ -92,6 +111,11 @@
     """The put id was used before, for other bytes."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class PutUnreadable:
+    """The put's difference does not fit the version in force: no trace."""
+
+
 @dataclass(frozen=True, kw_only=True)
 class RosterSet:
     epoch: int
@@ -111,6 +135,43 @@
     return hashlib.sha256(expected.to_bytes(8, "big") + stated + document).digest()
 
 
+def put_command(*, put: PutBlueprint, state: CoreState) -> Command:
+    """The command for a put, as few bytes as there is an easy way to.
+
+    A difference is taken from the document in force if the put replaces that one. That is
+    safe: a version is given to one document only, and a put that finds another version in
+    force is refused without a look at its document.
+
+    >>> before = CoreState(version=1, document=b"0123456789abcdef" * 64)
+    >>> put = PutBlueprint(put_id="p", expected=1, document=before.document + b"!")
+    >>> len(bytes(put_command(put=put, state=before))) < 100
+    True
+    """
+    if len(put.document) < PACKED_FROM_BYTES:
+        return Command(put=put)
+    base = state.document if put.expected == state.version else b""
+    return Command(
+        put_delta=PutDelta(
+            put_id=put.put_id,
+            expected=put.expected,
+            delta=pack_delta(base=base, whole=put.document),
+            version=put.version,
+            digest=put_digest(document=put.document, expected=put.expected, version=put.version),
+            has_base=bool(base),
+            base_digest=document_digest(document=base) if base else b"",
+        )
+    )
+
+
+def document_digest(*, document: bytes) -> bytes:
+    """What names a document as the base of a difference.
+
+    >>> len(document_digest(document=b"{}"))
+    8
+    """
+    return hashlib.sha256(document).digest()[:8]
+
+
 class Machine:
     """Applies commands.
 
@@ -142,6 +203,8 @@
         kind, body = bp.which_one_of(command, "what")
         if kind == "put":
             return self._put(put=body)
+        if kind == "put_delta":
+            return self._put_delta(put=body)
         if kind == "add":
             return self._set_roster(names=set(self.state.roster) | {body.edge, *body.more})
         return self._set_roster(names=set(self.state.roster) - {body.edge})
@@ -149,8 +212,35 @@
     def _put(self, *, put: PutBlueprint) -> object:
         digest = put_digest(document=put.document, expected=put.expected, version=put.version)
         decided = self.decided(put_id=put.put_id, digest=digest)
+        return self._decide(put=put, digest=digest) if decided is None else decided
+
+    def _put_delta(self, *, put: PutDelta) -> object:
+        """The whole document is only needed where the put replaces the one in force."""
+        decided = self.decided(put_id=put.put_id, digest=put.digest)
         if decided is not None:
             return decided
+        document: bytes | None = b""
+        if put.expected == self.state.version:
+            document = self._document_of(put=put)
+        if document is None:
+            return PutUnreadable()
+        whole = PutBlueprint(
+            put_id=put.put_id, expected=put.expected, document=document, version=put.version
+        )
+        return self._decide(put=whole, digest=put.digest)
+
+    def _document_of(self, *, put: PutDelta) -> bytes | None:
+        """The document that a difference makes of the one in force, if it fits."""
+        base = self.state.document if put.has_base else b""
+        if put.has_base and document_digest(document=base) != put.base_digest:
+            return None
+        document = apply_delta(base=base, delta=put.delta)
+        if document is None:
+            return None
+        digest = put_digest(document=document, expected=put.expected, version=put.version)
+        return document if digest == put.digest else None
+
+    def _decide(self, *, put: PutBlueprint, digest: bytes) -> object:
         state = self.state
         memo = PutMemo(
             put_id=put.put_id,
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -5,6 +5,7 @@
 
 import random
 import unittest
+import zlib
 
 from kelpstage.base.wire.chunks import (
     CHUNK_BYTES,
@@ -14,7 +15,16 @@
     PINS_LIMIT,
     ChunkSource,
 )
+from kelpstage.base.wire.delta import apply_delta, pack_delta
 from kelpstage.base.wire.messages import FetchSnapshot
+from kelpstage.core.state.machine import (
+    Command,
+    CoreState,
+    Machine,
+    PutBlueprint,
+    PutUnreadable,
+    put_command,
+)
 from tests.test_cores import Cores, play
 
 CHANGE_EVERY_US = 100_000
@@ -85,6 +95,90 @@
         self.assertFalse(source.chunk(least=1, pinned=1, offset=2**60, now_us=2).is_found)
 
 
+def edited(*, document: bytes, rand: random.Random) -> bytes:
+    """The document with some bytes replaced, added and removed."""
+    out = bytearray(document)
+    for _ in range(rand.randrange(4)):
+        start = rand.randrange(len(out) + 1)
+        stop = min(len(out), start + rand.choice([0, 1, 7, 90, 700]))
+        out[start:stop] = rand.randbytes(rand.choice([0, 1, 7, 90, 700]))
+    return bytes(out)
+
+
+class Differences(unittest.TestCase):
+    """Puts in the log as differences come to the same as whole ones, on every replica."""
+
+    def test_any_edit_comes_back_whole(self) -> None:
+        rand = random.Random(1)
+        for turn in range(400):
+            text = bytes(rand.choice(b"abc") for _ in range(rand.choice([0, 5, 40, 3_000])))
+            base = text * rand.choice([1, 1, 9])
+            whole = edited(document=base, rand=rand)
+            delta = pack_delta(base=base, whole=whole)
+            self.assertEqual(whole, apply_delta(base=base, delta=delta), turn)
+
+    def test_damage_gives_nothing_or_the_whole(self) -> None:
+        rand = random.Random(2)
+        base = rand.randbytes(2_000)
+        whole = edited(document=base, rand=rand) + b"end"
+        delta = pack_delta(base=base, whole=whole)
+        for place in range(len(delta)):
+            wrong = bytearray(delta)
+            wrong[place] ^= 1 << rand.randrange(8)
+            self.assertIn(apply_delta(base=base, delta=bytes(wrong)), (None, whole), place)
+            self.assertIsNone(apply_delta(base=base, delta=delta[:place]), place)
+
+    def test_a_difference_that_would_be_endless_is_refused(self) -> None:
+        packer = zlib.compressobj(wbits=-15)
+        step = bytes([0, 0x80, 0x80, 0x40, 0])  # copy 1 MiB from 0, add nothing
+        bomb = bytes(8) + packer.compress(step * 70) + packer.flush()
+        self.assertIsNone(apply_delta(base=bytes(2**20), delta=bomb))
+
+    def test_state_machines_agree(self) -> None:
+        """One replica takes every put whole, one as a difference, one starts again from its
+        state at any moment; puts on other versions and repeats come between."""
+        for seed in range(12):
+            rand = random.Random(seed)
+            whole, small = Machine(cluster="c"), Machine(cluster="c")
+            puts: list[PutBlueprint] = []
+            saved = 0
+            for serial in range(60):
+                state = small.state
+                put = PutBlueprint(
+                    put_id=f"p{serial}",
+                    expected=max(0, state.version - rand.choice([0, 0, 0, 1])),
+                    document=edited(document=state.document or bytes(2_000), rand=rand),
+                    version=rand.choice([0, state.version + 3, 1]),
+                )
+                if puts and rand.random() < 0.2:
+                    put = rand.choice(puts)
+                puts.append(put)
+                command = put_command(put=put, state=state)
+                saved += len(put.document) - len(bytes(command))
+                self.assertEqual(
+                    whole.apply(data=bytes(Command(put=put))), small.apply(data=bytes(command))
+                )
+                if rand.random() < 0.2:
+                    small = Machine(cluster="c", state=CoreState().parse(bytes(small.state)))
+                self.assertEqual(bytes(whole.state), bytes(small.state), (seed, serial))
+            self.assertGreater(saved, 0)
+
+    def test_a_difference_from_another_document_leaves_no_trace(self) -> None:
+        """It cannot be proposed, since a version has one document; planted, it is refused."""
+        ours = CoreState(cluster="c", version=4, epoch=4, document=bytes(2_000))
+        theirs = CoreState(cluster="c", version=4, epoch=4, document=b"x" * 2_000)
+        put = PutBlueprint(put_id="p", expected=4, document=b"x" * 2_000 + b"y")
+        machine = Machine(cluster="c", state=ours)
+        before = bytes(machine.state)
+        outcome = machine.apply(data=bytes(put_command(put=put, state=theirs)))
+        self.assertEqual(PutUnreadable(), outcome)
+        self.assertEqual(before, bytes(machine.state))
+        command = put_command(put=put, state=ours)
+        command.put_delta.digest = bytes(32)
+        self.assertEqual(PutUnreadable(), machine.apply(data=bytes(command)))
+        self.assertEqual(before, bytes(machine.state))
+
+
 def noise(*, size: int, seed: int) -> str:
     """Text that does not compress to much less than half."""
     return random.Random(seed).randbytes(size // 2).hex()
