Announcements: the difference to every edge that has the state before it

Below twenty edges each was sent the whole state, whatever region it is in. The leader knows which epoch each edge has installed: one that has the epoch before gets the difference, another one the whole, compressed once. Who cannot use it fetches the state, as before.

--- a/kelpstage/core/grants/desk.py
+++ b/kelpstage/core/grants/desk.py
@@ -16,7 +16,7 @@
 from kelpstage.base.ports.types import Ports
 from kelpstage.base.wire.delta import pack_delta
 from kelpstage.base.wire.lines import Lines
-from kelpstage.base.wire.messages import Announce, EdgeContact, GrantReply, Renew
+from kelpstage.base.wire.messages import Announce, EdgeContact, GrantReply, Renew, StateDoc
 from kelpstage.core.events import EpochSettled, RosterChanged
 from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
 from kelpstage.core.grants.puts import Puts
@@ -57,7 +57,8 @@
         self._joining: dict[str, None] = {}
         self._is_adding = False
         self._shown_epoch = 0
-        self._shown_state = b""
+        self._shown: StateDoc | None = None  # shares the document's bytes with the state
+        self._shown_packed = b""  # the same compressed, once it is needed
         self._queued_confirm: asyncio.Future | None = None
         self._is_confirming = False
         self._gone: frozenset = frozenset()
@@ -74,25 +75,32 @@
         epoch = self._task.machine.state.epoch
         if epoch == self._shown_epoch:
             return
-        base_epoch, base = self._shown_epoch, self._shown_state
-        state = bytes(self._task.machine.doc())
-        self._shown_epoch, self._shown_state = epoch, state
+        base_epoch, base = self._shown_epoch, self._shown
+        self._shown_epoch, self._shown = epoch, self._task.machine.doc()
+        self._shown_packed = b""
         if not self._task.is_leader:
             return
         contacts = self.ledger.contacts(now_us=self._ports.clock.now_us())
-        whole = pack_delta(base=b"", whole=state)
-        if len(contacts) <= RELAYED_FROM:
-            message = self._announce(delta=whole)
-            for contact in contacts:
-                self._send_announce(address=contact.address, message=message)
+        state = bytes(self._shown)
+        delta = pack_delta(base=b"" if base is None else bytes(base), whole=state)
+        message = self._announce(delta=delta, base_epoch=base_epoch)
+        if len(contacts) > RELAYED_FROM:
+            self._announce_by_domain(contacts=contacts, message=message)
+            self._ports.spawn(self._announce_again(epoch=epoch))
             return
-        message = self._announce(delta=whole)
-        if base:
-            delta = pack_delta(base=base, whole=state)
-            if len(delta) * 2 < len(whole):
-                message = self._announce(delta=delta, base_epoch=base_epoch)
-        self._announce_by_domain(contacts=contacts, message=message)
-        self._ports.spawn(self._announce_again(epoch=epoch, message=self._announce(delta=whole)))
+        for contact in contacts:
+            holder = self.ledger.holder(edge=contact.name)
+            is_at_base = holder is not None and holder.epoch == message.base_epoch
+            fits = is_at_base or not message.base_epoch
+            self._send_announce(
+                address=contact.address, message=message if fits else self._announce_whole()
+            )
+
+    def _announce_whole(self) -> Announce:
+        """The newest state whole, for edges that do not have the one before it."""
+        if not self._shown_packed:
+            self._shown_packed = pack_delta(base=b"", whole=bytes(self._shown))
+        return self._announce(delta=self._shown_packed)
 
     def _announce(self, *, delta: bytes, base_epoch: int = 0) -> Announce:
         if len(delta) > ANNOUNCED_BYTES:
@@ -119,7 +127,7 @@
             message.hand_on = addresses[:first] + addresses[first + 1 :]
             self._send_announce(address=addresses[first], message=message)
 
-    async def _announce_again(self, *, epoch: int, message: Announce) -> None:
+    async def _announce_again(self, *, epoch: int) -> None:
         """Directly to those that have not said that they have it: the one that was to
         hand it on may be gone."""
         await self._ports.clock.sleep(us=ANNOUNCE_AGAIN_US)
@@ -128,7 +136,7 @@
         for contact in self.ledger.contacts(now_us=self._ports.clock.now_us()):
             holder = self.ledger.holder(edge=contact.name)
             if holder is not None and holder.epoch < epoch:
-                self._send_announce(address=contact.address, message=message)
+                self._send_announce(address=contact.address, message=self._announce_whole())
 
     # --- grants ---------------------------------------------------------------------------
 
