--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -59,52 +59,52 @@
 
 
 @dataclass
-class AskVote(Message):
+class RequestVote(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
-    last_index: int = bp.uint64_field(5)
-    last_term: int = bp.uint64_field(6)
-    is_pre: bool = bp.bool_field(7)
-    is_handover: bool = bp.bool_field(8)
+    last_log_index: int = bp.uint64_field(5)
+    last_log_term: int = bp.uint64_field(6)
+    is_pre_vote: bool = bp.bool_field(7)
+    is_transfer: bool = bp.bool_field(8)
     address: str = bp.string_field(9)
 
 
 @dataclass
-class VoteReply(Message):
+class RequestVoteReply(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
-    is_pre: bool = bp.bool_field(5)
+    is_pre_vote: bool = bp.bool_field(5)
     is_granted: bool = bp.bool_field(6)
 
 
 @dataclass
-class Append(Message):
+class AppendEntries(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
-    prev_index: int = bp.uint64_field(5)
-    prev_term: int = bp.uint64_field(6)
+    prev_log_index: int = bp.uint64_field(5)
+    prev_log_term: int = bp.uint64_field(6)
     entries: List[LogEntry] = bp.message_field(7)
-    commit: int = bp.uint64_field(8)
-    beat: int = bp.uint64_field(9)
+    commit_index: int = bp.uint64_field(8)
+    heartbeat: int = bp.uint64_field(9)
     leader_address: str = bp.string_field(10)
 
 
 @dataclass
-class AppendReply(Message):
+class AppendEntriesReply(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
     is_ok: bool = bp.bool_field(5)
-    match: int = bp.uint64_field(6)
-    hint: int = bp.uint64_field(7)
-    beat: int = bp.uint64_field(8)
+    match_index: int = bp.uint64_field(6)
+    conflict_index: int = bp.uint64_field(7)
+    heartbeat: int = bp.uint64_field(8)
 
 
 @dataclass
@@ -113,10 +113,10 @@
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
-    index: int = bp.uint64_field(5)
-    index_term: int = bp.uint64_field(6)
+    last_included_index: int = bp.uint64_field(5)
+    last_included_term: int = bp.uint64_field(6)
     leader_address: str = bp.string_field(7)
-    beat: int = bp.uint64_field(8)
+    heartbeat: int = bp.uint64_field(8)
 
 
 @dataclass
@@ -284,7 +284,7 @@
     vouches: bool = bp.bool_field(3)
     epoch: int = bp.uint64_field(4)
     cluster: str = bp.string_field(5)
-    asker_version: int = bp.uint64_field(6)  # what the asker was last heard to serve
+    asker_version: int = bp.uint64_field(6)  # what the applicant was last heard to serve
 
 
 # --- gathering -----------------------------------------------------------------------------
@@ -460,10 +460,10 @@
 
 
 TYPES: dict[int, type] = {
-    1: AskVote,
-    2: VoteReply,
-    3: Append,
-    4: AppendReply,
+    1: RequestVote,
+    2: RequestVoteReply,
+    3: AppendEntries,
+    4: AppendEntriesReply,
     5: InstallSnapshot,
     6: TimeoutNow,
     10: SeedProbe,
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -8,9 +8,8 @@
 from kelpstage.base.defects import Defect
 from kelpstage.base.wire import frames
 from kelpstage.base.wire.messages import (
-    Append,
-    AppendReply,
-    AskVote,
+    AppendEntries,
+    AppendEntriesReply,
     Chunk,
     Done,
     FetchSnapshot,
@@ -23,12 +22,13 @@
     ProxyOperator,
     ProxyOperatorReply,
     Renew,
+    RequestVote,
+    RequestVoteReply,
     SeedProbe,
     SeedState,
     TimeoutNow,
-    VoteReply,
 )
-from kelpstage.core.raft.types import LearnerAsks
+from kelpstage.core.raft.types import JoinRequested
 
 PROXY_WAIT_US = 1_500_000
 
@@ -44,7 +44,14 @@
         core.task.heard(message=message)
 
 
-for kind in (AskVote, VoteReply, Append, AppendReply, InstallSnapshot, TimeoutNow):
+for kind in (
+    RequestVote,
+    RequestVoteReply,
+    AppendEntries,
+    AppendEntriesReply,
+    InstallSnapshot,
+    TimeoutNow,
+):
     handle.register(kind, _raft)
 
 
@@ -59,7 +66,7 @@
     if task is None or message.cluster != task.cluster:
         return Done(why="another cluster")
     if task.is_leader:
-        task.inbox.put_nowait(LearnerAsks(member=message.member))
+        task.inbox.put_nowait(JoinRequested(member=message.member))
         return Done(is_ok=True)
     if message.is_proxied or not task.leader_address:
         return Done(why="no leader")
--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -9,14 +9,14 @@
 
 NOOP, MEMBERSHIP, COMMAND = 0, 1, 2
 
-FOLLOWER, PROSPECT, CANDIDATE, LEADER = "follower", "prospect", "candidate", "leader"
+FOLLOWER, PRE_CANDIDATE, CANDIDATE, LEADER = "follower", "pre_candidate", "candidate", "leader"
 
 
 @dataclass(frozen=True, kw_only=True)
-class Pace:
+class Timing:
     """Raft's spans."""
 
-    beat_us: int = 100_000
+    heartbeat_us: int = 100_000
     election_low_us: int = 800_000
     election_high_us: int = 1_600_000
     wake_low_us: int = 150_000  # in a life that has heard no leader yet
@@ -34,7 +34,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Heard:
+class Received:
     message: Any
 
 
@@ -46,7 +46,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class AskRead:
+class ReadIndex:
     """Tell me (by `ReadReady`) when this leader is confirmed as of now."""
 
     token: int
@@ -60,7 +60,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class HandOver:
+class TransferLeadership:
     """Give leadership to the voter that is furthest on."""
 
 
@@ -79,11 +79,11 @@
     term: int
     members: list[CoreMember]
     leader: str
-    beat: int
+    heartbeat: int
 
 
 @dataclass(frozen=True, kw_only=True)
-class LearnerAsks:
+class JoinRequested:
     member: CoreMember
 
 
@@ -162,7 +162,7 @@
     leader_address: str
     index: int
     term: int
-    beat: int
+    heartbeat: int
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -18,7 +18,13 @@
 from kelpstage.base.wire.chunks import ChunkSource, backoff_us, fetch_chunks
 from kelpstage.base.wire.delta import apply_delta, pack_delta
 from kelpstage.base.wire.lines import Lines
-from kelpstage.base.wire.messages import Append, Chunk, CoreMember, FetchSnapshot, FetchState
+from kelpstage.base.wire.messages import (
+    AppendEntries,
+    Chunk,
+    CoreMember,
+    FetchSnapshot,
+    FetchState,
+)
 from kelpstage.core.events import (
     MembersChanged,
     RoleTaken,
@@ -147,7 +153,7 @@
     async def confirm(self, *, wait_us: int) -> NoLeader | None:
         """Is this the leader now, and is all that was acknowledged applied here?"""
         token, future = self.waiters.open()
-        self.inbox.put_nowait(raft.AskRead(token=token))
+        self.inbox.put_nowait(raft.ReadIndex(token=token))
         outcome = await self._ports.clock.within(future, us=wait_us)
         self.waiters.drop(token=token)
         if outcome is True:
@@ -155,7 +161,7 @@
         return outcome or NoLeader(why="no majority of cores confirmed the leader in time")
 
     def heard(self, *, message: Any) -> None:
-        self.inbox.put_nowait(raft.Heard(message=message))
+        self.inbox.put_nowait(raft.Received(message=message))
 
     # --- the task ------------------------------------------------------------------------
 
@@ -193,7 +199,7 @@
     def _dispatch(self, *, send: raft.Send) -> None:
         lane = frames.CONTROL
         if (
-            isinstance(send.message, Append)
+            isinstance(send.message, AppendEntries)
             and sum(len(entry.data) for entry in send.message.entries) > LARGE_BYTES
         ):
             lane = frames.BULK
@@ -377,7 +383,7 @@
             return
         self._fetch_failures = 0
         snapshot = DiskSnapshot().parse(data)
-        if snapshot.cluster != self.cluster or snapshot.index <= self.raft.commit:
+        if snapshot.cluster != self.cluster or snapshot.index <= self.raft.commit_index:
             return
         self._fetched = snapshot
         self._take(
@@ -386,7 +392,7 @@
                 term=snapshot.term,
                 members=list(snapshot.members),
                 leader=offer.leader,
-                beat=offer.beat,
+                heartbeat=offer.heartbeat,
             )
         )
         self._fetched = None
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -205,7 +205,7 @@
     leader, task = cores.leader(), cores.daemons[name].task
     if leader is None or task is None:
         return False
-    return task.applied >= cores.daemons[leader].task.raft.commit - 1
+    return task.applied >= cores.daemons[leader].task.raft.commit_index - 1
 
 
 class Transfers(unittest.TestCase):
