--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -169,6 +169,7 @@
     body: bytes = bp.bytes_field(5)
     wait_us: int = bp.uint64_field(6)
     version: int = bp.uint64_field(7)  # that a put is given; 0: the next one
+    packed: bytes = bp.bytes_field(8)  # the body compressed, in its place
 
 
 @dataclass
@@ -179,6 +180,7 @@
     etag: str = bp.string_field(4)
     is_leader: bool = bp.bool_field(5)
     location: str = bp.string_field(6)
+    packed: bytes = bp.bytes_field(7)  # the body compressed, in its place
 
 
 @dataclass
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from functools import singledispatch
-from typing import Any
+from typing import Any, TypeVar
 
-from kelpstage.base.defects import Defect
+from kelpstage.base.defects import Defect, LineLost
 from kelpstage.base.wire import frames
+from kelpstage.base.wire.delta import apply_delta, pack_delta
 from kelpstage.base.wire.messages import (
     AppendEntries,
     AppendEntriesReply,
@@ -31,6 +33,8 @@
 from kelpstage.core.raft.types import JoinRequested
 
 PROXY_WAIT_US = 1_500_000
+PACKED_FROM_BYTES = 4 * 1024
+Forwarded = TypeVar("Forwarded", ProxyOperator, ProxyOperatorReply)
 
 
 @singledispatch
@@ -127,17 +131,49 @@
 
 
 @handle.register
-async def _(message: ProxyOperator, core: Any, source: str) -> ProxyOperatorReply:
+async def _(message: ProxyOperator, core: Any, source: str) -> ProxyOperatorReply | None:
     from kelpstage.core.web.operators import verdict_for_proxy
 
-    return await verdict_for_proxy(core=core, ask=message)
+    ask = unpack_body(message=message)
+    if ask is None:
+        core.counts["line_unreadable_body"] += 1
+        return None  # no answer: the caller takes it for a silent leader
+    return pack_body(message=await verdict_for_proxy(core=core, ask=ask))
+
+
+def pack_body(*, message: Forwarded) -> Forwarded:
+    """The same message with a large body compressed, for its way between cores.
+
+    >>> packed = pack_body(message=ProxyOperatorReply(status=200, body=b"route " * 1000))
+    >>> len(packed.packed) < 100, packed.body, unpack_body(message=packed).body == b"route " * 1000
+    (True, b'', True)
+    """
+    if len(message.body) < PACKED_FROM_BYTES:
+        return message
+    return replace(message, body=b"", packed=pack_delta(base=b"", whole=message.body))
+
+
+def unpack_body(*, message: Forwarded) -> Forwarded | None:
+    """The reverse of `pack_body`; nothing if the bytes are damaged.
+
+    >>> unpack_body(message=ProxyOperatorReply(packed=b"junk")) is None
+    True
+    """
+    if not message.packed:
+        return message
+    body = apply_delta(base=b"", delta=message.packed)
+    return None if body is None else replace(message, body=body, packed=b"")
 
 
 async def proxy_to_leader(*, core: Any, ask: ProxyOperator) -> ProxyOperatorReply | Defect:
     """Hand an operator's call to the leader, on the line for bulk."""
-    return await core.lines.call(
-        address=core.task.leader_address,
-        message=ask,
+    address = core.task.leader_address
+    reply = await core.lines.call(
+        address=address,
+        message=pack_body(message=ask),
         wait_us=ask.wait_us * 19 // 20,  # so that the caller hears of a silent leader
         lane=frames.BULK,
     )
+    if not isinstance(reply, ProxyOperatorReply):
+        return reply
+    return unpack_body(message=reply) or LineLost(address=address, why="unreadable body")
