--- a/kelpstage/core/raft/elections.py
+++ b/kelpstage/core/raft/elections.py
@@ -18,13 +18,19 @@
 
 
 def tick_elections(state: RaftState) -> None:
-    """Campaign if no leader was heard for the election timeout."""
-    if state.is_sync_stalled:
-        reset_election_timeout(state)  # a disk that hangs gives no right to campaign
+    """After an election timeout without a leader: forget it, and campaign if allowed.
+
+    A learner forgets its leader too: it may have been removed without hearing of it, and
+    asks for its place again only when it knows of no leader.
+    """
+    if state.now_us < state.election_due_us:
+        return
+    state.leader = ""
+    state.leader_address = ""
+    if state.is_sync_stalled or not state.members.is_voter(replica=state.me):
+        reset_election_timeout(state)  # neither a stalled disk nor a learner may campaign
         return
-    is_due = state.now_us >= state.election_due_us
-    if is_due and state.members.is_voter(replica=state.me):
-        _start_pre_vote(state)
+    _start_pre_vote(state)
 
 
 def hasten_first_campaign(state: RaftState) -> None:
