Raft: a differing log is passed a term at a time; two leaders in a term end the process

Cause: where the entry before an AppendEntries differed, the follower's hint was the index before it, so the leader went back one entry a round trip: 289 rounds for 300 entries of one term that were never committed, half a minute between regions. The hint is the index before the term of the differing entry began (the paper, end of 5.3), never below the commit index: 1 round.

Assertions in production: a leader that hears another lead in its own term, and a leader whose log differs in what is committed here, raise InvariantViolated.

--- a/kelpstage/core/raft/replication.py
+++ b/kelpstage/core/raft/replication.py
@@ -154,6 +154,8 @@
 def on_append_entries(state: RaftState, message: AppendEntries) -> None:
     """Append the entries if what is before them matches, and say up to where."""
     sender = message.sender
+    if state.role == LEADER and message.term == state.term:
+        raise InvariantViolated(f"{sender} leads in term {state.term} as well")
     if not accept_leader(state, term=message.term, leader=sender, address=message.leader_address):
         reply_append_entries(state, to=sender, is_ok=False)
         return
@@ -174,12 +176,11 @@
         entries = entries[held:]
         previous = state.log.base_index
     elif state.log.term_at(index=previous) != message.prev_log_term:
-        conflict_index = min(state.log.last_index, max(previous - 1, state.commit_index))
         reply_append_entries(
             state,
             to=sender,
             is_ok=False,
-            conflict_index=conflict_index,
+            conflict_index=_last_before_conflict(state, index=previous),
             heartbeat=message.heartbeat,
         )
         return
@@ -191,6 +192,19 @@
     )
 
 
+def _last_before_conflict(state: RaftState, *, index: int) -> int:
+    """The last index that may match where the entry at `index` does not: that before its
+    term began here, or the end of the log; never less than what is committed."""
+    if index > state.log.last_index:
+        return state.log.last_index
+    if index <= state.commit_index:
+        raise InvariantViolated(f"entry {index} conflicts, {state.commit_index} is committed")
+    conflict_term = state.log.term_at(index=index)
+    while index > state.commit_index and state.log.term_at(index=index) == conflict_term:
+        index -= 1
+    return index
+
+
 def _append_received(state: RaftState, *, entries: list[LogEntry]) -> None:
     """Append what is not in the log yet; an entry of another term, and all behind it, goes."""
     known = 0
--- a/tests/test_raft.py
+++ b/tests/test_raft.py
@@ -24,6 +24,7 @@
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.raft.members import write_members
 from kelpstage.core.raft.replica import Replica
+from kelpstage.core.raft.state import InvariantViolated
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.store.records import DiskIdentity, DiskSnapshot
 from kelpstage.core.store.store import Recovered, Store
@@ -524,3 +525,61 @@
         one.now += 2_000_000
         one.receive(TimeoutNow(cluster="k", sender="b", to="a", term=4))
         self.assertEqual((t.FOLLOWER, 4), (one.replica.role, one.replica.term))
+
+
+class ConflictTest(unittest.TestCase):
+    """Where a log differs, the leader finds where it matches in a round a term at most."""
+
+    def rounds(self, one: Follower, *, leader_terms: list[int], next_index: int) -> int:
+        """How often a leader with these terms is refused before its entries are taken."""
+        count = 0
+        while True:
+            effects = one.receive(
+                AppendEntries(
+                    cluster="k",
+                    sender="b",
+                    to="a",
+                    term=9,
+                    prev_log_index=next_index - 1,
+                    prev_log_term=leader_terms[next_index - 2],
+                )
+            )
+            reply = only(effects, t.Send)[-1].message
+            if reply.is_ok:
+                return count
+            count += 1
+            self.assertLess(reply.conflict_index + 1, next_index)
+            next_index = reply.conflict_index + 1
+
+    def test_three_hundred_entries_of_one_term_are_passed_at_once(self) -> None:
+        one = Follower(base=0, last=10, term=2)
+        for index in range(11, 311):
+            one.replica.log.add(LogEntry(index=index, term=3, kind=t.COMMAND))
+        leader_terms = [2] * 10 + [5] * 400
+        self.assertEqual(1, self.rounds(one, leader_terms=leader_terms, next_index=300))
+
+    def test_what_is_committed_is_never_passed(self) -> None:
+        one = Follower(base=0, last=10, term=2)
+        one.replica.state.commit_index = 7
+        leader_terms = [2] * 7 + [5] * 20
+        self.assertEqual(1, self.rounds(one, leader_terms=leader_terms, next_index=11))
+
+    def test_a_second_leader_in_a_term_ends_the_process(self) -> None:
+        one = TransferTest().leader()
+        with self.assertRaises(InvariantViolated):
+            one.append(term=4, sender="b", index=5)
+
+    def test_a_conflict_with_a_committed_entry_ends_the_process(self) -> None:
+        one = Follower(base=0, last=10, term=2)
+        one.replica.state.commit_index = 7
+        message = AppendEntries(
+            cluster="k",
+            sender="b",
+            to="a",
+            term=3,
+            prev_log_index=5,
+            prev_log_term=2,
+            entries=[LogEntry(index=6, term=3, kind=t.COMMAND)],
+        )
+        with self.assertRaises(InvariantViolated):
+            one.receive(message)
