Membership: a distant learner catches up by rounds, also while changes go on

Cause: a learner counted as caught up when it had all that is committed this very moment.

Rounds (thesis, 4.2.1): a round ends when the learner holds what was committed at its beginning; it is ready when that was no longer ago than the shortest election timeout, 0.8 s. What it lacks then is held by the majority that commits its raising. A leaving voter is removed only when all others in reach hold the entry that raised the newcomer, and all before it.

--- a/kelpstage/core/raft/membership.py
+++ b/kelpstage/core/raft/membership.py
@@ -2,11 +2,12 @@
 
 Invariant: a change is proposed only when the one before is committed and an entry of the
 leader's own term is; so any two majorities that may decide at the same time share a
-replica. A learner becomes a voter only when all that is committed is on its disk, and no
-change is proposed that the members in reach cannot commit.
+replica. A learner becomes a voter only when it holds on its disk what was committed within
+the last election timeout, and no change is proposed that the members in reach cannot commit.
 
 A member that is about to stop is replaced by raising a learner first and removing it
-afterwards. For a moment there is a voter more, and an even number of 2t + 2 bears as many
+afterwards, when all others in reach hold the entry that raised the learner and all before
+it. For a moment there is a voter more, and an even number of 2t + 2 bears as many
 losses t as the 2t + 1 before and after; removing it first would leave 2t voters, which bear
 one less. A voter that is lost already is removed first: raising first would make the
 newcomer's life a condition of the majority, and nothing is gained by its vote.
@@ -58,6 +59,7 @@
 def maintain_membership(state: RaftState) -> None:
     """Make the change that is due, if any: one at a time."""
     _note_margin(state)
+    _follow_rounds(state)
     oldest_us = state.now_us - LEAVE_REQUEST_KEPT_US
     for name in [n for n, at_us in state.leave_requests.items() if at_us < oldest_us]:
         del state.leave_requests[name]
@@ -87,13 +89,23 @@
     if not leaving_voters:
         return False
     if len(state.members.voters) > state.voters_wanted:
-        return _remove(state, member=leaving_voters[0])
+        is_held = _is_last_change_held(state)
+        return is_held and _remove(state, member=leaving_voters[0])
     ready = _ready_learners(state)
     if ready:
         _raise_to_voter(state, learner=ready[0])
     return bool(ready)
 
 
+def _is_last_change_held(state: RaftState) -> bool:
+    """Do all voters in reach that stay hold the log up to the last change of members?"""
+    return all(
+        state.match_index_of(name=m.replica) >= state.members.index
+        for m in state.members.voters
+        if m.replica not in state.leave_requests and state.is_active(name=m.replica)
+    )
+
+
 def _remove_lost(state: RaftState) -> bool:
     """Remove a lost learner, or a lost voter whose place can be taken."""
     others = state.members.others(replica=state.me)
@@ -255,7 +267,22 @@
     )
 
 
+def _follow_rounds(state: RaftState) -> None:
+    """End the rounds of catching up that have come to their end, and begin new ones."""
+    for progress in state.progress.values():
+        if progress.match_index >= progress.round_target:
+            progress.round_took_us = state.now_us - progress.round_began_us
+            progress.round_target = state.commit_index
+            progress.round_began_us = state.now_us
+
+
 def _is_caught_up(state: RaftState, *, name: str) -> bool:
-    """Has it all that is committed on its disk, and is it there now?"""
-    is_complete = state.progress[name].match_index >= state.commit_index
-    return state.is_active(name=name) and is_complete
+    """Does a replica in reach have on its disk what was committed within the shortest
+    election timeout? What is committed this moment a distant one never has while changes
+    go on, so that cannot be asked of it."""
+    progress = state.progress[name]
+    if not state.is_active(name=name) or progress.round_took_us is None:
+        return False
+    limit_us = state.timing.election_low_us
+    since_us = state.now_us - progress.round_began_us
+    return progress.round_took_us + since_us <= limit_us
--- a/kelpstage/core/raft/state.py
+++ b/kelpstage/core/raft/state.py
@@ -28,7 +28,8 @@
 
 @dataclass(kw_only=True)
 class Progress:
-    """What a leader knows of one other replica."""
+    """What a leader knows of one other replica. A round of catching up (thesis, 4.2.1) ends
+    when the replica holds what was committed when the round began."""
 
     next_index: int
     match_index: int = 0
@@ -36,6 +37,9 @@
     sent_us: int = -1_000_000
     heartbeat: int = 0
     is_probing: bool = True
+    round_target: int = 0
+    round_began_us: int = 0
+    round_took_us: int | None = None  # the last one that ended
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -151,7 +155,12 @@
             return
         names = {member.replica for member in self.members.others(replica=self.me)}
         for name in sorted(names - set(self.progress)):
-            self.progress[name] = Progress(next_index=self.log.last_index + 1, heard_us=self.now_us)
+            self.progress[name] = Progress(
+                next_index=self.log.last_index + 1,
+                heard_us=self.now_us,
+                round_target=self.log.last_index,
+                round_began_us=self.now_us,
+            )
         for name in sorted(set(self.progress) - names):
             del self.progress[name]
 
