Orders: one that was taken is known for good, refusals never push its record out

Cause: taken and refused orders shared 512 records. An order that was taken and then superseded by 649 changes, or followed by 520 refused ones, was forgotten, and a repeat of it got 412 (both shown by a few lines against the code before). Change: taken and refused orders are recorded apart. The newest 512 taken are kept whole; 16,384 older ones by 24 bytes each (part of the digest, version); an order on a base version older than those gets no clear answer rather than a refusal. A refusal on a base version that is still to come goes through the log, since a delayed copy could otherwise be taken when that version is there; other refusals hold by themselves, as versions rise. An order whose turn comes after its time is not proposed any more. Also: memo is applied-request record, verdict is result, in the code touched. Test replaced: `test_memos_stay_few` counted taken and refused records together; it now counts each, with the bound in bytes unchanged.

--- a/kelpstage/core/grants/puts.py
+++ b/kelpstage/core/grants/puts.py
@@ -1,5 +1,9 @@
-"""Puts, as the leader takes them: judged, proposed, settled, each by a piece of work
-that goes on when its caller's patience ends, so that a repeat finds it done."""
+"""Operators' orders, as the leader takes them: judged, proposed, settled, each by a piece
+of work that goes on when its caller's patience ends, so that a repeat finds it done.
+
+Nothing is decided here: the replicated state machine decides, and this module answers
+200 or refuses only by what a log says that was confirmed to be the newest.
+See `docs/notes/control/orders.md`."""
 
 from __future__ import annotations
 
@@ -32,6 +36,8 @@
     PutClash,
     PutLost,
     PutNotAbove,
+    PutUnclear,
+    RefusePut,
     outcome_of,
     put_digest,
 )
@@ -64,7 +70,7 @@
     async def put(
         self, *, document: bytes, expected: int, put_id: str, wait_us: int, version: int = 0
     ) -> PutApplied | Defect:
-        """Put a blueprint; the verdict is given when no edge can serve an older one.
+        """Put a configuration; 200 is given when no edge can serve an older one.
 
         A call that runs out of time gets `Unresolved`, while the work goes on: the same
         put again, under whatever id, waits for the same work or hears what it came to.
@@ -77,8 +83,8 @@
             return BlueprintRefused(faults=[Fault(path="version", why=why)])
         version = version or judged
         digest = put_digest(document=document, expected=expected, version=version)
-        memo = self._task.machine.memo(put_id=put_id)
-        if memo is not None and memo.digest != digest:
+        record = self._task.machine.record(put_id=put_id)
+        if record is not None and record.digest != digest:
             return PutIdReused(put_id=put_id, why="it named another put")
         work = self._work.get(digest)
         if work is None:
@@ -126,7 +132,7 @@
                 # While this waited its turn, the lead may have been elsewhere.
                 decided = await self._look_up(put=put, digest=digest)
                 if decided is None:
-                    decided = await self._propose(put=put, until_us=until_us)
+                    decided = await self._propose(put=put, digest=digest, until_us=until_us)
         if isinstance(decided, Defect):
             return decided
         if not await self._desk.settled(epoch=decided.epoch, wait_us=self._left_us(until_us)):
@@ -142,14 +148,38 @@
         defect = await self._task.confirm(wait_us=CONFIRM_US)
         if defect is not None:
             return defect
-        outcome = self._task.machine.decided(put_id=put.put_id, digest=digest)
-        return None if outcome is None else as_verdict(outcome=outcome, put_id=put.put_id)
+        outcome = self._task.machine.decided(
+            put_id=put.put_id, digest=digest, expected=put.expected
+        )
+        return None if outcome is None else as_result(outcome=outcome, put_id=put.put_id)
+
+    async def _refuse(
+        self, *, put: PutBlueprint, digest: bytes, until_us: int
+    ) -> PutApplied | Defect:
+        """Refuse by the log an order on a version to come: a copy of it that is still
+        under way must not be taken when that version is there."""
+        refusal = RefusePut(
+            put_id=put.put_id, digest=digest, expected=put.expected, version=put.version
+        )
+        outcome = await self._task.propose(
+            data=bytes(Command(refuse=refusal)),
+            put_id=put.put_id,
+            wait_us=self._left_us(until_us),
+        )
+        return as_result(outcome=outcome, put_id=put.put_id)
 
-    async def _propose(self, *, put: PutBlueprint, until_us: int) -> PutApplied | Defect:
-        """Bring a put into the log. What is refused here has left no trace."""
+    async def _propose(
+        self, *, put: PutBlueprint, digest: bytes, until_us: int
+    ) -> PutApplied | Defect:
+        """Bring a put into the log. Versions only rise, so what is refused here without a
+        trace in the log would be refused again whenever another copy of it came."""
         clock = self._ports.clock
+        if clock.now_us() >= until_us:
+            return Unresolved(put_id=put.put_id, why="its turn came too late; ask again")
         state = self._task.machine.state
-        if state.version != put.expected:
+        if put.expected > state.version:
+            return await self._refuse(put=put, digest=digest, until_us=until_us)
+        if put.expected < state.version:
             return VersionMismatch(expected=put.expected, current=state.version)
         if put.version and put.version <= state.version:
             return VersionNotAbove(version=put.version, current=state.version)
@@ -167,7 +197,7 @@
         outcome = await self._task.propose(
             data=bytes(Command(put=put)), put_id=put.put_id, wait_us=self._left_us(until_us)
         )
-        verdict = as_verdict(outcome=outcome, put_id=put.put_id)
+        result = as_result(outcome=outcome, put_id=put.put_id)
         if isinstance(outcome, (PutApplied, PutLost, PutNotAbove)):
             self._journal.add(
                 PutDecided(
@@ -176,10 +206,10 @@
                     version=self._task.machine.state.version,
                 )
             )
-        if isinstance(verdict, PutApplied):
+        if isinstance(result, PutApplied):
             # The next change waits behind this one, within the same order.
-            await self._desk.settled(epoch=verdict.epoch, wait_us=self._left_us(until_us))
-        return verdict
+            await self._desk.settled(epoch=result.epoch, wait_us=self._left_us(until_us))
+        return result
 
     async def _hear_roster(self, *, roster: list[str], until_us: int) -> None:
         """A leader that was elected a moment ago has not heard its edges yet; give
@@ -217,16 +247,16 @@
 
     def put_state(self, *, put_id: str) -> PutApplied | Defect | None:
         """What became of a put, as far as this leader's log tells."""
-        memo = self._task.machine.memo(put_id=put_id)
-        if memo is None:
+        record = self._task.machine.record(put_id=put_id)
+        if record is None:
             return None
-        return as_verdict(outcome=outcome_of(memo=memo), put_id=put_id)
+        return as_result(outcome=outcome_of(record=record), put_id=put_id)
 
 
-def as_verdict(*, outcome: Any, put_id: str) -> PutApplied | Defect:
-    """What an operator hears of a put's outcome.
+def as_result(*, outcome: Any, put_id: str) -> PutApplied | Defect:
+    """What an operator is answered for a put's outcome.
 
-    >>> as_verdict(outcome=PutLost(expected=1, current=2), put_id="p")
+    >>> as_result(outcome=PutLost(expected=1, current=2), put_id="p")
     VersionMismatch(expected=1, current=2)
     """
     if isinstance(outcome, PutLost):
@@ -235,6 +265,6 @@
         return VersionNotAbove(version=outcome.version, current=outcome.current)
     if isinstance(outcome, PutClash):
         return PutIdReused(put_id=put_id, why="it named another put")
-    if isinstance(outcome, Unresolved):
+    if isinstance(outcome, (PutUnclear, Unresolved)):
         return Unresolved(put_id=put_id, why=outcome.why)
     return outcome
--- a/kelpstage/core/state/machine.py
+++ b/kelpstage/core/state/machine.py
@@ -1,20 +1,27 @@
-"""The replicated state: blueprint, roster, puts; changed by commands alone.
+"""The replicated state: configuration, roster, applied requests; changed by commands alone.
 
-Plain and the same on every replica: the outcome of a command depends on the
-commands before it and on nothing else.
+Plain and the same on every replica: the outcome of a command depends on the commands
+before it and on nothing else. What became of an order is decided here and nowhere else,
+so it outlives restarts, changes of leader, snapshots and lost disks with the log itself.
+See `docs/notes/control/orders.md`.
 """
 
 from __future__ import annotations
 
 import hashlib
 from dataclasses import dataclass
-from typing import List
+from typing import Iterator, List
 
 import betterproto as bp
 
 from kelpstage.base.wire.messages import StateDoc
 
-PUTS_KEPT = 512
+RECORDS_KEPT = 512  # applied-request records of the newest orders taken, kept whole
+REFUSALS_KEPT = 512  # applied-request records of the newest orders refused
+DIGESTS_KEPT = 16_384  # orders taken before those: a part of the digest, and the version
+DIGEST_PART = 16  # bytes
+VERSION_BYTES = 8
+ROW = DIGEST_PART + VERSION_BYTES
 
 
 @dataclass
@@ -25,6 +32,17 @@
     version: int = bp.uint64_field(4)  # that the operator gives it; 0: the next one
 
 
+@dataclass
+class RefusePut(bp.Message):
+    """Makes the refusal of an order final whose base version is still to come: a copy of
+    it that arrives once that version is current must not be taken any more."""
+
+    put_id: str = bp.string_field(1)
+    digest: bytes = bp.bytes_field(2)
+    expected: int = bp.uint64_field(3)
+    version: int = bp.uint64_field(4)
+
+
 @dataclass
 class AddEdge(bp.Message):
     edge: str = bp.string_field(1)
@@ -41,10 +59,13 @@
     put: PutBlueprint = bp.message_field(1, group="what")
     add: AddEdge = bp.message_field(2, group="what")
     remove: RemoveEdge = bp.message_field(3, group="what")
+    refuse: RefusePut = bp.message_field(4, group="what")
 
 
 @dataclass
-class PutMemo(bp.Message):
+class RequestRecord(bp.Message):
+    """The applied-request record of one order: what it was, and what became of it."""
+
     put_id: str = bp.string_field(1)
     digest: bytes = bp.bytes_field(2)
     version: int = bp.uint64_field(3)
@@ -61,8 +82,11 @@
     version: int = bp.uint64_field(3)
     document: bytes = bp.bytes_field(4)
     roster: List[str] = bp.string_field(5)
-    puts: List[PutMemo] = bp.message_field(6)
+    puts: List[RequestRecord] = bp.message_field(6)  # taken, oldest first
     old_roster: List[str] = bp.string_field(7)  # before the newest epoch, if it added several
+    refused: List[RequestRecord] = bp.message_field(8)  # oldest first
+    superseded: bytes = bp.bytes_field(9)  # rows of those taken before `puts`, oldest first
+    forgotten_below: int = bp.uint64_field(10)  # orders on an older base may have been taken
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -92,6 +116,13 @@
     """The put id was used before, for other bytes."""
 
 
+@dataclass(frozen=True, kw_only=True)
+class PutUnclear:
+    """Neither taken now nor refused: this log cannot tell what became of it."""
+
+    why: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class RosterSet:
     epoch: int
@@ -134,54 +165,93 @@
 
     def __init__(self, *, cluster: str, state: CoreState | None = None) -> None:
         self.state = state or CoreState(cluster=cluster)
-        self._memos = {memo.put_id: memo for memo in self.state.puts}
-        self._taken = {memo.digest: memo for memo in self.state.puts if memo.version}
+        records = [*self.state.refused, *self.state.puts]
+        self._records = {record.put_id: record for record in records}
+        self._taken = {record.digest: record for record in self.state.puts}
+        self._superseded = dict(read_rows(rows=self.state.superseded))
 
     def apply(self, *, data: bytes) -> object:
+        """Apply one committed command; its outcome."""
         command = Command().parse(data)
         kind, body = bp.which_one_of(command, "what")
         if kind == "put":
             return self._put(put=body)
+        if kind == "refuse":
+            return self._refuse(put=body)
         if kind == "add":
             return self._set_roster(names=set(self.state.roster) | {body.edge, *body.more})
         return self._set_roster(names=set(self.state.roster) - {body.edge})
 
     def _put(self, *, put: PutBlueprint) -> object:
         digest = put_digest(document=put.document, expected=put.expected, version=put.version)
-        decided = self.decided(put_id=put.put_id, digest=digest)
+        decided = self.decided(put_id=put.put_id, digest=digest, expected=put.expected)
         if decided is not None:
             return decided
-        state = self.state
-        memo = PutMemo(
+        record = self._record_of(put=put, digest=digest)
+        version = put.version or put.expected + 1
+        if put.expected != self.state.version or version <= self.state.version:
+            self._keep_refusal(record=record)
+        else:
+            self._take(record=record, version=version, document=put.document)
+        return outcome_of(record=record)
+
+    def _refuse(self, *, put: RefusePut) -> object:
+        decided = self.decided(put_id=put.put_id, digest=put.digest, expected=put.expected)
+        if decided is not None:
+            return decided
+        if put.expected <= self.state.version:
+            return PutUnclear(why="its base version has come meanwhile; ask again")
+        record = self._record_of(put=put, digest=put.digest)
+        self._keep_refusal(record=record)
+        return outcome_of(record=record)
+
+    def _record_of(self, *, put: PutBlueprint | RefusePut, digest: bytes) -> RequestRecord:
+        return RequestRecord(
             put_id=put.put_id,
             digest=digest,
             expected=put.expected,
-            found=state.version,
+            found=self.state.version,
             asked=put.version,
         )
-        version = put.version or put.expected + 1
-        if put.expected == state.version and version > state.version:
-            state.version = version
-            state.epoch += 1
-            state.document = put.document
-            state.old_roster = []
-            memo.version, memo.epoch = state.version, state.epoch
-            self._taken[digest] = memo
-        state.puts.append(memo)
-        self._memos[memo.put_id] = memo
-        self._forget()
-        return outcome_of(memo=memo)
-
-    def _forget(self) -> None:
-        """Drop the oldest memos, but never that of the version in force."""
-        puts = self.state.puts
-        while len(puts) > PUTS_KEPT:
-            place = 1 if puts[0].version == self.state.version else 0
-            memo = puts.pop(place)
-            if self._memos.get(memo.put_id) is memo:
-                del self._memos[memo.put_id]
-            if self._taken.get(memo.digest) is memo:
-                del self._taken[memo.digest]
+
+    def _take(self, *, record: RequestRecord, version: int, document: bytes) -> None:
+        state = self.state
+        state.version = version
+        state.epoch += 1
+        state.document = document
+        state.old_roster = []
+        record.version, record.epoch = state.version, state.epoch
+        state.puts.append(record)
+        self._records[record.put_id] = record
+        self._taken[record.digest] = record
+        while len(state.puts) > RECORDS_KEPT:
+            self._shorten(record=state.puts.pop(0))
+
+    def _shorten(self, *, record: RequestRecord) -> None:
+        """Keep no more of an order that was taken than tells a repeat of it."""
+        self._drop(record=record)
+        state, part = self.state, record.digest[:DIGEST_PART]
+        self._superseded[part] = record.version
+        state.superseded += part + record.version.to_bytes(VERSION_BYTES, "big")
+        while len(state.superseded) > DIGESTS_KEPT * ROW:
+            part, version = next(read_rows(rows=state.superseded))
+            state.superseded = state.superseded[ROW:]
+            state.forgotten_below = version
+            del self._superseded[part]
+
+    def _keep_refusal(self, *, record: RequestRecord) -> None:
+        """The oldest refusals go first. One whose base version is past would be refused
+        again if it came again, so nothing hangs on its record."""
+        self.state.refused.append(record)
+        self._records[record.put_id] = record
+        while len(self.state.refused) > REFUSALS_KEPT:
+            self._drop(record=self.state.refused.pop(0))
+
+    def _drop(self, *, record: RequestRecord) -> None:
+        if self._records.get(record.put_id) is record:
+            del self._records[record.put_id]
+        if self._taken.get(record.digest) is record:
+            del self._taken[record.digest]
 
     def _set_roster(self, *, names: set[str]) -> RosterSet:
         state = self.state
@@ -192,17 +262,27 @@
             state.roster = sorted(names)
         return RosterSet(epoch=state.epoch)
 
-    def memo(self, *, put_id: str) -> PutMemo | None:
-        return self._memos.get(put_id)
+    def record(self, *, put_id: str) -> RequestRecord | None:
+        """The applied-request record of an order, if it is still kept whole."""
+        return self._records.get(put_id)
 
-    def decided(self, *, put_id: str, digest: bytes) -> object | None:
-        """What became of a put, if it was decided: of the one under its id, or of one
-        with the same content under another id, if that was taken."""
-        memo = self._memos.get(put_id)
-        if memo is not None and memo.digest != digest:
+    def decided(self, *, put_id: str, digest: bytes, expected: int) -> object | None:
+        """What became of an order, if it was decided: of the one under its id, or of one
+        with the same content under another id, if that was taken. An order that may have
+        been taken too long ago to tell gets `PutUnclear`."""
+        record = self._records.get(put_id)
+        if record is not None and record.digest != digest:
             return PutClash()
-        memo = self._taken.get(digest) or memo
-        return None if memo is None else outcome_of(memo=memo)
+        record = self._taken.get(digest) or record
+        if record is not None:
+            return outcome_of(record=record)
+        version = self._superseded.get(digest[:DIGEST_PART])
+        if version is not None:
+            # Every epoch before the oldest kept whole was settled before that was taken.
+            return PutApplied(version=version, epoch=self.state.puts[0].epoch)
+        if expected < self.state.forgotten_below:
+            return PutUnclear(why="its base version is too old to tell")
+        return None
 
     def doc(self) -> StateDoc:
         """What edges install."""
@@ -216,14 +296,25 @@
         )
 
 
-def outcome_of(*, memo: PutMemo) -> PutApplied | PutLost | PutNotAbove:
-    """What became of a put that was decided.
+def read_rows(*, rows: bytes) -> Iterator[tuple[bytes, int]]:
+    """The digest's part and the version of each superseded order, oldest first.
+
+    >>> list(read_rows(rows=b"0123456789abcdef" + (7).to_bytes(8, "big")))
+    [(b'0123456789abcdef', 7)]
+    """
+    for place in range(0, len(rows), ROW):
+        part, version = rows[place : place + DIGEST_PART], rows[place + DIGEST_PART : place + ROW]
+        yield part, int.from_bytes(version, "big")
+
+
+def outcome_of(*, record: RequestRecord) -> PutApplied | PutLost | PutNotAbove:
+    """What became of an order that was decided.
 
-    >>> outcome_of(memo=PutMemo(put_id="p", expected=3, found=4))
+    >>> outcome_of(record=RequestRecord(put_id="p", expected=3, found=4))
     PutLost(expected=3, current=4)
     """
-    if memo.version:
-        return PutApplied(version=memo.version, epoch=memo.epoch)
-    if memo.expected == memo.found:
-        return PutNotAbove(version=memo.asked, current=memo.found)
-    return PutLost(expected=memo.expected, current=memo.found)
+    if record.version:
+        return PutApplied(version=record.version, epoch=record.epoch)
+    if record.expected == record.found:
+        return PutNotAbove(version=record.asked, current=record.found)
+    return PutLost(expected=record.expected, current=record.found)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -18,7 +18,7 @@
 from kelpstage.base.ports.types import HttpCall
 from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
 from kelpstage.core.state.machine import (
-    PUTS_KEPT,
+    REFUSALS_KEPT,
     AddEdge,
     Command,
     CoreState,
@@ -285,14 +285,15 @@
         again = Machine(cluster="c", state=CoreState().parse(bytes(machine.state)))
         self.assertEqual(PutApplied(version=9, epoch=2), self.put(again, put_id="e", **later))
 
-    def test_memos_stay_few_and_hold_the_version_in_force(self) -> None:
+    def test_records_stay_few_and_hold_the_version_in_force(self) -> None:
         machine = Machine(cluster="c")
         taken = dict(expected=0, document=b"x" * 400_000, version=3)
         self.put(machine, put_id="taken", **taken)
-        for number in range(PUTS_KEPT + 50):
+        for number in range(REFUSALS_KEPT + 50):
             self.put(machine, put_id=f"lost-{number}", expected=1, document=b"y" * number)
-        self.assertEqual(PUTS_KEPT, len(machine.state.puts))
-        self.assertLess(len(bytes(machine.state)), 400_000 + PUTS_KEPT * 120)
+        self.assertEqual(1, len(machine.state.puts))
+        self.assertEqual(REFUSALS_KEPT, len(machine.state.refused))
+        self.assertLess(len(bytes(machine.state)), 400_000 + REFUSALS_KEPT * 120)
         self.assertEqual(PutApplied(version=3, epoch=1), self.put(machine, put_id="again", **taken))
 
     def test_snapshots_from_before_are_read(self) -> None:
