--- /dev/null
+++ b/proof/check/orders.py
@@ -0,0 +1,64 @@
+"""Linearizability of what the operators of a simulated or live fleet recorded."""
+
+from __future__ import annotations
+
+from proof.check.base import Violation, empty, rows_of
+from proof.check.linearizable import Answer, Read, Try, Write, find_anomalies
+
+LINE = "linearizable orders"
+CONFLICTS = frozenset(("version_mismatch", "version_not_above"))
+INVALIDS = frozenset(("blueprint_refused", "missing_if_match", "bad_request", "oversized_body"))
+
+
+def linearizable(history: list[dict]) -> list[Violation]:
+    """Is there one order of all changes and reads that explains what every operator was
+    answered, repeats and lost answers included?"""
+    writes, reads = writes_of(history=history), reads_of(history=history)
+    if not any(write.of(Answer.ACKNOWLEDGED) for write in writes) or not reads:
+        return empty(line=LINE, what="acknowledged orders or configurations read back")
+    found = find_anomalies(writes=writes, reads=reads)
+    return [Violation(line=LINE, why=one.why, at_us=one.at_us) for one in found]
+
+
+def writes_of(*, history: list[dict]) -> list[Write]:
+    """Every order with its tries. The same content on the same base is the same order,
+    whoever sends it and under whatever id."""
+    writes: dict[tuple[int, str], Write] = {}
+    for row in rows_of(history=history, event="put"):
+        content = row.get("digest", "")
+        write = writes.setdefault(
+            (row["expected"], content),
+            Write(
+                key=row["put_id"],
+                base=row["expected"],
+                version=row["expected"] + 1,  # unless the operator states another
+                content=content,
+            ),
+        )
+        answer = _answer_of(row=row)
+        if answer is Answer.ACKNOWLEDGED:
+            write.version = row["body"]["version"]
+        write.tries.append(Try(sent_us=row["sent_us"], done_us=row["at_us"], answer=answer))
+    return list(writes.values())
+
+
+def _answer_of(*, row: dict) -> Answer:
+    if row.get("status") == 200:
+        return Answer.ACKNOWLEDGED
+    if row.get("end") in CONFLICTS:
+        return Answer.CONFLICT
+    return Answer.INVALID if row.get("end") in INVALIDS else Answer.UNCLEAR
+
+
+def reads_of(*, history: list[dict]) -> list[Read]:
+    """What was read back, by anybody."""
+    return [
+        Read(
+            sent_us=row.get("sent_us", row["at_us"]),
+            done_us=row["at_us"],
+            version=row["version"],
+            content=row["digest"],
+        )
+        for row in rows_of(history=history, event="read_back")
+        if row["status"] == 200
+    ]
--- a/proof/check/register.py
+++ b/proof/check/register.py
@@ -11,6 +11,7 @@
 )
 from proof.check.base import Checker, Violation
 from proof.check.blueprints import lost_or_undead, old_blueprint, slide_back
+from proof.check.orders import linearizable
 from proof.check.sends import after_known, extra_tries
 from proof.check.serving import dropped, held_back, own_refusal, slow_return
 
@@ -24,6 +25,7 @@
     "old_blueprint": old_blueprint,
     "slide_back": slide_back,
     "lost_or_undead": lost_or_undead,
+    "linearizable": linearizable,
     "extra_tries": extra_tries,
     "dropped": dropped,
     "own_refusal": own_refusal,
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -361,6 +361,36 @@
             row["at_us"] = 39 * S
 
 
+def plant_stale_read(history: list[dict]) -> None:
+    """An older one is read long after a newer one was acknowledged."""
+    history.append(put_row())
+
+
+def plant_two_on_one(history: list[dict]) -> None:
+    history += [put_row(), put_row(put_id="c", digest="d3", body={"version": 3})]
+
+
+def plant_refused_one_read(history: list[dict]) -> None:
+    history.append(put_row(status=412, end="version_mismatch"))
+    history[-2].update(version=2, digest="d2")
+
+
+def plant_repeat_refused(history: list[dict]) -> None:
+    again = {"put_id": "a", "expected": 0, "digest": "d1", "end": "version_mismatch"}
+    history.append(put_row(status=412, **again))
+
+
+def plant_one_number_twice(history: list[dict]) -> None:
+    history += [
+        put_row(body={"version": 3}),
+        put_row(put_id="c", digest="d3", expected=2, body={"version": 3}),
+    ]
+
+
+def plant_refused_while_current(history: list[dict]) -> None:
+    history.append(put_row(status=412, end="version_mismatch"))
+
+
 PLANTS = {
     "silent_omission": [plant_silent, plant_double, plant_no_warning],
     "wrong_body": [plant_body],
@@ -378,6 +408,14 @@
     "old_blueprint": [plant_old, plant_old_send, plant_old_defect],
     "slide_back": [plant_slide, plant_slide_over_restart],
     "lost_or_undead": [plant_lost, plant_undead, plant_nobodys],
+    "linearizable": [
+        plant_stale_read,
+        plant_two_on_one,
+        plant_refused_one_read,
+        plant_repeat_refused,
+        plant_one_number_twice,
+        plant_refused_while_current,
+    ],
     "extra_tries": [plant_extra, plant_extra_in_shard, plant_extra_cut],
     "dropped": [plant_dropped, plant_slow_stop, plant_nobody_there],
     "own_refusal": [
