Orders: a refusal on a version to come claims no id

Cause: recorded by its id alone, such a refusal made the id's next use for other content a clash (test_puts_refused_and_repeated, 409 for 200). Change: these refusals are kept by id and digest together; the id stays free. Ruled out: by digest alone (the same content under a new id is a new request).

--- a/kelpstage/core/state/machine.py
+++ b/kelpstage/core/state/machine.py
@@ -165,8 +165,10 @@
 
     def __init__(self, *, cluster: str, state: CoreState | None = None) -> None:
         self.state = state or CoreState(cluster=cluster)
-        records = [*self.state.refused, *self.state.puts]
-        self._records = {record.put_id: record for record in records}
+        self._records: dict[str, RequestRecord] = {}
+        self._too_early: dict[tuple[str, bytes], RequestRecord] = {}
+        for record in [*self.state.refused, *self.state.puts]:
+            self._index(record=record)
         self._taken = {record.digest: record for record in self.state.puts}
         self._superseded = dict(read_rows(rows=self.state.superseded))
 
@@ -222,7 +224,7 @@
         state.old_roster = []
         record.version, record.epoch = state.version, state.epoch
         state.puts.append(record)
-        self._records[record.put_id] = record
+        self._index(record=record)
         self._taken[record.digest] = record
         while len(state.puts) > RECORDS_KEPT:
             self._shorten(record=state.puts.pop(0))
@@ -243,11 +245,19 @@
         """The oldest refusals go first. One whose base version is past would be refused
         again if it came again, so nothing hangs on its record."""
         self.state.refused.append(record)
-        self._records[record.put_id] = record
+        self._index(record=record)
         while len(self.state.refused) > REFUSALS_KEPT:
             self._drop(record=self.state.refused.pop(0))
 
+    def _index(self, *, record: RequestRecord) -> None:
+        if record.expected > record.found:
+            # Refused before its base version was there: that claims no id.
+            self._too_early[record.put_id, record.digest] = record
+            return
+        self._records[record.put_id] = record
+
     def _drop(self, *, record: RequestRecord) -> None:
+        self._too_early.pop((record.put_id, record.digest), None)
         if self._records.get(record.put_id) is record:
             del self._records[record.put_id]
         if self._taken.get(record.digest) is record:
@@ -273,7 +283,7 @@
         record = self._records.get(put_id)
         if record is not None and record.digest != digest:
             return PutClash()
-        record = self._taken.get(digest) or record
+        record = self._taken.get(digest) or record or self._too_early.get((put_id, digest))
         if record is not None:
             return outcome_of(record=record)
         version = self._superseded.get(digest[:DIGEST_PART])
