--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -17,7 +17,7 @@
 from kelpstage.base.wire import frames
 from kelpstage.base.wire.chunks import cut_chunk, fetch_chunks
 from kelpstage.base.wire.lines import Lines
-from kelpstage.base.wire.messages import Append, Chunk, CoreMember, FetchSnapshot
+from kelpstage.base.wire.messages import AppendEntries, Chunk, CoreMember, FetchSnapshot
 from kelpstage.core.events import MembersChanged, RoleTaken, SnapshotKept
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.members import read_members
@@ -134,7 +134,7 @@
     async def confirm(self, *, wait_us: int) -> NoLeader | None:
         """Is this the leader now, and is all that was acknowledged applied here?"""
         token, future = self.waiters.open()
-        self.inbox.put_nowait(raft.AskRead(token=token))
+        self.inbox.put_nowait(raft.ReadIndex(token=token))
         outcome = await self._ports.clock.within(future, us=wait_us)
         self.waiters.drop(token=token)
         if outcome is True:
@@ -142,7 +142,7 @@
         return outcome or NoLeader(why="no majority of cores confirmed the leader in time")
 
     def heard(self, *, message: Any) -> None:
-        self.inbox.put_nowait(raft.Heard(message=message))
+        self.inbox.put_nowait(raft.Received(message=message))
 
     # --- the task ------------------------------------------------------------------------
 
@@ -182,7 +182,7 @@
     def _dispatch(self, *, send: raft.Send) -> None:
         lane = frames.CONTROL
         if (
-            isinstance(send.message, Append)
+            isinstance(send.message, AppendEntries)
             and sum(len(entry.data) for entry in send.message.entries) > LARGE_BYTES
         ):
             lane = frames.BULK
@@ -311,7 +311,7 @@
             ),
         )
         self._fetching = 0
-        if data is None or offer.index <= self.raft.commit:
+        if data is None or offer.index <= self.raft.commit_index:
             return
         snapshot = DiskSnapshot().parse(data)
         self._fetched = snapshot
@@ -321,7 +321,7 @@
                 term=snapshot.term,
                 members=list(snapshot.members),
                 leader=offer.leader,
-                beat=offer.beat,
+                heartbeat=offer.heartbeat,
             )
         )
 
