--- a/proof/platform/backends.py
+++ b/proof/platform/backends.py
@@ -362,6 +362,8 @@
 
     def crash(self, *, backend: Backend) -> None:
         """It ends at once; the list keeps it for some seconds."""
+        if not backend.is_ended:
+            self.day.crashes[backend.instance] = self.world.now_us()
         self._end(backend=backend)
         self.world.at(
             us=self.world.now_us() + CRASH_LISTED_US, verb=lambda: self._unlist(backend=backend)
--- a/proof/platform/history.py
+++ b/proof/platform/history.py
@@ -9,6 +9,8 @@
 
 from dataclasses import dataclass, field
 
+from proof.check.linearizable import Answer, Try
+
 NEVER_US = 1 << 62
 PROMISES = frozenset((408, 421, 429, 503))
 
@@ -50,6 +52,7 @@
     quorum: float = 1.0
     is_repeatable: bool = True
     deadline_us: int = 1_000_000
+    tries: int = 2
 
     def allows(self, *, service: str) -> bool:
         return service in self.services or service in self.fan_out
@@ -69,6 +72,22 @@
     acked_us: int = 0
     refused_us: int = 0
     ended_us: int = 0
+    tries: list[Try] = field(default_factory=list)
+    lost_us: list[int] = field(default_factory=list)  # when an answer to it was lost
+
+    def all_tries(self) -> list[Try]:
+        """Every call with this order; for one that was noted without them, what its
+        times say."""
+        if self.tries:
+            return self.tries
+        refusal = Answer.CONFLICT if self.is_valid else Answer.INVALID
+        ends = [(self.acked_us, Answer.ACKNOWLEDGED), (self.refused_us, refusal)]
+        out = [
+            Try(sent_us=self.sent_us, done_us=done_us, answer=answer)
+            for done_us, answer in ends
+            if done_us
+        ]
+        return out or [Try(sent_us=self.sent_us, done_us=NEVER_US, answer=Answer.UNCLEAR)]
 
     def route_for(self, *, host: str, target: str) -> RouteSpec | None:
         """The route of the longest prefix that begins the path.
@@ -204,6 +223,7 @@
     revision: int = 0
     body: bytes = b""
     is_last: bool = False
+    sent_us: int = 0  # 0: no time of its own was noted
 
 
 @dataclass(kw_only=True)
@@ -234,6 +254,8 @@
     cuts: list[Cut] = field(default_factory=list)
     outages: list[tuple[int, int]] = field(default_factory=list)
     read_backs: list[ReadBack] = field(default_factory=list)
+    reads: list[ReadBack] = field(default_factory=list)  # every one of the day; 0 for none
+    crashes: dict[str, int] = field(default_factory=dict)  # instance -> when
     traffic_us: int = 0
     end_us: int = 0
     closing_us: int = 0
--- a/proof/platform/rules/answers.py
+++ b/proof/platform/rules/answers.py
@@ -12,8 +12,9 @@
 
 def mixed(day: Day) -> list[Violation]:
     """A success without the seal or the whole body of its backend, an answer of another
-    request, a failure passed off as a success, bytes that are no answer, a gathered
-    answer whose parts, omissions or body are not what they are said to be."""
+    request, a failure passed off as a success or under another status than its backend
+    gave, bytes that are no answer, a gathered answer whose parts, omissions or body are
+    not what they are said to be."""
     out = []
     for request in day.requests:
         why = _wrong(day=day, request=request)
@@ -39,6 +40,8 @@
     if stamp is not None and stamp.attempt != request.attempt:
         return f"an answer sealed for {stamp.attempt}"
     if not request.is_success:
+        if stamp is not None and request.status != stamp.status:
+            return f"a failure sealed by a backend, {request.status} for its {stamp.status}"
         return ""
     if request.part_seals or _is_gathered(day=day, request=request):
         return _wrong_gathered(day=day, request=request)
--- a/proof/platform/rules/register.py
+++ b/proof/platform/rules/register.py
@@ -6,7 +6,7 @@
 
 from proof.check.base import Violation
 from proof.platform.history import Day
-from proof.platform.rules import after, answers, configuration, leaving, runs, tries
+from proof.platform.rules import after, answers, configuration, leaving, operators, runs, tries
 
 RULES: dict[str, Callable[[Day], list[Violation]]] = {
     "MIXED": answers.mixed,
@@ -22,6 +22,8 @@
     "CONFIG slid back": configuration.slid_back,
     "CONFIG undead": configuration.undead,
     "CONFIG lost": configuration.lost,
+    "CONFIG repeat": operators.repeated,
+    "CONFIG order": operators.linearizable,
     "BUDGET": tries.budget,
     "RECOVER": after.recover,
     "ACKS": after.acks,
--- a/proof/platform/rules/tries.py
+++ b/proof/platform/rules/tries.py
@@ -1,4 +1,4 @@
-"""BUDGET: arrivals beyond the first of each request, over all machines."""
+"""BUDGET: arrivals beyond the first of each request, and backends beyond a route's tries."""
 
 from __future__ import annotations
 
@@ -6,11 +6,53 @@
 from collections import defaultdict
 
 from proof.check.base import Violation
-from proof.platform.history import Day
+from proof.platform.history import Arrival, Day, Request
 from proof.platform.rules.orders import Orders
 
+MOST_BEYOND_TRIES = 3
+
 
 def budget(day: Day) -> list[Violation]:
+    """Extra arrivals beyond the budget, or requests that ran on more backends in one try
+    than their route allows."""
+    return _extra_arrivals(day=day) + _beyond_tries(day=day)
+
+
+def _beyond_tries(*, day: Day) -> list[Violation]:
+    """More than three requests run, in one try, on more backends than their route's tries;
+    those that crashed meanwhile don't count. A gathered request has its tries in each
+    service."""
+    orders, arrivals = Orders(day=day), day.arrivals_of()
+    found = [
+        request
+        for request in day.requests
+        if len(arrivals.get(request.attempt, ())) > 1
+        and _is_beyond(day=day, orders=orders, request=request, arrivals=arrivals[request.attempt])
+    ]
+    if len(found) <= MOST_BEYOND_TRIES:
+        return []
+    why = f"{len(found)} requests ran on more backends than their tries, {found[-1].attempt} lately"
+    return [Violation(line="BUDGET", why=why, at_us=found[-1].done_us)]
+
+
+def _is_beyond(*, day: Day, orders: Orders, request: Request, arrivals: list[Arrival]) -> bool:
+    maybe = orders.may_be_in_force(floor=0, until_us=request.done_us)
+    found = (order.route_for(host=request.host, target=request.target) for order in maybe)
+    routes = [route for route in found if route is not None]
+    if not routes:
+        return False
+    most = max(route.tries for route in routes)
+    is_gathered = any(route.fan_out for route in routes)
+    ran: dict[str, set[str]] = defaultdict(set)
+    for arrival in arrivals:
+        crashed_us = day.crashes.get(arrival.instance, 0)
+        is_crashed = arrival.at_us <= crashed_us <= request.done_us
+        if arrival.ran and not is_crashed:
+            ran[arrival.service if is_gathered else ""].add(arrival.instance)
+    return any(len(instances) > most for instances in ran.values())
+
+
+def _extra_arrivals(*, day: Day) -> list[Violation]:
     """In some window a service gets more extra arrivals than the ratio times the requests
     for it, counted in that window, the one before or the one half a window before, plus
     the slack."""
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -9,8 +9,8 @@
 from kelpstage.base import defects
 from kelpstage.base.env.read import CORE_FORM, EDGE_FORM
 from proof.check.register import CHECKERS
+from proof.platform.day import CLOSINGS, TROUBLES
 from proof.platform.rules.register import RULES
-from proof.platform.troubles import CLOSINGS, TROUBLES
 from proof.sim.faults import FAULTS
 
 DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
--- a/tests/test_platform_sim.py
+++ b/tests/test_platform_sim.py
@@ -9,9 +9,8 @@
 from kelpstage.edge.backend.book import Book
 from kelpstage.edge.forward.sealed import SealedCodec
 from kelpstage.edge.rounds.budget import Budget
-from proof.platform.day import Outcome, Plan, as_text, play_day
+from proof.platform.day import CLOSINGS, TROUBLES, Outcome, Plan, as_text, play_day
 from proof.platform.shape import SHAPES
-from proof.platform.troubles import CLOSINGS, TROUBLES
 
 
 def play(
@@ -55,6 +54,26 @@
         outcome = self.clean(troubles=("reshard", "config_race"))
         self.assertTrue(any(order.refused_us for order in outcome.day.orders))
 
+    def test_eight_orders_at_once_whose_answers_are_lost(self):
+        outcome = self.clean(troubles=("ack_lost",))
+        self.assertGreaterEqual(outcome.counts["acked"], 4)
+        repeats = [order for order in outcome.day.orders if len(order.tries) > 2]
+        self.assertGreater(len(repeats), 4)
+
+    def test_two_operators_with_one_number_while_the_core_is_killed(self):
+        outcome = self.clean(deployment="netherlands", troubles=("one_number",))
+        self.assertGreaterEqual(outcome.counts["acked"], 4)
+        self.assertTrue(any(order.refused_us for order in outcome.day.orders))
+
+    def test_two_operators_race_while_a_core_machine_is_cut_off(self):
+        for seed in (1, 2):
+            outcome = self.clean(troubles=("race_in_cut",), seconds=8, seed=seed)
+            self.assertGreaterEqual(outcome.counts["acked"], 3)
+
+    def test_what_was_acknowledged_is_sent_again(self):
+        outcome = self.clean(troubles=("order_repeated",))
+        self.assertGreaterEqual(outcome.counts["acked"], 4)
+
     def test_invalid_configurations_are_refused(self):
         outcome = self.clean(troubles=("config_invalid",))
         self.assertEqual(outcome.counts["acked"], 1)
