--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -399,6 +399,46 @@
             self.assertIn("nothing more is committed", self.problems()[0])
 
 
+class OtherLeavingsTest(unittest.TestCase):
+    def test_two_of_five_leave_at_once(self) -> None:
+        cluster = Cluster(voters=5, learners=2, seed=31)
+        cluster.settle(learners=["f", "g"])
+        leaving = [n for n in cluster.voter_names() if n != cluster.leader()][:2]
+        least = 5
+        for name in leaving:
+            cluster.begin_leave(name)
+        until_us = cluster.now + 2_000_000
+        while cluster.now < until_us:
+            cluster.turn()
+            least = min(least, len(cluster.voter_names()))
+        self.assertEqual(5, least)
+        stayed = set("abcdefg") - set(leaving)
+        self.assertEqual(stayed, set(cluster.voter_names()))
+        self.assertFalse(any(cluster.nodes[name].is_alive for name in leaving))
+        self.assertEqual("", cluster.recovers())
+
+    def test_it_dies_when_the_learner_has_been_raised(self) -> None:
+        cluster = Cluster(voters=3, learners=1, seed=32)
+        cluster.settle(learners=["d"])
+        name = a_follower(cluster)
+        cluster.begin_leave(name)
+        self.assertTrue(cluster.run_until(lambda: len(cluster.voter_names()) == 4, us=1_000_000))
+        cluster.lose(name)
+        self.assertTrue(cluster.run_until(lambda: len(cluster.voter_names()) == 3, us=500_000))
+        self.assertNotIn(name, cluster.voter_names())
+
+    def test_it_is_killed_and_asks_no_more(self) -> None:
+        """A learner is there but has not been raised yet: silence removes the lost one."""
+        cluster = Cluster(voters=3, learners=1, seed=33)
+        cluster.settle(learners=["d"])
+        name = a_follower(cluster)
+        cluster.lose(name)
+        replaced = set("abcd") - {name}
+        self.assertTrue(
+            cluster.run_until(lambda: set(cluster.voter_names()) == replaced, us=3_000_000)
+        )
+
+
 class LeavingWithoutReplacementTest(unittest.TestCase):
     """No learner is there: a leaving voter may go once the others hold all that it has."""
 
