--- a/kelpstage/core/grants/puts.py
+++ b/kelpstage/core/grants/puts.py
@@ -8,10 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 from typing import TYPE_CHECKING, Any
 
-from kelpstage.base.blueprint.check import read_blueprint
 from kelpstage.base.defects import (
     BlueprintRefused,
     Defect,
@@ -27,6 +25,7 @@
 from kelpstage.base.journal import Journal
 from kelpstage.base.ports.types import Ports
 from kelpstage.core.events import PutDecided
+from kelpstage.core.grants.judge import Judge
 from kelpstage.core.grants.ledger import GRANT_SPAN_US
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import (
@@ -48,7 +47,6 @@
 CONFIRM_US = 1_000_000
 PATIENCE_US = 10_000_000
 LOOK_US = 50_000
-JUDGED_KEPT = 8
 CORES_MEET_US = 5_000_000
 
 
@@ -65,7 +63,7 @@
         self._tolerance = tolerance
         self._voters_needed = 2 * tolerance + 1
         self._work: dict[bytes, asyncio.Future] = {}
-        self._judged: dict[bytes, BlueprintRefused | int] = {}
+        self.judge = Judge().judge
 
     async def put(
         self, *, document: bytes, expected: int, put_id: str, wait_us: int, version: int = 0
@@ -75,7 +73,7 @@
         A call that runs out of time gets `Unresolved`, while the work goes on: the same
         put again, under whatever id, waits for the same work or hears what it came to.
         """
-        judged = self._judge(document=document)
+        judged = self.judge(document=document)
         if isinstance(judged, BlueprintRefused):
             return judged
         if judged and version and judged != version:
@@ -100,20 +98,6 @@
             return Unresolved(put_id=put_id, why=outcome.why)
         return outcome
 
-    def _judge(self, *, document: bytes) -> BlueprintRefused | int:
-        """The document's faults, or the version that it names. A repeat is not judged
-        again: a large document takes a while."""
-        mark = hashlib.sha256(document).digest()
-        found = self._judged.get(mark)
-        if found is None:
-            judged = read_blueprint(data=document, version=1)
-            is_refused = isinstance(judged, BlueprintRefused)
-            found = judged if is_refused else judged.stated_version
-            self._judged[mark] = found
-            while len(self._judged) > JUDGED_KEPT:
-                del self._judged[next(iter(self._judged))]
-        return found
-
     async def _see_through(
         self, *, put: PutBlueprint, digest: bytes, wait_us: int
     ) -> PutApplied | Defect:
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -132,9 +132,9 @@
 
 @handle.register
 async def _(message: ProxyOperator, core: Any, source: str) -> ProxyOperatorReply:
-    from kelpstage.core.web.operators import verdict_for_proxy
+    from kelpstage.core.web.operators import answer_as_leader
 
-    return await verdict_for_proxy(core=core, ask=message)
+    return await answer_as_leader(core=core, ask=message)
 
 
 async def proxy_to_leader(*, core: Any, ask: ProxyOperator) -> ProxyOperatorReply | Defect:
--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -16,11 +16,13 @@
     UnknownPut,
     UnknownResource,
     Unresolved,
+    VersionNotAbove,
     WrongMethod,
 )
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from kelpstage.base.wire.http import JSON_TYPE, defect_reply, json_reply
 from kelpstage.base.wire.messages import ProxyOperator, ProxyOperatorReply
+from kelpstage.core.grants.judge import judge_document
 from kelpstage.core.handlers import proxy_to_leader
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import PutApplied
@@ -64,18 +66,32 @@
     ask.wait_us = max(1, wait_us - await _await_leader(core=core, wait_us=wait_us))
     task = core.task
     if task is not None and task.is_leader:
-        return _from_proxy(reply=await verdict_for_proxy(core=core, ask=ask))
+        return _from_proxy(reply=await answer_as_leader(core=core, ask=ask))
     if task is None or not task.leader_address:
         why = core.waits_for or "no leader is known to this core"
-        return defect_reply(defect=NoLeader(why=why))
+        return _refusal_of(core=core, ask=ask) or defect_reply(defect=NoLeader(why=why))
     reply = await proxy_to_leader(core=core, ask=ask)
     if isinstance(reply, ProxyOperatorReply):
         return _from_proxy(reply=reply)
+    refusal = _refusal_of(core=core, ask=ask)
+    if refusal is not None:
+        return refusal
     if ask.method == "PUT":
         return _unresolved(put_id=ask.put_id, why=f"the leader was lost meanwhile: {reply.kind}")
     return defect_reply(defect=NoLeader(why=f"leader not reached: {reply.kind}"))
 
 
+def _refusal_of(*, core: "Core", ask: ProxyOperator) -> HttpReply | None:
+    """The refusal of a document that no leader would take, where none could be asked."""
+    if ask.method != "PUT":
+        return None
+    if core.desk is None:
+        judged = judge_document(document=ask.body)
+    else:
+        judged = core.desk.puts.judge(document=ask.body)
+    return defect_reply(defect=judged) if isinstance(judged, Defect) else None
+
+
 async def _await_leader(*, core: "Core", wait_us: int) -> int:
     """Keep a call for a moment if no leader is known: one is being chosen, and whoever
     called would come back later than it is there. How long it took."""
@@ -142,6 +158,8 @@
         return MissingIfMatch(why="If-Match: the version that this put replaces, 0 for none")
     if not _is_digits(given):
         return BadRequest(part="If-Match", why="a whole version number")
+    if ask.version and ask.version <= int(given):  # whatever version is in force
+        return VersionNotAbove(version=ask.version, current=int(given))
     if not 0 < len(ask.put_id) <= 64 or not ask.put_id.isascii() or "/" in ask.put_id:
         return BadRequest(part="Kelp-Put-Id", why="1 to 64 ASCII characters without a slash")
     if len(ask.body) > DOCUMENT_LIMIT:
@@ -166,9 +184,9 @@
     )
 
 
-async def verdict_for_proxy(*, core: "Core", ask: ProxyOperator) -> ProxyOperatorReply:
+async def answer_as_leader(*, core: "Core", ask: ProxyOperator) -> ProxyOperatorReply:
     """Answer as the leader, or say that this is none."""
-    reply = await _verdict_of(core=core, ask=ask)
+    reply = await _answer(core=core, ask=ask)
     return ProxyOperatorReply(
         status=reply.status,
         body=reply.body,
@@ -179,10 +197,11 @@
     )
 
 
-async def _verdict_of(*, core: "Core", ask: ProxyOperator) -> HttpReply:
+async def _answer(*, core: "Core", ask: ProxyOperator) -> HttpReply:
     task, desk = core.task, core.desk
     if task is None or desk is None or not task.is_leader:
-        return defect_reply(defect=NoLeader(why="this core does not lead"))
+        no_leader = defect_reply(defect=NoLeader(why="this core does not lead"))
+        return _refusal_of(core=core, ask=ask) or no_leader
     if ask.method == "PUT":
         outcome = await desk.puts.put(
             document=ask.body,
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -13,6 +13,7 @@
 from kelpstage.base.defects import Defect
 from kelpstage.base.ports.types import HttpCall
 from kelpstage.core.app import Core
+from kelpstage.core.web.operators import serve_operators
 from proof.sim.loop import VirtualLoop
 from proof.sim.world import SimProcess, World
 
@@ -22,6 +23,8 @@
 class Cores:
     """Some machines with disks, a core on each, an operator outside."""
 
+    serve = staticmethod(serve_operators)
+
     def __init__(self, *, world: World, count: int, tolerance: int, regions: int = 3) -> None:
         self.world = world
         self.tolerance = tolerance
@@ -64,7 +67,7 @@
                 "data": "data",
                 "bounds": {"tolerance": self.tolerance, "is_first_start": is_first},
             }
-            core = Core(ports=process.ports, env=env)
+            core = Core(ports=process.ports, env=env, serve=self.serve)
             assert not isinstance(await core.open(), Defect)
             self.processes[name], self.daemons[name] = process, core
 
@@ -160,9 +163,14 @@
 
 
 def play(
-    story: Callable[[Cores], Awaitable[None]], *, seed: int, count: int, tolerance: int
+    story: Callable[[Any], Awaitable[None]],
+    *,
+    seed: int,
+    count: int,
+    tolerance: int,
+    make: type[Cores] = Cores,
 ) -> None:
-    """Run a story in a world of its own."""
+    """Run a story in a world of its own, on cores that `make` makes."""
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
     loop.set_exception_handler(lambda _, context: None)
@@ -170,7 +178,7 @@
     world.far_us = (8_000, 9_000)
 
     async def tell() -> None:
-        cores = Cores(world=world, count=count, tolerance=tolerance)
+        cores = make(world=world, count=count, tolerance=tolerance)
         try:
             await story(cores)
         finally:
