--- a/proof/model/adapter.py
+++ b/proof/model/adapter.py
@@ -24,7 +24,7 @@
 )
 from kelpstage.core.founding import FOUNDING_INDEX, FOUNDING_TERM
 from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
-from kelpstage.core.grants.puts import as_verdict
+from kelpstage.core.grants.puts import as_result
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.raft.members import read_members, write_members
@@ -203,7 +203,7 @@
     """Would the operator hear that the order was refused for good?"""
     if not is_put_outcome(outcome):
         return False
-    return not isinstance(as_verdict(outcome=outcome, put_id=""), PutApplied)
+    return not isinstance(as_result(outcome=outcome, put_id=""), PutApplied)
 
 
 def refusal_of_base(*, expected: int, version: int, current: int) -> Any:
--- a/tests/test_bad_orders.py
+++ b/tests/test_bad_orders.py
@@ -156,7 +156,10 @@
         order(lambda r: r["RouteTable"][0].update(Rank="high")),
     ),
     "a huge rank": ("RouteTable.0.Rank", order(lambda r: r["RouteTable"][0].update(Rank=10**30))),
-    "a huge count of records": ("RouteTable.0.TopN", order(lambda r: r["RouteTable"][0].update(TopN=10**30))),
+    "a huge count of records": (
+        f"{ROUTE}.TopN",
+        order(lambda r: r["RouteTable"][0].update(TopN=10**30)),
+    ),
     "a quorum of 2": ("quorum", order(lambda r: r["RouteTable"][0].update(Quorum=2))),
     "a variant that is none": (
         f"{ROUTE}.Variant",
@@ -196,7 +199,10 @@
     ),
     # The bench's own, but for those that need the version in force.
     "cut_short": ("", order()[: len(order()) // 2]),
-    "unknown_service": ("fan_out.1", order(lambda r: r["RouteTable"][0].update(FanOut=["s1", "s9"]))),
+    "unknown_service": (
+        "fan_out.1",
+        order(lambda r: r["RouteTable"][0].update(FanOut=["s1", "s9"])),
+    ),
     "unknown_service by share": (
         "nobody",
         order(lambda r: r["RouteTable"][1]["Weighted"][0].update(Service="nobody")),
--- a/tests/test_core_cuts.py
+++ b/tests/test_core_cuts.py
@@ -19,14 +19,14 @@
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from kelpstage.base.wire.messages import ProxyOperator
 from kelpstage.core.app import Core
-from kelpstage.core.grants.puts import Puts, as_verdict
+from kelpstage.core.grants.puts import Puts, as_result
 from kelpstage.core.raft import elections
 from kelpstage.core.raft.state import RaftState
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import PutBlueprint
 from kelpstage.core.web import operators as operators_module
 from kelpstage.core.web.operators import _get_blueprint
-from kelpstage.core.web.operators import _verdict_of as real_verdict_of
+from kelpstage.core.web.operators import _answer as real_answer
 from tests.test_cores import Cores, play
 
 CUT_US = 20_000_000
@@ -335,15 +335,15 @@
 
 async def looked_up_in_memory(self: Puts, *, put: PutBlueprint, digest: bytes) -> Any:
     """Planted fault: an order is judged by what this member happens to know."""
-    outcome = self._task.machine.decided(put_id=put.put_id, digest=digest)
-    return None if outcome is None else as_verdict(outcome=outcome, put_id=put.put_id)
+    outcome = self._task.machine.decided(put_id=put.put_id, digest=digest, expected=put.expected)
+    return None if outcome is None else as_result(outcome=outcome, put_id=put.put_id)
 
 
 async def read_from_memory(*, core: Core, ask: ProxyOperator) -> HttpReply:
     """Planted fault: a member that leads, or thinks so, reads without the read index."""
     if ask.method == "GET" and core.task.is_leader:
         return _get_blueprint(task=core.task)
-    return await real_verdict_of(core=core, ask=ask)
+    return await real_answer(core=core, ask=ask)
 
 
 def campaign_without_pre_vote(state: RaftState) -> None:
@@ -359,7 +359,7 @@
 
     def test_reads_without_the_read_index(self) -> None:
         with (
-            mock.patch.object(operators_module, "_verdict_of", read_from_memory),
+            mock.patch.object(operators_module, "_answer", read_from_memory),
             mock.patch.object(RaftState, "has_quorum_contact", lambda self: True),
         ):
             found = self.violations(story=cut_story(of="leader", cut=both_ways))
