--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -2,8 +2,20 @@
 
 from __future__ import annotations
 
+import asyncio
+import hashlib
+import itertools
+import json
+import random
 import unittest
+from collections import Counter
+from typing import Any
+from unittest import mock
 
+from kelpstage.base.ports.types import HttpCall, HttpReply
+from kelpstage.core import replica_task
+from kelpstage.core.grants.puts import Puts
+from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state import machine as state_machine
 from kelpstage.core.state.machine import (
     RECORDS_KEPT,
@@ -19,6 +31,10 @@
     RefusePut,
     put_digest,
 )
+from proof.check.linearizable import Answer, Read, Try, Write, find_anomalies
+from proof.platform.machines import load
+from tests.test_bad_orders import Site, order
+from tests.test_cores import hurt, play
 
 
 class AppliedRequests(unittest.TestCase):
@@ -89,8 +105,8 @@
             {"base": again.state.version, "version": again.state.version, "text": "not above"},
             {"base": again.state.version, "version": again.state.version + 1, "text": "next"},
         ]
-        for order in orders:
-            self.assertEqual(self.put(self.machine, **order), self.put(again, **order))
+        for one in orders:
+            self.assertEqual(self.put(self.machine, **one), self.put(again, **one))
             self.assertEqual(bytes(self.machine.state), bytes(again.state))
 
     def test_beyond_the_oldest_digest_there_is_no_clear_answer_rather_than_a_refusal(self) -> None:
@@ -141,5 +157,364 @@
         self.assertEqual(PutNotAbove(version=2, current=2), self.put(self.machine, **low))
 
 
+class Ledger:
+    """What the operators of a simulated site sent, read and were answered."""
+
+    def __init__(self) -> None:
+        self.writes: list[Write] = []
+        self.bodies: dict[str, bytes] = {}
+        self.reads: list[Read] = []
+
+    def order(self, *, key: str, base: int, version: int) -> Write:
+        body = order(lambda raw: raw.update(Note=key), revision=version)
+        content = hashlib.sha256(body).hexdigest()
+        write = Write(key=key, base=base, version=version, content=content)
+        self.writes.append(write)
+        self.bodies[key] = body
+        return write
+
+    def acknowledged(self) -> list[Write]:
+        return [write for write in self.writes if write.of(Answer.ACKNOWLEDGED)]
+
+    def anomalies(self) -> list[str]:
+        return [one.why for one in find_anomalies(writes=self.writes, reads=self.reads)]
+
+
+class OrderSite(Site):
+    """A site with operators whose every call is recorded."""
+
+    def __init__(self, **more: Any) -> None:
+        super().__init__(**more)
+        self.ledger = Ledger()
+        self.is_open = True
+        self.lost_share = 0.6
+
+    async def send(self, write: Write, *, member: str, rand: random.Random | None = None) -> Answer:
+        """One call with an order; its answer may be lost on its way."""
+        sent_us = self.world.now_us()
+        reply = await self.replace(
+            member, self.ledger.bodies[write.key], base=str(write.base), wait_us=1_000_000
+        )
+        status = reply.status if isinstance(reply, HttpReply) else 0
+        assert status in (0, 200, 400, 412, 503), reply
+        answer = ANSWERS.get(status, Answer.UNCLEAR)
+        if rand is not None and rand.random() < self.lost_share:
+            answer = Answer.UNCLEAR
+        done_us = self.world.now_us()
+        write.tries.append(Try(sent_us=sent_us, done_us=done_us, answer=answer))
+        return answer
+
+    async def insist(self, write: Write, *, rand: random.Random) -> Answer:
+        """Send an order again and again, to any member, until it has a clear answer."""
+        answer = Answer.UNCLEAR
+        while answer is Answer.UNCLEAR and self.is_open:
+            answer = await self.send(write, member=rand.choice(self.names), rand=rand)
+            await self.sleep(rand.randrange(10_000, 300_000))
+        return answer
+
+    async def read_once(self, *, member: str) -> int | None:
+        sent_us = self.world.now_us()
+        reply = await self.outside.ports.net.fetch(
+            call=HttpCall(
+                method="GET",
+                url=f"http://{self.address(member, 8100)}/api/Config.Read",
+                wait_us=1_000_000,
+            )
+        )
+        if not isinstance(reply, HttpReply) or reply.status not in (200, 404):
+            return None
+        version, content = 0, ""
+        if reply.status == 200:
+            version = json.loads(reply.body)["Revision"]
+            content = hashlib.sha256(reply.body).hexdigest()
+        self.ledger.reads.append(
+            Read(sent_us=sent_us, done_us=self.world.now_us(), version=version, content=content)
+        )
+        return version
+
+    async def operate(self, *, who: str, rand: random.Random, at_once: int, step: int) -> None:
+        """Orders on top of what is read, `at_once` under way together; what was taken is
+        sent again now and then. A `step` makes every operator pick the same number."""
+        turn = 0
+        while self.is_open:
+            base = await self.read_once(member=rand.choice(self.names))
+            if base is None:
+                await self.sleep(100_000)
+                continue
+            turn += 1
+            orders = [
+                self.ledger.order(
+                    key=f"{who}{turn}.{place}",
+                    base=base,
+                    version=base + (step or rand.randrange(1, 9)),
+                )
+                for place in range(at_once)
+            ]
+            await asyncio.gather(*(self.insist(write, rand=rand) for write in orders))
+            known = self.ledger.acknowledged()
+            for write in rand.sample(known, min(2, len(known))):
+                await self.send(write, member=rand.choice(self.names))
+
+
+CONFIGURATION = load(name="configuration")
+ANSWERS = {200: Answer.ACKNOWLEDGED, 412: Answer.CONFLICT, 400: Answer.INVALID}
+
+
+def day(*, seed: int, count: int, at_once: int, step: int, troubles: int = 5) -> OrderSite:
+    """Operators at work while machines of the core suffer what is to be borne."""
+    sites: list[OrderSite] = []
+
+    async def story(site: OrderSite) -> None:
+        sites.append(site)
+        rand = random.Random(f"orders/{seed}")
+        await site.start(is_first=True)
+        await site.wait_for(lambda: len(site.voters()) == 2 * site.tolerance + 1)
+        work = [
+            site.outside.spawn(
+                site.operate(
+                    who=who, rand=random.Random(f"{seed}/{who}"), at_once=at_once, step=step
+                )
+            )
+            for who in ("a", "b")
+        ]
+        for _ in range(troubles):
+            before = len(site.ledger.acknowledged())
+            await site.wait_for(
+                lambda b=before: len(site.ledger.acknowledged()) > b or any(w.done() for w in work),
+                us=30_000_000,
+            )
+            await hurt(site, rand)
+            await site.wait_for(lambda: len(site.voters()) >= 2 * site.tolerance + 1, us=15_000_000)
+        site.is_open = False
+        for one in work:
+            await one
+        site.kill(*rand.sample(site.names, site.tolerance), is_disk=True)
+        site.kill(*site.up(), is_power=True)
+        await site.start()
+        await site.wait_for(lambda: len(site.voters()) >= 2 * site.tolerance + 1)
+        for member in site.names:
+            await site.read_once(member=member)
+        for write in site.ledger.acknowledged():  # superseded or not, everywhere
+            for member in site.names:
+                await site.send(write, member=member)
+
+    play(story, seed=seed, count=count, tolerance=(count - 1) // 2, make=OrderSite)
+    return sites[0]
+
+
+async def _soon(value: Any) -> Any:
+    return value
+
+
+class Days(unittest.TestCase):
+    """Days of trouble by seed: one order of all changes explains every answer."""
+
+    def check(self, **plan: int) -> OrderSite:
+        site = day(**plan)
+        self.assertEqual([], site.ledger.anomalies(), plan)
+        self.assertGreater(len(site.ledger.acknowledged()), 5, "hardly anything was taken")
+        return site
+
+    def test_two_operators_with_one_number(self) -> None:
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                site = self.check(seed=seed, count=3, at_once=1, step=2)
+                numbers = Counter((write.base, write.version) for write in site.ledger.writes)
+                self.assertGreater(max(numbers.values()), 1, "they never met")
+
+    def test_two_operators_with_one_number_over_many_snapshots(self) -> None:
+        with mock.patch.object(replica_task, "SNAPSHOT_ENTRIES", 3):
+            for seed in range(10, 13):
+                with self.subTest(seed=seed):
+                    self.check(seed=seed, count=3, at_once=1, step=2)
+
+    def test_eight_orders_under_way_at_once(self) -> None:
+        for seed in range(20, 23):
+            with self.subTest(seed=seed):
+                site = self.check(seed=seed, count=3, at_once=4, step=0)
+                refused = [write for write in site.ledger.writes if write.is_refused]
+                self.assertGreater(len(refused), 10)
+
+    def found(self, **plan: int) -> str:
+        """What the checker says of a day, over a few seeds."""
+        for seed in range(60, 66):
+            anomalies = day(seed=seed, count=3, at_once=1, step=2, **plan).ledger.anomalies()
+            if anomalies:
+                return anomalies[0]
+        return ""
+
+    def test_records_that_a_restart_forgets_are_noticed(self) -> None:
+        real = Machine.__init__
+
+        def forgetful(machine: Machine, **more: Any) -> None:
+            real(machine, **more)
+            machine.state.puts = []
+            machine._taken, machine._records, machine._superseded = {}, {}, {}
+
+        with (
+            mock.patch.object(Machine, "__init__", forgetful),
+            mock.patch.object(replica_task, "SNAPSHOT_ENTRIES", 3),
+        ):
+            self.assertIn("was taken, and refused", self.found())
+
+    def test_orders_that_are_not_looked_up_are_noticed(self) -> None:
+        with mock.patch.object(Puts, "_look_up", lambda self, **_: _soon(None)):
+            self.assertIn("was taken, and refused", self.found())
+
+    def test_one_number_among_eight_at_five_voters(self) -> None:
+        with self.subTest(seed=40):
+            self.check(seed=40, count=5, at_once=4, step=3, troubles=4)
+
+
+class InFlight(unittest.TestCase):
+    """An order that is in the log when its leader loses the lead."""
+
+    def lead_is_lost(self, *, seed: int) -> tuple[OrderSite, Answer]:
+        """The entry reaches the others, no answer of theirs reaches the leader; what the
+        order's sender is answered, and then everybody."""
+        out: list[Any] = []
+
+        async def story(site: OrderSite) -> None:
+            await site.start(is_first=True)
+            await site.wait_for(lambda: len(site.voters()) == 3)
+            first = site.ledger.order(key="first", base=0, version=3)
+            await site.insist(first, rand=random.Random(seed))
+            leader = site.leader()
+            others = [name for name in site.names if name != leader]
+            log = site.daemons[leader].task.raft.log
+            before = log.last_index
+            sent = site.ledger.order(key="sent", base=3, version=5)
+            rival = site.ledger.order(key="rival", base=3, version=5)
+            call = asyncio.ensure_future(self.patient(site, sent, member=leader))
+            while log.last_index == before:
+                await site.sleep(500)
+            for other in others:
+                site.world.cut(a=other, b=leader, is_one_way=True)
+            answer = await call
+            await site.wait_for(lambda: site.leader() in others)
+            await asyncio.gather(
+                *(
+                    site.insist(write, rand=random.Random(f"{seed}/{place}"))
+                    for place, write in enumerate((rival, sent))
+                )
+            )
+            site.world.heal()
+            await site.wait_for(lambda: len(site.voters()) == 3)
+            for member in site.names:
+                await site.send(sent, member=member)
+                await site.send(rival, member=member)
+                await site.read_once(member=member)
+            out.extend((site, answer))
+
+        play(story, seed=seed, count=3, tolerance=1, make=OrderSite)
+        return out[0], out[1]
+
+    async def patient(self, site: OrderSite, write: Write, *, member: str) -> Answer:
+        """The order by the product's own interface, which can wait for longer."""
+        sent_us = site.world.now_us()
+        document, version = CONFIGURATION.to_document(body=site.ledger.bodies[write.key])
+        reply = await site.outside.ports.net.fetch(
+            call=HttpCall(
+                method="PUT",
+                url=f"http://{site.address(member, 8100)}/v1/blueprint",
+                headers={
+                    "If-Match": str(write.base),
+                    "Kelp-Version": str(version),
+                    "Kelp-Put-Id": write.key,
+                    "Kelp-Time-Left-Us": "8000000",
+                },
+                body=document,
+                wait_us=9_000_000,
+            )
+        )
+        status = reply.status if isinstance(reply, HttpReply) else 0
+        answer = ANSWERS.get(status, Answer.UNCLEAR)
+        write.tries.append(Try(sent_us=sent_us, done_us=site.world.now_us(), answer=answer))
+        return answer
+
+    def test_it_has_no_clear_answer_until_it_is_found_taken(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                site, answer = self.lead_is_lost(seed=seed)
+                self.assertIs(Answer.UNCLEAR, answer)
+                self.assertEqual([], site.ledger.anomalies())
+                _, sent, rival = site.ledger.writes
+                self.assertGreaterEqual(len(sent.of(Answer.ACKNOWLEDGED)), 3)
+                self.assertGreaterEqual(len(rival.of(Answer.CONFLICT)), 3)
+                self.assertFalse(sent.is_refused or rival.of(Answer.ACKNOWLEDGED))
+
+    def test_a_refusal_of_what_may_yet_commit_is_noticed(self) -> None:
+        real = ReplicaTask._take
+
+        def take(self: ReplicaTask, *, event: Any) -> None:
+            real(self, event=event)
+            if self.is_leader:
+                return
+            for token, _ in self._proposals.values():
+                self.waiters.settle(token=token, outcome=PutLost(expected=3, current=4))
+            self._proposals.clear()
+
+        with mock.patch.object(ReplicaTask, "_take", take):
+            found = [self.lead_is_lost(seed=seed)[0].ledger.anomalies() for seed in range(3)]
+        self.assertIn("sent was taken, and refused (another version is current)", sum(found, []))
+
+
+class TwoMembers(unittest.TestCase):
+    """Copies of orders at several members at the same time."""
+
+    def test_one_order_at_every_member_at_once(self) -> None:
+        async def story(site: OrderSite) -> None:
+            await site.start(is_first=True)
+            await site.wait_for(lambda: len(site.voters()) == 3)
+            for turn in range(6):
+                version = turn + 1
+                write = site.ledger.order(key=f"o{turn}", base=turn, version=version)
+                answers = await asyncio.gather(
+                    *(site.send(write, member=member) for member in site.names * 2)
+                )
+                self.assertEqual({Answer.ACKNOWLEDGED}, set(answers))
+            puts = site.daemons[site.leader()].task.machine.state.puts
+            self.assertEqual(6, len(puts), "each was taken once")
+            self.assertEqual([], site.ledger.anomalies())
+
+        play(story, seed=7, count=3, tolerance=1, make=OrderSite)
+
+    def test_two_under_one_number_in_every_order_of_arrival(self) -> None:
+        """Each at one of the members, `gap_us` apart, each repeated everywhere after it."""
+
+        async def story(site: OrderSite) -> None:
+            await site.start(is_first=True)
+            await site.wait_for(lambda: len(site.voters()) == 3)
+            base = 0
+            for gap_us in (-40_000, -9_000, -1_000, 0, 1_000, 9_000, 40_000):
+                for members in itertools.product(site.names, repeat=2):
+                    pair = [
+                        site.ledger.order(key=f"{side}{base}", base=base, version=base + 2)
+                        for side in "ab"
+                    ]
+                    answers = await asyncio.gather(
+                        *(
+                            self.send_later(site, write, member=member, after_us=after_us)
+                            for write, member, after_us in zip(
+                                pair, members, (max(0, -gap_us), max(0, gap_us)), strict=True
+                            )
+                        )
+                    )
+                    self.assertEqual({Answer.ACKNOWLEDGED, Answer.CONFLICT}, set(answers))
+                    for member in site.names:
+                        for write, answer in zip(pair, answers, strict=True):
+                            self.assertIs(answer, await site.send(write, member=member))
+                    base += 2
+            self.assertEqual([], site.ledger.anomalies())
+
+        play(story, seed=8, count=3, tolerance=1, make=OrderSite)
+
+    async def send_later(
+        self, site: OrderSite, write: Write, *, member: str, after_us: int
+    ) -> Answer:
+        await site.sleep(after_us)
+        return await site.send(write, member=member)
+
+
 if __name__ == "__main__":
     unittest.main()
