Recovery: what an edge gave back leaves acknowledged orders known, never refused

Cause: a survivor that was behind an acknowledgement takes the configuration from an edge, which holds no records of orders. Change: the state keeps up to which version orders may have been taken without a record. The order in force is told by its content and acknowledged again; others at or below that version get no clear answer. The same mark serves the records that were dropped as too old, now by the order's own version, so one whose number is above the mark is still refused. Ruled out: records of orders in what edges install (each edge would carry them all).

--- a/kelpstage/core/grants/puts.py
+++ b/kelpstage/core/grants/puts.py
@@ -134,9 +134,7 @@
         defect = await self._task.confirm(wait_us=CONFIRM_US)
         if defect is not None:
             return defect
-        outcome = self._task.machine.decided(
-            put_id=put.put_id, digest=digest, expected=put.expected
-        )
+        outcome = self._task.machine.decided(put=put, digest=digest)
         return None if outcome is None else as_result(outcome=outcome, put_id=put.put_id)
 
     async def _refuse(
--- a/kelpstage/core/salvage.py
+++ b/kelpstage/core/salvage.py
@@ -26,7 +26,7 @@
 )
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.members import read_members
-from kelpstage.core.state.machine import CoreState, Machine
+from kelpstage.core.state.machine import CoreState, Machine, adopt
 from kelpstage.core.store.records import DiskIdentity, DiskSnapshot
 from kelpstage.core.store.store import Recovered, Store
 
@@ -129,9 +129,7 @@
             return SalvageRefused(
                 why=f"the edge at {address} has epoch {epoch} but did not give it"
             )
-        state.version, state.document = doc.version, doc.document
-        state.roster, state.epoch = list(doc.roster), doc.epoch
-        state.old_roster = []
+        adopt(state=state, doc=doc)
         source = f"the edge at {address}"
         known = {name for name, _, _ in told} & set(state.roster)
         if len(known) * 2 <= len(state.roster):  # several joined at once since
--- a/kelpstage/core/state/machine.py
+++ b/kelpstage/core/state/machine.py
@@ -61,6 +61,18 @@
     base_digest: bytes = bp.bytes_field(7)
 
 
+Put = PutBlueprint | PutDelta | RefusePut
+
+
+def version_of(*, put: Put) -> int:
+    """The version that an order would bring.
+
+    >>> [version_of(put=PutBlueprint(expected=4, version=version)) for version in (0, 9)]
+    [5, 9]
+    """
+    return put.version or put.expected + 1
+
+
 @dataclass
 class AddEdge(bp.Message):
     edge: str = bp.string_field(1)
@@ -105,7 +117,7 @@
     old_roster: List[str] = bp.string_field(7)  # before the newest epoch, if it added several
     refused: List[RequestRecord] = bp.message_field(8)  # oldest first
     superseded: bytes = bp.bytes_field(9)  # rows of those taken before `puts`, oldest first
-    forgotten_below: int = bp.uint64_field(10)  # orders on an older base may have been taken
+    forgotten_to: int = bp.uint64_field(10)  # up to this version, others may have been taken
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -249,12 +261,12 @@
 
     def _put(self, *, put: PutBlueprint) -> object:
         digest = put_digest(document=put.document, expected=put.expected, version=put.version)
-        decided = self.decided(put_id=put.put_id, digest=digest, expected=put.expected)
+        decided = self.decided(put=put, digest=digest)
         return self._decide(put=put, digest=digest) if decided is None else decided
 
     def _put_delta(self, *, put: PutDelta) -> object:
         """The whole document is only needed where the put replaces the one in force."""
-        decided = self.decided(put_id=put.put_id, digest=put.digest, expected=put.expected)
+        decided = self.decided(put=put, digest=put.digest)
         if decided is not None:
             return decided
         document: bytes | None = b""
@@ -280,7 +292,7 @@
 
     def _decide(self, *, put: PutBlueprint, digest: bytes) -> object:
         record = self._record_of(put=put, digest=digest)
-        version = put.version or put.expected + 1
+        version = version_of(put=put)
         if put.expected != self.state.version or version <= self.state.version:
             self._keep_refusal(record=record)
         else:
@@ -288,7 +300,7 @@
         return outcome_of(record=record)
 
     def _refuse(self, *, put: RefusePut) -> object:
-        decided = self.decided(put_id=put.put_id, digest=put.digest, expected=put.expected)
+        decided = self.decided(put=put, digest=put.digest)
         if decided is not None:
             return decided
         if put.expected <= self.state.version:
@@ -328,7 +340,7 @@
         while len(state.superseded) > DIGESTS_KEPT * ROW:
             part, version = next(read_rows(rows=state.superseded))
             state.superseded = state.superseded[ROW:]
-            state.forgotten_below = version
+            state.forgotten_to = version
             del self._superseded[part]
 
     def _keep_refusal(self, *, record: RequestRecord) -> None:
@@ -366,22 +378,33 @@
         """The applied-request record of an order, if it is still kept whole."""
         return self._records.get(put_id)
 
-    def decided(self, *, put_id: str, digest: bytes, expected: int) -> object | None:
+    def decided(self, *, put: Put, digest: bytes) -> object | None:
         """What became of an order, if it was decided: of the one under its id, or of one
         with the same content under another id, if that was taken. An order that may have
-        been taken too long ago to tell gets `PutUnclear`."""
-        record = self._records.get(put_id)
+        been taken where no record was kept gets `PutUnclear`."""
+        record = self._records.get(put.put_id)
         if record is not None and record.digest != digest:
             return PutClash()
-        record = self._taken.get(digest) or record or self._too_early.get((put_id, digest))
+        record = self._taken.get(digest) or record or self._too_early.get((put.put_id, digest))
         if record is not None:
             return outcome_of(record=record)
         version = self._superseded.get(digest[:DIGEST_PART])
         if version is not None:
             # Every epoch before the oldest kept whole was settled before that was taken.
             return PutApplied(version=version, epoch=self.state.puts[0].epoch)
-        if expected < self.state.forgotten_below:
-            return PutUnclear(why="its base version is too old to tell")
+        if version_of(put=put) <= self.state.forgotten_to:
+            return self._found_without_record(put=put, digest=digest)
+        return None
+
+    def _found_without_record(self, *, put: Put, digest: bytes) -> object | None:
+        """Only the order in force can be told by its content: what else was taken under
+        its version or a lower one left no trace here."""
+        state = self.state
+        if version_of(put=put) != state.version:
+            return PutUnclear(why="too old to tell whether it was taken")
+        in_force = put_digest(document=state.document, expected=put.expected, version=state.version)
+        if digest == in_force:
+            return PutApplied(version=state.version, epoch=state.epoch)
         return None
 
     def doc(self) -> StateDoc:
@@ -396,6 +419,22 @@
         )
 
 
+def adopt(*, state: CoreState, doc: StateDoc) -> None:
+    """Take over what an edge has installed, which is newer than all that is known here.
+    The orders between left no record, so none of them may be refused from now on.
+
+    >>> state = CoreState(version=3)
+    >>> adopt(state=state, doc=StateDoc(version=9, epoch=4, document=b"{}"))
+    >>> state.version, state.forgotten_to
+    (9, 9)
+    """
+    if doc.version > state.version:
+        state.forgotten_to = doc.version
+    state.version, state.document = doc.version, doc.document
+    state.roster, state.epoch = list(doc.roster), doc.epoch
+    state.old_roster = []
+
+
 def read_rows(*, rows: bytes) -> Iterator[tuple[bytes, int]]:
     """The digest's part and the version of each superseded order, oldest first.
 
--- a/proof/model/adapter.py
+++ b/proof/model/adapter.py
@@ -194,6 +194,12 @@
     return put_digest(document=document, expected=expected, version=version)
 
 
+def decided(*, machine: Machine, order: Any) -> Any:
+    """What became of an order, as far as the state machine's records tell."""
+    put = PutBlueprint(put_id=order.put_id, expected=order.expected, version=order.version)
+    return machine.decided(put=put, digest=order.digest)
+
+
 def is_put_outcome(outcome: Any) -> bool:
     """Was this order decided by the state machine?"""
     return isinstance(outcome, (PutApplied, PutLost, PutNotAbove, PutClash))
--- a/proof/model/sessions.py
+++ b/proof/model/sessions.py
@@ -244,9 +244,7 @@
 
     def _look_up(self, *, node: "Node", token: int, work: Work) -> None:
         order = work.call.order
-        outcome = node.machine.decided(
-            put_id=order.put_id, digest=order.digest, expected=order.expected
-        )
+        outcome = core.decided(machine=node.machine, order=order)
         if outcome is not None:
             self._decided(node=node, token=token, work=work, outcome=outcome)
             return
--- a/tests/test_core_cuts.py
+++ b/tests/test_core_cuts.py
@@ -335,7 +335,7 @@
 
 async def looked_up_in_memory(self: Puts, *, put: PutBlueprint, digest: bytes) -> Any:
     """Planted fault: an order is judged by what this member happens to know."""
-    outcome = self._task.machine.decided(put_id=put.put_id, digest=digest, expected=put.expected)
+    outcome = self._task.machine.decided(put=put, digest=digest)
     return None if outcome is None else as_result(outcome=outcome, put_id=put.put_id)
 
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -32,9 +32,12 @@
     put_digest,
 )
 from proof.check.linearizable import Answer, Read, Try, Write, find_anomalies
+from proof.fleet.deployment import load as fleet_deployment
 from proof.platform.machines import load
+from proof.sim.fleet import SimFleet, run_sim
 from tests.test_bad_orders import Site, order
 from tests.test_cores import hurt, play
+from tests.test_salvage import run_salvage
 
 
 class AppliedRequests(unittest.TestCase):
@@ -113,7 +116,7 @@
         kept, state_machine.DIGESTS_KEPT = state_machine.DIGESTS_KEPT, 40
         self.addCleanup(setattr, state_machine, "DIGESTS_KEPT", kept)
         self.change(times=RECORDS_KEPT + 60)
-        forgotten = self.machine.state.forgotten_below
+        forgotten = self.machine.state.forgotten_to
         self.assertEqual(40, forgotten)
         for machine in (self.machine, self.restored()):
             for base in range(0, machine.state.version, 2):
@@ -516,5 +519,52 @@
         return await site.send(write, member=member)
 
 
+class Recovery(unittest.TestCase):
+    """Orders after a recovery from a survivor that was behind an acknowledgement."""
+
+    def test_what_an_edge_gave_back_is_acknowledged_again_and_what_lies_between_unclear(
+        self,
+    ) -> None:
+        async def story(fleet: SimFleet) -> None:
+            await fleet.bring_up()  # version 1
+            left = next(name for name in fleet.core_address if name != fleet.leader())
+            others = [name for name in fleet.core_address if name != left]
+            orders = {
+                base: {"document": fleet.blueprint(note=f"on {base}"), "put_id": f"on-{base}"}
+                for base in (1, 2, 3, 4)
+            }
+
+            async def send(base: int, *, core: str | None = None, **more: Any) -> dict:
+                order_row = {**orders[base], **more}
+                return await fleet.put(expected=base, core=core, wait_us=2_000_000, **order_row)
+
+            self.assertEqual(200, (await send(1))["status"])
+            fleet.kill_core(name=left)
+            self.assertEqual(200, (await send(2, core=others[0]))["status"])
+            self.assertEqual(200, (await send(3, core=others[0]))["status"])
+            for name in others:
+                fleet.kill_core(name=name, is_disk=True)
+            outcome = await run_salvage(fleet, name=left, edges=list(fleet.edge_own))
+            self.assertEqual(4, outcome.version)
+            seeds = [fleet.core_address[left], "10.9.9.8:1", "10.9.9.9:1"]
+            await fleet.start_core(name=left, seeds=seeds)
+            await fleet.wait_for(what="a leader", is_there=lambda: fleet.leader() == left)
+            for name in fleet.edge_own:
+                await fleet.stop_edge(name=name)
+                await fleet.start_edge(name=name, seeds=seeds[:1])
+            await fleet.sleep(us=4_000_000)
+            known = [await send(base, core=left) for base in (1, 2, 3)]
+            self.assertEqual(
+                ["ok", "unresolved", "ok"], [row["end"] for row in known], "none is refused"
+            )
+            rival = fleet.blueprint(note="rival")
+            late = await send(2, core=left, document=rival, put_id="rival")
+            self.assertEqual("unresolved", late["end"], "it may have been the one taken")
+            late = await send(3, core=left, document=rival, put_id="rival")
+            self.assertEqual("version_mismatch", late["end"], "its version is another's")
+
+        run_sim(seed=1, deployment=fleet_deployment(name="tiny"), story=story)
+
+
 if __name__ == "__main__":
     unittest.main()
