--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -566,5 +566,52 @@
         run_sim(seed=1, deployment=fleet_deployment(name="tiny"), story=story)
 
 
+class NotSettled(unittest.TestCase):
+    """A taken order whose acknowledgement an edge still holds up."""
+
+    def test_sent_again_anywhere_it_waits_for_the_same_outcome(self) -> None:
+        for is_lead_lost in (False, True):
+            with self.subTest(is_lead_lost=is_lead_lost):
+                self.assertGreater(self.answers_before_the_lease_ends(is_lead_lost), 3)
+
+    def answers_before_the_lease_ends(self, is_lead_lost: bool) -> int:
+        """How many unclear answers came first; a refusal or an early 200 fails the test."""
+        counts: list[int] = []
+
+        async def story(fleet: SimFleet) -> None:
+            await fleet.bring_up()
+            edge = fleet.daemons["edge/node-05"]
+            fleet.processes["edge/node-05"].freeze()
+            order_row = {"document": fleet.blueprint(note="two"), "expected": 1, "put_id": "two"}
+            leader, cores = fleet.leader(), list(fleet.core_address)
+            row = await fleet.put(core=leader, wait_us=200_000, **order_row)
+            self.assertEqual("unresolved", row["end"])
+            lease_ends_us = edge.keeper.grant_until_us()
+            if is_lead_lost:
+                fleet.kill_core(name=leader)
+                cores.remove(leader)
+            unclear = 0
+            for turn in range(200):
+                core = cores[turn % len(cores)]
+                rows = await asyncio.gather(
+                    *(fleet.put(core=core, wait_us=200_000, **order_row) for _ in range(2))
+                )
+                for row in rows:
+                    self.assertIn(row["status"], (0, 200, 503), row)
+                if any(row["status"] == 200 for row in rows):
+                    break
+                unclear += 1
+            self.assertEqual(200, rows[0]["status"])
+            self.assertGreaterEqual(fleet.now_us(), lease_ends_us, "an edge may serve the old one")
+            counts.append(unclear)
+            fleet.processes["edge/node-05"].thaw()
+            for core in cores:
+                again = await fleet.put(core=core, **order_row)
+                self.assertEqual(200, again["status"])
+
+        run_sim(seed=2, deployment=fleet_deployment(name="tiny"), story=story)
+        return counts[0]
+
+
 if __name__ == "__main__":
     unittest.main()
