Names: desk becomes lease service, whole: module, class, attributes, docs; one failpoint

Cause: `desk` is a withdrawn word; what it does is to give leases and to settle epochs. Change: `core/grants/desk.py` is `lease_service.py`, `Desk` is `LeaseService`, `core.desk` is `core.lease_service`; the failpoint before an order's 200 is `core.before_put_result`.

--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -1,4 +1,4 @@
-"""A core process: lines, life of the replica, the desk, operator HTTP."""
+"""A core process: lines, life of the replica, the lease service, operator HTTP."""
 
 from __future__ import annotations
 
@@ -33,7 +33,7 @@
     founding_snapshot,
     judge_seeds,
 )
-from kelpstage.core.grants.desk import Desk
+from kelpstage.core.grants.lease_service import LeaseService
 from kelpstage.core.handlers import handle
 from kelpstage.core.raft import types as raft
 from kelpstage.core.replica_task import ReplicaTask
@@ -74,7 +74,7 @@
         self.store = Store(ports=ports)
         self.identity: DiskIdentity | None = None
         self.task: ReplicaTask | None = None
-        self.desk: Desk | None = None
+        self.lease_service: LeaseService | None = None
         self.is_stopping = False
         self.waits_for = "starting"
         self._contacts: dict[str, tuple[int, EdgeContact]] = {}
@@ -152,12 +152,12 @@
             journal=self.journal,
             recovered=recovered,
             own=self.own,
-            on_applied=lambda outcome, index: self.desk and self.desk.applied(),
+            on_applied=lambda outcome, index: self.lease_service and self.lease_service.applied(),
             on_role=self._on_role,
             on_defect=self._on_disk_defect,
             voters=voters_of(env=self.env),
         )
-        self.desk = Desk(
+        self.lease_service = LeaseService(
             ports=self.ports,
             lines=self.lines,
             journal=self.journal,
@@ -167,12 +167,12 @@
         )
         await self._broken.wait()
         self.task.stop()
-        self.task, self.desk = None, None
+        self.task, self.lease_service = None, None
         await self.ports.clock.sleep(us=LOOK_US)
 
     def _on_role(self, role: str) -> None:
-        if role == raft.LEADER and self.desk is not None:
-            self.desk.took_lead()
+        if role == raft.LEADER and self.lease_service is not None:
+            self.lease_service.took_lead()
 
     def _on_disk_defect(self, defect: Defect) -> None:
         self._note_disk(defect=defect)
--- a/kelpstage/core/grants/desk.py
+++ b/kelpstage/core/grants/lease_service.py
@@ -1,4 +1,4 @@
-"""The leader's desk: grants for edges, and the settling of what was committed.
+"""The leader's lease service: leases for edges, and the settling of what was committed.
 
 Epochs change one at a time: a put or a change of the roster is proposed only
 when no edge can serve the epoch before the last any more.
@@ -34,7 +34,7 @@
 ROSTER_WAIT_US = 5_000_000
 
 
-class Desk:
+class LeaseService:
     """Grants, puts and the roster, as the leader keeps them."""
 
     def __init__(
@@ -63,7 +63,9 @@
         self._is_confirming = False
         self._gone: frozenset = frozenset()
         self.ledger = Ledger(since_us=ports.clock.now_us())
-        self.puts = Puts(ports=ports, journal=journal, task=task, desk=self, tolerance=tolerance)
+        self.puts = Puts(
+            ports=ports, journal=journal, task=task, lease_service=self, tolerance=tolerance
+        )
 
     # --- told by the replica's task ---------------------------------------------------
 
--- a/kelpstage/core/grants/puts.py
+++ b/kelpstage/core/grants/puts.py
@@ -44,7 +44,7 @@
 )
 
 if TYPE_CHECKING:
-    from kelpstage.core.grants.desk import Desk
+    from kelpstage.core.grants.lease_service import LeaseService
 
 CONFIRM_US = 1_000_000
 PATIENCE_US = 10_000_000
@@ -53,15 +53,21 @@
 
 
 class Puts:
-    """What the desk does with puts."""
+    """What the lease service does with orders."""
 
     def __init__(
-        self, *, ports: Ports, journal: Journal, task: ReplicaTask, desk: "Desk", tolerance: int
+        self,
+        *,
+        ports: Ports,
+        journal: Journal,
+        task: ReplicaTask,
+        lease_service: "LeaseService",
+        tolerance: int,
     ) -> None:
         self._ports = ports
         self._journal = journal
         self._task = task
-        self._desk = desk
+        self._lease_service = lease_service
         self._tolerance = tolerance
         self._voters_needed = 2 * tolerance + 1
         self._work: dict[bytes, asyncio.Future] = {}
@@ -114,16 +120,18 @@
     ) -> PutApplied | Defect:
         decided = await self._look_up(put=put, digest=digest)
         if decided is None:
-            async with self._desk.change:
+            async with self._lease_service.change:
                 # While this waited its turn, the lead may have been elsewhere.
                 decided = await self._look_up(put=put, digest=digest)
                 if decided is None:
                     decided = await self._propose(put=put, digest=digest, until_us=until_us)
         if isinstance(decided, Defect):
             return decided
-        if not await self._desk.settled(epoch=decided.epoch, wait_us=self._left_us(until_us)):
+        if not await self._lease_service.settled(
+            epoch=decided.epoch, wait_us=self._left_us(until_us)
+        ):
             return Unresolved(put_id=put.put_id, why="in the log; edges not yet known to have it")
-        self._ports.point("core.before_put_verdict")
+        self._ports.point("core.before_put_result")
         return decided
 
     def _left_us(self, until_us: int) -> int:
@@ -169,13 +177,15 @@
             return VersionNotAbove(version=put.version, current=state.version)
         roster = list(state.roster)
         await self._hear_roster(roster=roster, until_us=until_us)
-        ledger, now_us = self._desk.ledger, clock.now_us()
+        ledger, now_us = self._lease_service.ledger, clock.now_us()
         if not ledger.has_majority(roster=roster, now_us=now_us):
             heard = ledger.heard_lately(roster=roster, now_us=now_us)
             return NoEdgeMajority(heard=len(heard), roster=len(roster))
         if not await self._has_voters(until_us=until_us):
             return TooFewCores(voters=self._voters(), needed=self._voters_needed)
-        if not await self._desk.settled(epoch=state.epoch, wait_us=self._left_us(until_us)):
+        if not await self._lease_service.settled(
+            epoch=state.epoch, wait_us=self._left_us(until_us)
+        ):
             return NoLeader(why="the change before this one is not settled yet")
         self._ports.point("core.before_propose")
         command = put_command(put=put, state=self._task.machine.state)
@@ -193,18 +203,18 @@
             )
         if isinstance(result, PutApplied):
             # The next change waits behind this one, within the same order.
-            await self._desk.settled(epoch=result.epoch, wait_us=self._left_us(until_us))
+            await self._lease_service.settled(epoch=result.epoch, wait_us=self._left_us(until_us))
         return result
 
     async def _hear_roster(self, *, roster: list[str], until_us: int) -> None:
         """A leader that was elected a moment ago has not heard its edges yet; give
         them one span before it is said that most are missing."""
         clock = self._ports.clock
-        until_us = min(until_us, self._desk.ledger.since_us + GRANT_SPAN_US)
+        until_us = min(until_us, self._lease_service.ledger.since_us + GRANT_SPAN_US)
         while clock.now_us() < until_us:
-            if self._desk.ledger.has_majority(roster=roster, now_us=clock.now_us()):
+            if self._lease_service.ledger.has_majority(roster=roster, now_us=clock.now_us()):
                 return
-            await self._desk.heard_news(wait_us=LOOK_US)
+            await self._lease_service.heard_news(wait_us=LOOK_US)
 
     def _voters(self) -> int:
         return sum(member.is_voter for member in self._task.raft.members.current)
@@ -225,7 +235,7 @@
     def _is_all_there_is(self) -> bool:
         """Is no other core in sight, while most of those there are hold a put on one disk
         more than may be lost? What was acknowledged is then kept all the same."""
-        led_us = self._ports.clock.now_us() - self._desk.ledger.since_us
+        led_us = self._ports.clock.now_us() - self._lease_service.ledger.since_us
         members = self._task.raft.members.current
         is_alone = led_us > CORES_MEET_US and all(member.is_voter for member in members)
         return is_alone and self._voters() // 2 >= self._tolerance
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -106,11 +106,11 @@
 @handle.register
 async def _(message: Renew, core: Any, source: str) -> GrantReply:
     core.meet(contact=message.contact)
-    task, desk = core.task, core.desk
-    if task is None or desk is None:
+    task, lease_service = core.task, core.lease_service
+    if task is None or lease_service is None:
         return GrantReply(why="this core is not up", partners=core.some_partners())
     if task.is_leader:
-        return await desk.renew(ask=message)
+        return await lease_service.renew(ask=message)
     hint = GrantReply(
         cluster=task.cluster,
         why="no leader known",
--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -85,10 +85,10 @@
     """The refusal of a document that no leader would take, where none could be asked."""
     if ask.method != "PUT":
         return None
-    if core.desk is None:
+    if core.lease_service is None:
         judged = judge_document(document=ask.body)
     else:
-        judged = core.desk.puts.judge(document=ask.body)
+        judged = core.lease_service.puts.judge(document=ask.body)
     return defect_reply(defect=judged) if isinstance(judged, Defect) else None
 
 
@@ -198,12 +198,12 @@
 
 
 async def _answer(*, core: "Core", ask: ProxyOperator) -> HttpReply:
-    task, desk = core.task, core.desk
-    if task is None or desk is None or not task.is_leader:
+    task, lease_service = core.task, core.lease_service
+    if task is None or lease_service is None or not task.is_leader:
         no_leader = defect_reply(defect=NoLeader(why="this core does not lead"))
         return _refusal_of(core=core, ask=ask) or no_leader
     if ask.method == "PUT":
-        outcome = await desk.puts.put(
+        outcome = await lease_service.puts.put(
             document=ask.body,
             expected=int(ask.if_match.strip('"')),
             put_id=ask.put_id,
@@ -213,7 +213,7 @@
         return _put_reply(outcome=outcome, put_id=ask.put_id)
     if ask.method == "DELETE":
         names = unquote(ask.url.removeprefix("/v1/roster/")).split(",")
-        outcome = await desk.remove_edges(edges=names)
+        outcome = await lease_service.remove_edges(edges=names)
         if isinstance(outcome, Defect):
             return defect_reply(defect=outcome)
         return json_reply(body={"epoch": outcome.epoch, "roster": task.machine.state.roster})
@@ -269,12 +269,12 @@
 
 
 def _get_put(*, core: "Core", put_id: str) -> HttpReply:
-    outcome = core.desk.puts.put_state(put_id=put_id)
+    outcome = core.lease_service.puts.put_state(put_id=put_id)
     if outcome is None:
         return defect_reply(defect=UnknownPut(put_id=put_id))
     if isinstance(outcome, Defect):
         return json_reply(body={"put_id": put_id, "state": "refused", "defect": outcome.as_json()})
-    is_settled = core.desk.is_settled(epoch=outcome.epoch)
+    is_settled = core.lease_service.is_settled(epoch=outcome.epoch)
     return json_reply(
         body={
             "put_id": put_id,
@@ -291,7 +291,7 @@
     now_us = core.ports.clock.now_us()
     rows = []
     for edge in state.roster:
-        holder = core.desk.ledger.holder(edge=edge)
+        holder = core.lease_service.ledger.holder(edge=edge)
         is_known = holder is not None and holder.heard_us > 0
         rows.append(
             {
--- a/proof/measure/choices.py
+++ b/proof/measure/choices.py
@@ -269,7 +269,7 @@
                 name=f"{n} s",
                 constants={
                     "kelpstage.core.grants.ledger:GRANT_SPAN_US": n * SECOND,
-                    "kelpstage.core.grants.desk:GRANT_SPAN_US": n * SECOND,
+                    "kelpstage.core.grants.lease_service:GRANT_SPAN_US": n * SECOND,
                 },
             )
             for n in (1, 2, 4)
--- a/proof/sim/points.py
+++ b/proof/sim/points.py
@@ -19,7 +19,7 @@
     10: "core.before_propose",
     11: "core.before_announce",
     12: "core.before_grant",
-    13: "core.before_put_verdict",
+    13: "core.before_put_result",
     14: "edge.before_renew",
     15: "edge.before_install",
     16: "edge.after_install",
--- a/tests/test_bad_orders.py
+++ b/tests/test_bad_orders.py
@@ -520,7 +520,7 @@
     """As much of a core as an order meets that has not come up yet."""
 
     task = None
-    desk = None
+    lease_service = None
     waits_for = "the disk"
 
     class ports:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -336,7 +336,7 @@
                     ledger = Ledger(since_us=0)
                     for name in has_it:
                         ledger.heard(edge=name, incarnation=1, epoch=2, contact=None, now_us=1)
-                    if not all(  # as the desk asks
+                    if not all(  # as the lease service asks
                         ledger.is_settled(epoch=2, roster=names, now_us=late_us)
                         for names in ([roster, old] if old else [roster])
                     ):
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -290,7 +290,7 @@
     def test_who_was_to_hand_the_news_on_is_gone(self) -> None:
         async def story(fleet: HollowFleet) -> None:
             leader = fleet.cores[fleet.leader()]
-            contacts = leader.desk.ledger.contacts(now_us=fleet.world.now_us())
+            contacts = leader.lease_service.ledger.contacts(now_us=fleet.world.now_us())
             firsts = {}
             for contact in contacts:
                 firsts.setdefault(contact.domain, contact.name)
