--- a/tests/test_bad_orders.py
+++ b/tests/test_bad_orders.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import copy
+import hashlib
 import json
 import random
 import unittest
@@ -95,6 +96,8 @@
     "UTF-16": ("", order().decode().encode("utf-16")),
     "more after it": ("", order() + b"{}"),
     "nested without end": ("", NESTED),
+    "oversized": ("", order() + b" " * (5 << 20)),
+    "oversized once it is translated": ("", order(lambda r: r.update(Note="x" * 4_193_500))),
     "a doubled key": ("Revision", doubled("Revision")),
     "a doubled key within": ("DeadlineMs", doubled("DeadlineMs")),
     "NaN": ("NaN", with_number("NaN")),
@@ -251,11 +254,15 @@
             await self.sleep(200_000)
         raise AssertionError(f"never acknowledged: {reply}")
 
-    def states(self) -> set[tuple[int, bytes, int]]:
-        """Version, document and length of what is in force, wherever a replica runs."""
+    def states(self) -> set[tuple[int, str, int]]:
+        """Version, the document's digest and the count of orders taken, wherever a replica
+        runs."""
         tasks = [self.daemons[name].task for name in self.up()]
         states = [task.machine.state for task in tasks if task is not None]
-        return {(state.version, state.document, len(state.puts)) for state in states}
+        return {
+            (state.version, hashlib.sha256(state.document).hexdigest(), len(state.puts))
+            for state in states
+        }
 
 
 def play_site(story: Any) -> None:
