Store: a loss of power at any change of the disk leaves what was promised

Recovery now begins with the newest segment that begins with a base and does not look at older ones; removals go oldest first and their folder is synced. - Setting aside deleted the log first and the identity last. The identity now goes first and is synced; files carry their replica's name, so that what is left behind belongs to nobody. It is written in place now. - A flipped byte in the last record was taken for a torn write.

--- a/kelpstage/base/ports/live.py
+++ b/kelpstage/base/ports/live.py
@@ -233,9 +233,11 @@
     async def append(self, *, path: str, data: bytes, at: int) -> Defect | None:
         def work(full: str) -> None:
             with open(full, "r+b" if os.path.exists(full) else "w+b") as file:
+                # Written over before the rest is cut off: a torn write of the same bytes
+                # then leaves what was synced.
                 file.seek(at)
-                file.truncate()
                 file.write(data)
+                file.truncate()
 
         return await self._off_loop(op="append", path=path, work=work)
 
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -37,7 +37,7 @@
 from kelpstage.core.handlers import handle
 from kelpstage.core.raft import types as raft
 from kelpstage.core.replica_task import ReplicaTask
-from kelpstage.core.store.records import DiskIdentity
+from kelpstage.core.store.records import DiskIdentity, DiskSnapshot
 from kelpstage.core.store.store import Recovered, Store
 from kelpstage.core.web.operators import serve_operators
 
@@ -237,20 +237,17 @@
         return await self._begin(cluster=cluster, members=step.members)
 
     async def _begin(self, *, cluster: str, members: list[CoreMember]) -> Defect | None:
-        """Write the founding snapshot, then the identity that makes it count."""
-        defect = await self.store.keep_snapshot(
-            snapshot=founding_snapshot(cluster=cluster, members=members),
-            tail=[],
-            term=FOUNDING_TERM,
-            vote="",
-        )
-        if defect is not None:
-            return defect
-        return await self._take_cluster(cluster=cluster)
-
-    async def _take_cluster(self, *, cluster: str) -> Defect | None:
+        """Become a member from the founding snapshot on."""
+        snapshot = founding_snapshot(cluster=cluster, members=members)
+        return await self._take_cluster(cluster=cluster, snapshot=snapshot)
+
+    async def _take_cluster(
+        self, *, cluster: str, snapshot: DiskSnapshot | None = None
+    ) -> Defect | None:
+        """Become a member of a cluster, with a snapshot to begin from or without."""
         identity = DiskIdentity(replica=self.identity.replica, cluster=cluster)
-        defect = await self.store.write_identity(identity=identity)
+        term = FOUNDING_TERM if snapshot else 0
+        defect = await self.store.begin_member(identity=identity, snapshot=snapshot, term=term)
         if defect is None:
             self.identity = identity
         return defect
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -335,6 +335,11 @@
         self._on_applied(None, snapshot.index)
         self._disk.inbox.put_nowait(
             KeepThis(
-                snapshot=snapshot, tail=[], term=effect.term, vote=effect.vote, number=effect.number
+                snapshot=snapshot,
+                # what the replica still holds behind it, none if its log began anew
+                tail=self.raft.log.slice(start=snapshot.index + 1, stop=self.raft.log.last_index),
+                term=effect.term,
+                vote=effect.vote,
+                number=effect.number,
             )
         )
--- a/kelpstage/core/salvage.py
+++ b/kelpstage/core/salvage.py
@@ -200,10 +200,8 @@
         state=bytes(state),
         cluster=cluster,
     )
-    defect = await store.keep_snapshot(snapshot=snapshot, tail=[], term=recovered.term + 1, vote="")
-    if defect is not None:
-        return defect
-    defect = await store.write_identity(identity=DiskIdentity(replica=replica, cluster=cluster))
+    identity = DiskIdentity(replica=replica, cluster=cluster)
+    defect = await store.begin_member(identity=identity, snapshot=snapshot, term=recovered.term + 1)
     if defect is not None:
         return defect
     return Salvaged(
--- a/kelpstage/core/store/records.py
+++ b/kelpstage/core/store/records.py
@@ -1,9 +1,13 @@
-"""What stands on the disk: records in segments, snapshots, the identity.
+"""Formats of the files on a core's disk: segments, snapshots, identity, synced mark.
 
-A segment is `KLOG`, a format number, then records. A record is a mark, a
-length, a checksum and one `DiskRecord`. One record holds all that was written
-between two syncs; so a bad record with a good one behind it is damage, and a
-bad record with nothing behind it is the torn end of a write nobody was told of.
+Each file begins with four letters and a format number. Then come sealed records (a
+marker, a length, a checksum, a body): any number in a segment, one in each other file.
+
+A segment's record holds all that was written between two syncs. At most one record, the
+last, can be unsynced, so a bad record with a good one behind it is damage, while one with
+nothing behind it may be a write torn by a loss of power. The synced mark tells these two
+apart: it says how much of the log was synced for certain, and bytes before it that fail
+their check are damage.
 """
 
 from __future__ import annotations
@@ -19,13 +23,27 @@
 from kelpstage.base.wire.messages import CoreMember, LogEntry
 
 FORMAT = 1
-SEGMENT_HEAD = b"KLOG" + struct.pack("!H", FORMAT)
-SNAPSHOT_HEAD = b"KSNP" + struct.pack("!H", FORMAT)
+SEGMENT_MAGIC = b"KLOG"
+SNAPSHOT_MAGIC = b"KSNP"
+IDENTITY_MAGIC = b"KIDN"
+MARK_MAGIC = b"KMRK"
+_FORMAT_NUMBER = struct.Struct("!H")
+_MARK_BODY = struct.Struct("!QQ")
+_VERSION = _FORMAT_NUMBER.pack(FORMAT)
+SEGMENT_HEAD = SEGMENT_MAGIC + _VERSION
+SNAPSHOT_HEAD = SNAPSHOT_MAGIC + _VERSION
+IDENTITY_HEAD = IDENTITY_MAGIC + _VERSION
+MARK_HEAD = MARK_MAGIC + _VERSION
 
 
 @dataclass
 class DiskStep(bp.Message):
-    """One write of the replica's; `cut_from` 0 means none."""
+    """One write of the replica's.
+
+    With `is_base` the log begins anew behind a snapshot at `base_index`, and what earlier
+    steps say no longer counts. Then the log is cut from `cut_from` on (0: it is not),
+    then `entries` are added, then `term` and `vote` are set if `has_vote`.
+    """
 
     cut_from: int = bp.uint64_field(1)
     entries: List[LogEntry] = bp.message_field(2)
@@ -39,11 +57,15 @@
 
 @dataclass
 class DiskRecord(bp.Message):
+    """All steps between two syncs, in order."""
+
     steps: List[DiskStep] = bp.message_field(1)
 
 
 @dataclass
 class DiskSnapshot(bp.Message):
+    """The state machine's state with all entries up to `index` applied."""
+
     index: int = bp.uint64_field(1)
     term: int = bp.uint64_field(2)
     members: List[CoreMember] = bp.message_field(3)
@@ -53,58 +75,126 @@
 
 @dataclass
 class DiskIdentity(bp.Message):
+    """Which replica this folder belongs to; without a cluster it is in none yet."""
+
     replica: str = bp.string_field(1)
     cluster: str = bp.string_field(2)
 
 
+@dataclass(frozen=True, kw_only=True)
+class SyncedMark:
+    """All segments before `segment`, and `size` bytes of it, were synced for certain."""
+
+    segment: int
+    size: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlacedRecord:
+    """A record and the offset in bytes at which it begins."""
+
+    offset: int
+    record: DiskRecord
+
+
+@dataclass(frozen=True, kw_only=True)
+class Segment:
+    """A segment as read: its good records, and the offset at which they end."""
+
+    path: str
+    number: int
+    data: bytes
+    records: list[PlacedRecord]
+    end: int
+
+    @property
+    def begins_with_base(self) -> bool:
+        """Does it make all older segments needless?"""
+        steps = self.records[0].record.steps if self.records else []
+        return bool(steps) and steps[0].is_base
+
+
 def other_format(*, path: str, data: bytes, magic: bytes) -> FormatMismatch | None:
     """Is this a file of ours in a format that this version does not read?
 
     >>> other_format(path="p", data=b"KLOG" + struct.pack("!H", 9), magic=b"KLOG").why
     'format 9, this version reads 1'
     """
-    if not data.startswith(magic) or len(data) < len(magic) + 2:
+    if not data.startswith(magic) or len(data) < len(magic) + _FORMAT_NUMBER.size:
         return None
-    [theirs] = struct.unpack_from("!H", data, len(magic))
+    [theirs] = _FORMAT_NUMBER.unpack_from(data, len(magic))
     if theirs == FORMAT:
         return None
     return FormatMismatch(path=path, ours=FORMAT, theirs=theirs)
 
 
 def read_segment(
-    *, path: str, data: bytes, is_last: bool
-) -> tuple[list[tuple[int, DiskRecord]], int] | LogDamaged | FormatMismatch:
-    """The records of a segment with their offsets, and where its good part ends.
+    *, path: str, number: int, data: bytes, is_last: bool, synced: int = 0
+) -> Segment | LogDamaged | FormatMismatch:
+    """Read a segment's records.
+
+    `synced` bytes of it were synced for certain. Only the last segment may end in a
+    record that was being written, and only behind those.
 
-    >>> data = SEGMENT_HEAD + seal(body=bytes(DiskRecord())) + b"torn"
-    >>> records, end = read_segment(path="p", data=data, is_last=True)
-    >>> len(records), end == len(data) - 4
+    >>> data = SEGMENT_HEAD + seal(body=bytes(DiskRecord(steps=[DiskStep()]))) + b"torn"
+    >>> segment = read_segment(path="p", number=1, data=data, is_last=True)
+    >>> len(segment.records), segment.end == len(data) - 4
     (1, True)
-    >>> read_segment(path="p", data=data, is_last=False).offset == len(data) - 4
+    >>> read_segment(path="p", number=1, data=data, is_last=False).offset == len(data) - 4
     True
+    >>> read_segment(path="p", number=1, data=data, is_last=True, synced=len(data)).why
+    'a record that was synced fails its check'
     """
-    other = other_format(path=path, data=data, magic=b"KLOG")
-    if other is not None:
-        return other
-    if not data.startswith(SEGMENT_HEAD):
-        if is_last and SEGMENT_HEAD.startswith(data):
-            return [], 0
-        return LogDamaged(path=path, offset=0, why="not a segment of this format")
+    records: list[PlacedRecord] = []
+    end = 0
+    if data.startswith(SEGMENT_HEAD):
+        outcome = _read_records(path=path, data=data)
+        if isinstance(outcome, LogDamaged):
+            return outcome
+        records, end = outcome.records, outcome.end
+    is_whole = end == len(data) and end > 0
+    if not is_whole and (not is_last or end < synced or has_sealed(data=data, start=end)):
+        other = other_format(path=path, data=data, magic=SEGMENT_MAGIC)
+        return other or LogDamaged(path=path, offset=end, why=_why_bad(end=end, synced=synced))
+    if end < synced:
+        return LogDamaged(path=path, offset=end, why="synced records are missing")
+    return Segment(path=path, number=number, data=data, records=records, end=end)
+
+
+def _why_bad(*, end: int, synced: int) -> str:
+    if not end:
+        return "not a segment of this format"
+    if end < synced:
+        return "a record that was synced fails its check"
+    return "a record fails its check"
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Records:
+    records: list[PlacedRecord]
+    end: int
+
+
+def _read_records(*, path: str, data: bytes) -> _Records | LogDamaged:
+    """The good records from a segment's beginning on."""
     offset = len(SEGMENT_HEAD)
-    records: list[tuple[int, DiskRecord]] = []
-    while offset < len(data):
-        found = unseal(data=data, offset=offset)
-        if found is None:
-            if not is_last or has_sealed(data=data, start=offset + 1):
-                return LogDamaged(path=path, offset=offset, why="a record fails its check")
-            return records, offset
+    records: list[PlacedRecord] = []
+    while (found := unseal(data=data, offset=offset)) is not None:
         body, behind = found
-        try:
-            records.append((offset, DiskRecord().parse(body)))
-        except Exception as error:  # a checksum that holds over bytes that do not parse
-            return LogDamaged(path=path, offset=offset, why=f"unreadable: {type(error).__name__}")
+        record = _parse(body=body, kind=DiskRecord)
+        if record is None:
+            return LogDamaged(path=path, offset=offset, why="a record is unreadable")
+        records.append(PlacedRecord(offset=offset, record=record))
         offset = behind
-    return records, offset
+    return _Records(records=records, end=offset)
+
+
+def _parse(*, body: bytes, kind: type) -> DiskRecord | DiskSnapshot | DiskIdentity | None:
+    """A message, or `None` where the checksum holds over bytes that do not parse."""
+    try:
+        return kind().parse(body)
+    except Exception:
+        return None
 
 
 def write_snapshot(*, snapshot: DiskSnapshot) -> bytes:
@@ -122,15 +212,64 @@
     >>> read_snapshot(path="p", data=b"junk").kind
     'log_damaged'
     """
-    other = other_format(path=path, data=data, magic=b"KSNP")
+    return _read_one(path=path, data=data, magic=SNAPSHOT_MAGIC, kind=DiskSnapshot)
+
+
+def write_identity(*, identity: DiskIdentity) -> bytes:
+    """An identity as its file.
+
+    >>> read_identity(path="p", data=write_identity(identity=DiskIdentity(replica="a"))).replica
+    'a'
+    """
+    return IDENTITY_HEAD + seal(body=bytes(identity))
+
+
+def read_identity(*, path: str, data: bytes) -> DiskIdentity | LogDamaged | FormatMismatch:
+    """The reverse of `write_identity`.
+
+    >>> read_identity(path="p", data=b"").why
+    'it fails its check'
+    """
+    return _read_one(path=path, data=data, magic=IDENTITY_MAGIC, kind=DiskIdentity)
+
+
+def _read_one(
+    *, path: str, data: bytes, magic: bytes, kind: type
+) -> DiskSnapshot | DiskIdentity | LogDamaged | FormatMismatch:
+    """The single record of a file."""
+    other = other_format(path=path, data=data, magic=magic)
     if other is not None:
         return other
-    if not data.startswith(SNAPSHOT_HEAD):
-        return LogDamaged(path=path, offset=0, why="not a snapshot of this format")
-    found = unseal(data=data, offset=len(SNAPSHOT_HEAD))
+    damage = LogDamaged(path=path, offset=0, why="it fails its check")
+    if not data.startswith(magic + _VERSION):
+        return damage
+    found = unseal(data=data, offset=len(magic + _VERSION))
     if found is None or found[1] != len(data):
-        return LogDamaged(path=path, offset=len(SNAPSHOT_HEAD), why="fails its check")
-    try:
-        return DiskSnapshot().parse(found[0])
-    except Exception as error:
-        return LogDamaged(path=path, offset=0, why=f"unreadable: {type(error).__name__}")
+        return damage
+    return _parse(body=found[0], kind=kind) or damage
+
+
+def write_mark(*, mark: SyncedMark) -> bytes:
+    """A synced mark as its file, always of one size, so that it is replaced in place.
+
+    >>> len(write_mark(mark=SyncedMark(segment=1, size=6)))
+    34
+    """
+    return MARK_HEAD + seal(body=_MARK_BODY.pack(mark.segment, mark.size))
+
+
+def read_mark(*, data: bytes) -> SyncedMark | None:
+    """The reverse; `None` for a mark that a loss of power tore, which says nothing.
+
+    >>> read_mark(data=write_mark(mark=SyncedMark(segment=1, size=6)))
+    SyncedMark(segment=1, size=6)
+    >>> read_mark(data=b"torn") is None
+    True
+    """
+    if not data.startswith(MARK_HEAD):
+        return None
+    found = unseal(data=data, offset=len(MARK_HEAD))
+    if found is None or len(found[0]) != _MARK_BODY.size:
+        return None
+    segment, size = _MARK_BODY.unpack(found[0])
+    return SyncedMark(segment=segment, size=size)
--- /dev/null
+++ b/kelpstage/core/store/recovery.py
@@ -0,0 +1,155 @@
+"""What a replica finds on its disk: from segments and a snapshot to its state.
+
+Nothing here reads a file. The log counts from the newest segment on that begins with a
+base; older ones are leftovers, of which a loss of power may have kept any.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from kelpstage.base.defects import LogDamaged
+from kelpstage.base.wire.messages import LogEntry
+from kelpstage.core.raft.log import MemoryLog
+from kelpstage.core.store.layout import LOG_FOLDER, SNAPSHOT_FOLDER
+from kelpstage.core.store.records import (
+    DiskIdentity,
+    DiskSnapshot,
+    DiskStep,
+    Segment,
+    SyncedMark,
+)
+
+FIRST_SEGMENT = 1
+
+
+@dataclass(kw_only=True)
+class Recovered:
+    """What a replica finds on its disk."""
+
+    identity: DiskIdentity
+    term: int = 0
+    vote: str = ""
+    log: MemoryLog = field(default_factory=lambda: MemoryLog(base_index=0, base_term=0))
+    snapshot: DiskSnapshot | None = None
+
+
+@dataclass(kw_only=True)
+class _Replay:
+    """Term, vote and log as the steps taken so far leave them."""
+
+    term: int = 0
+    vote: str = ""
+    base_index: int = 0
+    base_term: int = 0
+    entries: list[LogEntry] = field(default_factory=list)
+
+    def take(self, *, step: DiskStep) -> bool:
+        """Follow one step; false when it does not fit what came before."""
+        if step.is_base:
+            self.base_index, self.base_term = step.base_index, step.base_term
+            self.entries = []
+        if step.cut_from:
+            del self.entries[max(0, step.cut_from - self.base_index - 1) :]
+        for entry in step.entries:
+            if entry.index != self.base_index + len(self.entries) + 1:
+                return False
+            self.entries.append(entry)
+        if step.has_vote:
+            self.term, self.vote = step.term, step.vote
+        return True
+
+
+def rebuild(
+    *,
+    identity: DiskIdentity,
+    segments: list[Segment],
+    snapshot: DiskSnapshot | None,
+    mark: SyncedMark | None,
+) -> Recovered | LogDamaged:
+    """A replica's state from the segments that count, oldest first, and its newest snapshot.
+
+    >>> rebuild(identity=DiskIdentity(replica="a"), segments=[], snapshot=None, mark=None).term
+    0
+    >>> rebuild(identity=DiskIdentity(replica="a"), segments=[],
+    ...     snapshot=DiskSnapshot(index=4), mark=None).why
+    'there is no log beside the snapshot'
+    """
+    damage = _missing(segments=segments, snapshot=snapshot, mark=mark)
+    if damage is not None:
+        return damage
+    replay = _Replay()
+    for segment in segments:
+        for placed in segment.records:
+            if not all(replay.take(step=step) for step in placed.record.steps):
+                return LogDamaged(
+                    path=segment.path, offset=placed.offset, why="entries out of order"
+                )
+    return _join(identity=identity, replay=replay, snapshot=snapshot)
+
+
+def is_based(*, segments: list[Segment], index: int) -> bool:
+    """Does the log on disk begin behind this index? It does not where a snapshot was kept
+    and the segment behind it was not begun any more: entries behind the snapshot would
+    then follow on ones that they do not fit.
+
+    >>> is_based(segments=[], index=0), is_based(segments=[], index=4)
+    (True, False)
+    """
+    if not segments or not segments[0].begins_with_base:
+        return index == 0
+    return segments[0].records[0].record.steps[0].base_index == index
+
+
+def base_of(*, recovered: Recovered) -> DiskStep:
+    """The step that begins a segment with all that a replica has.
+
+    >>> base_of(recovered=Recovered(identity=DiskIdentity(replica="a"), term=3)).term
+    3
+    """
+    return DiskStep(
+        is_base=True,
+        base_index=recovered.log.base_index,
+        base_term=recovered.log.base_term,
+        entries=list(recovered.log.entries),
+        has_vote=True,
+        term=recovered.term,
+        vote=recovered.vote,
+    )
+
+
+def _missing(
+    *, segments: list[Segment], snapshot: DiskSnapshot | None, mark: SyncedMark | None
+) -> LogDamaged | None:
+    """Is a segment gone that must be there?"""
+    numbers = [segment.number for segment in segments]
+    why = ""
+    if mark is not None and mark.segment > max(numbers, default=0):
+        why = f"segment {mark.segment} is missing"
+    elif segments and not segments[0].begins_with_base and numbers[0] != FIRST_SEGMENT:
+        why = "the beginning of the log is missing"
+    elif segments and numbers != list(range(numbers[0], numbers[0] + len(numbers))):
+        why = "a segment is missing"
+    elif snapshot is not None and not any(segment.records for segment in segments):
+        why = "there is no log beside the snapshot"
+    return LogDamaged(path=LOG_FOLDER, offset=0, why=why) if why else None
+
+
+def _join(
+    *, identity: DiskIdentity, replay: _Replay, snapshot: DiskSnapshot | None
+) -> Recovered | LogDamaged:
+    """Put the log behind the snapshot, which may be newer than the log's base."""
+    base = snapshot.index if snapshot else 0
+    if replay.base_index > base:
+        return LogDamaged(path=SNAPSHOT_FOLDER, offset=0, why="the log's snapshot is not here")
+    log = MemoryLog(
+        base_index=replay.base_index, base_term=replay.base_term, entries=replay.entries
+    )
+    if snapshot is not None:
+        if log.term_at(index=base) == snapshot.term:
+            log.compact(index=base)
+        else:
+            log = MemoryLog(base_index=base, base_term=snapshot.term)
+    return Recovered(
+        identity=identity, term=replay.term, vote=replay.vote, log=log, snapshot=snapshot
+    )
--- a/kelpstage/core/store/store.py
+++ b/kelpstage/core/store/store.py
@@ -1,243 +1,312 @@
 """The data folder: a log in segments, snapshots beside it, one identity.
 
-Every verb returns a defect or its result. Nothing here is told of as done
-before file and folder are synced.
+Every method gives a typed error or its result. Nothing is reported as done before file
+and folder are synced. What each order of syncs is for: docs/notes/control/disk.md.
 """
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
 from kelpstage.base.defects import Defect, LogDamaged
-from kelpstage.base.log.seal import seal, unseal
+from kelpstage.base.log.seal import seal
 from kelpstage.base.ports.types import Disk, Ports
 from kelpstage.base.wire.messages import LogEntry
-from kelpstage.core.raft.log import MemoryLog
+from kelpstage.core.store.layout import (
+    IDENTITY_PATH,
+    LOG_FOLDER,
+    ROOT,
+    SNAPSHOT_FOLDER,
+    UNFINISHED_SUFFIX,
+    FileName,
+    mark_path,
+    parse_name,
+    segment_path,
+    snapshot_path,
+)
 from kelpstage.core.store.records import (
     SEGMENT_HEAD,
     DiskIdentity,
     DiskRecord,
     DiskSnapshot,
     DiskStep,
+    Segment,
+    SyncedMark,
+    read_identity,
+    read_mark,
     read_segment,
     read_snapshot,
+    write_identity,
+    write_mark,
     write_snapshot,
 )
+from kelpstage.core.store.recovery import Recovered, base_of, is_based, rebuild
 
-SEGMENT_LIMIT = 1024 * 1024
-
-
-@dataclass(kw_only=True)
-class Recovered:
-    """What a replica finds on its disk."""
-
-    identity: DiskIdentity
-    term: int = 0
-    vote: str = ""
-    log: MemoryLog = field(default_factory=lambda: MemoryLog(base_index=0, base_term=0))
-    snapshot: DiskSnapshot | None = None
-
-
-@dataclass(kw_only=True)
-class _Replay:
-    term: int = 0
-    vote: str = ""
-    base_index: int = 0
-    base_term: int = 0
-    entries: list[LogEntry] = field(default_factory=list)
-
-    def take(self, *, step: DiskStep) -> bool:
-        """Follow one step; false when it does not fit what came before."""
-        if step.is_base:
-            self.base_index, self.base_term = step.base_index, step.base_term
-            self.entries = []
-        if step.cut_from:
-            del self.entries[max(0, step.cut_from - self.base_index - 1) :]
-        for entry in step.entries:
-            if entry.index != self.base_index + len(self.entries) + 1:
-                return False
-            self.entries.append(entry)
-        if step.has_vote:
-            self.term, self.vote = step.term, step.vote
-        return True
+SEGMENT_BYTES = 1024 * 1024
+OWNED_FOLDERS = (LOG_FOLDER, SNAPSHOT_FOLDER)
 
 
 class Store:
-    """One replica's disk."""
+    """One replica's disk.
+
+    `read_identity` comes first, then `begin_member` for a replica without a cluster or
+    `recover` for one that has it, then the writes, one at a time. After a write that
+    failed only `recover` or `set_aside` may follow.
+    """
 
-    def __init__(self, *, ports: Ports) -> None:
+    def __init__(self, *, ports: Ports, segment_bytes: int = SEGMENT_BYTES) -> None:
+        """A segment that would grow beyond `segment_bytes` is followed by a new one."""
         self._disk: Disk = ports.disk
         self._point = ports.point
+        self._segment_bytes = segment_bytes
+        self._replica = ""
         self._segment = 0
         self._size = 0
-        self._snapshots: list[str] = []
 
     # --- identity ------------------------------------------------------------------
 
     async def read_identity(self) -> DiskIdentity | None | Defect:
-        for folder in ("", "log", "snapshots"):  # looking into a folder makes it
+        """Whose folder this is; `None` in an empty one."""
+        for folder in OWNED_FOLDERS:  # looking into a folder makes it
             names = await self._disk.names(folder=folder)
             if isinstance(names, Defect):
                 return names
-        defect = await self._disk.sync_folder(folder="")
+        defect = await self._drop_unfinished_identity()
         if defect is not None:
             return defect
-        data = await self._disk.read(path="identity")
+        defect = await self._disk.sync_folder(folder=ROOT)
+        if defect is not None:
+            return defect
+        data = await self._disk.read(path=IDENTITY_PATH)
         if data is None or isinstance(data, Defect):
             return data
-        found = unseal(data=data, offset=0)
-        if found is None:
-            return LogDamaged(path="identity", offset=0, why="fails its check")
-        return DiskIdentity().parse(found[0])
+        return read_identity(path=IDENTITY_PATH, data=data)
 
     async def write_identity(self, *, identity: DiskIdentity) -> Defect | None:
-        return await self._put_file(path="identity", folder="", data=seal(body=bytes(identity)))
+        """Make this the folder of a replica, at once and for good."""
+        data = write_identity(identity=identity)
+        return await self._replace_file(path=IDENTITY_PATH, folder=ROOT, data=data)
 
-    async def _put_file(self, *, path: str, folder: str, data: bytes) -> Defect | None:
-        """Write beside, sync, rename, sync the folder."""
-        for work in (
-            lambda: self._disk.write(path=path + ".new", data=data),
-            lambda: self._disk.sync(path=path + ".new"),
-            lambda: self._disk.rename(path=path + ".new", to=path),
-            lambda: self._disk.sync_folder(folder=folder),
-        ):
-            self._point("file.before_step")
-            outcome = await work()
-            if outcome is not None:
-                return outcome
-        self._point("file.after_rename_sync")
-        return None
+    async def begin_member(
+        self, *, identity: DiskIdentity, snapshot: DiskSnapshot | None = None, term: int = 0
+    ) -> Defect | None:
+        """Become a member of a cluster, with nothing or with a snapshot to begin from.
+
+        The identity, which makes it count, is written after everything else. Cut off
+        before that, the folder is as it was; what an earlier attempt left is dropped.
+        """
+        self._replica = identity.replica
+        self._segment, self._size = 0, 0
+        defect = await self._drop(
+            is_needless=lambda name: self._is_own(name) or name.endswith(UNFINISHED_SUFFIX)
+        )
+        if defect is None and snapshot is not None:
+            defect = await self.keep_snapshot(snapshot=snapshot, tail=[], term=term, vote="")
+        if defect is None:
+            defect = await self.write_identity(identity=identity)
+        if defect is None:
+            defect = await self._drop(is_needless=lambda name: not self._is_own(name))
+        return defect
+
+    async def set_aside(self) -> Defect | None:
+        """Forget a damaged replica; the next `read_identity` finds an empty folder.
+
+        The identity goes first and for good. Cut off before that, the whole replica is
+        still there; after it, its files belong to no replica and are never read again.
+        """
+        names = await self._disk.names(folder=ROOT)
+        if isinstance(names, Defect):
+            return names
+        if IDENTITY_PATH in names:
+            defect = await self._disk.delete(path=IDENTITY_PATH)
+            if defect is not None:
+                return defect
+        defect = await self._disk.sync_folder(folder=ROOT)
+        if defect is not None:
+            return defect
+        self._replica = ""
+        self._segment, self._size = 0, 0
+        return await self._drop(is_needless=lambda name: True)
 
     # --- recovery ----------------------------------------------------------------------
 
     async def recover(self, *, identity: DiskIdentity) -> Recovered | Defect:
-        """Read snapshots and segments; cut a torn tail; refuse damage."""
-        snapshot = await self._newest_snapshot()
+        """Read the newest snapshot and the log behind it; cut a torn end; refuse damage."""
+        self._replica = identity.replica
+        self._segment, self._size = 0, 0
+        snapshot = await self._newest_snapshot(cluster=identity.cluster)
         if isinstance(snapshot, Defect):
             return snapshot
-        names = await self._disk.names(folder="log")
-        if isinstance(names, Defect):
-            return names
-        segments = [name for name in names if name.endswith(".seg")]
-        replay = _Replay()
-        self._segment, self._size = 0, 0
-        for place, name in enumerate(segments):
-            outcome = await self._replay_segment(
-                name=name, is_last=place == len(segments) - 1, replay=replay
-            )
-            if isinstance(outcome, Defect):
-                return outcome
-        return self._settle(identity=identity, replay=replay, snapshot=snapshot)
+        mark = await self._read_mark()
+        if isinstance(mark, Defect):
+            return mark
+        segments = await self._segments_that_count(mark=mark)
+        if isinstance(segments, Defect):
+            return segments
+        recovered = rebuild(identity=identity, segments=segments, snapshot=snapshot, mark=mark)
+        if isinstance(recovered, Defect):
+            return recovered
+        defect = await self._settle(segments=segments, recovered=recovered, mark=mark)
+        return defect or recovered
 
-    async def _newest_snapshot(self) -> DiskSnapshot | None | Defect:
-        names = await self._disk.names(folder="snapshots")
-        if isinstance(names, Defect):
-            return names
-        self._snapshots = [name for name in names if name.endswith(".cap")]
-        if not self._snapshots:
+    async def _newest_snapshot(self, *, cluster: str) -> DiskSnapshot | None | Defect:
+        indexes = await self._numbers(folder=SNAPSHOT_FOLDER)
+        if isinstance(indexes, Defect):
+            return indexes
+        if not indexes:
             return None
-        path = f"snapshots/{self._snapshots[-1]}"
+        path = snapshot_path(replica=self._replica, index=indexes[-1])
         data = await self._disk.read(path=path)
         if isinstance(data, Defect):
             return data
-        return read_snapshot(path=path, data=data or b"")
+        snapshot = read_snapshot(path=path, data=data or b"")
+        if isinstance(snapshot, Defect):
+            return snapshot
+        if snapshot.index != indexes[-1] or snapshot.cluster != cluster:
+            return LogDamaged(path=path, offset=0, why="a snapshot of something else")
+        return snapshot
 
-    async def _replay_segment(self, *, name: str, is_last: bool, replay: _Replay) -> Defect | None:
-        path = f"log/{name}"
-        data = await self._disk.read(path=path)
+    async def _read_mark(self) -> SyncedMark | None | Defect:
+        data = await self._disk.read(path=mark_path(replica=self._replica))
         if isinstance(data, Defect):
             return data
-        outcome = read_segment(path=path, data=data or b"", is_last=is_last)
-        if isinstance(outcome, Defect):
-            return outcome
-        records, end = outcome
-        for offset, record in records:
-            for step in record.steps:
-                if not replay.take(step=step):
-                    return LogDamaged(path=path, offset=offset, why="entries out of order")
-        self._segment = int(name.split(".")[0])
-        self._size = end
-        if not is_last:
-            return None
-        # The last record may be in the page cache only: write it again and sync
-        # before anybody is told that it is there.
-        start = records[-1][0] if records else 0
-        tail = (data or b"")[start:end] if records else SEGMENT_HEAD
-        self._size = start + len(tail)
-        return await self._write_at(path=path, at=start, data=tail)
+        return read_mark(data=data or b"")
 
-    async def _write_at(self, *, path: str, at: int, data: bytes) -> Defect | None:
-        outcome = await self._disk.append(path=path, data=data, at=at)
-        if outcome is not None:
-            return outcome
-        self._point("log.before_sync")
-        outcome = await self._disk.sync(path=path)
-        if outcome is not None:
-            return outcome
-        self._point("log.after_sync")
-        return await self._disk.sync_folder(folder="log")
-
-    def _settle(
-        self, *, identity: DiskIdentity, replay: _Replay, snapshot: DiskSnapshot | None
-    ) -> Recovered | Defect:
-        base = snapshot.index if snapshot else 0
-        if replay.base_index > base:
-            return LogDamaged(path="snapshots", offset=0, why="the log's snapshot is not here")
-        log = MemoryLog(
-            base_index=replay.base_index, base_term=replay.base_term, entries=replay.entries
-        )
-        if snapshot is not None:
-            if log.term_at(index=base) == snapshot.term:
-                log.compact(index=base)
-            else:
-                log = MemoryLog(base_index=base, base_term=snapshot.term)
-        return Recovered(
-            identity=identity, term=replay.term, vote=replay.vote, log=log, snapshot=snapshot
-        )
+    async def _segments_that_count(self, *, mark: SyncedMark | None) -> list[Segment] | Defect:
+        """From the newest one that begins with a base on; all if none does."""
+        numbers = await self._numbers(folder=LOG_FOLDER)
+        if isinstance(numbers, Defect):
+            return numbers
+        segments: list[Segment] = []
+        for number in reversed(numbers):
+            path = segment_path(replica=self._replica, number=number)
+            data = await self._disk.read(path=path)
+            if isinstance(data, Defect):
+                return data
+            segment = read_segment(
+                path=path,
+                number=number,
+                data=data or b"",
+                is_last=number == numbers[-1],
+                synced=mark.size if mark and mark.segment == number else 0,
+            )
+            if isinstance(segment, Defect):
+                return segment
+            segments.insert(0, segment)
+            if segment.begins_with_base:
+                break
+        return segments
+
+    async def _settle(
+        self, *, segments: list[Segment], recovered: Recovered, mark: SyncedMark | None
+    ) -> Defect | None:
+        """Make what was read last, then drop what it makes needless.
+
+        What was read may have been in the cache only: a process that was killed leaves
+        writes and names there that no sync has covered.
+        """
+        log = recovered.log
+        base = segments[0].number if segments else 0
+        if segments:
+            defect = await self._settle_end(segment=segments[-1], mark=mark)
+            if defect is not None:
+                return defect
+        for folder in OWNED_FOLDERS:
+            defect = await self._disk.sync_folder(folder=folder)
+            if defect is not None:
+                return defect
+        if not is_based(segments=segments, index=log.base_index):
+            defect = await self._begin_segment(base=base_of(recovered=recovered))
+            if defect is not None:
+                return defect
+            base = self._segment
+        defect = await self._drop_before(segment=base, index=log.base_index)
+        if defect is None:
+            defect = await self._drop(is_needless=lambda name: not self._is_own(name))
+        if defect is None:
+            await self.mark_synced()
+        return defect
+
+    async def _settle_end(self, *, segment: Segment, mark: SyncedMark | None) -> Defect | None:
+        """Cut off a torn end, and write the last record again unless it is marked as synced.
+
+        It is written in place, over the same bytes, and not cut off before: torn by a
+        loss of power that leaves what was there. (A sync that failed may leave a record
+        readable that is not on the disk; another sync alone would not write it.)
+        """
+        self._segment = segment.number
+        is_marked = mark == SyncedMark(segment=segment.number, size=segment.end)
+        start = segment.records[-1].offset if segment.records else 0
+        tail = segment.data[start : segment.end] if segment.records else SEGMENT_HEAD
+        if is_marked:
+            start, tail = segment.end, b""
+        self._size = start + len(tail)
+        if is_marked and self._size == len(segment.data):
+            return None
+        return await self._write_synced(path=segment.path, at=start, data=tail, is_new=True)
 
     # --- writing -----------------------------------------------------------------------------
 
     async def append(self, *, steps: list[DiskStep]) -> Defect | None:
         """Write one record and sync it."""
         data = seal(body=bytes(DiskRecord(steps=steps)))
-        if self._segment == 0 or self._size + len(data) > SEGMENT_LIMIT and self._size > 4096:
+        is_full = self._size + len(data) > self._segment_bytes and self._size > len(SEGMENT_HEAD)
+        if self._segment == 0 or is_full:
             self._segment += 1
             self._size = 0
-            data = SEGMENT_HEAD + data
-        self._point("log.before_append")
-        path = f"log/{self._segment:08d}.seg"
         is_new = self._size == 0
-        outcome = await self._disk.append(path=path, data=data, at=self._size)
-        if outcome is not None:
-            return outcome
+        self._point("log.before_append")
+        defect = await self._write_synced(
+            path=segment_path(replica=self._replica, number=self._segment),
+            at=self._size,
+            data=SEGMENT_HEAD + data if is_new else data,
+            is_new=is_new,
+        )
+        if defect is None:
+            self._point("log.after_sync")
+            self._size += len(data) + (len(SEGMENT_HEAD) if is_new else 0)
+        return defect
+
+    async def _write_synced(
+        self, *, path: str, at: int, data: bytes, is_new: bool
+    ) -> Defect | None:
+        """Write at an offset, end the file behind it and sync both, the name too if new."""
+        defect = await self._disk.append(path=path, data=data, at=at)
+        if defect is not None:
+            return defect
         self._point("log.before_sync")
-        outcome = await self._disk.sync(path=path)
-        if outcome is None and is_new:
-            outcome = await self._disk.sync_folder(folder="log")
-        if outcome is not None:
-            return outcome
-        self._point("log.after_sync")
-        self._size += len(data)
-        return None
+        defect = await self._disk.sync(path=path)
+        if defect is None and is_new:
+            defect = await self._disk.sync_folder(folder=LOG_FOLDER)
+        return defect
+
+    async def mark_synced(self) -> None:
+        """Note how much of the log is synced, so that damage before it is told from a torn
+        write. The mark is not synced itself: an older one, or none, says less, not wrong."""
+        if self._segment == 0:
+            return
+        mark = SyncedMark(segment=self._segment, size=self._size)
+        path = mark_path(replica=self._replica)
+        await self._disk.append(path=path, data=write_mark(mark=mark), at=0)
 
     async def keep_snapshot(
         self, *, snapshot: DiskSnapshot, tail: list[LogEntry], term: int, vote: str
     ) -> Defect | None:
-        """Write a snapshot, begin a segment behind it, drop what came before."""
-        name = f"{snapshot.index:020d}.cap"
+        """Write a snapshot, begin a segment behind it, drop what came before.
+
+        `tail` are the entries behind the snapshot that the log still holds: the new
+        segment begins with them, since the older ones go.
+        """
         self._point("snapshot.before_write")
-        names = await self._disk.names(folder="snapshots")
-        if isinstance(names, Defect):
-            return names
-        outcome = await self._put_file(
-            path=f"snapshots/{name}", folder="snapshots", data=write_snapshot(snapshot=snapshot)
+        defect = await self._replace_file(
+            path=snapshot_path(replica=self._replica, index=snapshot.index),
+            folder=SNAPSHOT_FOLDER,
+            data=write_snapshot(snapshot=snapshot),
         )
-        if outcome is not None:
-            return outcome
+        if defect is not None:
+            return defect
         self._point("snapshot.after_write")
-        old_segment = self._segment
-        self._segment, self._size = old_segment + 1, len(SEGMENT_HEAD)
-        step = DiskStep(
+        base = DiskStep(
             is_base=True,
             base_index=snapshot.index,
             base_term=snapshot.term,
@@ -246,42 +315,86 @@
             term=term,
             vote=vote,
         )
-        data = SEGMENT_HEAD + seal(body=bytes(DiskRecord(steps=[step])))
-        outcome = await self._write_at(path=f"log/{self._segment:08d}.seg", at=0, data=data)
-        if outcome is not None:
-            return outcome
-        self._size = len(data)
+        defect = await self._begin_segment(base=base)
+        if defect is not None:
+            return defect
         self._point("snapshot.before_drop")
-        return await self._drop_before(segment=self._segment, snapshot=name)
+        return await self._drop_before(segment=self._segment, index=snapshot.index)
 
-    async def _drop_before(self, *, segment: int, snapshot: str) -> Defect | None:
-        names = await self._disk.names(folder="log")
-        if isinstance(names, Defect):
-            return names
-        old = [f"log/{n}" for n in names if n.endswith(".seg") and int(n.split(".")[0]) < segment]
-        names = await self._disk.names(folder="snapshots")
-        if isinstance(names, Defect):
-            return names
-        old += [f"snapshots/{n}" for n in names if n != snapshot]
-        for path in old:
-            outcome = await self._disk.delete(path=path)
-            if outcome is not None:
-                return outcome
+    async def _begin_segment(self, *, base: DiskStep) -> Defect | None:
+        """A new segment whose first record makes all older ones needless."""
+        self._segment += 1
+        data = SEGMENT_HEAD + seal(body=bytes(DiskRecord(steps=[base])))
+        path = segment_path(replica=self._replica, number=self._segment)
+        defect = await self._write_synced(path=path, at=0, data=data, is_new=True)
+        if defect is None:
+            self._size = len(data)
+        return defect
+
+    async def _replace_file(self, *, path: str, folder: str, data: bytes) -> Defect | None:
+        """Write beside, sync, rename, sync the folder."""
+        beside = path + UNFINISHED_SUFFIX
+        for work in (
+            lambda: self._disk.write(path=beside, data=data),
+            lambda: self._disk.sync(path=beside),
+            lambda: self._disk.rename(path=beside, to=path),
+            lambda: self._disk.sync_folder(folder=folder),
+        ):
+            self._point("file.before_step")
+            defect = await work()
+            if defect is not None:
+                return defect
+        self._point("file.after_rename_sync")
         return None
 
-    async def set_aside(self) -> Defect | None:
-        """Forget a damaged replica: its files no longer count."""
-        for folder in ("log", "snapshots"):
+    # --- dropping ------------------------------------------------------------------------
+
+    async def _drop_before(self, *, segment: int, index: int) -> Defect | None:
+        """Drop segments and snapshots that newer ones, synced, have made needless."""
+
+        def is_older(name: str) -> bool:
+            parts = parse_name(name=name)
+            if parts is None or parts.replica != self._replica:
+                return False
+            return parts.number < (segment if parts.is_segment else index)
+
+        return await self._drop(is_needless=is_older)
+
+    async def _drop(self, *, is_needless: Callable[[str], bool]) -> Defect | None:
+        """Delete files of log and snapshots, oldest first, and sync their folders."""
+        for folder in OWNED_FOLDERS:
             names = await self._disk.names(folder=folder)
             if isinstance(names, Defect):
                 return names
-            for name in names:
-                outcome = await self._disk.delete(path=f"{folder}/{name}")
-                if outcome is not None:
-                    return outcome
-        if await self._disk.read(path="identity") is not None:
-            outcome = await self._disk.delete(path="identity")
-            if outcome is not None:
-                return outcome
-        self._segment, self._size = 0, 0
-        return await self._disk.sync_folder(folder="")
+            needless = [name for name in names if is_needless(name)]
+            for name in needless:
+                defect = await self._disk.delete(path=f"{folder}/{name}")
+                if defect is not None:
+                    return defect
+            defect = await self._disk.sync_folder(folder=folder) if needless else None
+            if defect is not None:
+                return defect
+        return None
+
+    async def _drop_unfinished_identity(self) -> Defect | None:
+        """Delete what a broken-off write left beside, before its name is used again."""
+        beside = IDENTITY_PATH + UNFINISHED_SUFFIX
+        names = await self._disk.names(folder=ROOT)
+        if isinstance(names, Defect):
+            return names
+        return await self._disk.delete(path=beside) if beside in names else None
+
+    def _is_own(self, name: str) -> bool:
+        """Does a name in log or snapshots belong to this replica?"""
+        parts: FileName | None = parse_name(name=name)
+        if parts is not None:
+            return parts.replica == self._replica
+        return f"{LOG_FOLDER}/{name}" == mark_path(replica=self._replica)
+
+    async def _numbers(self, *, folder: str) -> list[int] | Defect:
+        """The numbers of this replica's files in a folder, ascending."""
+        names = await self._disk.names(folder=folder)
+        if isinstance(names, Defect):
+            return names
+        found = [parse_name(name=name) for name in names]
+        return sorted(parts.number for parts in found if parts and parts.replica == self._replica)
--- a/kelpstage/core/store/task.py
+++ b/kelpstage/core/store/task.py
@@ -52,6 +52,7 @@
             if isinstance(outcome, Defect):
                 self._on_defect(outcome)
                 return
+            await self._store.mark_synced()
 
     @singledispatchmethod
     async def _write(self, item: Any) -> Defect | None:
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -80,7 +80,7 @@
             store = await self.fresh()
             for index in (1, 2, 3):
                 await store.append(steps=[DiskStep(entries=[entry(index)])])
-            file = self.platter.files["log/00000001.seg"]
+            file = self.platter.files["log/r-00000001.seg"]
             middle = len(file.data) // 2
             file.data = file.data[:middle] + b"\x00" + file.data[middle + 1 :]
             found = await self.reopened()
@@ -98,7 +98,7 @@
             )
             found = await self.reopened()
             self.assertEqual((2, 3, "v"), (found.log.base_index, found.term, found.vote))
-            name = next(p for p in self.platter.files if p.endswith(".cap"))
+            name = next(p for p in self.platter.files if p.endswith(".snap"))
             self.platter.files[name].data = self.platter.files[name].data[:-1]
             self.assertIsInstance(await self.reopened(), LogDamaged)
             self.platter.files["identity"].data = b"junk"
@@ -110,7 +110,7 @@
         async def story() -> None:
             store = await self.fresh()
             await store.append(steps=[DiskStep(entries=[entry(1)])])
-            file = self.platter.files["log/00000001.seg"]
+            file = self.platter.files["log/r-00000001.seg"]
             file.data = b"KLOG\x00\x07" + file.data[6:]
             found = await self.reopened()
             self.assertEqual(("format_mismatch", 7), (found.kind, found.theirs))
