--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -279,7 +279,7 @@
         for address in sorted(known - {self.own}):
             self.lines.send(address=address, message=JoinCore(cluster=task.cluster, member=member))
 
-    # --- edges heard of ------------------------------------------------------------------------
+    # --- edges heard of -----------------------------------------------------------------------
 
     def meet(self, *, contact: EdgeContact) -> None:
         if not contact.name:
@@ -301,7 +301,7 @@
     def core_addresses(self) -> list[str]:
         return [m.address for m in self.task.raft.members.current] if self.task else []
 
-    # --- end ---------------------------------------------------------------------------------------
+    # --- end ----------------------------------------------------------------------------------
 
     async def stop(self) -> None:
         """Planned stop: leadership is handed on first."""
@@ -310,7 +310,7 @@
         for _ in range(20):
             if task is None or not task.is_leader:
                 break
-            task.inbox.put_nowait(raft.HandOver())
+            task.inbox.put_nowait(raft.TransferLeadership())
             await self.ports.clock.sleep(us=100_000)
         self.server.close()
         if self._http_listener is not None:
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -13,12 +13,13 @@
 
 from kelpstage.base.defects import Defect, NoLeader, Unresolved
 from kelpstage.base.journal import Journal
+from kelpstage.base.log.ring import logger
 from kelpstage.base.ports.types import Ports
 from kelpstage.base.wire import frames
 from kelpstage.base.wire.chunks import cut_chunk, fetch_chunks
 from kelpstage.base.wire.lines import Lines
-from kelpstage.base.wire.messages import Append, Chunk, CoreMember, FetchSnapshot
-from kelpstage.core.events import MembersChanged, RoleTaken, SnapshotKept
+from kelpstage.base.wire.messages import AppendEntries, Chunk, CoreMember, FetchSnapshot
+from kelpstage.core.events import MarginNoted, MembersChanged, RoleTaken, SnapshotKept
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.members import read_members
 from kelpstage.core.raft.replica import Replica
@@ -33,6 +34,7 @@
 SNAPSHOT_BYTES = 4 * 1024 * 1024
 LARGE_BYTES = 64 * 1024
 LOST = "leadership was lost before the commit"
+log = logger(name="replica")
 
 
 class ReplicaTask:
@@ -134,7 +136,7 @@
     async def confirm(self, *, wait_us: int) -> NoLeader | None:
         """Is this the leader now, and is all that was acknowledged applied here?"""
         token, future = self.waiters.open()
-        self.inbox.put_nowait(raft.AskRead(token=token))
+        self.inbox.put_nowait(raft.ReadIndex(token=token))
         outcome = await self._ports.clock.within(future, us=wait_us)
         self.waiters.drop(token=token)
         if outcome is True:
@@ -142,7 +144,7 @@
         return outcome or NoLeader(why="no majority of cores confirmed the leader in time")
 
     def heard(self, *, message: Any) -> None:
-        self.inbox.put_nowait(raft.Heard(message=message))
+        self.inbox.put_nowait(raft.Received(message=message))
 
     # --- the task ------------------------------------------------------------------------
 
@@ -182,7 +184,7 @@
     def _dispatch(self, *, send: raft.Send) -> None:
         lane = frames.CONTROL
         if (
-            isinstance(send.message, Append)
+            isinstance(send.message, AppendEntries)
             and sum(len(entry.data) for entry in send.message.entries) > LARGE_BYTES
         ):
             lane = frames.BULK
@@ -247,11 +249,20 @@
         self._journal.add(RoleTaken(role=effect.role, term=effect.term))
         self._on_role(effect.role)
 
+    @_perform.register
+    def _(self, effect: raft.MarginChanged) -> None:
+        if effect.losses_borne < effect.losses_wanted:
+            text = "the voters in reach bear the loss of {} more, {} are wanted"
+            log.warning(text, max(0, effect.losses_borne), effect.losses_wanted)
+        self._journal.add(
+            MarginNoted(losses_borne=effect.losses_borne, losses_wanted=effect.losses_wanted)
+        )
+
     @_perform.register
     def _(self, effect: raft.Removed) -> None:
         self._on_role("removed")
 
-    # --- snapshots -----------------------------------------------------------------------------
+    # --- snapshots ----------------------------------------------------------------------------
 
     def _consider_snapshot(self) -> None:
         if self._is_capturing:
@@ -311,7 +322,7 @@
             ),
         )
         self._fetching = 0
-        if data is None or offer.index <= self.raft.commit:
+        if data is None or offer.index <= self.raft.commit_index:
             return
         snapshot = DiskSnapshot().parse(data)
         self._fetched = snapshot
@@ -321,7 +332,8 @@
                 term=snapshot.term,
                 members=list(snapshot.members),
                 leader=offer.leader,
-                beat=offer.beat,
+                leader_term=offer.leader_term,
+                heartbeat=offer.heartbeat,
             )
         )
 
@@ -336,8 +348,7 @@
         self._disk.inbox.put_nowait(
             KeepThis(
                 snapshot=snapshot,
-                # what the replica still holds behind it, none if its log began anew
-                tail=self.raft.log.slice(start=snapshot.index + 1, stop=self.raft.log.last_index),
+                tail=effect.tail,
                 term=effect.term,
                 vote=effect.vote,
                 number=effect.number,
--- a/kelpstage/core/store/store.py
+++ b/kelpstage/core/store/store.py
@@ -84,6 +84,7 @@
 
     async def write_identity(self, *, identity: DiskIdentity) -> Defect | None:
         """Make this the folder of a replica, at once and for good."""
+        self._replica = identity.replica
         data = write_identity(identity=identity)
         return await self._replace_file(path=IDENTITY_PATH, folder=ROOT, data=data)
 
--- a/tests/test_store_power_loss.py
+++ b/tests/test_store_power_loss.py
@@ -12,7 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, replace
 
-from kelpstage.base.defects import Defect, DiskDefect, FormatMismatch, LogDamaged
+from kelpstage.base.defects import Defect, DiskDefect
 from kelpstage.base.wire.messages import LogEntry
 from kelpstage.core.store.records import DiskIdentity, DiskSnapshot, DiskStep
 from kelpstage.core.store.store import Store
