Store: each flipped byte and cut-off length is noticed; segments name the one before

Cause: a segment that was not the last could lose whole records at its end, a vote for one, without notice, since nothing said how long it had been. Its successor's first record now names its size. A segment that a loss of power left without a record is begun anew with all that the replica has, in its own place, so that a full disk does not gain an empty file at each try.

--- a/kelpstage/core/store/records.py
+++ b/kelpstage/core/store/records.py
@@ -57,9 +57,14 @@
 
 @dataclass
 class DiskRecord(bp.Message):
-    """All steps between two syncs, in order."""
+    """All steps between two syncs, in order.
+
+    The first record of a segment that goes on from the one before names that one's size,
+    so that records missing at its end are noticed.
+    """
 
     steps: List[DiskStep] = bp.message_field(1)
+    previous_size: int = bp.uint64_field(2)
 
 
 @dataclass
--- a/kelpstage/core/store/recovery.py
+++ b/kelpstage/core/store/recovery.py
@@ -75,7 +75,8 @@
     ...     snapshot=DiskSnapshot(index=4), mark=None).why
     'there is no log beside the snapshot'
     """
-    damage = _missing(segments=segments, snapshot=snapshot, mark=mark)
+    damage = _cut_short(segments=segments)
+    damage = damage or _missing(segments=segments, snapshot=snapshot, mark=mark)
     if damage is not None:
         return damage
     replay = _Replay()
@@ -88,17 +89,22 @@
     return _join(identity=identity, replay=replay, snapshot=snapshot)
 
 
-def is_based(*, segments: list[Segment], index: int) -> bool:
-    """Does the log on disk begin behind this index? It does not where a snapshot was kept
-    and the segment behind it was not begun any more: entries behind the snapshot would
-    then follow on ones that they do not fit.
+def is_to_begin_anew(*, segments: list[Segment], index: int) -> bool:
+    """Is a new segment to be begun, with all that a log behind this index has?
 
-    >>> is_based(segments=[], index=0), is_based(segments=[], index=4)
-    (True, False)
+    So it is where the last one was not begun any more, and where the log on disk has
+    another base: a snapshot was kept, but not the segment behind it. Entries behind the
+    snapshot would then follow on ones that they do not fit.
+
+    >>> is_to_begin_anew(segments=[], index=0), is_to_begin_anew(segments=[], index=4)
+    (False, True)
     """
-    if not segments or not segments[0].begins_with_base:
-        return index == 0
-    return segments[0].records[0].record.steps[0].base_index == index
+    if not segments:
+        return index > 0
+    if not segments[-1].records:
+        return True
+    first = segments[0].records[0].record.steps[0] if segments[0].begins_with_base else DiskStep()
+    return first.base_index != index
 
 
 def base_of(*, recovered: Recovered) -> DiskStep:
@@ -135,6 +141,14 @@
     return LogDamaged(path=LOG_FOLDER, offset=0, why=why) if why else None
 
 
+def _cut_short(*, segments: list[Segment]) -> LogDamaged | None:
+    """Are records missing at the end of a segment that another one goes on from?"""
+    for before, after in zip(segments, segments[1:], strict=False):
+        if after.records and after.records[0].record.previous_size != before.end:
+            return LogDamaged(path=before.path, offset=before.end, why="records are missing")
+    return None
+
+
 def _join(
     *, identity: DiskIdentity, replay: _Replay, snapshot: DiskSnapshot | None
 ) -> Recovered | LogDamaged:
--- a/kelpstage/core/store/store.py
+++ b/kelpstage/core/store/store.py
@@ -40,7 +40,7 @@
     write_mark,
     write_snapshot,
 )
-from kelpstage.core.store.recovery import Recovered, base_of, is_based, rebuild
+from kelpstage.core.store.recovery import Recovered, base_of, is_to_begin_anew, rebuild
 
 SEGMENT_BYTES = 1024 * 1024
 OWNED_FOLDERS = (LOG_FOLDER, SNAPSHOT_FOLDER)
@@ -206,9 +206,9 @@
         What was read may have been in the cache only: a process that was killed leaves
         writes and names there that no sync has covered.
         """
-        log = recovered.log
-        base = segments[0].number if segments else 0
-        if segments:
+        base_index = recovered.log.base_index
+        is_anew = is_to_begin_anew(segments=segments, index=base_index)
+        if segments and not is_anew:
             defect = await self._settle_end(segment=segments[-1], mark=mark)
             if defect is not None:
                 return defect
@@ -216,12 +216,15 @@
             defect = await self._disk.sync_folder(folder=folder)
             if defect is not None:
                 return defect
-        if not is_based(segments=segments, index=log.base_index):
+        if is_anew:
+            # In place of a last one that holds nothing; else each try would add another.
+            last = segments[-1] if segments else None
+            self._segment = 0 if last is None else last.number - (not last.records)
             defect = await self._begin_segment(base=base_of(recovered=recovered))
             if defect is not None:
                 return defect
-            base = self._segment
-        defect = await self._drop_before(segment=base, index=log.base_index)
+        base = self._segment if is_anew or not segments else segments[0].number
+        defect = await self._drop_before(segment=base, index=base_index)
         if defect is None:
             defect = await self._drop(is_needless=lambda name: not self._is_own(name))
         if defect is None:
@@ -235,37 +238,36 @@
         loss of power that leaves what was there. (A sync that failed may leave a record
         readable that is not on the disk; another sync alone would not write it.)
         """
-        self._segment = segment.number
+        self._segment, self._size = segment.number, segment.end
         is_marked = mark == SyncedMark(segment=segment.number, size=segment.end)
-        start = segment.records[-1].offset if segment.records else 0
-        tail = segment.data[start : segment.end] if segment.records else SEGMENT_HEAD
-        if is_marked:
-            start, tail = segment.end, b""
-        self._size = start + len(tail)
-        if is_marked and self._size == len(segment.data):
+        if is_marked and segment.end == len(segment.data):
             return None
+        start = segment.end if is_marked else segment.records[-1].offset
+        tail = segment.data[start : segment.end]
         return await self._write_synced(path=segment.path, at=start, data=tail, is_new=True)
 
     # --- writing -----------------------------------------------------------------------------
 
     async def append(self, *, steps: list[DiskStep]) -> Defect | None:
         """Write one record and sync it."""
-        data = seal(body=bytes(DiskRecord(steps=steps)))
-        is_full = self._size + len(data) > self._segment_bytes and self._size > len(SEGMENT_HEAD)
-        if self._segment == 0 or is_full:
+        record = DiskRecord(steps=steps)
+        data = seal(body=bytes(record))
+        is_new = self._segment == 0 or self._size + len(data) > self._segment_bytes
+        if is_new:
+            record.previous_size = self._size
+            data = SEGMENT_HEAD + seal(body=bytes(record))
             self._segment += 1
             self._size = 0
-        is_new = self._size == 0
         self._point("log.before_append")
         defect = await self._write_synced(
             path=segment_path(replica=self._replica, number=self._segment),
             at=self._size,
-            data=SEGMENT_HEAD + data if is_new else data,
+            data=data,
             is_new=is_new,
         )
         if defect is None:
             self._point("log.after_sync")
-            self._size += len(data) + (len(SEGMENT_HEAD) if is_new else 0)
+            self._size += len(data)
         return defect
 
     async def _write_synced(
--- a/tests/power_loss.py
+++ b/tests/power_loss.py
@@ -73,14 +73,24 @@
         self.platter = platter
         self.ports.disk = SimDisk(clock=self.clock, platter=platter, rand=random.Random(1))
 
-    def run_until(self, *, step: int, work: Coroutine[Any, Any, Any]) -> tuple[bool, Any]:
-        """Run until so many single changes of the disk are made; was that the end?"""
-        left = [step]
+    def run_until(
+        self,
+        *,
+        step: int,
+        work: Coroutine[Any, Any, Any],
+        faults: dict[int, Callable[[], None]] | None = None,
+    ) -> tuple[bool, Any]:
+        """Run until so many single changes of the disk are made, with faults before some
+        of them; was that the end, and what came out?"""
+        made = [0]
 
         def count(name: str) -> None:
-            if left[0] == 0:
+            fault = (faults or {}).get(made[0])
+            if fault is not None:
+                fault()
+            if made[0] == step:
                 raise PowerLost(name)
-            left[0] -= 1
+            made[0] += 1
 
         self.platter.on_step = count
         try:
--- a/tests/test_store_power_loss.py
+++ b/tests/test_store_power_loss.py
@@ -8,21 +8,29 @@
 
 from __future__ import annotations
 
+import random
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass, replace
+from functools import partial
+from typing import Any
 
-from kelpstage.base.defects import Defect, DiskDefect
+from kelpstage.base.defects import Defect, DiskDefect, FormatMismatch, LogDamaged
+from kelpstage.base.log.seal import MARK
 from kelpstage.base.wire.messages import LogEntry
+from kelpstage.core.store.layout import mark_path
 from kelpstage.core.store.records import DiskIdentity, DiskSnapshot, DiskStep
 from kelpstage.core.store.store import Store
+from proof.sim.disk import Platter
 from tests.power_loss import Machine, copy_of, every_way, finish
 
 REPLICA, CLUSTER = "r1", "c1"
 EMPTY = DiskIdentity(replica=REPLICA)
 MEMBER = DiskIdentity(replica=REPLICA, cluster=CLUSTER)
+OTHER = DiskIdentity(replica="other", cluster="c2")
 SEGMENT_BYTES = 300
 WAYS = 24
+PATIENCE = 3
 SECOND_WAYS = 1
 
 
@@ -182,7 +190,9 @@
         )
         assert log.entries == state.entries(start=0), "other entries than were written"
         if recovered.snapshot is not None:
-            assert recovered.snapshot == snapshot_of(index=log.base_index, term=log.base_term)
+            assert recovered.snapshot == snapshot_of(
+                index=log.base_index, term=log.base_term, cluster=identity.cluster
+            )
         return state
 
     async def found(self) -> None:
@@ -197,15 +207,33 @@
         for operation in operations:
             self.pending = operation.after(self.promised)
             while (defect := await operation.write(self.store, self.promised)) is not None:
-                self.failures.append(defect)
+                self._note(failure=defect)
                 while isinstance(state := await self.open(), DiskDefect):
-                    self.failures.append(state)
+                    self._note(failure=state)
                 assert state in (self.promised, self.pending), (operation.name, state)
                 if state == self.pending:
                     break
             self.promised = self.pending
             await self.store.mark_synced()
 
+    def _note(self, *, failure: Defect) -> None:
+        """A full disk is emptied after some failures."""
+        self.failures.append(failure)
+        if len(self.failures) % PATIENCE == 0:
+            self.machine.platter.is_full = False
+
+    async def become_member(
+        self, *, empty: DiskIdentity, member: DiskIdentity, snapshot: DiskSnapshot | None = None
+    ) -> State | Defect:
+        """What a core does at its start until it is a member, again after any cut."""
+        identity = await self.store.read_identity()
+        if identity is None:
+            assert await self.store.write_identity(identity=empty) is None
+        if identity != member:
+            defect = await self.store.begin_member(identity=member, snapshot=snapshot, term=1)
+            assert defect is None, defect
+        return await self.open(identity=member)
+
 
 def founded() -> Writer:
     """A member with nothing yet."""
@@ -264,6 +292,44 @@
         self.assertGreater(step, 60)
         self.assertGreater(count, 1000)
 
+    def test_a_full_disk_and_a_process_killed_in_between(self) -> None:
+        refused = 0
+        for seed in range(150):
+            rand = random.Random(seed)
+            writer = founded()
+            platter = writer.machine.platter
+            full = rand.randrange(90)
+            faults = {full: partial(setattr, platter, "is_full", True)}
+            step = full + rand.randrange(40)
+            writer.machine.run_until(step=step, work=writer.play(), faults=faults)
+            platter.is_full = False
+            with self.subTest(seed=seed, under_way=writer.pending):
+                refused += bool(writer.failures)
+                if rand.random() < 0.5:  # the process alone ends; another one goes on from there
+                    killed = Writer(machine=writer.machine)
+                    killed.promised, killed.pending = writer.promised, writer.pending
+                    killed.promised = killed.pending = self.assert_promise_kept(killed, where="")
+                    writer = killed
+                self.survive(writer, seed=seed, ways=4)
+        self.assertGreater(refused, 75)
+
+    def test_a_stall_before_each_change_only_takes_time(self) -> None:
+        for step in range(100):
+            writer = founded()
+            platter = writer.machine.platter
+            waits = []
+
+            def wait(platter: Platter = platter, waits: list[int] = waits) -> None:
+                if platter.is_stalled:
+                    waits.append(1)
+                platter.is_stalled = platter.is_stalled and len(waits) < 5
+
+            writer.machine.clock.on_sleep = wait
+            faults = {step: partial(setattr, platter, "is_stalled", True)}
+            is_over, _ = writer.machine.run_until(step=-1, work=writer.play(), faults=faults)
+            self.assertTrue(is_over)
+            self.assert_promise_kept(restarted(writer=writer, choose=lambda n: 0), where="")
+
     def test_removed_segments_that_stay_one_by_one_harm_nothing(self) -> None:
         """Four segments dropped after a snapshot, each kept or lost by itself."""
         operations = (
@@ -291,5 +357,164 @@
         self.assertGreaterEqual(len(survivals), 16)
 
 
+class Membership(unittest.TestCase):
+    """Founding, joining, setting aside and recovery from a survivor."""
+
+    def cut(
+        self, *, begin: Callable[[], Writer], work: Callable[[Writer], Coroutine[Any, Any, Any]]
+    ) -> Iterator[Writer]:
+        """What every loss of power during some work leaves."""
+        step, is_over = 0, False
+        while not is_over:
+            writer = begin()
+            is_over, _ = writer.machine.run_until(step=step, work=work(writer))
+            for number, choose in enumerate(every_way(limit=60, seed=step)):
+                yield restarted(writer=writer, choose=choose, seed=number)
+            step += 1
+        self.assertGreater(step, 5)
+
+    def test_founding_is_whole_or_begins_again(self) -> None:
+        snapshot = snapshot_of(index=1, term=1)
+        born = State(term=1, base=1, base_term=1)
+
+        def found(writer: Writer) -> Coroutine[Any, Any, Any]:
+            return writer.become_member(empty=EMPTY, member=MEMBER, snapshot=snapshot)
+
+        for left in self.cut(begin=lambda: Writer(machine=Machine()), work=found):
+            twice = restarted(writer=left, choose=lambda limit: limit - 1)
+            identity = finish(left.store.read_identity())
+            if identity == MEMBER:
+                self.assertEqual(born, finish(left.open()))
+                continue
+            self.assertIn(identity, (None, EMPTY))
+            twice.machine.run_until(step=4, work=found(twice))
+            twice = restarted(writer=twice, choose=lambda limit: limit - 1)
+            self.assertEqual(born, finish(found(twice)))
+            # Another core has founded meanwhile: this one joins with nothing.
+            joined = finish(left.become_member(empty=EMPTY, member=MEMBER))
+            self.assertEqual(State(), joined)
+
+    def test_joining_is_whole_or_begins_again(self) -> None:
+        def join(writer: Writer) -> Coroutine[Any, Any, Any]:
+            return writer.become_member(empty=EMPTY, member=MEMBER)
+
+        for left in self.cut(begin=lambda: Writer(machine=Machine()), work=join):
+            self.assertIn(finish(left.store.read_identity()), (None, EMPTY, MEMBER))
+            self.assertEqual(State(), finish(join(left)))
+
+    def test_setting_aside_leaves_the_whole_replica_or_none(self) -> None:
+        """Never the old name with less than it had: it could vote twice in a term."""
+        whole, _ = grown_state()
+        seen = set()
+        for left in self.cut(begin=grown, work=lambda writer: writer.store.set_aside()):
+            identity = finish(left.store.read_identity())
+            seen.add(identity is None)
+            if identity is not None:
+                self.assertEqual(whole, finish(left.open()))
+                continue
+            self.assertEqual(State(), finish(self.join_anew(left)))
+            again = restarted(writer=left, choose=lambda limit: limit - 1)
+            self.assertEqual(State(), finish(again.open(identity=OTHER)))
+            self.assertFalse([p for p in again.machine.platter.files if REPLICA in p])
+        self.assertEqual({True, False}, seen)
+
+    def join_anew(self, writer: Writer) -> Coroutine[Any, Any, Any]:
+        return writer.become_member(empty=DiskIdentity(replica=OTHER.replica), member=OTHER)
+
+    def test_recovery_from_a_survivor_leaves_the_old_replica_or_the_new(self) -> None:
+        whole, _ = grown_state()
+        snapshot = snapshot_of(index=30, term=9, cluster=OTHER.cluster)
+        seen = set()
+        for left in self.cut(
+            begin=grown,
+            work=lambda writer: writer.store.begin_member(
+                identity=OTHER, snapshot=snapshot, term=9
+            ),
+        ):
+            identity = finish(left.store.read_identity())
+            seen.add(identity == MEMBER)
+            if identity == MEMBER:
+                self.assertEqual(whole, finish(left.open()))
+            else:
+                born = State(term=9, base=30, base_term=9)
+                self.assertEqual(born, finish(left.open(identity=OTHER)))
+        self.assertEqual({True, False}, seen)
+
+
+class Damage(unittest.TestCase):
+    """Any byte flipped, any file cut short: noticed, named, never served."""
+
+    def damaged(self, *, path: str, data: bytes) -> State | Defect:
+        writer = grown()
+        writer.machine.platter.files[path].data = data
+        return finish(writer.open())
+
+    def assert_noticed(self, found: State | Defect, *, path: str, where: str) -> None:
+        self.assertIsInstance(found, (LogDamaged, FormatMismatch), where)
+        assert isinstance(found, LogDamaged | FormatMismatch)
+        self.assertEqual(path, found.path, where)
+
+    def test_every_byte_flipped(self) -> None:
+        whole, files = grown_state()
+        for path, data in files.items():
+            for place in range(len(data)):
+                for mask in (0x01, 0x80, 0xFF):
+                    flipped = data[:place] + bytes([data[place] ^ mask]) + data[place + 1 :]
+                    found = self.damaged(path=path, data=flipped)
+                    where = f"{path} at {place} by {mask}"
+                    if path.endswith(".synced"):
+                        self.assertEqual(whole, found, where)
+                    else:
+                        self.assert_noticed(found, path=path, where=where)
+
+    def test_every_length_cut_off(self) -> None:
+        whole, files = grown_state()
+        for path, data in files.items():
+            for size in range(len(data)):
+                found = self.damaged(path=path, data=data[:size])
+                if path.endswith(".synced"):
+                    self.assertEqual(whole, found)
+                else:
+                    self.assert_noticed(found, path=path, where=f"{path} at {size}")
+
+    def test_a_segment_or_snapshot_that_is_gone(self) -> None:
+        _, files = grown_state()
+        for path in files:
+            if not path.endswith((".seg", ".snap")):
+                continue
+            writer = grown()
+            del writer.machine.platter.files[path]
+            self.assertIsInstance(finish(writer.open()), LogDamaged, path)
+
+    def test_without_the_mark_only_the_last_record_passes_for_a_torn_write(self) -> None:
+        """A loss of power may take the mark; then all before the last record is judged."""
+        _, files = grown_state()
+        last = max(path for path in files if path.endswith(".seg"))
+        start = files[last].rindex(MARK)
+        for place in range(start):
+            writer = grown()
+            del writer.machine.platter.files[mark_path(replica=REPLICA)]
+            data = files[last]
+            flipped = data[:place] + bytes([data[place] ^ 0xFF]) + data[place + 1 :]
+            writer.machine.platter.files[last].data = flipped
+            self.assert_noticed(finish(writer.open()), path=last, where=str(place))
+
+
+def grown() -> Writer:
+    """A member after all operations, some more segments behind the last snapshot."""
+    writer = founded()
+    more = (put(count=6, term=3), put(count=6, term=3), put(count=1, term=3), put(count=1, term=3))
+    finish(writer.play(operations=OPERATIONS + more))
+    return writer
+
+
+def grown_state() -> tuple[State, dict[str, bytes]]:
+    """What that member was promised, and its files."""
+    writer = grown()
+    files = {path: file.data for path, file in writer.machine.platter.files.items()}
+    assert sum(path.endswith(".seg") for path in files) > 2
+    return writer.promised, files
+
+
 if __name__ == "__main__":
     unittest.main()
