--- a/kelpstage/core/raft/leadership.py
+++ b/kelpstage/core/raft/leadership.py
@@ -83,7 +83,9 @@
     progress.next_index = max(progress.next_index, progress.match_index + 1)
     was_probing, progress.is_probing = progress.is_probing, False
     commit_replicated(state)
-    if state.role == LEADER and was_probing and progress.next_index <= state.log.last_index:
+    is_behind = progress.next_index <= state.log.last_index
+    is_nothing_sent = progress.match_index == progress.next_index - 1
+    if state.role == LEADER and is_behind and (was_probing or is_nothing_sent):
         send_append_entries(state, name=reply.sender, has_entries=True)
     try_transfer(state)
 
