--- a/tests/test_store_power_loss.py
+++ b/tests/test_store_power_loss.py
@@ -8,7 +8,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
+import tempfile
 import unittest
 from collections.abc import Callable, Coroutine, Iterator
 from dataclasses import dataclass, replace
@@ -17,6 +19,7 @@
 
 from kelpstage.base.defects import Defect, DiskDefect, FormatMismatch, LogDamaged
 from kelpstage.base.log.seal import MARK
+from kelpstage.base.ports.live import LiveDisk
 from kelpstage.base.wire.messages import LogEntry
 from kelpstage.core.store.layout import mark_path
 from kelpstage.core.store.records import DiskIdentity, DiskSnapshot, DiskStep
@@ -330,6 +333,20 @@
             self.assertTrue(is_over)
             self.assert_promise_kept(restarted(writer=writer, choose=lambda n: 0), where="")
 
+    def test_the_same_operations_in_a_real_folder(self) -> None:
+        async def play(folder: str) -> tuple[State, State | Defect]:
+            machine = Machine()
+            machine.ports.disk = LiveDisk(root=folder)
+            writer = Writer(machine=machine)
+            await writer.found()
+            await writer.play()
+            again = Writer(machine=machine)
+            return writer.promised, await again.open()
+
+        with tempfile.TemporaryDirectory() as folder:
+            promised, found = asyncio.run(play(folder))
+        self.assertEqual(promised, found)
+
     def test_removed_segments_that_stay_one_by_one_harm_nothing(self) -> None:
         """Four segments dropped after a snapshot, each kept or lost by itself."""
         operations = (
