--- a/kelpstage/core/store/records.py
+++ b/kelpstage/core/store/records.py
@@ -14,7 +14,7 @@
 
 import struct
 from dataclasses import dataclass
-from typing import List
+from typing import List, TypeVar
 
 import betterproto as bp
 
@@ -34,6 +34,7 @@
 SNAPSHOT_HEAD = SNAPSHOT_MAGIC + _VERSION
 IDENTITY_HEAD = IDENTITY_MAGIC + _VERSION
 MARK_HEAD = MARK_MAGIC + _VERSION
+_Message = TypeVar("_Message", bound=bp.Message)
 
 
 @dataclass
@@ -194,12 +195,14 @@
     return _Records(records=records, end=offset)
 
 
-def _parse(*, body: bytes, kind: type) -> DiskRecord | DiskSnapshot | DiskIdentity | None:
+def _parse(*, body: bytes, kind: type[_Message]) -> _Message | None:
     """A message, or `None` where the checksum holds over bytes that do not parse."""
+    message = kind()
     try:
-        return kind().parse(body)
-    except Exception:
+        message.parse(body)
+    except Exception:  # betterproto raises whatever its parts do
         return None
+    return message
 
 
 def write_snapshot(*, snapshot: DiskSnapshot) -> bytes:
@@ -239,8 +242,8 @@
 
 
 def _read_one(
-    *, path: str, data: bytes, magic: bytes, kind: type
-) -> DiskSnapshot | DiskIdentity | LogDamaged | FormatMismatch:
+    *, path: str, data: bytes, magic: bytes, kind: type[_Message]
+) -> _Message | LogDamaged | FormatMismatch:
     """The single record of a file."""
     other = other_format(path=path, data=data, magic=magic)
     if other is not None:
--- a/kelpstage/core/store/store.py
+++ b/kelpstage/core/store/store.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from kelpstage.base.defects import Defect, LogDamaged
 from kelpstage.base.log.seal import seal
@@ -337,14 +337,15 @@
     async def _replace_file(self, *, path: str, folder: str, data: bytes) -> Defect | None:
         """Write beside, sync, rename, sync the folder."""
         beside = path + UNFINISHED_SUFFIX
-        for work in (
+        steps: list[Callable[[], Awaitable[Defect | None]]] = [
             lambda: self._disk.write(path=beside, data=data),
             lambda: self._disk.sync(path=beside),
             lambda: self._disk.rename(path=beside, to=path),
             lambda: self._disk.sync_folder(folder=folder),
-        ):
+        ]
+        for step in steps:
             self._point("file.before_step")
-            defect = await work()
+            defect = await step()
             if defect is not None:
                 return defect
         self._point("file.after_rename_sync")
--- a/kelpstage/core/store/task.py
+++ b/kelpstage/core/store/task.py
@@ -1,10 +1,10 @@
-"""The disk task: owns the store, writes what it is given, tells when it is synced."""
+"""The disk task: owns the store, writes what it is given, reports what is synced."""
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 from functools import singledispatchmethod
-from typing import Any, Callable
+from typing import Callable
 
 from tornado.queues import Queue
 
@@ -17,7 +17,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class KeepThis:
-    """A snapshot to keep, with the log's entries behind it."""
+    """A snapshot to keep, with the log's entries behind it, term and vote.
+
+    `number` is reported as synced, like a `Persist`'s; 0 is not.
+    """
 
     snapshot: DiskSnapshot
     tail: list[LogEntry]
@@ -27,7 +30,11 @@
 
 
 class DiskTask:
-    """Takes writes in order; one failure ends it, and the replica starts anew."""
+    """Takes writes in order; one failure ends it, and the replica starts anew.
+
+    What is put into `inbox` is written in that order, and reported only when it is synced:
+    `on_synced` with the number up to which all is, `on_kept` with a snapshot's index.
+    """
 
     def __init__(
         self,
@@ -37,17 +44,19 @@
         on_kept: Callable[[int], None],
         on_defect: Callable[[Defect], None],
     ) -> None:
-        self.inbox: Queue = Queue()
+        """The store must have been recovered."""
+        self.inbox: Queue[Persist | KeepThis] = Queue()
         self._store = store
         self._on_synced = on_synced
         self._on_kept = on_kept
         self._on_defect = on_defect
-        self._carry: Any = None
+        self._taken: KeepThis | None = None  # out of the inbox, not written yet
 
     async def run(self) -> None:
+        """Write until a write fails."""
         while True:
-            item = self._carry or await self.inbox.get()
-            self._carry = None
+            item = self._taken or await self.inbox.get()
+            self._taken = None
             outcome = await self._write(item)
             if isinstance(outcome, Defect):
                 self._on_defect(outcome)
@@ -55,7 +64,7 @@
             await self._store.mark_synced()
 
     @singledispatchmethod
-    async def _write(self, item: Any) -> Defect | None:
+    async def _write(self, item: object) -> Defect | None:
         raise TypeError(type(item))
 
     @_write.register
@@ -65,7 +74,7 @@
         while not self.inbox.empty():
             following = self.inbox.get_nowait()
             if not isinstance(following, Persist):
-                self._carry = following
+                self._taken = following
                 break
             batch.append(following)
         outcome = await self._store.append(steps=[step_of(write=write) for write in batch])
--- a/tests/test_store_planted_faults.py
+++ b/tests/test_store_planted_faults.py
@@ -22,6 +22,7 @@
 FOUNDING = ("Membership", "test_founding_is_whole_or_begins_again")
 SURVIVOR = ("Membership", "test_recovery_from_a_survivor_leaves_the_old_replica_or_the_new")
 REMOVED = ("PowerLoss", "test_removed_segments_that_stay_one_by_one_harm_nothing")
+REPORTS = ("Reports", "test_nothing_is_reported_before_it_is_synced")
 FLIPPED = ("Damage", "test_every_byte_flipped")
 CUT_OFF = ("Damage", "test_every_length_cut_off")
 
@@ -150,6 +151,10 @@
 
 FAULTS: dict[str, tuple[Callable[[], Patch], tuple[str, str]]] = {
     "a record is not synced": (lambda: disk_skips("sync", where=is_segment), PREFIXES),
+    "a write is reported before it is synced": (
+        lambda: disk_skips("sync", where=is_segment),
+        REPORTS,
+    ),
     "a segment's name is not synced": (
         lambda: disk_skips("sync_folder", where=lambda folder: folder == LOG_FOLDER),
         PREFIXES,
--- a/tests/test_store_power_loss.py
+++ b/tests/test_store_power_loss.py
@@ -21,9 +21,11 @@
 from kelpstage.base.log.seal import MARK
 from kelpstage.base.ports.live import LiveDisk
 from kelpstage.base.wire.messages import LogEntry
+from kelpstage.core.raft.types import Persist
 from kelpstage.core.store.layout import mark_path
 from kelpstage.core.store.records import DiskIdentity, DiskSnapshot, DiskStep
 from kelpstage.core.store.store import Store
+from kelpstage.core.store.task import DiskTask, KeepThis
 from proof.sim.disk import Platter
 from tests.power_loss import Machine, copy_of, every_way, finish
 
@@ -147,6 +149,39 @@
     return Operation(name=f"installed {beyond} beyond", after=after, write=write)
 
 
+def snapshot_conflicting(*, behind: int, term: int) -> Operation:
+    """Keep a leader's snapshot of entries that the log holds in another term: they go."""
+
+    def after(state: State) -> State:
+        return replace(state, base=state.last - behind, base_term=term, terms=())
+
+    def write(store: Store, state: State) -> object:
+        return store.keep_snapshot(
+            snapshot=snapshot_of(index=state.last - behind, term=term),
+            tail=[],
+            term=state.term,
+            vote=state.vote,
+        )
+
+    return Operation(name=f"conflict {behind} before the end", after=after, write=write)
+
+
+def batch(*, term: int, count: int) -> Operation:
+    """What stands in the queue together: a term, entries, a vote; one record."""
+
+    def after(state: State) -> State:
+        return replace(state, term=term, vote="r3", terms=state.terms + (term,) * count)
+
+    def write(store: Store, state: State) -> object:
+        steps = [DiskStep(has_vote=True, term=term)]
+        for place in range(count):
+            added = entry(index=state.last + 1 + place, term=term)
+            steps.append(DiskStep(entries=[added]))
+        return store.append(steps=[*steps, DiskStep(has_vote=True, term=term, vote="r3")])
+
+    return Operation(name=f"batch in term {term}", after=after, write=write)
+
+
 OPERATIONS = (
     vote(term=1, name="r1"),
     put(count=2, term=1),
@@ -162,7 +197,9 @@
     put(count=3, term=3),
     snapshot_taken(behind=4),
     snapshot_taken(behind=0),
-    put(count=1, term=3),
+    batch(term=4, count=3),
+    snapshot_conflicting(behind=2, term=5),
+    put(count=1, term=5),
 )
 
 
@@ -381,6 +418,67 @@
         self.assertGreaterEqual(len(survivals), 16)
 
 
+class Reports(unittest.TestCase):
+    """What the disk task has reported as synced is there."""
+
+    def test_nothing_is_reported_before_it_is_synced(self) -> None:
+        loop = asyncio.new_event_loop()
+        asyncio.set_event_loop(loop)
+        try:
+            reported = [self.cut_while_writing(seed=seed) for seed in range(400)]
+        finally:
+            asyncio.set_event_loop(None)
+            loop.close()
+        self.assertEqual(set(range(13)), set(reported))
+
+    def cut_while_writing(self, *, seed: int) -> int:
+        """Write twelve entries, a vote with each, with a snapshot among them."""
+        rand = random.Random(seed)
+        writer, reported = founded(), [0]
+        task = DiskTask(
+            store=writer.store,
+            on_synced=reported.append,
+            on_kept=lambda index: None,
+            on_defect=self.fail,
+        )
+        items: list[Persist | KeepThis] = [
+            Persist(number=n, entries=[entry(index=n, term=n)], term=n, vote=str(n))
+            for n in range(1, 13)
+        ]
+        place = rand.randrange(2, 12)
+        items.insert(
+            place,
+            KeepThis(
+                snapshot=snapshot_of(index=place - 1, term=place - 1),
+                tail=[entry(index=place, term=place)],
+                term=place,
+                vote=str(place),
+                number=0,
+            ),
+        )
+        step = rand.randrange(60)
+        writer.machine.run_until(step=step, work=self.feed(task=task, items=items, rand=rand))
+        left = restarted(writer=writer, choose=rand.randrange, seed=seed)
+        state = finish(left.open())
+        assert isinstance(state, State), state
+        self.assertGreaterEqual(state.term, reported[-1])
+        self.assertEqual(state.term, state.last)
+        self.assertEqual(str(state.term) if state.term else "", state.vote)
+        return reported[-1]
+
+    async def feed(
+        self, *, task: DiskTask, items: list[Persist | KeepThis], rand: random.Random
+    ) -> None:
+        """Let the task find its writes one or some at a time."""
+        work = task.run()
+        while items:
+            for _ in range(rand.randrange(1, 4)):
+                if items:
+                    task.inbox.put_nowait(items.pop(0))
+            work.send(None)
+        work.close()
+
+
 class Membership(unittest.TestCase):
     """Founding, joining, setting aside and recovery from a survivor."""
 
