--- a/tests/test_store_planted_faults.py
+++ b/tests/test_store_planted_faults.py
@@ -15,7 +15,7 @@
 from kelpstage.core.store.records import DiskIdentity, DiskSnapshot, Segment
 from kelpstage.core.store.store import Store
 from proof.sim.disk import SimDisk
-from tests import test_store_power_loss as target
+from tests import test_cores_power_loss, test_store_power_loss
 
 PREFIXES = ("PowerLoss", "test_every_prefix_of_every_operation")
 SET_ASIDE = ("Membership", "test_setting_aside_leaves_the_whole_replica_or_none")
@@ -23,6 +23,7 @@
 SURVIVOR = ("Membership", "test_recovery_from_a_survivor_leaves_the_old_replica_or_the_new")
 REMOVED = ("PowerLoss", "test_removed_segments_that_stay_one_by_one_harm_nothing")
 REPORTS = ("Reports", "test_nothing_is_reported_before_it_is_synced")
+CORES = ("AllLosePower", "test_after_any_change")
 FLIPPED = ("Damage", "test_every_byte_flipped")
 CUT_OFF = ("Damage", "test_every_length_cut_off")
 
@@ -155,6 +156,7 @@
         lambda: disk_skips("sync", where=is_segment),
         REPORTS,
     ),
+    "a core's records are not synced": (lambda: disk_skips("sync", where=is_segment), CORES),
     "a segment's name is not synced": (
         lambda: disk_skips("sync_folder", where=lambda folder: folder == LOG_FOLDER),
         PREFIXES,
@@ -204,6 +206,12 @@
 }
 
 
+def case_of(*, name: str) -> type[unittest.TestCase]:
+    """The test case of this name, in either module."""
+    here = vars(test_store_power_loss).get(name)
+    return here or getattr(test_cores_power_loss, name)
+
+
 class PlantedFaults(unittest.TestCase):
     """One test for each; see below."""
 
@@ -212,7 +220,7 @@
         result = unittest.TestResult()
         result.failfast = True
         with patch:
-            getattr(target, test[0])(test[1]).run(result)
+            case_of(name=test[0])(test[1]).run(result)
         self.assertEqual([], result.errors)
         self.assertTrue(result.failures, "nobody saw it")
 
