HTTP client: a connection's state is named, and every transition is checked

What a connection was busy with followed from four fields together (a future, a flag, the pool, the socket), and no place said which changes are allowed. Nothing between the opening of a connection and the send looked at the deadline again: a process that was frozen meanwhile sent what nobody waits for any more.

Now: LEASED, SENDING, SENT, RECEIVING, IDLE, CLOSED, with a table of what may follow what; a transition outside of it is a fault that ends the use. A lease ends by hand_back (nothing was sent) or by an outcome. A waiter that is given a connection which closed before it could take it looks for a place anew instead of counting one twice.

Ruled out: a table of actions by state; the parser's callbacks are the events, and a second dispatch on each costs time on this path.

--- a/kelpstage/base/http/client.py
+++ b/kelpstage/base/http/client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import enum
 import errno
 import socket
 from collections import deque
@@ -83,13 +84,47 @@
     """Ends the parser's run from within one of its callbacks."""
 
 
-class Line:
-    """One connection and the one exchange that it may be busy with."""
+class IllegalTransition(Exception):
+    """A connection was used in a way that its state does not allow: a fault of ours."""
+
+
+class State(enum.IntEnum):
+    """Where a connection stands in the use that is made of it.
+
+    `docs/notes/control/calls.md` has the table of transitions with their events.
+    """
+
+    LEASED = 0  # given to a call; nothing of it is with the kernel yet
+    SENDING = 1  # the kernel has some of the request, or may take it at any moment
+    SENT = 2  # the kernel has all of it
+    RECEIVING = 3  # some bytes of an answer have come
+    IDLE = 4  # the answer was whole and nothing is left over: it may be leased again
+    CLOSED = 5  # for ever
+
+
+LEASED, SENDING, SENT, RECEIVING, IDLE, CLOSED = State
+MAY_FOLLOW: dict[State, frozenset[State]] = {
+    LEASED: frozenset((SENDING, SENT, IDLE, CLOSED)),
+    SENDING: frozenset((SENT, RECEIVING, CLOSED)),
+    SENT: frozenset((RECEIVING, CLOSED)),
+    RECEIVING: frozenset((IDLE, CLOSED)),
+    IDLE: frozenset((LEASED, CLOSED)),
+    CLOSED: frozenset(),
+}
+
+
+class ClientConnection:
+    """One connection and the one call that it may be busy with.
+
+    Invariants: a call has it alone from lease to outcome; every outcome closes it unless
+    the answer was whole, named the call, came alone, and nothing was left unsent.
+    """
 
     def __init__(self, *, client: "HttpClient", address: str, sock: socket.socket) -> None:
+        self.state = LEASED
         self._client = client
         self._address = address
-        self._connection: Connection | None = Connection(sock=sock, owner=self)
+        self._socket: Connection | None = Connection(sock=sock, owner=self)
         self._parser: Any = httptools.HttpResponseParser(self)
         self.pool: Pool | None = None
         self.use_until = 0.0
@@ -101,7 +136,6 @@
         self._body: list[bytes] = []
         self._size = 0
         self._total = 0
-        self._is_partly_sent = False
         self._status = 0
         self._headers: dict[str, str] = {}
         self._is_kept = False
@@ -109,11 +143,16 @@
         self._why = ""
         self._keep_s = IDLE_S
 
+    def _become(self, state: State) -> None:
+        if state not in MAY_FOLLOW[self.state]:
+            raise IllegalTransition(f"{self.state.name} to {state.name}")
+        self.state = state
+
     # --- one exchange ---------------------------------------------------------------
 
     async def exchange(self, *, call: HttpCall, data: bytes, deadline: float) -> HttpReply | Defect:
-        """Send a request and wait for its reply. Cancelled, it closes the line."""
-        if self._connection is None or not self._connection.is_open():
+        """Send a request and wait for its reply. Cancelled, it closes the connection."""
+        if self._socket is None or not self._socket.is_open():
             self.close()
             return LineLost(address=self._address, why="closed", was_sent=False)
         future = self._future = asyncio.get_running_loop().create_future()
@@ -123,7 +162,7 @@
         self._is_inside = False
         self._replies = []
         try:
-            sent = self._connection.sock.send(data)
+            sent = self._socket.sock.send(data)
         except RETRY:
             sent = 0
         except OSError as error:  # the kernel took nothing of it
@@ -131,9 +170,11 @@
             self.close()
             return LineLost(address=self._address, why=_why(error=error), was_sent=False)
         self._total = len(data)
-        self._is_partly_sent = sent < len(data)
-        if self._is_partly_sent:
-            self._connection.write(data[sent:])
+        if sent == self._total:
+            self._become(SENT)
+        else:
+            self._become(SENDING)
+            self._socket.write(data[sent:])
         entry = self._client.deadlines.at(when=deadline, verb=self._time_over)
         try:
             return await future
@@ -147,7 +188,7 @@
     def _time_over(self) -> None:
         if self._call is None:
             return
-        was_sent = self._connection.unsent() < self._total
+        was_sent = self._socket.unsent() < self._total
         self._finish(
             outcome=WaitOver(address=self._address, after_us=self._call.wait_us, was_sent=was_sent),
             is_fit=False,
@@ -160,56 +201,75 @@
         self._body = []
         if future is not None and not future.done():
             future.set_result(outcome)
-        if not is_fit or self.pool is None:
+        if not is_fit:
             self.close()
             return
         self.use_until = asyncio.get_running_loop().time() + self._keep_s
-        self.pool.release(line=self)
+        self.hand_back()
 
     def _lose(self, *, why: str) -> None:
         self._finish(outcome=LineLost(address=self._address, why=why), is_fit=False)
 
-    # --- the connection ----------------------------------------------------------------
+    # --- leases ------------------------------------------------------------------------
 
-    def is_usable(self) -> bool:
-        """Nothing has come since the last reply: no bytes, no end."""
-        if self._connection is None or not self._connection.is_open():
+    def lease(self) -> bool:
+        """Take it for a call, if it can still be used: since the last reply nothing has
+        come, neither bytes nor an end. If not, the caller is to close it."""
+        if self._socket is None or not self._socket.is_open():
             return False
         try:
-            self._connection.sock.recv(1, socket.MSG_PEEK)
+            self._socket.sock.recv(1, socket.MSG_PEEK)
         except RETRY:
+            self._become(LEASED)
             return True
         except OSError:
             return False
         return False
 
+    def hand_back(self) -> None:
+        """End a lease whose call left nothing behind, or never sent anything."""
+        if self.pool is None:
+            self.close()
+            return
+        self._become(IDLE)
+        self.pool.release(connection=self)
+
+    # --- the socket --------------------------------------------------------------------
+
     def close(self) -> None:
         """End the connection, at once and without sending what is left."""
-        if self._connection is not None:
-            self._connection.abort()
+        if self.state != CLOSED:
+            self._become(CLOSED)
+        if self._socket is not None:
+            self._socket.abort()
         self._leave()
 
     def _leave(self) -> None:
         pool, self.pool = self.pool, None
         if pool is not None:
-            pool.forget(line=self)
+            pool.forget(connection=self)
 
     def lost(self, error: OSError | None) -> None:
         if self._future is not None:
             self._lose(why="reply cut off" if self._is_inside else _why(error=error))
+        if self.state != CLOSED:
+            self._become(CLOSED)
         self._leave()
-        self._connection = self._parser = None
+        self._socket = self._parser = None
 
     def eof(self) -> bool:
         return False
 
     def is_drained(self) -> None:
-        pass
+        if self.state == SENDING:
+            self._become(SENT)
 
     def take(self, size: int) -> None:
         if self._future is None or self._future.done():
             self.close()  # bytes that belong to no request
             return
+        if self.state != RECEIVING:
+            self._become(RECEIVING)
         self._size += size
         is_broken = False
         try:
@@ -226,19 +286,17 @@
             self._lose(why="oversized reply")
 
     def _settle(self, *, is_broken: bool) -> None:
-        """Take the reply that answers the call. Others are passed over, and a line
+        """Take the reply that answers the call. Others are passed over, and a connection
         that carried one is not used again."""
         owner_of = self._call.owner_of
         for reply in self._replies:
             owner = Owner.OURS if owner_of is None else owner_of(reply)
-            if owner != Owner.OTHERS:
-                is_alone = len(self._replies) == 1 and not self._is_inside and not is_broken
-                is_alone = is_alone and owner == Owner.OURS
-                is_sent = not (self._is_partly_sent and self._connection.unsent())
-                self._finish(
-                    outcome=reply, is_fit=is_alone and is_sent and self._is_kept and self._is_fit
-                )
-                return
+            if owner == Owner.OTHERS:
+                continue
+            is_alone = len(self._replies) == 1 and not self._is_inside and not is_broken
+            is_fit = is_alone and owner == Owner.OURS and not self._socket.unsent()
+            self._finish(outcome=reply, is_fit=is_fit and self._is_kept and self._is_fit)
+            return
         self._is_fit = False
         self._replies = []
         if is_broken:
@@ -308,42 +366,44 @@
         self._client = client
         self._address = address
         self.limit = 0
-        self.count = 0  # lines open, busy or being opened
-        self.idle: list[Line] = []
+        self.count = 0  # connections that are open, busy or being opened
+        self.idle: list[ClientConnection] = []
         self.waiting: deque[asyncio.Future] = deque()
 
-    def fresh_line(self) -> Line | None:
-        """The line used last that can still be used; those that cannot are dropped."""
+    def lease_idle(self) -> ClientConnection | None:
+        """The connection used last that can still be used; those that can't are closed."""
         now = asyncio.get_running_loop().time()
         while self.idle:
-            line = self.idle.pop()
-            if line.use_until > now and line.is_usable():
-                return line
-            line.close()
+            connection = self.idle.pop()
+            if connection.use_until > now and connection.lease():
+                return connection
+            connection.close()
         return None
 
-    def release(self, *, line: Line) -> None:
+    def release(self, *, connection: ClientConnection) -> None:
+        """An idle connection goes to the first who waits, or is kept."""
         if self.count > self.limit:
-            line.close()
+            connection.close()
             return
-        if not self._hand_on(result=line):
-            self.idle.append(line)
+        if not self._pass_on(result=connection):
+            self.idle.append(connection)
             self._client.note_idle()
 
-    def forget(self, *, line: Line) -> None:
-        if line in self.idle:
-            self.idle.remove(line)
+    def forget(self, *, connection: ClientConnection) -> None:
+        """A connection was closed."""
+        if connection in self.idle:
+            self.idle.remove(connection)
         self.give_up_place()
 
     def give_up_place(self) -> None:
-        """A place is free: the first who waits may open a line in it."""
-        if self.count <= self.limit and self._hand_on(result=None):
+        """A place is free: the first who waits may open a connection in it."""
+        if self.count <= self.limit and self._pass_on(result=None):
             return
         self.count -= 1
         if not self.count and not self.waiting:
             self._client.drop_pool(address=self._address, pool=self)
 
-    def _hand_on(self, *, result: Line | None) -> bool:
+    def _pass_on(self, *, result: ClientConnection | None) -> bool:
         while self.waiting:
             future = self.waiting.popleft()
             if not future.done():
@@ -361,35 +421,39 @@
         self._sweep: asyncio.TimerHandle | None = None
 
     async def fetch(self, *, call: HttpCall) -> HttpReply | Defect:
-        """The reply, or why there is none: `ConnectRefused` (nothing was sent),
-        `LineLost` and `WaitOver` (`was_sent` tells). Cancelled, it closes its line."""
-        deadline = asyncio.get_running_loop().time() + call.wait_us / 1_000_000
+        """The reply, or why there is none: `ConnectRefused` (nothing was sent), `LineLost`
+        and `WaitOver` (`was_sent` tells). Cancelled, it closes its connection."""
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + call.wait_us / 1_000_000
         address, target = split_url(url=call.url)
         data = request_bytes(call=call, address=address, target=target)
         if data is None:
             return LineLost(address=address, why="no request in the protocol", was_sent=False)
         if call.line_limit > 0:
             pool = self._pools.get(address)
-            line = pool.fresh_line() if pool is not None else None
-            if line is None:
-                line = await self._new_line(call=call, address=address, deadline=deadline)
+            connection = pool.lease_idle() if pool is not None else None
+            if connection is None:
+                connection = await self._lease_new(call=call, address=address, deadline=deadline)
         else:
-            line = await self._open(call=call, address=address, deadline=deadline)
-        if isinstance(line, Defect):
-            return line
-        return await line.exchange(call=call, data=data, deadline=deadline)
+            connection = await self._open(call=call, address=address, deadline=deadline)
+        if isinstance(connection, Defect):
+            return connection
+        if loop.time() >= deadline:  # the process was frozen or busy while it was opened
+            connection.hand_back()
+            return WaitOver(address=address, after_us=call.wait_us, was_sent=False)
+        return await connection.exchange(call=call, data=data, deadline=deadline)
 
     def close(self) -> None:
         """End every idle connection."""
         for pool in list(self._pools.values()):
-            for line in list(pool.idle):
-                line.close()
+            for connection in list(pool.idle):
+                connection.close()
         if self._sweep is not None:
             self._sweep.cancel()
             self._sweep = None
 
     def connections_to(self, *, address: str) -> tuple[int, int]:
-        """How many kept lines there are to an address, and how many of them idle.
+        """How many kept connections there are to an address, and how many of them idle.
 
         >>> HttpClient().connections_to(address="127.0.0.1:1")
         (0, 0)
@@ -397,38 +461,49 @@
         pool = self._pools.get(address)
         return (pool.count, len(pool.idle)) if pool else (0, 0)
 
-    async def _new_line(self, *, call: HttpCall, address: str, deadline: float) -> Line | Defect:
-        """A line to keep, in a place of the pool that is free or gets free in time."""
-        pool = self._pools.get(address)
-        if pool is None:
-            pool = self._pools[address] = Pool(client=self, address=address)
-        pool.limit = call.line_limit
-        if pool.count < pool.limit:
-            pool.count += 1
-        else:
+    async def _lease_new(
+        self, *, call: HttpCall, address: str, deadline: float
+    ) -> ClientConnection | Defect:
+        """A connection to keep, in a place of the pool that is free or gets free in time."""
+        while True:
+            pool = self._pools.get(address)
+            if pool is None:
+                pool = self._pools[address] = Pool(client=self, address=address)
+            pool.limit = call.line_limit
+            if pool.count < pool.limit:
+                pool.count += 1
+                break
             found = await self._wait(pool=pool, call=call, address=address, deadline=deadline)
             if isinstance(found, Defect):
                 return found
-            if found is not None:
-                if found.is_usable():
-                    return found
+            if found is None:
+                break
+            if found.lease():
+                return found
+            if found.pool is not None:
                 found.pool = None  # its place stays with this call
                 found.close()
+                break
+        return await self._open_in(pool=pool, call=call, address=address, deadline=deadline)
+
+    async def _open_in(
+        self, *, pool: Pool, call: HttpCall, address: str, deadline: float
+    ) -> ClientConnection | Defect:
         try:
-            line = await self._open(call=call, address=address, deadline=deadline)
+            connection = await self._open(call=call, address=address, deadline=deadline)
         except BaseException:
             pool.give_up_place()
             raise
-        if isinstance(line, Defect):
+        if isinstance(connection, Defect):
             pool.give_up_place()
-            return line
-        line.pool = pool
-        return line
+            return connection
+        connection.pool = pool
+        return connection
 
     async def _wait(
         self, *, pool: Pool, call: HttpCall, address: str, deadline: float
-    ) -> Line | Defect | None:
-        """Wait in order for a line, or for a place to open one (None)."""
+    ) -> ClientConnection | Defect | None:
+        """Wait in order for a connection, or for a place to open one (None)."""
         future = asyncio.get_running_loop().create_future()
         pool.waiting.append(future)
 
@@ -442,15 +517,17 @@
         except asyncio.CancelledError:
             if future.done() and not future.cancelled():  # it came at the same moment
                 found = future.result()
-                if isinstance(found, Line):
-                    pool.release(line=found)
+                if isinstance(found, ClientConnection):
+                    pool.release(connection=found)
                 elif found is None:
                     pool.give_up_place()
             raise
         finally:
             self.deadlines.cancel(entry=entry)
 
-    async def _open(self, *, call: HttpCall, address: str, deadline: float) -> Line | Defect:
+    async def _open(
+        self, *, call: HttpCall, address: str, deadline: float
+    ) -> ClientConnection | Defect:
         try:
             host, port = split_address(address=address)
             sock = socket.socket(family_of(host=host), socket.SOCK_STREAM)
@@ -468,7 +545,7 @@
             if number:
                 sock.close()
                 return _not_open(number=number, address=address, wait_us=call.wait_us)
-            return Line(client=self, address=address, sock=sock)
+            return ClientConnection(client=self, address=address, sock=sock)
         except (OSError, ValueError, OverflowError) as error:
             sock.close()
             return LineLost(address=address, why=_why(error=error), was_sent=False)
@@ -492,7 +569,7 @@
             loop.remove_writer(sock.fileno())
             self.deadlines.cancel(entry=entry)
 
-    # --- idle lines ----------------------------------------------------------------------
+    # --- idle connections ----------------------------------------------------------------------
 
     def note_idle(self) -> None:
         if self._sweep is None:
@@ -503,15 +580,15 @@
             del self._pools[address]
 
     def _drop_stale(self) -> None:
-        """Ends idle lines whose time is over; ticks only while there are idle ones."""
+        """Ends idle connections whose time is over; ticks only while there are idle ones."""
         self._sweep = None
         loop = asyncio.get_running_loop()
         now = loop.time()
         for pool in list(self._pools.values()):
-            for line in list(pool.idle):
-                if line.use_until <= now:
-                    line.close()
-        ends = [line.use_until for pool in self._pools.values() for line in pool.idle]
+            for connection in list(pool.idle):
+                if connection.use_until <= now:
+                    connection.close()
+        ends = [one.use_until for pool in self._pools.values() for one in pool.idle]
         if ends:
             self._sweep = loop.call_at(max(now + SWEEP_S, min(ends)), self._drop_stale)
 
