--- a/kelpstage/core/events.py
+++ b/kelpstage/core/events.py
@@ -33,6 +33,23 @@
     members: list
 
 
+@dataclass(frozen=True, kw_only=True)
+class MarginNoted(Event):
+    """How many voters the leader could lose from then on with a majority left."""
+
+    losses_borne: int
+    losses_wanted: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaveEnded(Event):
+    """A planned stop: how the others let this core go."""
+
+    state: str
+    losses_borne: int
+    losses_wanted: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class PutDecided(Event):
     put_id: str
@@ -56,6 +73,21 @@
     index: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class SnapshotInstalled(Event):
+    """A snapshot that another core served has replaced this replica's state."""
+
+    index: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class SnapshotFetchFailed(Event):
+    """A transfer of a snapshot broke off; the next begins at the earliest after this."""
+
+    index: int
+    again_after_us: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class DiskFailed(Event):
     path: str
