HTTP client: a call cancelled as its answer comes leaves the next call's connection alone

Anything that cancels a fetch could bring it about.

Mend: a cancelled call touches its connection only while the future there is its own.

Tests: test_connection_walks. 240 walks of our client against raw backends that answer late, early, twice, by halves, to nobody, reset or stay silent, with cancellations; 240 of our server against raw clients that pipeline, send in pieces and leave; malformed requests, malformed answers and bytes of no protocol. Checked: each its own answer, nothing sent twice, what is said not to have been sent never arrived, what ran is a beginning of what was sent, every transition of the table seen and no other, nothing left open.

--- a/kelpstage/base/http/client.py
+++ b/kelpstage/base/http/client.py
@@ -179,8 +179,9 @@
         try:
             return await future
         except asyncio.CancelledError:
-            self._future = self._call = None
-            self.close()
+            if self._future is future:  # else it has its outcome, and may serve another call
+                self._future = self._call = None
+                self.close()
             raise
         finally:
             self._client.deadlines.cancel(entry=entry)
--- /dev/null
+++ b/tests/test_connection_walks.py
@@ -0,0 +1,520 @@
+"""Random walks and malformed bytes against the HTTP transport, the connections between
+processes, and what reads them: raw sockets on the other side, hundreds of seeds.
+
+Each walk draws what the other side does at each step. Checked after it: nobody got an
+answer that is not its own, nothing was sent twice, what is said not to have been sent
+never arrived, no more connections than allowed, every transition is one of the table,
+and nothing is left open.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import struct
+import unittest
+from collections import Counter
+from contextlib import suppress
+from typing import Any, Iterator
+
+from kelpstage.base.defects import Defect
+from kelpstage.base.http import client as client_module
+from kelpstage.base.http.client import (
+    CLOSED,
+    IDLE,
+    LEASED,
+    MAY_FOLLOW,
+    ClientConnection,
+    HttpClient,
+    IllegalTransition,
+    State,
+)
+from kelpstage.base.http.server import HttpServer
+from kelpstage.base.ports.types import HttpCall, HttpLimits, HttpReply, Owner
+from tests.test_http import Raw, free_address, until
+
+WALKS = 240
+CALLS = 10
+AT_ONCE = 3
+LARGE = 8_000_000  # more than the kernel takes at once
+# What a raw backend may do with a request, each with its weight.
+ACTIONS = {
+    "answer": 10,
+    "answer in pieces": 4,
+    "answer before the request is whole": 2,
+    "extra answer before": 2,
+    "extra answer behind": 2,
+    "extra answer later": 3,
+    "junk behind": 1,
+    "half an answer and a close": 2,
+    "half an answer and a reset": 2,
+    "close": 2,
+    "reset": 2,
+    "no answer in the protocol": 1,
+    "an answer to nobody": 1,
+    "an answer, then close": 3,
+    "silence": 2,
+    "100 before": 1,
+}
+
+
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection by a reset."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(1, 13, struct.pack("ii", 1, 0))  # SOL_SOCKET, SO_LINGER
+    writer.transport.abort()
+
+
+def reply_to(name: str, *, body: str | None = None) -> bytes:
+    """An answer that names its request and holds the name as its body."""
+    text = (name if body is None else body).encode()
+    named = f"X-Id: {name}\r\n" if name else ""
+    return f"HTTP/1.1 200 OK\r\n{named}Content-Length: {len(text)}\r\n\r\n".encode() + text
+
+
+class WalkingBackend:
+    """A raw server that does what its dice say, and counts what arrives."""
+
+    def __init__(self, *, rand: random.Random) -> None:
+        self.rand = rand
+        self.begun: Counter = Counter()
+        self.open = 0
+        self.most_open = 0
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._writers: list[asyncio.StreamWriter] = []
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+
+    def stop(self) -> None:
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self._writers.append(writer)
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        with suppress(asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            while not writer.transport.is_closing():
+                await self._step(reader=reader, writer=writer)
+        self.open -= 1
+
+    async def _step(self, *, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        line = await reader.readuntil(b"\r\n")
+        name = line.split(b" ")[1].decode().lstrip("/")
+        self.begun[name] += 1
+        action = self.rand.choices(list(ACTIONS), weights=list(ACTIONS.values()))[0]
+        if action == "answer before the request is whole":
+            writer.write(reply_to(name))
+        head = await reader.readuntil(b"\r\n\r\n")
+        size = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0])
+        await reader.readexactly(size)
+        await self._act(action=action, name=name, writer=writer, reader=reader)
+
+    async def _act(
+        self, *, action: str, name: str, writer: asyncio.StreamWriter, reader: asyncio.StreamReader
+    ) -> None:
+        whole = reply_to(name)
+        cut = self.rand.randrange(1, len(whole))
+        half = whole[:cut]
+        at_once = {
+            "answer": whole,
+            "an answer, then close": whole,
+            "extra answer before": reply_to("old") + whole,
+            "extra answer behind": whole + reply_to("old"),
+            "extra answer later": whole,
+            "junk behind": whole + b"junk",
+            "half an answer and a close": half,
+            "half an answer and a reset": half,
+            "no answer in the protocol": self.rand.randbytes(40) + b"\r\n\r\n",
+            "an answer to nobody": reply_to("", body="nobody"),
+            "100 before": b"HTTP/1.1 100 Continue\r\n\r\n" + whole,
+        }
+        writer.write(at_once.get(action, b""))
+        if action == "answer in pieces":
+            for at in range(0, len(whole), cut):
+                writer.write(whole[at : at + cut])
+                await asyncio.sleep(0)
+        if action == "extra answer later":
+            for _ in range(self.rand.randrange(8)):
+                await asyncio.sleep(0)
+            writer.write(reply_to("old"))
+        if action == "silence":
+            await reader.read()
+        if action.endswith("reset"):
+            reset(writer)
+        elif action.endswith(("close", "silence")):
+            writer.close()
+
+
+class ClientWalks(unittest.IsolatedAsyncioTestCase):
+    seen: set[tuple[State, State]] = set()
+
+    async def test_walks(self) -> None:
+        self.seen = set()
+        become = ClientConnection._become
+        seen = self.seen
+
+        def watched(connection: ClientConnection, state: State) -> None:
+            seen.add((connection.state, state))
+            become(connection, state)
+
+        ClientConnection._become = watched
+        try:
+            for seed in range(WALKS):
+                with self.subTest(seed=seed):
+                    await self.walk(rand=random.Random(seed))
+        finally:
+            ClientConnection._become = become
+        allowed = {(old, new) for old, after in MAY_FOLLOW.items() for new in after}
+        # What no walk on a live machine brings about surely has tests of its own below.
+        self.assertEqual(set(), allowed - seen - {(LEASED, CLOSED), (LEASED, IDLE)})
+        self.assertEqual(set(), seen - allowed)
+
+    async def walk(self, *, rand: random.Random) -> None:
+        client = HttpClient()
+        backend = WalkingBackend(rand=rand)
+        await backend.start()
+        broken: list[dict] = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: broken.append(context)
+        )
+        outcomes: dict[str, Any] = {}
+
+        async def caller(number: int) -> None:
+            for turn in range(CALLS):
+                name = f"c{number}-{turn}"
+                outcomes[name] = await self.call(
+                    client=client, backend=backend, name=name, rand=rand
+                )
+
+        async with asyncio.timeout(30):
+            await asyncio.gather(*(caller(number) for number in range(4)))
+        client.close()
+        backend.stop()
+        self.assertEqual([], broken)
+        self.assertEqual((0, 0), client.connections_to(address=backend.address))
+        self.assertLessEqual(max(backend.begun.values(), default=0), 1)
+        for name, outcome in outcomes.items():
+            self.check(name=name, outcome=outcome, backend=backend)
+
+    async def call(
+        self, *, client: HttpClient, backend: WalkingBackend, name: str, rand: random.Random
+    ) -> Any:
+        def owner_of(reply: HttpReply) -> Owner:
+            named = reply.headers.get("x-id")
+            if named is None:
+                return Owner.UNNAMED
+            return Owner.OURS if named == name else Owner.OTHERS
+
+        call = HttpCall(
+            method="POST",
+            url=f"http://{backend.address}/{name}",
+            body=b"x" * (LARGE if rand.random() < 0.01 else rand.randrange(50)),
+            wait_us=rand.choice((4_000, 30_000)),
+            line_limit=AT_ONCE,
+            owner_of=owner_of,
+        )
+        task = asyncio.ensure_future(client.fetch(call=call))
+        if rand.random() < 0.05:
+            for _ in range(rand.randrange(6)):
+                await asyncio.sleep(0)
+            task.cancel()
+            await asyncio.wait((task,))
+            return None if task.cancelled() else task.result()
+        return await task
+
+    def check(self, *, name: str, outcome: Any, backend: WalkingBackend) -> None:
+        if isinstance(outcome, HttpReply):
+            self.assertIn(outcome.body, (name.encode(), b"nobody"))
+            self.assertEqual(1, backend.begun[name])
+        elif isinstance(outcome, Defect) and not getattr(outcome, "was_sent", False):
+            self.assertEqual(0, backend.begun[name], outcome)
+
+
+class Cancelled(unittest.IsolatedAsyncioTestCase):
+    """Found by a walk (seed 0): a call that was cancelled in the very turn in which its
+    answer came closed the connection under the next call, which then waited for ever."""
+
+    async def test_cancelled_as_the_answer_comes(self) -> None:
+        client = HttpClient()
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    await reader.readuntil(b"\r\n\r\n")
+                    writer.write(reply_to("me"))
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        call = HttpCall(method="GET", url=f"http://{host}:{port}/", line_limit=1)
+        first = asyncio.ensure_future(client.fetch(call=call))
+        gate = asyncio.Event()
+
+        async def next_call() -> Any:
+            await gate.wait()
+            return await client.fetch(call=call)
+
+        second = asyncio.ensure_future(next_call())
+        finish = ClientConnection._finish
+
+        def finish_and_cancel(connection: ClientConnection, **fields: Any) -> None:
+            ClientConnection._finish = finish
+            gate.set()  # the next call runs before the first one hears of its end
+            finish(connection, **fields)
+            first.cancel()
+
+        ClientConnection._finish = finish_and_cancel
+        try:
+            async with asyncio.timeout(10):
+                self.assertEqual(200, (await second).status)
+        finally:
+            ClientConnection._finish = finish
+        self.assertTrue(first.cancelled())
+        self.assertEqual((1, 1), client.connections_to(address=f"{host}:{port}"))
+        client.close()
+        server.close()
+
+
+class Transitions(unittest.IsolatedAsyncioTestCase):
+    """The edges of the table that a walk meets only by chance."""
+
+    async def asyncSetUp(self) -> None:
+        self.backend = WalkingBackend(rand=random.Random(1))
+        await self.backend.start()
+        self.client = HttpClient()
+
+    async def asyncTearDown(self) -> None:
+        self.client.close()
+        self.backend.stop()
+
+    async def lease(self) -> ClientConnection:
+        call = HttpCall(method="GET", url=f"http://{self.backend.address}/", line_limit=1)
+        deadline = asyncio.get_running_loop().time() + 10
+        return await self.client._lease_new(
+            call=call, address=self.backend.address, deadline=deadline
+        )
+
+    async def test_a_lease_that_sends_nothing_goes_back(self) -> None:
+        connection = await self.lease()
+        self.assertEqual(LEASED, connection.state)
+        connection.hand_back()
+        self.assertEqual(IDLE, connection.state)
+        self.assertTrue(connection.lease())
+        self.assertEqual(LEASED, connection.state)
+        connection.close()
+        self.assertEqual(CLOSED, connection.state)
+        self.assertEqual((0, 0), self.client.connections_to(address=self.backend.address))
+
+    async def test_what_the_table_does_not_have_is_a_fault(self) -> None:
+        for old in State:
+            for new in State:
+                connection = await self.lease()
+                connection.state = old
+                if new in MAY_FOLLOW[old]:
+                    connection._become(new)
+                    self.assertEqual(new, connection.state)
+                else:
+                    with self.assertRaises(IllegalTransition):
+                        connection._become(new)
+                connection.state = LEASED
+                connection.close()
+
+    async def test_a_call_whose_time_ended_while_it_connected_is_not_sent(self) -> None:
+        """As after a freeze: the connection is open and the deadline is over, both at
+        once; the kernel must not get a byte."""
+        loop = asyncio.get_running_loop()
+        time_of, leap = loop.time, [0.0]
+        opened = self.client._open
+
+        async def slow(**fields: Any) -> Any:
+            connection = await opened(**fields)
+            leap[0] = 60.0
+            return connection
+
+        self.client._open = slow
+        loop.time = lambda: time_of() + leap[0]
+        try:
+            call = HttpCall(
+                method="POST", url=f"http://{self.backend.address}/late", body=b"x", line_limit=1
+            )
+            outcome = await self.client.fetch(call=call)
+        finally:
+            loop.time = time_of
+        self.assertEqual(("wait_over", False), (outcome.kind, outcome.was_sent))
+        await until(lambda: self.backend.open == 1)
+        self.assertEqual(Counter(), self.backend.begun)
+        self.assertEqual((1, 1), self.client.connections_to(address=self.backend.address))
+
+
+def pieces_of(data: bytes, rand: random.Random) -> Iterator[bytes]:
+    """The same bytes in pieces of any size."""
+    at = 0
+    while at < len(data):
+        size = rand.choice((1, 7, 60, 4_000))
+        yield data[at : at + size]
+        at += size
+
+
+class ServerWalks(unittest.IsolatedAsyncioTestCase):
+    """Clients that pipeline, break off, expect 100, send in pieces and write nonsense."""
+
+    async def asyncSetUp(self) -> None:
+        self.rand = random.Random(3)
+        self.runs: Counter = Counter()
+        self.broken: list[dict] = []
+        asyncio.get_running_loop().set_exception_handler(
+            lambda loop, context: self.broken.append(context)
+        )
+        self.limits = HttpLimits(header_bytes=2_000, body_bytes=500)
+        self.address = free_address()
+        self.server = HttpServer(on_call=self.answer, limits=lambda: self.limits)
+        self.assertIsNone(await self.server.open(address=self.address))
+
+    async def asyncTearDown(self) -> None:
+        self.server.abort()
+        await until(lambda: not self.server.open_lines())
+        self.assertEqual([], self.broken)
+
+    async def answer(self, call: HttpCall) -> HttpReply:
+        self.runs[call.url] += 1
+        for _ in range(self.rand.randrange(4)):
+            await asyncio.sleep(0)
+        return HttpReply(status=200, headers={"X-Url": call.url}, body=call.url.encode())
+
+    async def connect(self) -> Raw:
+        host, _, port = self.address.partition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        return Raw(reader=reader, writer=writer)
+
+    def one(self, *, url: str, rand: random.Random) -> bytes:
+        head = f"POST {url} HTTP/1.1\r\nHost: h\r\n"
+        body = b"b" * rand.randrange(300)
+        if rand.random() < 0.3:
+            chunks = b"".join(f"{len(p):x}\r\n".encode() + p + b"\r\n" for p in (body,) if p)
+            return f"{head}Transfer-Encoding: chunked\r\n\r\n".encode() + chunks + b"0\r\n\r\n"
+        return f"{head}Content-Length: {len(body)}\r\n\r\n".encode() + body
+
+    async def test_walks(self) -> None:
+        for seed in range(WALKS):
+            with self.subTest(seed=seed):
+                await self.walk(seed=seed)
+
+    async def walk(self, *, seed: int) -> None:
+        rand = random.Random(seed)
+        raw = await self.connect()
+        urls = [f"/{seed}/{n}" for n in range(rand.randrange(1, 30))]
+        whole = b"".join(self.one(url=url, rand=rand) for url in urls)
+        leaves = rand.random() < 0.3
+        sent = whole[: rand.randrange(len(whole))] if leaves else whole
+        for piece in pieces_of(sent, rand):
+            raw.send(piece)
+            if rand.random() < 0.2:
+                await asyncio.sleep(0)
+        if leaves:
+            raw.close()
+            await until(lambda: not self.server.open_lines())
+        else:
+            got = [(await raw.reply())[2].decode() for _ in urls]
+            self.assertEqual(urls, got)
+            raw.close()
+        runs = [self.runs[url] for url in urls]
+        self.assertLessEqual(max(runs), 1)
+        # what ran is a beginning of what was sent, without a gap
+        self.assertEqual(sorted(runs, reverse=True), runs)
+
+    async def test_malformed_requests(self) -> None:
+        """A good request with some bytes changed: an answer of the right kind and the
+        connection's end, or a good request after all; nothing hides behind it."""
+        for seed in range(WALKS):
+            with self.subTest(seed=seed):
+                await self.mutate(rand=random.Random(seed), seed=seed)
+        self.assertFalse([url for url in self.runs if url.startswith("/hidden")])
+
+    async def mutate(self, *, rand: random.Random, seed: int) -> None:
+        data = bytearray(self.one(url=f"/m{seed}", rand=rand))
+        for _ in range(rand.randrange(1, 5)):
+            place = rand.randrange(len(data))
+            how = rand.randrange(3)
+            if how == 0:
+                data[place] = rand.randrange(256)
+            elif how == 1:
+                del data[place]
+            else:
+                data[place:place] = rand.choice((b"\r\n", b"\0", b"\n", b" ", b":", b"\xff" * 3))
+        raw = await self.connect()
+        raw.send(bytes(data))
+        raw.writer.write_eof()
+        answers = await raw.rest()
+        for line in answers.split(b"\r\n"):
+            if line.startswith(b"HTTP/1.1 "):
+                self.assertIn(int(line.split(b" ")[1]), (100, 200, 400, 408, 413, 431))
+        raw.close()
+        await until(lambda: not self.server.open_lines())
+
+    async def test_bytes_of_no_protocol(self) -> None:
+        for seed in range(WALKS // 2):
+            rand = random.Random(seed)
+            raw = await self.connect()
+            raw.send(rand.randbytes(rand.choice((1, 30, 3_000, 100_000))))
+            with suppress(OSError):
+                raw.writer.write_eof()
+            await raw.rest()
+            raw.close()
+        await until(lambda: not self.server.open_lines())
+        self.assertEqual(Counter(), self.runs)
+
+
+class ClientFuzz(unittest.IsolatedAsyncioTestCase):
+    """Answers with some bytes changed: a typed outcome each, and never another's."""
+
+    async def test_malformed_answers(self) -> None:
+        client = HttpClient()
+        limits = client_module.REPLY_BYTES
+        client_module.REPLY_BYTES = 4_000
+        rand = random.Random(5)
+
+        async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            with suppress(asyncio.IncompleteReadError, ConnectionError):
+                while True:
+                    await reader.readuntil(b"\r\n\r\n")
+                    data = bytearray(reply_to("me"))
+                    for _ in range(rand.randrange(3)):
+                        data[rand.randrange(len(data))] = rand.randrange(256)
+                    if rand.random() < 0.1:
+                        data[:0] = rand.randbytes(rand.choice((3, 10_000)))
+                    writer.write(bytes(data))
+                    await writer.drain()
+                    writer.close()
+                    return
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        kinds: Counter = Counter()
+        for _ in range(WALKS * 2):
+            call = HttpCall(
+                method="GET",
+                url=f"http://{host}:{port}/",
+                line_limit=2,
+                wait_us=10_000_000,
+                owner_of=lambda reply: Owner(reply.headers.get("x-id") == "me"),
+            )
+            outcome = await client.fetch(call=call)
+            kinds[type(outcome).__name__] += 1
+            self.assertIsInstance(outcome, (HttpReply, Defect))
+            if isinstance(outcome, HttpReply):
+                self.assertEqual("me", outcome.headers["x-id"])
+        client_module.REPLY_BYTES = limits
+        client.close()
+        server.close()
+        self.assertGreater(kinds["LineLost"], 50)
+        self.assertGreater(kinds["HttpReply"], 50)
+        await until(lambda: client.connections_to(address=f"{host}:{port}") == (0, 0))
+
+
+if __name__ == "__main__":
+    unittest.main()
