Attempts: a shard's Tries are counted over all nodes, and what is unknown counts as used

Each node counted the sends of a shard for itself. A route of two Tries could have a shard sent to four backends.

Now: attempts travel with the hand-over (Gather.attempts) and come back with the answer (attempts_left of each part and each missing shard). They outlive a search's beginning again, which is then this node's own work. A fanned-out request that may run once has one attempt for each shard, and none under a configuration that makes it at most once after it was sent.

--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -333,6 +333,7 @@
     stamp: str = bp.string_field(3)
     count: int = bp.uint64_field(4)
     cut: str = bp.string_field(5)
+    attempts_left: int = bp.uint32_field(6)  # of those handed over: surely never used
 
 
 @dataclass
@@ -340,6 +341,7 @@
     shard: str = bp.string_field(1)
     cause: str = bp.string_field(2)
     detail: str = bp.string_field(3)
+    attempts_left: int = bp.uint32_field(4)  # of those handed over: surely never used
 
 
 @dataclass
--- a/kelpstage/edge/gather/passes/admit.py
+++ b/kelpstage/edge/gather/passes/admit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from kelpstage.base.defects import (
+    BackendLost,
     NotReady,
     TimeLeftSpent,
     UnknownCollection,
@@ -108,11 +109,16 @@
     if route is None:
         end(record=record, outcome=UnknownRoute(host=host[:200], path=path[:200]))
         return False
+    if not route.is_repeatable and record.may_have_run():  # it was, when it was begun
+        end(record=record, outcome=BackendLost(backend="", cause="configuration moved on"))
+        return False
     record.collection = route.name
     record.kind = ROOT if route.fan_out else SINGLE
     record.limit = route.limit if route.fan_out else None
     record.shard = "" if route.fan_out else draw(weights=route.weights, lot=world.rand.random())
     record.is_repeatable, record.attempts = route.is_repeatable, route.attempts
+    if route.fan_out and not route.is_repeatable:
+        record.attempts = 1  # a shard that is lost may have run it
     record.aim_us = route.aim_us
     record.due_us = min(record.due_us, record.arrived_us + route.deadline_us)
     return True
--- a/kelpstage/edge/gather/passes/merge.py
+++ b/kelpstage/edge/gather/passes/merge.py
@@ -95,7 +95,7 @@
     if cell.has_open_round():
         return
     cell.cause, cell.detail = "backend_failed", str(reply.status)
-    if len(cell.rounds) >= record.attempts:
+    if not record.has_attempt(cell=cell):
         cell.miss(cause=cell.cause, detail=cell.detail)
         return
     cell.wants_round = True
@@ -154,7 +154,7 @@
     cause = "window" if isinstance(outcome, WaitOver) else outcome.kind
     is_once = record.request is None or not record.is_repeatable
     is_over = record.kind == SINGLE and record.reached_backend and is_once
-    if is_over or isinstance(outcome, WaitOver) or len(cell.rounds) >= record.attempts:
+    if is_over or isinstance(outcome, WaitOver) or not record.has_attempt(cell=cell):
         cell.miss(cause=cause, detail=detail)
         return
     cell.cause, cell.detail = outcome.kind, detail
@@ -183,21 +183,30 @@
         # What was gathered again meanwhile gives way: the kid's records of all its
         # parts are merged and can only be taken whole.
         record.runs.pop(part.shard, None)
-        record.cells.pop(part.shard, None)
+        record.take_back(kid=kid, shard=part.shard, count=part.attempts_left)
+        record.drop_cell(shard=part.shard)
         record.missing.pop(part.shard, None)
         record.parts[part.shard] = part
     for missing in outcome.missing:
-        if missing.shard not in record.parts:
+        record.take_back(kid=kid, shard=missing.shard, count=missing.attempts_left)
+        is_ours = missing.shard in kid.branch.all_shards()
+        if is_ours and missing.shard not in record.parts:
             record.missing[missing.shard] = (missing.cause, missing.detail)
     record.runs[kid.slot] = records
 
 
 def _is_proper(*, reply: Gathered, kid: Kid, record: Gathering) -> bool:
-    """Does the reply name each of the kid's shards once, under our version and cut?"""
+    """Does the reply name each of the kid's shards once, under our version and cut? The
+    second one of a kid may name more than what it was resumed for: all it has left."""
     if reply.version != record.version:
         return False
     named = [p.shard for p in reply.parts] + [m.shard for m in reply.missing]
-    if sorted(named) != sorted(kid.branch.all_shards()):
+    wanted = set(kid.branch.all_shards())
+    may_name = wanted
+    if kid.is_resumed:
+        first = next(k for k in record.kids if k.ask_id == kid.ask_id and not k.is_resumed)
+        may_name = set(first.branch.all_shards())
+    if len(set(named)) != len(named) or not wanted <= set(named) <= may_name:
         return False
     shards = record.blueprint.collections[record.collection].shards
     return all(part.cut == shards[part.shard].cut for part in reply.parts)
@@ -206,6 +215,7 @@
 def _kid_is_elsewhere(*, reply: Gathered, kid: Kid, record: Gathering, world: World) -> None:
     """The kid runs under another blueprint: the whole query goes under the newer."""
     if reply.has_sent_nothing:
+        _note_sent_nothing(kid=kid, record=record)
         record.sent_shards -= set(kid.branch.all_shards()) - set(record.cells)
     if reply.version <= record.version:
         _kid_lost(kid=kid, why="behind", record=record, world=world)
@@ -223,10 +233,21 @@
     world.emit(WantState(version=reply.version, source=kid.branch.node))
 
 
+def _note_sent_nothing(*, kid: Kid, record: Gathering) -> None:
+    """A helper that was not reached, or says so itself, has used no attempt."""
+    if kid.has_sent_nothing or kid.is_resumed:
+        return
+    kid.has_sent_nothing = True
+    for shard in kid.branch.all_shards():
+        record.take_back(kid=kid, shard=shard, count=kid.attempts)
+
+
 def _kid_lost(*, kid: Kid, why: str, record: Gathering, world: World, is_sent: bool = True) -> None:
     """The root gathers a lost kid's shards again; a child passes the loss up."""
     kid.state = MISSING
     world.note_late(name=kid.branch.node)
+    if not is_sent:
+        _note_sent_nothing(kid=kid, record=record)
     if record.kind == ROOT:
         regather(kid=kid, record=record, cause="partner_lost", why=why, is_extra=is_sent)
         return
@@ -243,6 +264,10 @@
     for shard in kid.branch.all_shards():
         if shard in record.parts or shard in record.cells:
             continue
+        if record.left_of(shard=shard) <= 0:  # it may have been sent as often as it may be
+            if kid.state == MISSING:
+                record.missing[shard] = (cause, why)
+            continue
         record.cells[shard] = Cell(
             shard=shard,
             is_extra=is_extra or record.is_sent_before(shard=shard),
--- a/kelpstage/edge/gather/passes/send.py
+++ b/kelpstage/edge/gather/passes/send.py
@@ -109,6 +109,9 @@
     cell.wants_round = False
     if (cell.rounds or cell.is_extra) and record.due_us - world.now_us < LAST_SEND_US:
         choices = []  # no answer could be in time
+    is_used_up = record.is_bounded and not record.has_attempt(cell=cell)
+    if is_used_up:
+        choices = []
 
     def refuse(why: str) -> None:
         world.trail.add(
@@ -116,7 +119,8 @@
         )
 
     if not choices:
-        refuse("no other backend may be asked" if tried else "no backend may be asked")
+        why = "no other backend may be asked" if tried else "no backend may be asked"
+        refuse("its attempts are used up" if is_used_up else why)
         if not is_hedge:
             cell.miss(cause=cell.cause or "no_backend", detail=cell.detail or "none may be asked")
         return False
@@ -203,6 +207,7 @@
     else:
         world.next_round += 1
         kid.ask_id = world.next_round
+        record.hand_over(kid=kid, is_reserved=world.is_shy(name=kid.branch.node))
     record.sent_shards |= set(kid.branch.all_shards())
     world.trail.add(
         PartnerAsked(
@@ -263,6 +268,9 @@
     in_time = record.waiting_shards() - {s for kid in late for s in kid.branch.all_shards()}
     if len(record.parts) + len(in_time) >= record.route.quorum:
         return
+    late = [kid for kid in late if _may_ask_for(kid=kid, record=record)]
+    if not late:
+        return  # all attempts are with them: what they get is what there is
     wanted = record.route.quorum - len(record.parts) - len(in_time)
     if wanted > world.budget.room(
         service=record.collection,
@@ -276,6 +284,11 @@
     _send_wanted(record=record, world=world)
 
 
+def _may_ask_for(*, kid: Kid, record: Gathering) -> bool:
+    """Are attempts left here for any of a helper's shards?"""
+    return any(record.left_of(shard=shard) > 0 for shard in kid.branch.all_shards())
+
+
 def _regather_missing(*, record: Gathering, world: World) -> None:
     """Below the quorum, what a kid left out is waited for, and what it could not
     get is asked for again, once."""
@@ -285,7 +298,8 @@
         return
     _resume_kids(record=record, world=world)
     for shard, (cause, detail) in sorted(record.missing.items()):
-        if shard not in record.cells and shard not in record.parts:
+        is_open = shard not in record.cells and shard not in record.parts
+        if is_open and record.left_of(shard=shard) > 0:
             record.cells[shard] = Cell(shard=shard, is_extra=True, cause=cause, detail=detail)
     _send_wanted(record=record, world=world)
 
@@ -308,6 +322,8 @@
             branch=Branch(node=kid.branch.node, shards=shards),
             ask_id=kid.ask_id,
             is_resumed=True,
+            attempts=kid.attempts,
+            unknown=kid.unknown,
         )
         record.kids.append(rest)
         _send_kid(kid=rest, record=record, world=world)
--- a/kelpstage/edge/gather/passes/settle.py
+++ b/kelpstage/edge/gather/passes/settle.py
@@ -13,7 +13,7 @@
     QuorumNotMet,
     TimeLeftSpent,
 )
-from kelpstage.base.wire.messages import Gathered, MissingMsg
+from kelpstage.base.wire.messages import Gathered, MissingMsg, PartMsg
 from kelpstage.edge.events import SearchEnded
 from kelpstage.edge.gather.messages import KidReply, PartlySettled, Verdict
 from kelpstage.edge.gather.order import lowest_cut
@@ -67,14 +67,30 @@
     runs = record.order.merge(runs=list(record.runs.values()), limit=cut)
     return Gathered(
         version=record.version,
-        parts=[record.parts[s] for s in sorted(record.parts) if s not in record.handed],
+        parts=[
+            _part_for_above(record=record, shard=shard)
+            for shard in sorted(record.parts)
+            if shard not in record.handed
+        ],
         missing=[
-            MissingMsg(shard=shard, cause=cause, detail=detail) for shard, cause, detail in missing
+            MissingMsg(
+                shard=shard,
+                cause=cause,
+                detail=detail,
+                attempts_left=record.surely_left(shard=shard),
+            )
+            for shard, cause, detail in missing
         ],
         records=record.order.pack(records=runs),
     )
 
 
+def _part_for_above(*, record: Gathering, shard: str) -> PartMsg:
+    part = record.parts[shard]
+    part.attempts_left = record.surely_left(shard=shard)
+    return part
+
+
 def missing_of(*, record: Gathering, still_waiting: str = "window") -> list[tuple[str, str, str]]:
     """Every shard of the branch that is not in, with its cause."""
     out = []
--- a/kelpstage/edge/gather/record.py
+++ b/kelpstage/edge/gather/record.py
@@ -72,6 +72,8 @@
     is_open: bool = False
     is_resumed: bool = False
     has_sent_nothing: bool = False  # it was not reached, or says that it asked nobody
+    attempts: int = 0  # that were handed over to it, for each of its shards
+    unknown: dict[str, int] = field(default_factory=dict)  # of them, not heard of yet
 
 
 @dataclass(kw_only=True)
@@ -96,6 +98,9 @@
     request: ClientRequest | None = None  # what is forwarded, where it is not a query of our own
     is_repeatable: bool = True
     attempts: int = 3  # backends that one shard may be sent to
+    # By shard: attempts that no other node, and no former generation, has used or may use
+    # yet. What is not here has all of them.
+    attempts_left: dict[str, int] = field(default_factory=dict)
     is_far: bool = False  # does what it hands up cross regions?
     aim_us: int = 0  # when an answer is still worth most; 0: no such time
     handed: frozenset = frozenset()
@@ -138,6 +143,8 @@
         self.sent_shards = set()
         self.stage = NEW
         self.blueprint = self.route = None
+        for cell in self.cells.values():
+            self._spend(cell=cell)
         self.cells, self.kids = {}, []
         self.parts, self.runs, self.missing = {}, {}, {}
         self.whole = None
@@ -146,13 +153,75 @@
         if self.kind == ROOT:
             self.branch = None
 
+    # --- attempts ---------------------------------------------------------------------
+
+    @property
+    def is_bounded(self) -> bool:
+        """Does its route bound the backends that one shard may be sent to, over all nodes?"""
+        return self.request is not None
+
+    def left_of(self, *, shard: str) -> int:
+        """How many backends this node may send the shard to, in this generation."""
+        if not self.is_bounded:
+            return self.attempts
+        return min(self.attempts, self.attempts_left.get(shard, self.attempts))
+
+    def has_attempt(self, *, cell: Cell) -> bool:
+        """May this node send the shard to one more backend?
+
+        >>> g = Gathering(key=1, kind=ROOT, collection="c", arrived_us=0, due_us=9, attempts=1)
+        >>> g.has_attempt(cell=Cell(shard="s"))
+        True
+        """
+        return len(cell.rounds) < self.left_of(shard=cell.shard)
+
+    def hand_over(self, *, kid: Kid, is_reserved: bool) -> None:
+        """Give a helper the attempts for its shards. What becomes of them is unknown from
+        here on, so they count as used until it says otherwise. `is_reserved`: one of
+        them, if there are two or more, stays here for the case that nothing is heard."""
+        shards = kid.branch.all_shards()
+        least = min((self.left_of(shard=shard) for shard in shards), default=0)
+        kid.attempts = least - 1 if is_reserved and least > 1 else least
+        kid.unknown = dict.fromkeys(shards, kid.attempts)
+        for shard in shards:
+            self.attempts_left[shard] = self.left_of(shard=shard) - kid.attempts
+
+    def take_back(self, *, kid: Kid, shard: str, count: int) -> None:
+        """A helper says, once for each shard, that so many attempts were never used."""
+        if count and shard in kid.unknown:
+            back = min(count, kid.unknown.pop(shard))
+            self.attempts_left[shard] = self.left_of(shard=shard) + back
+
+    def surely_left(self, *, shard: str) -> int:
+        """Of the attempts for a shard, those that this node surely never uses: what it
+        tells the node above."""
+        if shard in self.waiting_shards():
+            return 0
+        cell = self.cells.get(shard)
+        used = len(cell.rounds) if cell else 0
+        return max(0, self.left_of(shard=shard) - used)
+
+    def drop_cell(self, *, shard: str) -> None:
+        """Give way to a helper's answer for a shard that this node asked for as well."""
+        cell = self.cells.pop(shard, None)
+        if cell is not None:
+            self._spend(cell=cell)
+
+    def _spend(self, *, cell: Cell) -> None:
+        if cell.rounds:
+            left = self.left_of(shard=cell.shard) - len(cell.rounds)
+            self.attempts_left[cell.shard] = max(0, left)
+
+    # --- what it has come to ------------------------------------------------------------
+
     def may_have_run(self) -> bool:
         """May a backend have run this request or a part of it, or run it yet?
 
         >>> g = Gathering(key=1, kind=ROOT, collection="c", arrived_us=0, due_us=9)
         >>> g.may_have_run()
         False
-        >>> g.cells["s"] = Cell(shard="s", rounds=[Round(number=1, backend="b", sent_us=0, soft_us=1)])
+        >>> first = Round(number=1, backend="b", sent_us=0, soft_us=1)
+        >>> g.cells["s"] = Cell(shard="s", rounds=[first])
         >>> g.may_have_run()
         True
         """
--- a/kelpstage/edge/gather/task.py
+++ b/kelpstage/edge/gather/task.py
@@ -336,7 +336,8 @@
     async def _ask_kid(self, *, ask: AskKid) -> None:
         record = ask.record
         sent_us = self._ports.clock.now_us()
-        branch = next(k.branch for k in record.kids if k.slot == ask.slot)
+        kid = next(k for k in record.kids if k.slot == ask.slot)
+        branch = kid.branch
         request = record.request
         forwarded: dict[str, Any] = {}
         if request is not None:
@@ -345,7 +346,7 @@
                 "target": request.target,
                 "request_id": request.request_id,
                 "headers": pack_headers(headers=request.headers),
-                "attempts": record.attempts,
+                "attempts": kid.attempts,
                 "is_far": self.world.is_far(name=ask.node),
                 "aim_us": max(0, record.arrived_us + record.aim_us - sent_us),
             }
--- /dev/null
+++ b/tests/test_attempts.py
@@ -0,0 +1,358 @@
+"""`Tries` bounds the backends that one request's shard is sent to, over all nodes.
+
+Gathering tasks of a root and its helpers on virtual time; backends fail, are slow or stay
+silent, messages between nodes are lost on either way or come late, helpers die, and the
+configuration moves on. Counted is what is sent for each request and shard.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import random
+import unittest
+from collections import Counter
+from types import SimpleNamespace
+from typing import Any
+
+from kelpstage.base.blueprint.check import read_blueprint
+from kelpstage.base.defects import ConnectRefused, LineLost, WaitOver
+from kelpstage.base.journal import Journal
+from kelpstage.base.ports.types import HttpCall, HttpReply, Ports
+from kelpstage.base.wire.messages import Gather, GrantReply, MemberMsg, StateDoc
+from kelpstage.edge.backend.book import Book
+from kelpstage.edge.backend.life import Life
+from kelpstage.edge.forward.names import HeaderNames
+from kelpstage.edge.forward.request import ClientRequest
+from kelpstage.edge.forward.sealed import SealedCodec
+from kelpstage.edge.gather.messages import BlueprintMoved, Verdict
+from kelpstage.edge.gather.pace import Paces
+from kelpstage.edge.gather.record import ROOT, Gathering
+from kelpstage.edge.gather.task import GatherTask
+from kelpstage.edge.gather.world import World
+from kelpstage.edge.gossip.swim import ALIVE, Member, Swim
+from kelpstage.edge.grant.keeper import Keeper
+from kelpstage.edge.handlers import handle
+from kelpstage.edge.rounds.budget import Budget
+from proof.sim.loop import VirtualLoop
+
+SHARDS = tuple(f"s{n}" for n in range(8))
+BACKENDS_OF_SHARD = 4
+SPAN_US = 3_600_000_000
+AIM_US, DEADLINE_US = 130_000, 900_000
+OUTCOMES = ("answer", "slow", "failed", "turned away", "reset", "silent", "refused")
+
+
+def document(*, version: int, attempts: int, quorum: float, is_repeatable: bool = True) -> bytes:
+    """One gathered route over all shards."""
+    route = {
+        "host": "h",
+        "prefix": "/",
+        "is_repeatable": is_repeatable,
+        "attempts": attempts,
+        "deadline_us": DEADLINE_US,
+        "aim_us": AIM_US,
+        "fan_out": list(SHARDS),
+        "limit": 5,
+        "quorum": quorum,
+    }
+    services = {name: {"health_path": "/health", "max_connections": 400} for name in SHARDS}
+    return json.dumps({"version": version, "services": services, "forward": {"r": route}}).encode()
+
+
+class Node:
+    """One edge: its world, its gathering task, and how its messages travel."""
+
+    def __init__(self, *, name: str, fleet: "Fleet") -> None:
+        self.name, self.fleet = name, fleet
+        self.is_dead = False
+        self.is_cut = False  # what is sent to it arrives; nothing comes back
+        clock = SimpleNamespace(
+            now_us=fleet.loop.now_us,
+            later=lambda *, us, verb: fleet.loop.call_later(max(0, us) / 1e6, verb),
+        )
+        self.ports = Ports(
+            clock=clock,
+            net=SimpleNamespace(fetch=self.fetch),
+            disk=None,
+            rand=random.Random(f"{fleet.seed}/{name}"),
+            spawn=fleet.spawn,
+        )
+        self.keeper = Keeper(me=name)
+        self.world = World(
+            me=name,
+            domain="z",
+            own="",
+            rand=self.ports.rand,
+            keeper=self.keeper,
+            swim=Swim(
+                me=MemberMsg(name=name, domain="z"),
+                rand=random.Random(1),
+                rumors=list,
+                on_rumor=lambda rumor: None,
+            ),
+            book=Book(me=name),
+            paces=Paces(),
+            budget=Budget(slack=1_000_000),
+            journal=Journal(now=lambda: 0),
+        )
+        self.gather = GatherTask(
+            ports=self.ports,
+            lines=SimpleNamespace(call=self.call),
+            world=self.world,
+            on_want_state=lambda want: None,
+            on_backend_news=lambda name: None,
+            sealed=SealedCodec(names=HeaderNames()),
+        )
+
+    def install(self, *, data: bytes, version: int) -> None:
+        """A configuration comes into force here."""
+        now_us = self.fleet.loop.now_us()
+        configuration = read_blueprint(data=data, version=version)
+        self.keeper.install(
+            doc=StateDoc(cluster="c", epoch=version, version=version, roster=[self.name]),
+            blueprint=configuration,
+            now_us=now_us,
+        )
+        granted = GrantReply(is_granted=True, cluster="c", epoch=version, span_us=SPAN_US)
+        self.keeper.take_grant(reply=granted, sent_us=now_us)
+        self.world.book.declare(blueprint=configuration, listed={})
+        self.world.book.set_lives(self.fleet.lives, now_us)
+        self.world.book.set_live_edges(count=1, now_us=now_us)
+        self.gather.inbox.put_nowait(BlueprintMoved())
+
+    def meet(self, *, others: list["Node"]) -> None:
+        """Know the other nodes as members that may help."""
+        for other in others:
+            info = MemberMsg(
+                name=other.name, address=other.name, domain="z", status=ALIVE, is_ready=True
+            )
+            self.world.swim.members[other.name] = Member(info=info, since_us=0)
+
+    async def fetch(self, *, call: HttpCall) -> Any:
+        address, _, _ = call.url.removeprefix("http://").partition("/")
+        name = call.headers["Kelp-Request-Id"]
+        self.fleet.sends[(name, address.partition(":")[0])] += 1
+        return await self.fleet.backend_says(call=call, name=name)
+
+    async def call(self, *, address: str, message: Gather, wait_us: int, lane: int) -> Any:
+        """A message to a helper; either way may lose it, and the helper may die."""
+        fleet, rand = self.fleet, self.fleet.rand
+        other = fleet.nodes[address]
+        lost = rand.random()
+        if other.is_cut:
+            fleet.spawn(handle(Gather().parse(bytes(message)), other, ""))
+            await asyncio.sleep(wait_us / 1e6)
+            return WaitOver(address=address, after_us=wait_us)
+        if other.is_dead or lost < fleet.loss * 0.2:
+            return ConnectRefused(address=address)
+        await asyncio.sleep(rand.uniform(0.0002, 0.002))
+        if lost < fleet.loss * 0.4:
+            await asyncio.sleep(wait_us / 1e6)
+            return WaitOver(address=address, after_us=wait_us)
+        work = asyncio.ensure_future(handle(Gather().parse(bytes(message)), other, ""))
+        fleet.tasks.append(work)
+        if lost < fleet.loss * 0.6:  # it works on, unheard
+            await asyncio.sleep(rand.uniform(0, wait_us / 1e6))
+            return LineLost(address=address)
+        late_s = rand.uniform(0, 0.3) if lost < fleet.loss else 0.0
+        done, _ = await asyncio.wait((work,), timeout=max(0, wait_us / 1e6 - late_s))
+        await asyncio.sleep(late_s)
+        if not done:
+            return WaitOver(address=address, after_us=wait_us)
+        return type(work.result())().parse(bytes(work.result()))
+
+    # what `handle` asks of an edge
+    @property
+    def counts(self) -> Counter:
+        return Counter()
+
+
+class Fleet:
+    """A root, its helpers and the backends of eight shards, from one seed."""
+
+    def __init__(
+        self, *, seed: int, loop: VirtualLoop, trouble: float, loss: float, helpers: int
+    ) -> None:
+        self.seed, self.loop = seed, loop
+        self.trouble, self.loss = trouble, loss  # of answers; of messages
+        self.rand = random.Random(seed)
+        self.sends: Counter = Counter()
+        self.tasks: list[asyncio.Future] = []
+        self.lives = [
+            Life(instance=f"{shard}-{n}", service=shard, address=f"{shard}:{n}", zone="z", slots=99)
+            for shard in SHARDS
+            for n in range(BACKENDS_OF_SHARD)
+        ]
+        names = [f"n{n}" for n in range(helpers + 1)]
+        self.nodes = {name: Node(name=name, fleet=self) for name in names}
+        for node in self.nodes.values():
+            node.meet(others=[n for n in self.nodes.values() if n is not node])
+        self.root = self.nodes["n0"]
+
+    def spawn(self, work: Any) -> asyncio.Task:
+        task = asyncio.ensure_future(work)
+        self.tasks.append(task)
+        return task
+
+    async def backend_says(self, *, call: HttpCall, name: str) -> Any:
+        """How a backend answers: mostly well, in trouble in every way."""
+        outcome = "answer"
+        if self.rand.random() < self.trouble:
+            outcome = self.rand.choice(OUTCOMES)
+        wait_s = call.wait_us / 1e6
+        if outcome == "refused":
+            return ConnectRefused(address="b")
+        slow_s = self.rand.uniform(0.05, 0.4) if outcome == "slow" else 0.0
+        await asyncio.sleep(min(wait_s, self.rand.uniform(0.001, 0.01) + slow_s))
+        if outcome == "silent" or slow_s > wait_s:
+            await asyncio.sleep(max(0, wait_s - slow_s))
+            return WaitOver(address="b", after_us=call.wait_us)
+        if outcome == "reset":
+            return LineLost(address="b")
+        headers = {"kelp-request-id": name, "kelp-seal": f"s.{self.rand.getrandbits(32):x}"}
+        if outcome == "turned away":
+            return HttpReply(status=503, headers={**headers, "kelp-not-run": "1"})
+        status = 500 if outcome == "failed" else 200
+        return HttpReply(status=status, headers=headers, body=self.rand.randbytes(64))
+
+    async def ask(self, *, name: str) -> Any:
+        """One client's request at the root; its outcome."""
+        now_us = self.loop.now_us()
+        headers = (("Host", "h"), ("Kelp-Request-Id", name))
+        record = Gathering(
+            key=self.root.gather.next_key(),
+            kind=ROOT,
+            collection="r",
+            arrived_us=now_us,
+            due_us=now_us + DEADLINE_US,
+            search=name,
+            request=ClientRequest(method="GET", target="/x", request_id=name, headers=headers),
+        )
+        return await self.root.gather.settle(record=record)
+
+
+def run(
+    *,
+    seed: int,
+    attempts: int,
+    trouble: float,
+    story: Any = None,
+    quorum: float = 1.0,
+    is_repeatable: bool = True,
+    requests: int = 12,
+    loss: float | None = None,
+) -> tuple[Fleet, list[Any]]:
+    """Some requests one after the other and at once; the fleet and their outcomes."""
+    loop = VirtualLoop()
+    asyncio.set_event_loop(loop)
+    outcomes: list[Any] = []
+
+    async def main() -> Fleet:
+        fleet = Fleet(
+            seed=seed,
+            loop=loop,
+            trouble=trouble,
+            loss=trouble if loss is None else loss,
+            helpers=seed % 6,
+        )
+        data = [
+            document(version=v, attempts=attempts, quorum=quorum, is_repeatable=is_repeatable)
+            for v in range(1, 4)
+        ]
+        for node in fleet.nodes.values():
+            node.install(data=data[0], version=1)
+        await asyncio.sleep(0)
+        if story is not None:
+            fleet.spawn(story(fleet, data))
+
+        async def one(number: int) -> None:
+            await asyncio.sleep(number * 0.05)
+            outcomes.append(await fleet.ask(name=f"q{number}"))
+
+        await asyncio.gather(*(one(number) for number in range(requests)))
+        await asyncio.sleep(3)  # what helpers do unheard
+        for task in fleet.tasks:
+            task.cancel()
+        await asyncio.gather(*fleet.tasks, return_exceptions=True)
+        return fleet
+
+    try:
+        return loop.run_until_complete(main()), outcomes
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        asyncio.set_event_loop(None)
+        loop.close()
+
+
+async def moves_on(fleet: Fleet, data: list[bytes]) -> None:
+    """The configuration changes twice, at each node at a moment of its own."""
+    rand = random.Random(fleet.seed)
+    for version in (2, 3):
+        await asyncio.sleep(rand.uniform(0.05, 0.4))
+        for node in rand.sample(list(fleet.nodes.values()), len(fleet.nodes)):
+            await asyncio.sleep(rand.uniform(0, 0.1))
+            node.install(data=data[version - 1], version=version)
+
+
+async def helpers_die(fleet: Fleet, data: list[bytes]) -> None:
+    """One helper after the other takes nothing any more."""
+    rand = random.Random(fleet.seed)
+    for node in list(fleet.nodes.values())[1:]:
+        await asyncio.sleep(rand.uniform(0, 0.2))
+        node.is_dead = True
+
+
+async def a_helper_is_cut(fleet: Fleet, data: list[bytes]) -> None:
+    """Some seconds long, one helper after the other is heard by the root and does not
+    get through to it."""
+    rand = random.Random(fleet.seed)
+    for node in list(fleet.nodes.values())[1:]:
+        await asyncio.sleep(rand.uniform(0, 0.3))
+        node.is_cut = True
+        await asyncio.sleep(0.5)
+        node.is_cut = False
+
+
+class Tries(unittest.TestCase):
+    def check(self, *, attempts: int, seeds: range, **fields: Any) -> int:
+        """No request's shard goes to more backends; how many requests had success."""
+        good = 0
+        for seed in seeds:
+            fleet, outcomes = run(seed=seed, attempts=attempts, **fields)
+            most = max(fleet.sends.values())
+            self.assertLessEqual(most, attempts, f"seed {seed}: {fleet.sends.most_common(3)}")
+            good += sum(isinstance(one, Verdict) for one in outcomes)
+        return good
+
+    def test_never_more_than_tries_over_all_nodes(self) -> None:
+        for attempts in (1, 2, 3):
+            for trouble in (0.1, 0.4):
+                with self.subTest(attempts=attempts, trouble=trouble):
+                    self.check(attempts=attempts, trouble=trouble, seeds=range(12))
+
+    def test_nor_when_the_configuration_moves_on(self) -> None:
+        self.check(attempts=2, trouble=0.3, story=moves_on, seeds=range(12))
+
+    def test_nor_when_helpers_die(self) -> None:
+        self.check(attempts=2, trouble=0.2, story=helpers_die, seeds=range(12))
+
+    def test_nor_when_helpers_are_cut(self) -> None:
+        self.check(attempts=2, trouble=0.2, loss=0.0, story=a_helper_is_cut, seeds=range(12))
+
+    def test_nor_with_a_part_for_a_quorum(self) -> None:
+        self.check(attempts=2, trouble=0.3, quorum=0.5, seeds=range(12))
+
+    def test_where_once_is_the_most_each_shard_is_sent_once(self) -> None:
+        for seed in range(12):
+            fleet, _ = run(seed=seed, attempts=3, trouble=0.3, is_repeatable=False, story=moves_on)
+            self.assertEqual(1, max(fleet.sends.values()), f"seed {seed}")
+
+    def test_without_trouble_all_have_success(self) -> None:
+        self.assertEqual(12 * 12, self.check(attempts=2, trouble=0.0, seeds=range(12)))
+
+
+if __name__ == "__main__":
+    unittest.main()
