Own lines: one that nothing gets through for two seconds is lost, and opened anew

Cause: a line between own processes had no limit on unacknowledged bytes. To a core that was without power or cut off, the leader went on writing into the old connection; after its return TCP sent again only at the next retransmission, which is as far away as the absence was long. Up to 64 MiB were kept for such a line.

The simulator could not show it: a loss of power closed the connections like a kill, and the end of a cut let everything through at once. Now a process without power says no goodbye, an end learns of it by a reset once something gets through, and what waits goes out with the next retransmission, each twice as long after the one before. With that alone, 9 of the 15 tests and subtests of test_worst_days failed, all by a returned core that was no voter in reach 4 s after its return; with the limit, all pass. `connect` and `listen` take the limit as an argument, so that the simulator and the live port do what the daemon asks for.

--- a/kelpstage/base/ports/live.py
+++ b/kelpstage/base/ports/live.py
@@ -12,7 +12,7 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any, Awaitable, Callable
 
-from tornado import gen, ioloop, iostream, tcpclient, tcpserver
+from tornado import gen, ioloop, iostream, netutil, tcpclient, tcpserver
 
 from kelpstage.base.defects import (
     AddressTaken,
@@ -24,6 +24,7 @@
 )
 from kelpstage.base.http.client import HttpClient
 from kelpstage.base.http.server import HttpServer
+from kelpstage.base.http.sockets import notice_loss
 from kelpstage.base.ports.types import HttpCall, HttpLimits, HttpReply, Ports
 from kelpstage.base.wire.address import split_address
 
@@ -139,7 +140,9 @@
         self._client = HttpClient()
         self._tcp = tcpclient.TCPClient()
 
-    async def connect(self, *, address: str, wait_us: int) -> LiveStream | Defect:
+    async def connect(
+        self, *, address: str, wait_us: int, lost_after_us: int = 0
+    ) -> LiveStream | Defect:
         host, port = split_address(address=address)
         try:
             stream = await self._tcp.connect(
@@ -149,15 +152,21 @@
             return WaitOver(address=address, after_us=wait_us)
         except (OSError, iostream.StreamClosedError):
             return ConnectRefused(address=address)
+        if lost_after_us:
+            notice_loss(sock=stream.socket, after_ms=lost_after_us // 1000)
         return LiveStream(stream=stream, address=address)
 
-    async def listen(self, *, address: str, on_stream: Callable) -> Any:
+    async def listen(self, *, address: str, on_stream: Callable, lost_after_us: int = 0) -> Any:
         host, port = split_address(address=address)
         server = _StreamServer(on_stream=on_stream)
         try:
-            server.listen(port, host)
+            sockets = netutil.bind_sockets(port, host)
         except OSError as error:
             return AddressTaken(address=address, why=str(error))
+        if lost_after_us:
+            for sock in sockets:
+                notice_loss(sock=sock, after_ms=lost_after_us // 1000)
+        server.add_sockets(sockets)
         return _Closer(close=server.stop)
 
     async def datagrams(self, *, address: str, on_datagram: Callable) -> Any:
--- a/kelpstage/base/ports/types.py
+++ b/kelpstage/base/ports/types.py
@@ -92,8 +92,17 @@
 
 
 class Net(Protocol):
-    async def connect(self, *, address: str, wait_us: int) -> Stream | Defect: ...
-    async def listen(self, *, address: str, on_stream: Callable) -> Listener | Defect: ...
+    """A connection over which what was written goes unacknowledged for `lost_after_us`
+    is lost: its reader hears so, and what was under way is dropped. Without that (0),
+    TCP goes on for many minutes, and after a cut or a loss of power the next
+    retransmission may be as far away as the cut was long."""
+
+    async def connect(
+        self, *, address: str, wait_us: int, lost_after_us: int = 0
+    ) -> Stream | Defect: ...
+    async def listen(
+        self, *, address: str, on_stream: Callable, lost_after_us: int = 0
+    ) -> Listener | Defect: ...
     async def datagrams(self, *, address: str, on_datagram: Callable) -> Datagrams | Defect: ...
     async def fetch(self, *, call: HttpCall) -> HttpReply | Defect: ...
     async def serve_http(
--- a/kelpstage/base/wire/lines.py
+++ b/kelpstage/base/wire/lines.py
@@ -24,6 +24,7 @@
 
 CONNECT_WAIT_US = 1_000_000
 QUIET_LIMIT_US = 2_000_000
+LOST_AFTER_US = 2_000_000  # unacknowledged for so long: the line is lost, the next one is new
 BACKLOG_LIMIT = 64 * 1024 * 1024
 IDLE_US = 30_000_000
 IDLE_LOOK_US = 10_000_000
@@ -72,7 +73,9 @@
         self._listener: Any = None
 
     async def open(self) -> Defect | None:
-        outcome = await self._ports.net.listen(address=self._address, on_stream=self._serve)
+        outcome = await self._ports.net.listen(
+            address=self._address, on_stream=self._serve, lost_after_us=LOST_AFTER_US
+        )
         if isinstance(outcome, Defect):
             return outcome
         self._listener = outcome
@@ -158,7 +161,9 @@
         return self._mark
 
     async def _run(self) -> None:
-        outcome = await self.ports.net.connect(address=self.address, wait_us=CONNECT_WAIT_US)
+        outcome = await self.ports.net.connect(
+            address=self.address, wait_us=CONNECT_WAIT_US, lost_after_us=LOST_AFTER_US
+        )
         if isinstance(outcome, Defect):
             self.end(
                 defect=outcome
--- a/proof/hollow/world.py
+++ b/proof/hollow/world.py
@@ -145,7 +145,7 @@
             return outcome
         return HollowDatagrams(process=self._process, address=address)
 
-    async def connect(self, *, address: str, wait_us: int) -> Any:
+    async def connect(self, *, address: str, wait_us: int, lost_after_us: int = 0) -> Any:
         process, world = self._process, self._process.world
         here, there = process.machine, world.machine_at(address=address)
         if there is None or not world.is_round_open(a=here, b=there):
@@ -156,8 +156,12 @@
         listener = world.listeners.get(f"tcp/{address}")
         if listener is None:
             return ConnectRefused(address=address)
-        mine = HollowStream(process=process, address=address)
-        other = HollowStream(process=listener.process, address=process.name)
+        mine = HollowStream(process=process, address=address, lost_after_us=lost_after_us)
+        other = HollowStream(
+            process=listener.process,
+            address=process.name,
+            lost_after_us=listener.lost_after_us,
+        )
         mine.other, other.other = other, mine
         listener.process.deliver(
             lambda: listener.process.spawn(listener.on_event(other, process.name))
--- a/proof/platform/machines.py
+++ b/proof/platform/machines.py
@@ -299,7 +299,7 @@
         trouble = self._trouble(node=node, what="power")
         node.machine.is_on = False
         for process in node.processes.values():
-            process.kill()
+            process.kill(is_power=True)
         if is_disk:
             node.machine.platter.lose()
         else:
--- a/proof/platform/net.py
+++ b/proof/platform/net.py
@@ -90,10 +90,10 @@
         if not task.cancelled() and task.exception() is not None and self.is_alive:
             self.on_own_end(task.exception())
 
-    def kill(self) -> None:
+    def kill(self, *, is_power: bool = False) -> None:
         if not self.is_alive:
             return
-        super().kill()
+        super().kill(is_power=is_power)
         for line in list(self.served.values()):
             line.server_ends(how=RESET if line.call is not None else CLOSED)
         self.ports.net.drop_all()
--- a/proof/sim/fleet.py
+++ b/proof/sim/fleet.py
@@ -352,7 +352,7 @@
             machine.is_on = False
             for process in list(self.processes.values()):
                 if process.machine is machine and process.is_alive:
-                    process.kill()
+                    process.kill(is_power=True)
                     lost.append(process.name)
                     if process.name.startswith("core/"):
                         self.note({"event": "core", "core": name, "is_up": False})
--- a/proof/sim/world.py
+++ b/proof/sim/world.py
@@ -21,6 +21,9 @@
 from proof.sim.loop import VirtualLoop
 from proof.standin.backend import SENDER_HEADER
 
+RETRANSMIT_US = 200_000  # the first one; each later one waits twice as long
+RETRANSMIT_LIMIT_US = 120_000_000
+
 
 @dataclass(kw_only=True)
 class Machine:
@@ -118,15 +121,19 @@
         for verb in held:
             verb()
 
-    def kill(self) -> None:
-        """The process ends at once; its machine closes what it had open."""
+    def kill(self, *, is_power: bool = False) -> None:
+        """The process ends at once; its machine closes what it had open, unless it is
+        without power itself: then nobody is told."""
         if not self.is_alive:
             return
         self.is_alive = False
         for address in self.addresses:
             self.world.listeners.pop(address, None)
         for stream in list(self.streams.values()):
-            stream.close()
+            if is_power:
+                stream.vanish()
+            else:
+                stream.close()
         for task in list(self._tasks):
             task.cancel()
 
@@ -137,6 +144,7 @@
     kind: str
     on_event: Callable
     body_limit: int = 0
+    lost_after_us: int = 0
 
 
 class _Closer:
@@ -145,18 +153,27 @@
 
 
 class SimStream:
-    """One end of a connection; bytes arrive in order, after the line's delay."""
+    """One end of a TCP connection; bytes arrive in order, after the line's delay.
 
-    def __init__(self, *, process: SimProcess, address: str) -> None:
+    What can't pass waits for the next retransmission, each twice as long after the one
+    before: a line that is open again is of use only from then on. If `lost_after_us` is
+    given, an end whose bytes wait for so long is broken. A process that loses power says
+    no goodbye; the other end learns of it by a reset, once something gets through.
+    """
+
+    def __init__(self, *, process: SimProcess, address: str, lost_after_us: int = 0) -> None:
         self.process = process
         self.address = address
         self.other: "SimStream" = self
         self.is_closed = False
+        self.is_gone = False  # this end keeps no connection any more, and never said so
+        self._lost_after_us = lost_after_us
         self._buffer = bytearray()
         self._eof = False
         self._waiter: asyncio.Future | None = None
         self._free_us = 0
         self._stalled: list[bytes | None] = []
+        self._stalled_us = 0
         world = process.world
         world.serial += 1
         self.serial = world.serial
@@ -187,23 +204,72 @@
         self._push(item=None)
         self._ring()
 
-    def _push(self, *, item: bytes | None) -> None:
-        world = self.process.world
+    def vanish(self) -> None:
+        """The machine loses power: nothing is said, what waited is lost."""
+        self.is_closed = self.is_gone = True
+        self._stalled.clear()
+
+    def _can_pass(self) -> bool:
         here, there = self.process.machine, self.other.process.machine
-        if self._stalled or not world.is_open(source=here, target=there):
+        return self.process.world.is_open(source=here, target=there)
+
+    def _push(self, *, item: bytes | None) -> None:
+        if self.is_gone:
+            return
+        if self._stalled:
             self._stalled.append(item)
-            world.stalled[self.serial] = self
             return
+        if not self._can_pass():
+            self._stalled.append(item)
+            self._stalled_us = self.process.world.now_us()
+            self._retransmit_after(span_us=RETRANSMIT_US)
+            return
+        self._transmit(item=item)
+
+    def _transmit(self, *, item: bytes | None) -> None:
+        world = self.process.world
+        here, there = self.process.machine, self.other.process.machine
         delay_us = world.delay_us(source=here, target=there)
+        if self.other.is_gone:
+            world.at(us=world.now_us() + 2 * delay_us, verb=self._reset)
+            return
         self._free_us = max(self._free_us + 1, world.now_us() + delay_us)
         other = self.other
         world.at(us=self._free_us, verb=lambda: other.process.deliver(lambda: other._arrive(item)))
 
-    def flush(self) -> None:
-        """The line is open again: what waited goes out, in order."""
-        items, self._stalled = self._stalled, []
-        for item in items:
-            self._push(item=item)
+    def _retransmit_after(self, *, span_us: int) -> None:
+        world = self.process.world
+        due_us = world.now_us() + span_us
+        if self._lost_after_us:
+            due_us = min(due_us, self._stalled_us + self._lost_after_us)
+        world.at(us=due_us, verb=lambda: self._retransmit(span_us=span_us))
+
+    def _retransmit(self, *, span_us: int) -> None:
+        if not self._stalled or self.is_gone:
+            return
+        if self._can_pass():
+            items, self._stalled = self._stalled, []
+            for item in items:
+                self._transmit(item=item)
+            return
+        waited_us = self.process.world.now_us() - self._stalled_us
+        if self._lost_after_us and waited_us >= self._lost_after_us:
+            self._reset()
+            return
+        self._retransmit_after(span_us=min(2 * span_us, RETRANSMIT_LIMIT_US))
+
+    def _reset(self) -> None:
+        """The connection is broken; what was under way is lost."""
+        if self.is_gone:
+            return
+        self.is_gone = True
+        self._stalled.clear()
+        self.process.streams.pop(self.serial, None)
+        self.process.deliver(self._end)
+
+    def _end(self) -> None:
+        self._eof = self.is_closed = True
+        self._ring()
 
     def _arrive(self, item: bytes | None) -> None:
         if item is None:
@@ -262,8 +328,11 @@
 
         return _Closer(close=close)
 
-    async def listen(self, *, address: str, on_stream: Callable) -> Any:
-        return self._listen(key=f"tcp/{address}", kind="tcp", on_event=on_stream)
+    async def listen(self, *, address: str, on_stream: Callable, lost_after_us: int = 0) -> Any:
+        outcome = self._listen(key=f"tcp/{address}", kind="tcp", on_event=on_stream)
+        if not isinstance(outcome, Defect):
+            self._process.world.listeners[f"tcp/{address}"].lost_after_us = lost_after_us
+        return outcome
 
     async def datagrams(self, *, address: str, on_datagram: Callable) -> Any:
         outcome = self._listen(key=f"udp/{address}", kind="udp", on_event=on_datagram)
@@ -285,7 +354,7 @@
             key=f"http/{address}", kind="http", on_event=on_call, body_limit=body_limit
         )
 
-    async def connect(self, *, address: str, wait_us: int) -> Any:
+    async def connect(self, *, address: str, wait_us: int, lost_after_us: int = 0) -> Any:
         world = self._process.world
         here = self._process.machine
         there = world.machine_at(address=address)
@@ -298,8 +367,12 @@
         listener = world.listeners.get(f"tcp/{address}")
         if listener is None:
             return ConnectRefused(address=address)
-        mine = SimStream(process=self._process, address=address)
-        other = SimStream(process=listener.process, address=self._process.name)
+        mine = SimStream(process=self._process, address=address, lost_after_us=lost_after_us)
+        other = SimStream(
+            process=listener.process,
+            address=self._process.name,
+            lost_after_us=listener.lost_after_us,
+        )
         mine.other, other.other = other, mine
         listener.process.deliver(
             lambda: listener.process.spawn(listener.on_event(other, self._process.name))
@@ -343,7 +416,6 @@
     listeners: dict[str, Listener] = field(default_factory=dict)
     homes: dict[str, Machine] = field(default_factory=dict)
     cuts: set[tuple[str, str]] = field(default_factory=set)
-    stalled: dict[int, SimStream] = field(default_factory=dict)
     broken: list = field(default_factory=list)
     serial: int = 0
     waits: list = field(default_factory=list)
@@ -396,14 +468,12 @@
             self.cuts.add((b, a))
 
     def heal(self) -> None:
-        """All lines are open again; what waited in them goes out."""
+        """All lines are open again; what waited in them goes out with the next
+        retransmission, calls at once."""
         self.cuts.clear()
         self.flush()
 
     def flush(self) -> None:
-        waiting, self.stalled = self.stalled, {}
-        for stream in waiting.values():
-            stream.flush()
         calls, self.waits = self.waits, []
         for verb in calls:
             verb()
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -49,6 +49,7 @@
         self, *names: str, seeds: list[str] | None = None, is_first: bool = False
     ) -> None:
         for name in names or self.names:
+            self.world.machines[name].is_on = True
             self.lives[name] = self.lives.get(name, 0) + 1
             process = SimProcess(
                 world=self.world,
@@ -70,7 +71,9 @@
 
     def kill(self, *names: str, is_power: bool = False, is_disk: bool = False) -> None:
         for name in names:
-            self.processes[name].kill()
+            is_dark = is_power or is_disk
+            self.processes[name].kill(is_power=is_dark)
+            self.world.machines[name].is_on = not is_dark
             platter = self.world.machines[name].platter
             if is_disk:
                 platter.lose()
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import unittest
+from typing import Any
 
 from kelpstage.base.defects import (
     AddressTaken,
@@ -72,3 +73,34 @@
             never.set()
 
         asyncio.run(story())
+
+
+class LiveStreams(unittest.TestCase):
+    def test_a_line_is_lost_when_nothing_gets_through_for_long(self) -> None:
+        """Both ends ask the system for it, where the system has the option."""
+        option = getattr(socket, "TCP_USER_TIMEOUT", None)
+        if option is None:
+            self.skipTest("the system has no TCP_USER_TIMEOUT")
+
+        async def story() -> None:
+            ports = live_ports(data_folder=None)
+            address = free_address()
+            accepted: asyncio.Future = asyncio.get_running_loop().create_future()
+
+            async def on_stream(stream: Any, source: str) -> None:
+                accepted.set_result(stream)
+
+            listener = await ports.net.listen(
+                address=address, on_stream=on_stream, lost_after_us=2_000_000
+            )
+            mine = await ports.net.connect(
+                address=address, wait_us=1_000_000, lost_after_us=2_000_000
+            )
+            for stream in (mine, await accepted):
+                sock = stream._stream.socket
+                self.assertEqual(2_000, sock.getsockopt(socket.IPPROTO_TCP, option))
+                self.assertEqual(1, sock.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE))
+                stream.close()
+            listener.close()
+
+        asyncio.run(story())
--- /dev/null
+++ b/tests/test_worst_days.py
@@ -0,0 +1,191 @@
+"""Simulated cores on days of hundreds of changes: a member away for half a minute, all
+power lost, a replacement, lost disks one after the other; each change is a large one."""
+
+from __future__ import annotations
+
+import random
+import unittest
+from typing import Awaitable, Callable
+
+from tests.test_cores import CATCH_UP_US, Cores, Register, play
+
+CHANGE_GAP_US = 470_000
+DOCUMENT_PAD = 90_000
+GOES_ON_US = 12_000_000
+
+
+class Changes:
+    """An operator that changes the configuration all day long."""
+
+    def __init__(self, cores: Cores, *, seed: int) -> None:
+        self.cores = cores
+        self.rand = random.Random(f"{seed}/changes")
+        self.register = Register(cores)
+        self.task = cores.outside.spawn(self._run())
+
+    @property
+    def acknowledged(self) -> int:
+        return len(self.register.acked)
+
+    async def _run(self) -> None:
+        cores, register, serial = self.cores, self.register, 0
+        while register.is_open:
+            serial += 1
+            base, _ = await register.read(self.rand)
+            body = cores.document(f"{serial} on {base} {'x' * DOCUMENT_PAD}")
+            register.sent.setdefault(base + 1, []).append(body)
+            await register.put(
+                self.rand, base=base, version=base + 1, body=body, put_id=f"change-{serial}"
+            )
+            await cores.sleep(CHANGE_GAP_US)
+
+    async def go_on(self, *, after: str) -> None:
+        """The next change is acknowledged in bounded time."""
+        before = self.acknowledged
+        try:
+            await self.cores.wait_for(
+                lambda: self.acknowledged > before or self.task.done(), us=GOES_ON_US
+            )
+        except AssertionError as stuck:
+            raise AssertionError(f"after {after}: {stuck}\n{state_of(self.cores)}") from stuck
+        if self.task.done():
+            self.task.result()
+
+    async def end(self) -> None:
+        self.register.is_open = False
+        await self.task
+
+
+def state_of(cores: Cores) -> str:
+    """Each core's role, log and members, for a failure's message."""
+    return "\n".join(_state_of_core(cores, name=name) for name in cores.names)
+
+
+def _state_of_core(cores: Cores, *, name: str) -> str:
+    core = cores.daemons.get(name)
+    if core is None or not cores.processes[name].is_alive:
+        return f"{name}: down"
+    if core.task is None:
+        return f"{name}: no replica, waits for {core.waits_for}"
+    replica = core.task.raft
+    members = [(m.replica[:4], m.address, m.is_voter) for m in replica.members.current]
+    return (
+        f"{name}: {replica.me[:4]} {replica.role} term {replica.term} leader {replica.leader[:4]} "
+        f"log {replica.log.base_index}..{replica.log.last_index} commit {replica.commit_index} "
+        f"members {members}"
+    )
+
+
+def expect_all_voters(cores: Cores, *, after: str) -> None:
+    """Every machine that is there is a voter that the leader hears."""
+    there = {cores.address(name) for name in cores.names}
+    if there != set(cores.voters()):
+        raise AssertionError(f"after {after}: voters {cores.voters()}\n{state_of(cores)}")
+
+
+async def lose_and_return(cores: Cores, *, name: str, away_us: int, is_disk: bool) -> None:
+    cores.kill(name, is_power=True, is_disk=is_disk)
+    await cores.sleep(away_us)
+    await cores.start(name)
+
+
+async def replace(cores: Cores, *, gone: str, fresh: str) -> None:
+    """One machine is gone for good, an empty one comes at another address."""
+    cores.kill(gone, is_disk=True)
+    cores.names.remove(gone)
+    cores.add(name=fresh, domain="d0")
+    await cores.sleep(1_000_000)
+    await cores.start(fresh, seeds=[gone, *cores.names[:2]])
+
+
+def day_of(*, seed: int) -> Callable[[Cores], Awaitable[None]]:
+    """The whole day, as it broke on the users' platform."""
+
+    async def story(cores: Cores) -> None:
+        rand = random.Random(f"{seed}/story")
+        await cores.start(is_first=True)
+        await cores.wait_for(lambda: len(cores.voters()) == 3)
+        changes = Changes(cores, seed=seed)
+        await cores.sleep(8_000_000)
+
+        dark = rand.choice(cores.names)
+        await lose_and_return(cores, name=dark, away_us=30_000_000, is_disk=False)
+        await cores.sleep(CATCH_UP_US)
+        expect_all_voters(cores, after="half a minute without power")
+
+        cores.kill(*cores.names, is_power=True)
+        await cores.sleep(1_500_000)
+        await cores.start()
+        await changes.go_on(after="the loss of all power")
+
+        await cores.sleep(8_000_000)
+        await replace(cores, gone=rand.choice(cores.names), fresh="c3")
+        await cores.sleep(CATCH_UP_US)
+        expect_all_voters(cores, after="a replacement")
+
+        await changes.go_on(after="a replacement")
+        lost = rand.choice([cores.leader() or "c3", *cores.names])
+        await lose_and_return(cores, name=lost, away_us=2_000_000, is_disk=True)
+        await cores.sleep(CATCH_UP_US)
+        expect_all_voters(cores, after="a lost disk")
+
+        await changes.go_on(after="a lost disk")
+        await changes.end()
+        cores.kill(rand.choice(cores.names), is_disk=True)
+        cores.kill(*cores.up(), is_power=True)
+        await cores.sleep(1_000_000)
+        await cores.start()
+        await changes.register.read(rand)
+
+    return story
+
+
+class HundredsOfChanges(unittest.TestCase):
+    def test_the_day_that_broke(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                play(day_of(seed=seed), seed=seed, count=3, tolerance=1)
+
+
+class Return(unittest.TestCase):
+    """A member that was away for long is heard and told again as soon as it is back: no
+    connection from before is waited for."""
+
+    def play_absence(self, *, seed: int, is_cut: bool, away_us: int) -> None:
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            await cores.wait_for(lambda: len(cores.voters()) == 3)
+            changes = Changes(cores, seed=seed)
+            await cores.sleep(2_000_000)
+            away = cores.names[seed % 3]
+            others = [name for name in cores.names if name != away]
+            if is_cut:
+                for other in others:
+                    cores.world.cut(a=away, b=other)
+                await cores.sleep(away_us)
+                cores.world.heal()
+            else:
+                await lose_and_return(cores, name=away, away_us=away_us, is_disk=False)
+            await cores.sleep(CATCH_UP_US)
+            expect_all_voters(cores, after=f"{away_us} us away")
+            leader = cores.daemons[cores.leader()].task.raft
+            behind = leader.commit_index - cores.daemons[away].task.raft.commit_index
+            self.assertLessEqual(behind, 2, state_of(cores))
+            await changes.go_on(after=f"{away_us} us away")
+            await changes.end()
+
+        play(story, seed=seed, count=3, tolerance=1)
+
+    def test_after_a_loss_of_power(self) -> None:
+        for seed, away_us in enumerate((3_000_000, 10_000_000, 30_000_000)):
+            with self.subTest(away_us=away_us):
+                self.play_absence(seed=seed, is_cut=False, away_us=away_us)
+
+    def test_after_a_cut(self) -> None:
+        for seed, away_us in enumerate((3_000_000, 10_000_000, 20_000_000)):
+            with self.subTest(away_us=away_us):
+                self.play_absence(seed=seed, is_cut=True, away_us=away_us)
+
+
+if __name__ == "__main__":
+    unittest.main()
