--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -6,7 +6,9 @@
 import random
 import unittest
 import zlib
+from unittest import mock
 
+from kelpstage.base.defects import Defect
 from kelpstage.base.wire.chunks import (
     CHUNK_BYTES,
     PIN_IDLE_US,
@@ -16,7 +18,10 @@
     ChunkSource,
 )
 from kelpstage.base.wire.delta import apply_delta, pack_delta
-from kelpstage.base.wire.messages import FetchSnapshot
+from kelpstage.base.wire.messages import Chunk, FetchSnapshot
+from kelpstage.core import replica_task
+from kelpstage.core.raft.replica import Replica
+from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import (
     Command,
     CoreState,
@@ -25,6 +30,9 @@
     PutUnreadable,
     put_command,
 )
+from kelpstage.edge.events import Installed
+from proof.fleet.deployment import load
+from proof.sim.fleet import SimFleet, run_sim
 from tests.test_cores import Cores, play
 
 CHANGE_EVERY_US = 100_000
@@ -287,6 +295,237 @@
 
         play(story, seed=1, count=3, tolerance=1)
 
+    def test_a_transfer_that_is_interrupted_goes_on_where_it_was(self) -> None:
+        """Lines between the two are cut for a while in the middle of it."""
+        asked: list[tuple[int, int]] = []
+        serve = ReplicaTask.snapshot_chunk
+
+        def note(task: ReplicaTask, *, ask: FetchSnapshot) -> Chunk:
+            asked.append((ask.pinned, ask.offset))
+            return serve(task, ask=ask)
+
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            await cores.wait_for(lambda: len(cores.voters()) == 3)
+            leader = cores.leader()
+            away = next(name for name in cores.names if name != leader)
+            cores.kill(away)
+            await change_steadily(cores, until=lambda: False, size=2_500_000, limit=4)
+            cores.daemons[leader].task.snapshot_now()
+            await cores.sleep(SECOND)
+            cores.world.far_us = (50_000, 60_000)
+            await cores.start(away)
+            await cores.wait_for(lambda: len(asked) >= 4)
+            cores.world.cut(a=leader, b=away)
+            await cores.sleep(3 * SECOND)
+            cores.world.heal()
+            await cores.wait_for(lambda: is_caught_up(cores, away))
+
+        with mock.patch.object(ReplicaTask, "snapshot_chunk", note):
+            play(story, seed=1, count=3, tolerance=1)
+        self.assertEqual(1, sum(offset == 0 for _, offset in asked), asked)
+        self.assertEqual(1, len({pinned for pinned, offset in asked if offset}), asked)
+
+
+class Edges(unittest.TestCase):
+    def test_an_edge_that_missed_hundreds_of_changes_takes_one_state(self) -> None:
+        """It is cut off, not restarted, and so has an old state to begin with."""
+        installed: list[int] = []
+
+        async def story(fleet: SimFleet) -> None:
+            await fleet.bring_up()
+            away = next(name for name in fleet.edge_own if name not in fleet.core_address)
+            edge = fleet.daemons[f"edge/{away}"]
+            for other in fleet.world.machines:
+                if other != away:
+                    fleet.world.cut(a=away, b=other)
+            for _ in range(200):
+                self.assertEqual(200, (await fleet.put_next())["status"])
+            self.assertTrue(edge.refusal())  # it knows that it may not serve
+            edge.journal.view(
+                fold=lambda at_us, event: (
+                    installed.append(event.version) if isinstance(event, Installed) else None
+                )
+            )
+            fleet.world.heal()
+            took_us = await fleet.wait_for(
+                what="the edge to serve the newest",
+                is_there=lambda: (
+                    edge.keeper.blueprint.version == fleet.version and not edge.refusal()
+                ),
+            )
+            self.assertLess(took_us, 5 * SECOND)
+
+        run_sim(seed=1, deployment=load(name="tiny"), story=story)
+        self.assertEqual(1, len(installed), installed)
+
+
+AWAY_FOR = (10, 100, 400)  # changes that a member misses, one span after the other
+BACK_WITHIN_US = 8 * SECOND
+LOOK_US = 20_000
+READ_EVERY_US = 150_000
+
+
+class Watch:
+    """Looks on through a day: who leads, and what reads answer. Finds are assertions."""
+
+    def __init__(self, *, cores: Cores) -> None:
+        self.cores = cores
+        self.acknowledged_index = 0
+        self.acknowledged_term = 0
+        self.reads = 0
+        self.wrong: list[str] = []
+        self._tasks = [cores.outside.spawn(self._leaders()), cores.outside.spawn(self._readers())]
+
+    def acknowledged(self, *, by: str) -> None:
+        """A put was acknowledged; it stands in the leader's log up to here."""
+        name = self.cores.leader()
+        task = self.cores.daemons[name or by].task
+        if task is not None and task.is_leader:
+            self.acknowledged_index = max(self.acknowledged_index, task.applied)
+            self.acknowledged_term = max(self.acknowledged_term, task.raft.term)
+
+    def check(self) -> None:
+        assert not self.wrong, self.wrong[:3]
+
+    async def _leaders(self) -> None:
+        """A leader of the newest term has all that was acknowledged in its log."""
+        while True:
+            await self.cores.sleep(LOOK_US)
+            for name in self.cores.up():
+                task = self.cores.daemons[name].task
+                if task is None or not task.is_leader or task.raft.term < self.acknowledged_term:
+                    continue
+                if task.raft.log.last_index < self.acknowledged_index:
+                    self.wrong.append(
+                        f"{name} leads term {task.raft.term} with a log to "
+                        f"{task.raft.log.last_index}, acknowledged is {self.acknowledged_index}"
+                    )
+
+    async def _readers(self) -> None:
+        """A read at any core answers with what was acknowledged before it began, or later."""
+        while True:
+            await self.cores.sleep(READ_EVERY_US)
+            if not self.cores.up():
+                continue
+            name = self.cores.world.rand.choice(self.cores.up())
+            least = self.cores.version
+            reply = await self.cores.call(name, "GET", headers={"Kelp-Time-Left-Us": "500000"})
+            if isinstance(reply, Defect) or reply.status != 200:
+                continue
+            self.reads += 1
+            version = int(reply.headers["etag"].strip('"'))
+            if version < least:
+                self.wrong.append(f"{name} answered {version}, acknowledged was {least}")
+
+
+async def change(cores: Cores, watch: Watch) -> None:
+    """One change, acknowledged; at the earliest 100 ms after the one before."""
+    due_us = cores.world.now_us() + CHANGE_EVERY_US
+    watch.acknowledged(by=await cores.put())
+    watch.check()
+    await cores.sleep(max(0, due_us - cores.world.now_us()))
+
+
+async def come_back(cores: Cores, watch: Watch, *, name: str, kills_leader: bool) -> int:
+    """Start a member that was away while changes go on; the virtual time until it has all
+    that its leader had committed. The leader may be killed in the same moment: then the
+    one that was away is needed for a majority, and may not be the one that wins."""
+    began_us = cores.world.now_us()
+    lost = cores.leader() if kills_leader else None
+    if lost is not None:
+        cores.kill(lost, is_power=True)
+    await cores.start(name)
+    while not is_caught_up(cores, name):
+        await change(cores, watch)
+        if cores.world.now_us() - began_us > BACK_WITHIN_US + 4 * SECOND:
+            raise AssertionError(f"{name} is not caught up after {BACK_WITHIN_US} us")
+    took_us = cores.world.now_us() - began_us
+    if lost is not None:
+        await cores.start(lost)
+        await cores.wait_for(lambda: is_caught_up(cores, lost))
+    return took_us
+
+
+async def day(cores: Cores, spans: list[int]) -> None:
+    """510 changes on slow disks, a member away for 10, 100 and 400 of them. Each tenth change
+    restarts the member that came back last (some by a loss of power). At the end, disks are
+    lost one after the other, as many as are borne at once, each after the one before is
+    made good."""
+    voters = 2 * cores.tolerance + 1
+    await cores.start(is_first=True)
+    await cores.wait_for(lambda: len(cores.voters()) == voters)
+    for name in cores.names:
+        cores.world.machines[name].platter.slow = SLOW_DISK
+    watch = Watch(cores=cores)
+    returned = cores.names[0]
+    for place, missed in enumerate(AWAY_FOR):
+        followers = [name for name in cores.names if name != cores.leader()]
+        away = followers[place % len(followers)]
+        cores.kill(away, is_power=place % 2 == 1)
+        if returned == away:
+            returned = next(name for name in followers if name != away)
+        for count in range(1, missed + 1):
+            await change(cores, watch)
+            if count % 10 == 0 and cores.tolerance > 1:
+                cores.kill(returned, is_power=count % 20 == 0)
+                await cores.start(returned)
+        spans.append(await come_back(cores, watch, name=away, kills_leader=place > 0))
+        returned = away
+        for count in range(1, 31):
+            await change(cores, watch)
+            if count % 10 == 0:
+                cores.kill(returned, is_power=count % 20 == 0)
+                spans.append(await come_back(cores, watch, name=returned, kills_leader=False))
+        await cores.wait_for(lambda: len(cores.voters()) == voters)
+    for lost in [cores.leader(), *cores.names][: 2 * cores.tolerance]:
+        cores.kill(lost, is_disk=True)
+        least = cores.version
+        version, _ = await cores.read()
+        assert version >= least, (version, least)
+        cores.world.machines[lost].platter.slow = SLOW_DISK
+        await cores.start(lost)
+        await cores.wait_for(lambda: len(cores.voters()) == voters)
+        await change(cores, watch)
+    watch.check()
+    assert watch.reads > 100, watch.reads
+
+
+class Days(unittest.TestCase):
+    """Hundreds of changes, a member away; snapshots are taken often enough to be needed."""
+
+    def play_day(self, *, seed: int, count: int, tolerance: int) -> list[int]:
+        spans: list[int] = []
+        with mock.patch.object(replica_task, "SNAPSHOT_ENTRIES", 60):
+            play(lambda cores: day(cores, spans), seed=seed, count=count, tolerance=tolerance)
+        return spans
+
+    def test_three_cores(self) -> None:
+        spans = self.play_day(seed=1, count=3, tolerance=1)
+        self.assertLess(max(spans), BACK_WITHIN_US, spans)
+
+    def test_five_cores_and_restarts_at_each_tenth(self) -> None:
+        spans = self.play_day(seed=2, count=5, tolerance=2)
+        self.assertLess(max(spans), BACK_WITHIN_US, spans)
+
+    def test_a_member_that_wins_with_an_old_log_is_found(self) -> None:
+        """Planted: votes are given whatever the candidate's log."""
+        with (
+            mock.patch.object(Replica, "_is_log_up_to_date", lambda self, request: True),
+            self.assertRaisesRegex(AssertionError, "leads term|answered|version_mismatch"),
+        ):
+            for seed in range(6):
+                self.play_day(seed=seed, count=3, tolerance=1)
+
+    def test_snapshots_that_vanish_are_found(self) -> None:
+        """Planted: whoever asks for a snapshot hears that there is none."""
+        nothing = Chunk(is_found=False)
+        with (
+            mock.patch.object(ReplicaTask, "snapshot_chunk", lambda self, ask: nothing),
+            self.assertRaisesRegex(AssertionError, "not caught up|never acknowledged"),
+        ):
+            self.play_day(seed=1, count=3, tolerance=1)
+
 
 if __name__ == "__main__":
     unittest.main()
