Announcements: none to an edge that has been silent for a lease's span

While it was away each change sent it the whole state. Such an edge holds no lease, so nothing waits for it; it learns of the newest epoch from the answer to its next renewal and fetches that state.

--- a/kelpstage/core/grants/ledger.py
+++ b/kelpstage/core/grants/ledger.py
@@ -127,11 +127,16 @@
         return self._holders.get(edge)
 
     def contacts(self, *, now_us: int) -> list[EdgeContact]:
-        """Where the edges heard of lately are."""
+        """Where the edges are that were heard within a lease's span.
+
+        Another one holds no lease, so that nothing waits for it; it learns of the newest
+        epoch from the answer to its next renewal, and fetches that state alone.
+        """
+        oldest_us = now_us - GRANT_SPAN_US - GRANT_MARGIN_US
         return [
             holder.contact
             for _, holder in sorted(self._holders.items())
-            if self._is_here(holder=holder, now_us=now_us)
+            if holder.contact is not None and holder.heard_us >= oldest_us
         ]
 
     # --- what an edge need not be told again ------------------------------------------
