--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -13,6 +13,7 @@
 
 from kelpstage.base.defects import Defect, NoLeader, Unresolved
 from kelpstage.base.journal import Journal
+from kelpstage.base.log.ring import logger
 from kelpstage.base.ports.types import Ports
 from kelpstage.base.wire import frames
 from kelpstage.base.wire.chunks import ChunkSource, backoff_us, fetch_chunks
@@ -26,6 +27,7 @@
     FetchState,
 )
 from kelpstage.core.events import (
+    MarginNoted,
     MembersChanged,
     RoleTaken,
     SnapshotFetchFailed,
@@ -48,6 +50,7 @@
 HELD_BACK_LONGEST_US = 60_000_000
 LARGE_BYTES = 64 * 1024
 LOST = "leadership was lost before the commit"
+log = logger(name="replica")
 
 
 class ReplicaTask:
@@ -264,6 +267,15 @@
         self._journal.add(RoleTaken(role=effect.role, term=effect.term))
         self._on_role(effect.role)
 
+    @_perform.register
+    def _(self, effect: raft.MarginChanged) -> None:
+        if effect.losses_borne < effect.losses_wanted:
+            text = "the voters in reach bear the loss of {} more, {} are wanted"
+            log.warning(text, max(0, effect.losses_borne), effect.losses_wanted)
+        self._journal.add(
+            MarginNoted(losses_borne=effect.losses_borne, losses_wanted=effect.losses_wanted)
+        )
+
     @_perform.register
     def _(self, effect: raft.Removed) -> None:
         self._on_role("removed")
@@ -392,6 +404,7 @@
                 term=snapshot.term,
                 members=list(snapshot.members),
                 leader=offer.leader,
+                leader_term=offer.leader_term,
                 heartbeat=offer.heartbeat,
             )
         )
@@ -414,6 +427,10 @@
         self._on_applied(None, snapshot.index)
         self._disk.inbox.put_nowait(
             KeepThis(
-                snapshot=snapshot, tail=[], term=effect.term, vote=effect.vote, number=effect.number
+                snapshot=snapshot,
+                tail=effect.tail,
+                term=effect.term,
+                vote=effect.vote,
+                number=effect.number,
             )
         )
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -20,7 +20,7 @@
 from kelpstage.base.wire.delta import apply_delta, pack_delta
 from kelpstage.base.wire.messages import Chunk, FetchSnapshot
 from kelpstage.core import replica_task
-from kelpstage.core.raft.replica import Replica
+from kelpstage.core.raft import elections
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import (
     Command,
@@ -513,7 +513,7 @@
     def test_a_member_that_wins_with_an_old_log_is_found(self) -> None:
         """Planted: votes are given whatever the candidate's log."""
         with (
-            mock.patch.object(Replica, "_is_log_up_to_date", lambda self, request: True),
+            mock.patch.object(elections, "_is_up_to_date", lambda state, request: True),
             self.assertRaisesRegex(AssertionError, "leads term|answered|version_mismatch"),
         ):
             for seed in range(6):
