--- a/kelpstage/base/wire/chunks.py
+++ b/kelpstage/base/wire/chunks.py
@@ -85,6 +85,11 @@
         """The newest value's mark; 0 if there is none."""
         return self._newest.mark if self._newest else 0
 
+    @property
+    def size(self) -> int:
+        """The newest value's bytes."""
+        return len(self._newest.data) if self._newest else 0
+
     def publish(self, *, mark: int, data: bytes, now_us: int, mark_term: int = 0) -> None:
         """Serve this value from now on; the one before only where it is pinned."""
         last = self._newest
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -45,7 +45,8 @@
 
 TICK_US = 20_000
 SNAPSHOT_ENTRIES = 400
-SNAPSHOT_BYTES = 4 * 1024 * 1024
+SNAPSHOT_BYTES = 1024 * 1024  # of the log, or more where a snapshot is large itself:
+SNAPSHOT_FACTOR = 2  # so many times the bytes of the last one
 HELD_BACK_FACTOR = 4  # how much longer the log may grow while a member fetches a snapshot
 HELD_BACK_LONGEST_US = 60_000_000
 LARGE_BYTES = 64 * 1024
@@ -293,7 +294,8 @@
         behind = self.applied - self.raft.log.base_index
         factor = HELD_BACK_FACTOR if self._is_held_back() else 1
         is_long = behind >= SNAPSHOT_ENTRIES * factor
-        is_large = self._log_bytes >= SNAPSHOT_BYTES * factor and behind > 1
+        most_bytes = max(SNAPSHOT_BYTES, SNAPSHOT_FACTOR * self.snapshots.size)
+        is_large = self._log_bytes >= most_bytes * factor and behind > 1
         if is_long or is_large:
             self.snapshot_now()
 
