--- a/kelpstage/base/wire/frames.py
+++ b/kelpstage/base/wire/frames.py
@@ -8,7 +8,7 @@
 from kelpstage.base.defects import BadFrame
 from kelpstage.base.wire.messages import NUMBERS, TYPES
 
-WIRE_VERSION = 1
+WIRE_VERSION = 2
 MAGIC = b"KELP"
 PREFACE = struct.Struct("!4sHH")
 HEAD = struct.Struct("!IHHQ")
--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -330,6 +330,7 @@
             "commit": task.raft.commit_index,
             "applied": task.applied,
         },
+        "snapshot_transfers": dict(sorted(task.snapshots.counts.items())),
         "members": task.raft.lag()
         if task.is_leader
         else [
