--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -1,4 +1,4 @@
-"""A core process: lines, life of the replica, the desk, operator HTTP."""
+"""A core process: lines, life of the replica, the lease service, operator HTTP."""
 
 from __future__ import annotations
 
@@ -34,12 +34,12 @@
     founding_snapshot,
     judge_seeds,
 )
-from kelpstage.core.grants.desk import Desk
+from kelpstage.core.grants.lease_service import LeaseService
 from kelpstage.core.handlers import handle
 from kelpstage.core.leaving import Leaving
 from kelpstage.core.raft import types as raft
 from kelpstage.core.replica_task import ReplicaTask
-from kelpstage.core.store.records import DiskIdentity
+from kelpstage.core.store.records import DiskIdentity, DiskSnapshot
 from kelpstage.core.store.store import Recovered, Store
 from kelpstage.core.web.operators import serve_operators
 
@@ -77,7 +77,7 @@
         self.store = Store(ports=ports)
         self.identity: DiskIdentity | None = None
         self.task: ReplicaTask | None = None
-        self.desk: Desk | None = None
+        self.lease_service: LeaseService | None = None
         self.is_stopping = False
         self.waits_for = "starting"
         self._contacts: dict[str, tuple[int, EdgeContact]] = {}
@@ -155,12 +155,12 @@
             journal=self.journal,
             recovered=recovered,
             own=self.own,
-            on_applied=lambda outcome, index: self.desk and self.desk.applied(),
+            on_applied=lambda outcome, index: self.lease_service and self.lease_service.applied(),
             on_role=self._on_role,
             on_defect=self._on_disk_defect,
             voters=voters_of(env=self.env),
         )
-        self.desk = Desk(
+        self.lease_service = LeaseService(
             ports=self.ports,
             lines=self.lines,
             journal=self.journal,
@@ -170,12 +170,12 @@
         )
         await self._broken.wait()
         self.task.stop()
-        self.task, self.desk = None, None
+        self.task, self.lease_service = None, None
         await self.ports.clock.sleep(us=LOOK_US)
 
     def _on_role(self, role: str) -> None:
-        if role == raft.LEADER and self.desk is not None:
-            self.desk.took_lead()
+        if role == raft.LEADER and self.lease_service is not None:
+            self.lease_service.took_lead()
 
     def _on_disk_defect(self, defect: Defect) -> None:
         self._note_disk(defect=defect)
@@ -240,20 +240,17 @@
         return await self._begin(cluster=cluster, members=step.members)
 
     async def _begin(self, *, cluster: str, members: list[CoreMember]) -> Defect | None:
-        """Write the founding snapshot, then the identity that makes it count."""
-        defect = await self.store.keep_snapshot(
-            snapshot=founding_snapshot(cluster=cluster, members=members),
-            tail=[],
-            term=FOUNDING_TERM,
-            vote="",
-        )
-        if defect is not None:
-            return defect
-        return await self._take_cluster(cluster=cluster)
-
-    async def _take_cluster(self, *, cluster: str) -> Defect | None:
+        """Become a member from the founding snapshot on."""
+        snapshot = founding_snapshot(cluster=cluster, members=members)
+        return await self._take_cluster(cluster=cluster, snapshot=snapshot)
+
+    async def _take_cluster(
+        self, *, cluster: str, snapshot: DiskSnapshot | None = None
+    ) -> Defect | None:
+        """Become a member of a cluster, with a snapshot to begin from or without."""
         identity = DiskIdentity(replica=self.identity.replica, cluster=cluster)
-        defect = await self.store.write_identity(identity=identity)
+        term = FOUNDING_TERM if snapshot else 0
+        defect = await self.store.begin_member(identity=identity, snapshot=snapshot, term=term)
         if defect is None:
             self.identity = identity
         return defect
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -124,11 +124,11 @@
 @handle.register
 async def _(message: Renew, core: Any, source: str) -> GrantReply:
     core.meet(contact=message.contact)
-    task, desk = core.task, core.desk
-    if task is None or desk is None:
+    task, lease_service = core.task, core.lease_service
+    if task is None or lease_service is None:
         return GrantReply(why="this core is not up", partners=core.some_partners())
     if task.is_leader:
-        return await desk.renew(ask=message)
+        return await lease_service.renew(ask=message)
     hint = GrantReply(
         cluster=task.cluster,
         why="no leader known",
@@ -150,13 +150,13 @@
 
 @handle.register
 async def _(message: ProxyOperator, core: Any, source: str) -> ProxyOperatorReply | None:
-    from kelpstage.core.web.operators import verdict_for_proxy
+    from kelpstage.core.web.operators import answer_as_leader
 
     ask = unpack_body(message=message)
     if ask is None:
         core.counts["line_unreadable_body"] += 1
         return None  # no answer: the caller takes it for a silent leader
-    return pack_body(message=await verdict_for_proxy(core=core, ask=ask))
+    return pack_body(message=await answer_as_leader(core=core, ask=ask))
 
 
 def pack_body(*, message: Forwarded) -> Forwarded:
--- a/kelpstage/core/raft/state.py
+++ b/kelpstage/core/raft/state.py
@@ -37,6 +37,7 @@
     sent_us: int = -1_000_000
     heartbeat: int = 0
     is_probing: bool = True
+    is_awaited: bool = False  # entries were sent; nothing has been heard since
     round_target: int = 0
     round_began_us: int = 0
     round_took_us: int | None = None  # the last one that ended
