--- a/kelpstage/core/store/layout.py
+++ b/kelpstage/core/store/layout.py
@@ -15,6 +15,7 @@
 SNAPSHOT_FOLDER = "snapshots"
 IDENTITY_PATH = "identity"
 UNFINISHED_SUFFIX = ".new"
+MARK_SUFFIX = ".synced"
 _NAME = re.compile(r"(?P<replica>.+)-(?P<number>\d+)\.(?P<kind>seg|snap)")
 
 
@@ -54,7 +55,7 @@
     >>> mark_path(replica="a")
     'log/a.synced'
     """
-    return f"{LOG_FOLDER}/{replica}.synced"
+    return f"{LOG_FOLDER}/{replica}{MARK_SUFFIX}"
 
 
 def parse_name(*, name: str) -> FileName | None:
@@ -73,3 +74,15 @@
         number=int(found["number"]),
         is_segment=found["kind"] == "seg",
     )
+
+
+def owner_of(*, name: str) -> str | None:
+    """Whose segment, snapshot or mark this is; `None` for files of other kinds.
+
+    >>> owner_of(name="a-00000003.seg"), owner_of(name="a.synced"), owner_of(name="notes")
+    ('a', 'a', None)
+    """
+    parts = parse_name(name=name)
+    if parts is not None:
+        return parts.replica
+    return name.removesuffix(MARK_SUFFIX) if name.endswith(MARK_SUFFIX) else None
--- a/kelpstage/core/store/store.py
+++ b/kelpstage/core/store/store.py
@@ -18,8 +18,8 @@
     ROOT,
     SNAPSHOT_FOLDER,
     UNFINISHED_SUFFIX,
-    FileName,
     mark_path,
+    owner_of,
     parse_name,
     segment_path,
     snapshot_path,
@@ -106,7 +106,7 @@
         if defect is None:
             defect = await self.write_identity(identity=identity)
         if defect is None:
-            defect = await self._drop(is_needless=lambda name: not self._is_own(name))
+            defect = await self._drop(is_needless=self._is_foreign)
         return defect
 
     async def set_aside(self) -> Defect | None:
@@ -127,7 +127,7 @@
             return defect
         self._replica = ""
         self._segment, self._size = 0, 0
-        return await self._drop(is_needless=lambda name: True)
+        return await self._drop(is_needless=self._is_foreign)
 
     # --- recovery ----------------------------------------------------------------------
 
@@ -226,7 +226,7 @@
         base = self._segment if is_anew or not segments else segments[0].number
         defect = await self._drop_before(segment=base, index=base_index)
         if defect is None:
-            defect = await self._drop(is_needless=lambda name: not self._is_own(name))
+            defect = await self._drop(is_needless=self._is_foreign)
         if defect is None:
             await self.mark_synced()
         return defect
@@ -390,10 +390,12 @@
 
     def _is_own(self, name: str) -> bool:
         """Does a name in log or snapshots belong to this replica?"""
-        parts: FileName | None = parse_name(name=name)
-        if parts is not None:
-            return parts.replica == self._replica
-        return f"{LOG_FOLDER}/{name}" == mark_path(replica=self._replica)
+        return owner_of(name=name) == self._replica
+
+    def _is_foreign(self, name: str) -> bool:
+        """Does it belong to another replica, or is it unfinished? Files of other kinds stay."""
+        owner = owner_of(name=name)
+        return name.endswith(UNFINISHED_SUFFIX) or owner not in (None, self._replica)
 
     async def _numbers(self, *, folder: str) -> list[int] | Defect:
         """The numbers of this replica's files in a folder, ascending."""
--- a/tests/test_store_planted_faults.py
+++ b/tests/test_store_planted_faults.py
@@ -107,7 +107,7 @@
     whole = Store.write_identity
 
     async def write(self: Store, *, identity: DiskIdentity) -> Defect | None:
-        await self._drop(is_needless=lambda name: not self._is_own(name))
+        await self._drop(is_needless=self._is_foreign)
         return await whole(self, identity=identity)
 
     return mock.patch.object(Store, "write_identity", write)
--- a/tests/test_store_power_loss.py
+++ b/tests/test_store_power_loss.py
@@ -26,7 +26,7 @@
 from kelpstage.core.store.records import DiskIdentity, DiskSnapshot, DiskStep
 from kelpstage.core.store.store import Store
 from kelpstage.core.store.task import DiskTask, KeepThis
-from proof.sim.disk import Platter
+from proof.sim.disk import Platter, SimFile
 from tests.power_loss import Machine, copy_of, every_way, finish
 
 REPLICA, CLUSTER = "r1", "c1"
@@ -540,6 +540,15 @@
             self.assertFalse([p for p in again.machine.platter.files if REPLICA in p])
         self.assertEqual({True, False}, seen)
 
+    def test_files_of_other_kinds_stay(self) -> None:
+        writer = grown()
+        for path in ("log/notes", "snapshots/r1-1.other", "other"):
+            writer.machine.platter.files[path] = SimFile(data=b"x")
+        self.assertEqual(writer.promised, finish(writer.open()))
+        finish(writer.store.set_aside())
+        left = sorted(writer.machine.platter.files)
+        self.assertEqual(["log/notes", "other", "snapshots/r1-1.other"], left)
+
     def join_anew(self, writer: Writer) -> Coroutine[Any, Any, Any]:
         return writer.become_member(empty=DiskIdentity(replica=OTHER.replica), member=OTHER)
 
