--- a/tests/test_core_cuts.py
+++ b/tests/test_core_cuts.py
@@ -15,11 +15,11 @@
 from typing import Any, Awaitable, Callable
 from unittest import mock
 
-from kelpstage.base.defects import Defect, DiskDefect, NoLeader
+from kelpstage.base.defects import Defect, DiskDefect, NoLeader, VersionMismatch
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from kelpstage.base.wire.messages import ProxyOperator
 from kelpstage.core.app import Core
-from kelpstage.core.grants.puts import Puts, as_verdict
+from kelpstage.core.grants.puts import Puts, as_result
 from kelpstage.core.raft import elections
 from kelpstage.core.raft.state import RaftState
 from kelpstage.core.replica_task import ReplicaTask
@@ -335,8 +335,15 @@
 
 async def looked_up_in_memory(self: Puts, *, put: PutBlueprint, digest: bytes) -> Any:
     """Planted fault: an order is judged by what this member happens to know."""
-    outcome = self._task.machine.decided(put_id=put.put_id, digest=digest)
-    return None if outcome is None else as_verdict(outcome=outcome, put_id=put.put_id)
+    outcome = self._task.machine.decided(put_id=put.put_id, digest=digest, expected=put.expected)
+    return None if outcome is None else as_result(outcome=outcome, put_id=put.put_id)
+
+
+async def refused_from_memory(
+    self: Puts, *, put: PutBlueprint, digest: bytes, until_us: int
+) -> VersionMismatch:
+    """Planted fault: an order on a version to come is refused without the log's word."""
+    return VersionMismatch(expected=put.expected, current=self._task.machine.state.version)
 
 
 async def read_from_memory(*, core: Core, ask: ProxyOperator) -> HttpReply:
@@ -373,6 +380,7 @@
     def test_an_order_refused_from_stale_state(self) -> None:
         with (
             mock.patch.object(Puts, "_look_up", looked_up_in_memory),
+            mock.patch.object(Puts, "_refuse", refused_from_memory),
             mock.patch.object(RaftState, "has_quorum_contact", lambda self: True),
         ):
             found = self.violations(story=cut_story(of="leader", cut=both_ways))
