Store: recovery writes a segment's head again with its first record

Cause: after a sync that failed the kernel may call the pages clean, so recovery writes the last record again unless it is marked as synced; but where that was the segment's first record the head before it was not written again. A loss of power later left a segment without a head, and what had been reported in it since was set aside as damaged.

The simulated disk can now fail a sync once, as Linux does (the platform's pages know no such failure).

--- a/kelpstage/core/store/records.py
+++ b/kelpstage/core/store/records.py
@@ -119,6 +119,12 @@
         steps = self.records[0].record.steps if self.records else []
         return bool(steps) and steps[0].is_base
 
+    @property
+    def last_write(self) -> int:
+        """The offset at which the newest good write begins; a segment's head and its first
+        record are one write."""
+        return self.records[-1].offset if len(self.records) > 1 else 0
+
 
 def other_format(*, path: str, data: bytes, magic: bytes) -> FormatMismatch | None:
     """Is this a file of ours in a format that this version does not read?
--- a/kelpstage/core/store/store.py
+++ b/kelpstage/core/store/store.py
@@ -242,7 +242,7 @@
         is_marked = mark == SyncedMark(segment=segment.number, size=segment.end)
         if is_marked and segment.end == len(segment.data):
             return None
-        start = segment.end if is_marked else segment.records[-1].offset
+        start = segment.end if is_marked else segment.last_write
         tail = segment.data[start : segment.end]
         return await self._write_synced(path=segment.path, at=start, data=tail, is_new=True)
 
--- a/proof/sim/disk.py
+++ b/proof/sim/disk.py
@@ -18,6 +18,8 @@
   may be wrong.
 - A full disk refuses every write (a file may still be made, then empty); names can be
   changed, files be shortened and synced. A stalled disk answers nothing until it goes on.
+- The pages know no sync that fails. Here one can, as Linux has it: the error comes once,
+  and what it should have covered stays readable without ever reaching the disk.
 """
 
 from __future__ import annotations
@@ -137,8 +139,18 @@
         self.pending.append(SetLength(size=size))
 
     def sync(self) -> None:
-        """Make what readers see last."""
-        self.synced, self.pending = self._data, []
+        """Make the changes since the last sync last."""
+        for change in self.pending:
+            if isinstance(change, SetLength):
+                self.synced = resized(data=self.synced, size=change.size)
+            else:
+                self.synced = written(data=self.synced, at=change.at, new=change.data)
+        self.pending = []
+
+    def fail_sync(self) -> None:
+        """Give up the changes since the last sync, though readers go on seeing them: no
+        later sync covers them, unless they are written again."""
+        self.pending = []
 
     def copy(self) -> SimFile:
         """The same file on another disk."""
@@ -196,6 +208,7 @@
     slow: int = 1
     is_full: bool = False
     is_stalled: bool = False
+    is_sync_failing: bool = False
     on_step: Callable[[str], None] = lambda step: None
 
     def set_name(self, *, path: str, file: SimFile | None) -> None:
@@ -233,7 +246,7 @@
     def lose(self) -> None:
         """The disk is gone and an empty one is in its place."""
         self.files, self.kept, self.changed = {}, {}, {}
-        self.is_full = self.is_stalled = False
+        self.is_full = self.is_stalled = self.is_sync_failing = False
         self.slow = 1
 
 
@@ -285,6 +298,9 @@
         if file is None:
             return DiskDefect(path=path, op="sync", why="ENOENT")
         self._platter.on_step(f"sync {path}")
+        if self._platter.is_sync_failing:
+            file.fail_sync()
+            return DiskDefect(path=path, op="sync", why="EIO")
         file.sync()
         await self._turn(us=1_000)
         return None
--- a/tests/test_store_planted_faults.py
+++ b/tests/test_store_planted_faults.py
@@ -24,6 +24,7 @@
 REMOVED = ("PowerLoss", "test_removed_segments_that_stay_one_by_one_harm_nothing")
 REPORTS = ("Reports", "test_nothing_is_reported_before_it_is_synced")
 CORES = ("AllLosePower", "test_after_any_change")
+FAILED_SYNC = ("PowerLoss", "test_a_sync_that_fails_once")
 FLIPPED = ("Damage", "test_every_byte_flipped")
 CUT_OFF = ("Damage", "test_every_length_cut_off")
 
@@ -145,6 +146,11 @@
     return bool(segments) and not segments[-1].records
 
 
+def offset_of_last(segment: Segment) -> int:
+    """Where the last record begins, whatever is before it."""
+    return segment.records[-1].offset
+
+
 def is_segment(path: str) -> bool:
     """Is this a segment's path?"""
     return path.endswith(".seg")
@@ -187,6 +193,14 @@
     "a snapshot loses the vote": (lambda: snapshot_loses(vote=""), PREFIXES),
     "a snapshot loses the term": (lambda: snapshot_loses(term=0), PREFIXES),
     "the mark comes before the sync": (mark_too_soon, PREFIXES),
+    "a segment's head is not written again": (
+        lambda: mock.patch.object(Segment, "last_write", property(offset_of_last)),
+        FAILED_SYNC,
+    ),
+    "the last record is synced but not written again": (
+        lambda: mock.patch.object(Segment, "last_write", property(lambda self: self.end)),
+        FAILED_SYNC,
+    ),
     "the mark is never written": (
         lambda: mock.patch.object(Store, "mark_synced", nothing),
         FLIPPED,
--- a/tests/test_store_power_loss.py
+++ b/tests/test_store_power_loss.py
@@ -257,8 +257,9 @@
             await self.store.mark_synced()
 
     def _note(self, *, failure: Defect) -> None:
-        """A full disk is emptied after some failures."""
+        """A full disk is emptied after some failures; a sync fails once."""
         self.failures.append(failure)
+        self.machine.platter.is_sync_failing = False
         if len(self.failures) % PATIENCE == 0:
             self.machine.platter.is_full = False
 
@@ -353,6 +354,19 @@
                 self.survive(writer, seed=seed, ways=4)
         self.assertGreater(refused, 75)
 
+    def test_a_sync_that_fails_once(self) -> None:
+        """What it should have covered is readable, but only another write brings it to
+        the disk."""
+        failed = 0
+        for step in range(110):
+            writer = founded()
+            fail = partial(setattr, writer.machine.platter, "is_sync_failing", True)
+            writer.machine.run_until(step=step + 25, work=writer.play(), faults={step: fail})
+            failed += bool(writer.failures)
+            with self.subTest(step=step, under_way=writer.pending):
+                self.survive(writer, seed=step, ways=4)
+        self.assertGreater(failed, 75)
+
     def test_a_core_comes_up_on_a_full_disk_if_its_log_is_marked_to_the_end(self) -> None:
         writer = grown()
         writer.machine.platter.is_full = True
