Connections between processes: only answers settle calls, each end is typed

A message of any kind that came back under a call's number settled that call, not an answer alone. A connection that never said what it is stayed open for ever. A message that broke its handler left the caller to wait for its whole time. The calls of one connection that are in work at once had no bound. And a call whose connection never opened counted as possibly sent, so that a root did not use attempts that had surely stayed.

That an answer to a call of an earlier connection settles no other call holds by construction (numbers and who waits belong to one connection); there is a test now.

--- a/kelpstage/base/wire/lines.py
+++ b/kelpstage/base/wire/lines.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections import Counter
+from dataclasses import replace
 from typing import Any, Awaitable, Callable
 
 from kelpstage.base.defects import (
@@ -27,6 +28,8 @@
 BACKLOG_LIMIT = 64 * 1024 * 1024
 IDLE_US = 30_000_000
 IDLE_LOOK_US = 10_000_000
+PREFACE_WAIT_US = 5_000_000  # for a new connection to say what it is
+IN_WORK_LIMIT = 1024  # calls of one connection; more are not read meanwhile
 
 Handler = Callable[[Any, str], Awaitable[Any]]
 
@@ -59,6 +62,20 @@
     return lane
 
 
+class _PrefaceTimeout:
+    """Closes a new connection that does not say in time what it is."""
+
+    def __init__(self, *, ports: Ports, stream: Stream) -> None:
+        self.is_done = self.is_over = False
+        self._stream = stream
+        ports.clock.later(us=PREFACE_WAIT_US, verb=self._look)
+
+    def _look(self) -> None:
+        if not self.is_done:
+            self.is_over = True
+            self._stream.close()
+
+
 class LineServer:
     """Takes own lines at one address and hands their messages to one handler."""
 
@@ -94,14 +111,20 @@
         stream.close()
 
     async def _serve_frames(self, *, stream: Stream, source: str) -> Defect:
+        timeout = _PrefaceTimeout(ports=self._ports, stream=stream)
         lane = await _read_preface(stream=stream, address=source)
+        if timeout.is_over:
+            return WaitOver(address=source, after_us=PREFACE_WAIT_US)
+        timeout.is_done = True
         if isinstance(lane, WireMismatch):
             stream.write(data=frames.preface(lane=frames.CONTROL))
             return lane
         if isinstance(lane, Defect):
             return lane
         stream.write(data=frames.preface(lane=lane))
+        room = asyncio.Semaphore(IN_WORK_LIMIT)
         while True:
+            await room.acquire()
             outcome = await _read_frame(stream=stream, lane=lane, address=source)
             if isinstance(outcome, Defect):
                 return outcome
@@ -109,15 +132,31 @@
             if head.flag == REPLY:
                 return BadFrame(address=source, why="a reply nobody asked for")
             self._ports.spawn(
-                self._give_verdict(
-                    stream=stream, source=source, head=head, message=message, lane=lane
+                self._answer(
+                    stream=stream, source=source, head=head, message=message, lane=lane, room=room
                 )
             )
 
-    async def _give_verdict(
-        self, *, stream: Stream, source: str, head: frames.Head, message: Any, lane: int
+    async def _answer(
+        self,
+        *,
+        stream: Stream,
+        source: str,
+        head: frames.Head,
+        message: Any,
+        lane: int,
+        room: asyncio.Semaphore,
     ) -> None:
-        reply = await self._on_message(message, source)
+        """Give a message to the handler, and its reply to the one who asked. A message
+        that breaks the handler ends its connection: the caller hears at once."""
+        try:
+            reply = await self._on_message(message, source)
+        except Exception:
+            self._counts["line_handler_broken"] += 1
+            stream.close()
+            raise
+        finally:
+            room.release()
         if head.flag != ASK or reply is None:
             return
         data = frames.pack(message=reply, flag=REPLY, mark=head.mark)
@@ -136,7 +175,7 @@
         self.address = address
         self.lane = lane
         self.stream: Stream | None = None
-        self.outbox: list[bytes] = []
+        self.outbox: dict[int, bytes] = {}
         self.waiting: dict[int, asyncio.Future] = {}
         self.heard_us = self.used_us = ports.clock.now_us()
         self.is_ended = False
@@ -150,7 +189,7 @@
         self.used_us = self.ports.clock.now_us()
         data = frames.pack(message=message, flag=flag, mark=self._mark)
         if self.stream is None:
-            self.outbox.append(data)
+            self.outbox[self._mark] = data
         elif flag == ONEWAY and self.stream.backlog() > BACKLOG_LIMIT:
             return self._mark
         else:
@@ -170,7 +209,7 @@
             outcome.close()
             return
         self.stream = outcome
-        outcome.write(data=frames.preface(lane=self.lane) + b"".join(self.outbox))
+        outcome.write(data=frames.preface(lane=self.lane) + b"".join(self.outbox.values()))
         self.outbox.clear()
         lane = await _read_preface(stream=outcome, address=self.address)
         if isinstance(lane, Defect):
@@ -183,6 +222,9 @@
                 return
             self.heard_us = self.ports.clock.now_us()
             head, message = got
+            if head.flag != REPLY:
+                self.end(defect=BadFrame(address=self.address, why="a message nobody takes here"))
+                return
             future = self.waiting.pop(head.mark, None)
             if future is not None and not future.done():
                 future.set_result(message)
@@ -205,6 +247,9 @@
         self._on_end(self)
         if self.stream is not None:
             self.stream.close()
+        elif isinstance(defect, (LineLost, WaitOver)):
+            defect = replace(defect, was_sent=False)  # it was never open
+        self.outbox.clear()
         for future in self.waiting.values():
             if not future.done():
                 future.set_result(defect)
@@ -258,6 +303,8 @@
         if outcome is not None:
             return outcome
         line.waiting.pop(mark, None)
+        # What still waits for its connection leaves no more.
+        was_sent = line.outbox.pop(mark, None) is None
         self._counts["line_wait_over"] += 1
         if (
             self._ports.clock.now_us() - max(line.heard_us, sent_us - QUIET_LIMIT_US)
@@ -265,7 +312,7 @@
         ):
             line.retire()
         line.end_if_idle()
-        return WaitOver(address=address, after_us=wait_us)
+        return WaitOver(address=address, after_us=wait_us, was_sent=was_sent)
 
     def send(self, *, address: str, message: Any, lane: int = frames.CONTROL) -> None:
         """Send a message that wants no reply; it may be lost."""
--- a/kelpstage/edge/gather/passes/merge.py
+++ b/kelpstage/edge/gather/passes/merge.py
@@ -174,7 +174,7 @@
     records = record.order.unpack(data=outcome.records) if isinstance(outcome, Gathered) else None
     if records is None or not _is_proper(reply=outcome, kid=kid, record=record):
         why = outcome.kind if isinstance(outcome, Defect) else "improper reply"
-        is_sent = not isinstance(outcome, ConnectRefused)
+        is_sent = not surely_not_run(outcome=outcome)
         _kid_lost(kid=kid, why=why, record=record, world=world, is_sent=is_sent)
         return
     kid.state = IN
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -8,14 +8,15 @@
 import struct
 import unittest
 from collections import Counter
+from functools import partial
 from typing import Any
 
 import betterproto as bp
 
-from kelpstage.base.defects import ConnectRefused, Defect, WaitOver
+from kelpstage.base.defects import BadFrame, ConnectRefused, Defect, LineLost, WaitOver
 from kelpstage.base.wire import frames
 from kelpstage.base.wire.codec import Message, table_of
-from kelpstage.base.wire.lines import Lines, LineServer
+from kelpstage.base.wire.lines import IN_WORK_LIMIT, Lines, LineServer
 from kelpstage.base.wire.messages import TYPES, Done, FetchState, GossipMsg, Meet, MeetReply
 from proof.sim.loop import VirtualLoop
 from proof.sim.world import SimProcess, World
@@ -44,6 +45,8 @@
         self.counts: Counter = Counter()
 
         async def on_message(message, source):
+            if isinstance(message, Done):
+                raise ValueError("a message that was not thought of")
             if isinstance(message, Meet):
                 return MeetReply(cluster=message.edge)
             await self.server_process.ports.clock.sleep(us=10_000_000)
@@ -134,6 +137,107 @@
 
         self.run_story(story)
 
+    def test_an_answer_to_an_earlier_connections_call_settles_no_other(self) -> None:
+        """Each connection counts its calls from one; a late answer under the same number
+        comes by the connection that it was asked on, and there nobody waits any more."""
+
+        async def story() -> None:
+            held: list = []
+
+            async def serve(stream: Any, source: str) -> None:
+                held.append(stream)
+                await stream.read(size=frames.PREFACE.size)
+                stream.write(data=frames.preface(lane=frames.CONTROL))
+                await self.world_sleep()
+
+            address = "10.0.0.1:7001"
+            self.world.homes[address] = self.world.machines["there"]
+            await self.server_process.ports.net.listen(address=address, on_stream=serve)
+            late = await self.lines.call(address=address, message=Meet(edge="a"), wait_us=4_000_000)
+            self.assertIsInstance(late, WaitOver)
+            self.assertTrue(late.was_sent)
+            second = asyncio.ensure_future(
+                self.lines.call(address=address, message=Meet(edge="b"), wait_us=2_000_000)
+            )
+            await asyncio.sleep(0.2)
+            first, other = held
+            answer = frames.pack(message=MeetReply(cluster="a"), flag=frames.REPLY, mark=1)
+            first.write(data=answer)
+            await asyncio.sleep(0.2)
+            self.assertFalse(second.done())
+            other.write(data=frames.pack(message=MeetReply(cluster="b"), flag=frames.REPLY, mark=1))
+            self.assertEqual("b", (await second).cluster)
+
+        self.run_story(story)
+
+    async def world_sleep(self) -> None:
+        await self.server_process.ports.clock.sleep(us=60_000_000)
+
+    def test_what_is_no_answer_ends_the_connection_and_settles_nobody(self) -> None:
+        async def story() -> None:
+            for flag in (frames.ASK, frames.ONEWAY):
+                with self.subTest(flag=flag):
+                    address = f"10.0.0.1:71{flag}"
+                    self.world.homes[address] = self.world.machines["there"]
+                    serve = partial(self.speak_up, flag=flag)
+                    await self.server_process.ports.net.listen(address=address, on_stream=serve)
+                    got = await self.lines.call(
+                        address=address, message=Meet(edge="a"), wait_us=4_000_000
+                    )
+                    self.assertIsInstance(got, BadFrame)
+
+        self.run_story(story)
+
+    async def speak_up(self, stream: Any, source: str, *, flag: int) -> None:
+        """A server that sends a message of its own under the number of a call."""
+        await stream.read(size=frames.PREFACE.size + frames.HEAD.size)
+        message = frames.pack(message=MeetReply(cluster="z"), flag=flag, mark=1)
+        stream.write(data=frames.preface(lane=frames.CONTROL) + message)
+        await self.world_sleep()
+
+    def test_one_that_never_says_what_it_is_is_closed(self) -> None:
+        async def story() -> None:
+            stream = await self.client.ports.net.connect(address=ADDRESS, wait_us=1_000_000)
+            stream.write(data=b"KE")
+            self.assertIsInstance(await stream.read(size=1), Defect)
+            self.assertEqual(1, self.counts["line_wait_over"])
+            self.assertEqual("x", (await self.ask()).cluster)
+
+        self.run_story(story)
+
+    def test_a_message_that_breaks_its_handler_ends_its_connection_only(self) -> None:
+        async def story() -> None:
+            started = self.world.now_us()
+            broken = await self.lines.call(address=ADDRESS, message=Done(), wait_us=9_000_000)
+            self.assertIsInstance(broken, LineLost)
+            self.assertLess(self.world.now_us() - started, 100_000)
+            self.assertEqual(1, self.counts["line_handler_broken"])
+            self.assertEqual("x", (await self.ask()).cluster)
+
+        self.run_story(story)
+
+    def test_more_calls_than_are_worked_on_at_once_all_get_answers(self) -> None:
+        async def story() -> None:
+            calls = [
+                self.lines.call(address=ADDRESS, message=FetchState(), wait_us=60_000_000)
+                for _ in range(IN_WORK_LIMIT * 2 + 5)
+            ]
+            got = await asyncio.gather(*calls)
+            self.assertEqual({Done}, {type(one) for one in got})
+
+        self.run_story(story)
+
+    def test_a_message_whose_connection_never_opened_was_not_sent(self) -> None:
+        async def story() -> None:
+            self.world.cuts |= {("here", "there"), ("there", "here")}
+            for wait_us in (300_000, 3_000_000):  # before the connect gives up, and after
+                got = await self.lines.call(
+                    address=ADDRESS, message=Meet(edge="x"), wait_us=wait_us
+                )
+                self.assertEqual((WaitOver, False), (type(got), got.was_sent))
+
+        self.run_story(story)
+
     def test_dead_partner_is_refused_at_once(self) -> None:
         async def story() -> None:
             self.assertEqual("x", (await self.ask()).cluster)
