The platform's list: what is nested or can't be sent on no longer ends the process

Cause, found by a fuzz of the list: brackets nested 200,000 deep raised RecursionError, half of a surrogate pair in any text raised UnicodeEncodeError when the list was hashed, and a Capacity or ColdLeftMs of more than 64 bits could not be packed for the other nodes. Each was raised in a task that the edge can't be without, so the process ended, at every node that read the list.

Mend: life.bounded() judges an entry in one place, for both readers; numbers are held inside what a message carries, an entry with a text that can't be sent on is passed over. Nesting is a typed failure of the page, and of a probe's answer.

--- a/kelpstage/edge/backend/life.py
+++ b/kelpstage/edge/backend/life.py
@@ -8,11 +8,15 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Iterable
 
 from kelpstage.base.wire.messages import LifeMsg
 
+TEXT_BYTES = 1_024
+MOST_SLOTS = 1_000_000
+MOST_COLD_US = 3_600_000_000
+
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Life:
@@ -32,6 +36,27 @@
     revision: str = ""
 
 
+def bounded(*, life: Life) -> Life | None:
+    """The life with its numbers inside what a message carries, or `None` if a text of it
+    can't be sent on.
+
+    >>> bounded(life=Life(instance="i", service="s", address="a:1", slots=2**70)).slots
+    1000000
+    >>> bounded(life=Life(instance=chr(0xD800), service="s", address="a:1")) is None
+    True
+    """
+    texts = (life.instance, life.service, life.address, life.zone, life.revision)
+    try:
+        if max(len(text.encode()) for text in texts) > TEXT_BYTES:
+            return None
+    except UnicodeEncodeError:
+        return None
+    slots, cold_us = min(life.slots, MOST_SLOTS), min(life.cold_us, MOST_COLD_US)
+    if (slots, cold_us) == (life.slots, life.cold_us):
+        return life
+    return replace(life, slots=slots, cold_us=cold_us)
+
+
 def hash_of(*, life: Life) -> int:
     """64 bits of everything but the cold time.
 
--- a/kelpstage/edge/backend/lists.py
+++ b/kelpstage/edge/backend/lists.py
@@ -25,7 +25,7 @@
 from kelpstage.base.wire.address import is_address
 from kelpstage.base.wire.messages import AskList, ListNews
 from kelpstage.edge.backend.book import Book
-from kelpstage.edge.backend.life import Life
+from kelpstage.edge.backend.life import Life, bounded
 from kelpstage.edge.backend.roll import GAP, TAKEN, Roll
 from kelpstage.edge.gossip.swim import ALIVE, LEAVING, SUSPECT, Swim
 
@@ -105,7 +105,7 @@
         or not is_address(address=row.get("address"))
     ):
         return None
-    return Life(
+    life = Life(
         instance=texts[0],
         service=texts[1],
         address=row["address"],
@@ -115,6 +115,7 @@
         cold_us=max(0, cold_us),
         revision=texts[3],
     )
+    return bounded(life=life)
 
 
 def _ring(*, wake: asyncio.Future) -> None:
--- a/kelpstage/edge/backend/platform.py
+++ b/kelpstage/edge/backend/platform.py
@@ -35,7 +35,7 @@
             for row in rows
             if is_address(address=row["address"]) and isinstance(row["name"], str)
         }
-    except (ValueError, KeyError, TypeError):
+    except (ValueError, KeyError, TypeError, RecursionError):
         return None
 
 
--- a/kelpstage/edge/backend/probe.py
+++ b/kelpstage/edge/backend/probe.py
@@ -41,7 +41,7 @@
     """
     try:
         said = json.loads(reply.body)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     state = said.get("state") if isinstance(said, dict) else None
     if state == "draining" or reply.headers.get("kelp-state") == "draining":
