--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -19,6 +19,8 @@
     GrantReply,
     InstallSnapshot,
     JoinCore,
+    LeaveCore,
+    LeaveCoreReply,
     Meet,
     MeetReply,
     ProxyOperator,
@@ -30,7 +32,7 @@
     SeedState,
     TimeoutNow,
 )
-from kelpstage.core.raft.types import JoinRequested
+from kelpstage.core.raft.types import JoinRequested, LeaveRequested, LeaveState
 
 PROXY_WAIT_US = 1_500_000
 PACKED_FROM_BYTES = 4 * 1024
@@ -79,6 +81,22 @@
     return Done(is_ok=True)
 
 
+@handle.register
+async def _(message: LeaveCore, core: Any, source: str) -> LeaveCoreReply:
+    task = core.task
+    if task is None or message.cluster != task.cluster or not task.is_leader:
+        return LeaveCoreReply(state=LeaveState.NOT_LEADER)
+    task.inbox.put_nowait(LeaveRequested(replica=message.replica))
+    status = task.raft.leave_status(
+        replica=message.replica, term=message.term, last_index=message.last_index
+    )
+    return LeaveCoreReply(
+        state=status.state,
+        losses_borne=max(0, status.losses_borne),
+        losses_wanted=status.losses_wanted,
+    )
+
+
 @handle.register
 async def _(message: FetchSnapshot, core: Any, source: str) -> Chunk:
     if core.task is None:
@@ -106,11 +124,11 @@
 @handle.register
 async def _(message: Renew, core: Any, source: str) -> GrantReply:
     core.meet(contact=message.contact)
-    task, desk = core.task, core.desk
-    if task is None or desk is None:
+    task, lease_service = core.task, core.lease_service
+    if task is None or lease_service is None:
         return GrantReply(why="this core is not up", partners=core.some_partners())
     if task.is_leader:
-        return await desk.renew(ask=message)
+        return await lease_service.renew(ask=message)
     hint = GrantReply(
         cluster=task.cluster,
         why="no leader known",
@@ -132,13 +150,13 @@
 
 @handle.register
 async def _(message: ProxyOperator, core: Any, source: str) -> ProxyOperatorReply | None:
-    from kelpstage.core.web.operators import verdict_for_proxy
+    from kelpstage.core.web.operators import answer_as_leader
 
     ask = unpack_body(message=message)
     if ask is None:
         core.counts["line_unreadable_body"] += 1
         return None  # no answer: the caller takes it for a silent leader
-    return pack_body(message=await verdict_for_proxy(core=core, ask=ask))
+    return pack_body(message=await answer_as_leader(core=core, ask=ask))
 
 
 def pack_body(*, message: Forwarded) -> Forwarded:
