Leases: a state is announced through the peer that carries an edge's renewals

An edge that the leader cannot reach renews its lease through a peer. Announcements went to its own address all the same, so it learnt of a new epoch with its next renewal, and told of the installed one with the renewal after that, each of which first waited 0.6 s for the silent leader.

A renewal now names the peer that carried it, and the announcement goes to that peer with the edge as its only receiver (the relaying of announcements was there already). An edge whose last lease was relayed says through its peers that it has installed an epoch, at once, beside the direct way.

Planted faults (leases renewed by a deposed leader, a new leader that does not wait, an edge that serves past its lease) are each noticed.

Ruled out: announcing through two edges chosen at random after a delay; the peer that just carried a renewal is known to reach both sides.

--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -234,6 +234,7 @@
     hops: int = bp.uint32_field(6)
     is_leaving: bool = bp.bool_field(7)
     known: int = bp.uint64_field(8)  # mark of the contacts and cores that it knows
+    relayed_by: str = bp.string_field(9)  # address of the edge that carried this for it
 
 
 @dataclass
--- a/kelpstage/core/grants/desk.py
+++ b/kelpstage/core/grants/desk.py
@@ -84,7 +84,7 @@
         if len(contacts) <= RELAYED_FROM:
             message = self._announce(delta=whole)
             for contact in contacts:
-                self._send_announce(address=contact.address, message=message)
+                self._announce_to(contact=contact, message=message)
             return
         message = self._announce(delta=whole)
         if base:
@@ -109,6 +109,13 @@
         self._ports.point("core.before_announce")
         self._lines.send(address=address, message=message)
 
+    def _announce_to(self, *, contact: EdgeContact, message: Announce) -> None:
+        """To one edge; through the edge that carries its renewals, if it needs one."""
+        holder = self.ledger.holder(edge=contact.name)
+        relay = holder.relayed_by if holder else ""
+        message.hand_on = [contact.address] if relay else []
+        self._send_announce(address=relay or contact.address, message=message)
+
     def _announce_by_domain(self, *, contacts: list[EdgeContact], message: Announce) -> None:
         """To one edge of each domain, which hands it on to the others there."""
         domains: dict[str, list[str]] = {}
@@ -128,7 +135,7 @@
         for contact in self.ledger.contacts(now_us=self._ports.clock.now_us()):
             holder = self.ledger.holder(edge=contact.name)
             if holder is not None and holder.epoch < epoch:
-                self._send_announce(address=contact.address, message=message)
+                self._announce_to(contact=contact, message=message)
 
     # --- grants ---------------------------------------------------------------------------
 
@@ -150,6 +157,7 @@
                 epoch=ask.epoch,
                 contact=ask.contact,
                 now_us=now_us,
+                relayed_by=ask.relayed_by,
             )
             self._news.notify_all()
         defect = await self._confirm()
@@ -162,6 +170,7 @@
                 epoch=0,
                 contact=ask.contact,
                 now_us=now_us,
+                relayed_by=ask.relayed_by,
             )
         state = task.machine.state
         is_on_roster = ask.edge in state.roster
--- a/kelpstage/core/grants/ledger.py
+++ b/kelpstage/core/grants/ledger.py
@@ -23,6 +23,7 @@
     heard_us: int = -(10**12)
     grants: list[tuple[int, int]] = field(default_factory=list)  # epoch, when
     contact: EdgeContact | None = None
+    relayed_by: str = ""  # address of the edge that carried its last renewal, if one did
     changed_at: int = 0  # count of changes when its contact changed last
 
 
@@ -45,7 +46,14 @@
         self._cores_changed_at = 1
 
     def heard(
-        self, *, edge: str, incarnation: int, epoch: int, contact: EdgeContact | None, now_us: int
+        self,
+        *,
+        edge: str,
+        incarnation: int,
+        epoch: int,
+        contact: EdgeContact | None,
+        now_us: int,
+        relayed_by: str = "",
     ) -> None:
         """An edge says what it has installed."""
         holder = self._holders.setdefault(edge, Holder())
@@ -56,6 +64,7 @@
             holder.epoch = 0
         holder.epoch = max(holder.epoch, epoch)
         holder.heard_us = now_us
+        holder.relayed_by = relayed_by
         if contact is None or not contact.name:
             return  # as it was
         if holder.contact != contact:
--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -102,6 +102,7 @@
         self._silent_until: dict[str, int] = {}
         self._is_relaying = False
         self._relayed_us = 0
+        self._needs_relay = False  # the last grant came through a partner
         self._fetching = False
         self._wake = asyncio.Event()
         self.is_leaving = False
@@ -181,6 +182,7 @@
         reply = await self._lines.call(address=target, message=message, wait_us=wait_us)
         if isinstance(reply, GrantReply):
             is_granted = self._take(reply=reply, sent_us=sent_us, target=target)
+            self._needs_relay = self._needs_relay and not is_granted
             if not is_granted and not self.leader:
                 self._relay_soon(target=target)  # this core may be the one that is cut off
             return is_granted
@@ -194,14 +196,29 @@
         """Ask through partners, one wave at a time, if the grant is not fresh."""
         now_us = self._ports.clock.now_us()
         is_fresh = now_us - self.keeper.granted_us < renew_period_us(count=len(self.keeper.roster))
-        if is_fresh or self._is_relaying or now_us - self._relayed_us < RELAY_EVERY_US:
+        if is_fresh or now_us - self._relayed_us < RELAY_EVERY_US:
             return
-        self._is_relaying, self._relayed_us = True, now_us
-        self._ports.spawn(self._renew_through_partner(target=target))
+        self._relay_now(target=target)
+
+    def _relay_now(self, *, target: str) -> None:
+        if not self._is_relaying:
+            self._is_relaying, self._relayed_us = True, self._ports.clock.now_us()
+            self._ports.spawn(self._renew_through_partners(target=target))
+
+    async def _renew_through_partners(self, *, target: str) -> None:
+        """One wave, and another if an epoch was installed meanwhile: the leader may be
+        waiting to hear of it."""
+        epoch = -1
+        while epoch < self.keeper.epoch:
+            epoch = self.keeper.epoch
+            self._needs_relay = await self._renew_through_partner(target=target)
+            if not self._needs_relay:
+                break
+        self._is_relaying = False
 
-    async def _renew_through_partner(self, *, target: str) -> None:
+    async def _renew_through_partner(self, *, target: str) -> bool:
         """A core that cannot be reached from here may be from elsewhere. Several
-        partners are asked at once: some may be behind the same cut."""
+        partners are asked at once: some may be behind the same cut. Was it granted?"""
         partners = sorted(
             m.info.address for m in self._swim.members.values() if m.info.status == ALIVE
         )
@@ -221,10 +238,10 @@
                 continue
             refused = None if reply.is_granted else reply
             if reply.is_granted and self._take(reply=reply, sent_us=sent_us, target=target):
-                break
+                return True
         if refused is not None and not self.leader:
             self._take(reply=refused, sent_us=sent_us, target=target)
-        self._is_relaying = False
+        return False
 
     def _take(self, *, reply: GrantReply, sent_us: int, target: str) -> bool:
         keeper = self.keeper
@@ -441,6 +458,8 @@
         self._swim.me.version = doc.version
         self._on_installed()
         self.renew_soon()
+        if self._needs_relay:
+            self._relay_now(target=self._next_core())
         return True
 
     # --- leaving ------------------------------------------------------------------------------
--- a/kelpstage/edge/handlers.py
+++ b/kelpstage/edge/handlers.py
@@ -124,6 +124,7 @@
 @handle.register
 async def _(message: RelayRenew, edge: Any, source: str) -> GrantReply:
     # This node may know a newer leader than the one that the asker could not reach.
+    message.renew.relayed_by = edge.own
     reply = await edge.lines.call(
         address=edge.grants.leader or message.target, message=message.renew, wait_us=RELAY_US
     )
--- /dev/null
+++ b/tests/test_leases.py
@@ -0,0 +1,266 @@
+"""Leases of edges: who may serve under which epoch while core machines are cut off.
+
+Simulated days with fixed seeds: cores and edges on the same machines, orders and reads at
+every core. Beside what `test_core_cuts` judges, every edge is looked at each 20 ms: once
+an order is acknowledged, no edge may hold a lease while it has an older epoch installed,
+and a second later (the age that a peer's word may have) none may serve an older version.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from dataclasses import dataclass, field
+from typing import Awaitable, Callable
+from unittest import mock
+
+from kelpstage.core.grants.desk import Desk
+from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
+from kelpstage.core.raft.replica import Replica
+from kelpstage.edge.grant.keeper import WITNESS_US, Keeper
+from proof.fleet.deployment import load
+from proof.sim.fleet import SimFleet, run_sim
+from tests.test_core_cuts import CUT_US, History, Operators, Pairs
+
+LOOK_US = 20_000
+ACKNOWLEDGED_WITHIN_US = 5_000_000
+# A leader that hears nothing is heard for one check-quorum span more.
+ACKNOWLEDGED_LATE_US = ACKNOWLEDGED_WITHIN_US + 1_600_000
+READY_AGAIN_US = 4_000_000
+ORDERS_WHILE_RELAYED = 80  # in a day of 24 s, one each 0.2 s without trouble
+SEEDS = (1, 2)
+
+
+class FleetCores:
+    """The cores of a simulated fleet, as operators see them."""
+
+    def __init__(self, *, fleet: SimFleet) -> None:
+        self.fleet = fleet
+        self.world = fleet.world
+        self.outside = fleet.outside
+        self.names = list(fleet.core_address)
+
+    def address(self, name: str, port: int) -> str:
+        return self.fleet.core_http(name=name)
+
+    def document(self, note: str) -> bytes:
+        return self.fleet.blueprint(note=note)
+
+    def up(self) -> list[str]:
+        return [n for n in self.names if self.fleet.processes[f"core/{n}"].is_alive]
+
+    async def sleep(self, us: int) -> None:
+        await self.fleet.sleep(us=us)
+
+
+@dataclass(kw_only=True)
+class Watch:
+    """Looks at every edge all the while, and says what may not be."""
+
+    fleet: SimFleet
+    history: History
+    violations: list[str] = field(default_factory=list)
+    unready_us: dict[str, int] = field(default_factory=dict)
+    is_open: bool = True
+
+    async def run(self) -> None:
+        while self.is_open:
+            self.look()
+            await self.fleet.sleep(us=LOOK_US)
+
+    def look(self) -> None:
+        now_us = self.fleet.now_us()
+        newest = self.history.newest_before(at_us=now_us)
+        settled = self.history.newest_before(at_us=now_us - WITNESS_US - LOOK_US)
+        for node in self.fleet.deployment.nodes:
+            edge = self.fleet.daemons[f"edge/{node.name}"]
+            process = self.fleet.processes[f"edge/{node.name}"]
+            if not process.is_alive or process.is_frozen:
+                continue
+            version = edge.keeper.blueprint.version
+            if version < newest and edge.keeper.has_grant(now_us=now_us):
+                self._note(name=node.name, what=f"a lease at {version}, acknowledged {newest}")
+            if edge.refusal():
+                self.unready_us[node.name] = self.unready_us.get(node.name, 0) + LOOK_US
+            elif version < settled:
+                self._note(name=node.name, what=f"serves {version}, acknowledged {settled}")
+
+    def _note(self, *, name: str, what: str) -> None:
+        self.violations.append(f"{self.fleet.now_us()}: {name}: {what}")
+
+
+@dataclass(kw_only=True)
+class Day:
+    """What a day came to."""
+
+    history: History
+    watch: Watch
+    acknowledged_after_us: int = 0
+    ready_after_us: int = 0
+    unready_us: dict[str, int] = field(default_factory=dict)  # while the cut held
+
+
+Story = Callable[[SimFleet, Day], Awaitable[None]]
+
+
+def between(*, left: list[str], right: list[str]) -> Pairs:
+    """Every link between two sets of machines, in both directions."""
+    return [p for a in left for b in right if a != b for p in ((a, b), (b, a))]
+
+
+def machines(*, fleet: SimFleet) -> list[str]:
+    return [node.name for node in fleet.deployment.nodes]
+
+
+async def hold(*, fleet: SimFleet, day: Day, pairs: Pairs) -> None:
+    """Hold a cut for twenty seconds, heal it, wait until every edge serves."""
+    began_us = fleet.now_us()
+    before = dict(day.watch.unready_us)
+    fleet.world.cuts |= set(pairs)
+    await fleet.sleep(us=CUT_US)
+    day.unready_us = {name: us - before.get(name, 0) for name, us in day.watch.unready_us.items()}
+    after = [when for when, _ in day.history.acknowledged if when > began_us + 50_000]
+    day.acknowledged_after_us = min(after, default=began_us + CUT_US) - began_us
+    fleet.world.cuts -= set(pairs)
+    fleet.world.flush()
+    day.ready_after_us = await fleet.wait_for(
+        what="all edges ready",
+        is_there=lambda: len(fleet.ready_edges()) == len(machines(fleet=fleet)),
+    )
+
+
+def run_day(story: Story, *, seed: int) -> Day:
+    """Operators at work over a story."""
+    days: list[Day] = []
+
+    async def tell(fleet: SimFleet) -> None:
+        await fleet.start()
+        await fleet.wait_for(what="a whole membership", is_there=fleet.is_roster_whole)
+        operators = Operators(cores=FleetCores(fleet=fleet))
+        await operators.order()
+        await fleet.wait_for(
+            what="all ready",
+            is_there=lambda: len(fleet.ready_edges()) == len(machines(fleet=fleet)),
+        )
+        watch = Watch(fleet=fleet, history=operators.history)
+        day = Day(history=operators.history, watch=watch)
+        days.append(day)
+        tasks = [asyncio.ensure_future(watch.run())]
+        tasks += [asyncio.ensure_future(operators.keep_ordering())]
+        tasks += [
+            asyncio.ensure_future(operators.keep_reading(member=m)) for m in fleet.core_address
+        ]
+        await fleet.sleep(us=1_500_000)
+        await story(fleet, day)
+        operators.is_open = watch.is_open = False
+        for task in tasks:
+            await task
+
+    run_sim(seed=seed, deployment=load(name="tiny"), story=tell)
+    return days[0]
+
+
+async def leader_with_an_edge(fleet: SimFleet, day: Day) -> None:
+    """The leader's machine and an edge that reaches it alone, cut from all others."""
+    left = [fleet.leader(), "node-04"]
+    right = [n for n in machines(fleet=fleet) if n not in left]
+    await hold(fleet=fleet, day=day, pairs=between(left=left, right=right))
+
+
+async def leader_from_cores_alone(fleet: SimFleet, day: Day) -> None:
+    """The leader is cut from the other cores; all edges without a disk reach it."""
+    leader = fleet.leader()
+    await hold(fleet=fleet, day=day, pairs=between(left=[leader], right=list(fleet.core_address)))
+
+
+async def follower_from_cores_alone(fleet: SimFleet, day: Day) -> None:
+    leader = fleet.leader()
+    name = next(n for n in fleet.core_address if n != leader)
+    await hold(fleet=fleet, day=day, pairs=between(left=[name], right=list(fleet.core_address)))
+
+
+async def leader_hears_nothing(fleet: SimFleet, day: Day) -> None:
+    leader = fleet.leader()
+    others = [n for n in machines(fleet=fleet) if n != leader]
+    await hold(fleet=fleet, day=day, pairs=[(n, leader) for n in others])
+
+
+async def leader_is_not_heard(fleet: SimFleet, day: Day) -> None:
+    leader = fleet.leader()
+    others = [n for n in machines(fleet=fleet) if n != leader]
+    await hold(fleet=fleet, day=day, pairs=[(leader, n) for n in others])
+
+
+class Cuts(unittest.TestCase):
+    def judge(
+        self, story: Story, *, bound_us: int = ACKNOWLEDGED_WITHIN_US, cut_off: int = 0
+    ) -> list[Day]:
+        """Every seed's day holds; at most so many edges refuse while the cut holds."""
+        days = [run_day(story, seed=seed) for seed in SEEDS]
+        for seed, day in zip(SEEDS, days, strict=True):
+            told = f"seed {seed}: {day.acknowledged_after_us} {day.ready_after_us}"
+            self.assertEqual(day.history.violations[:5], [], told)
+            self.assertEqual(day.watch.violations[:5], [], told)
+            self.assertLess(day.acknowledged_after_us, bound_us, told)
+            self.assertLess(day.ready_after_us, READY_AGAIN_US, told)
+            self.assertEqual(len(day.unready_us), cut_off, f"{told} {day.unready_us}")
+        return days
+
+    def test_the_leader_with_an_edge(self) -> None:
+        for day in self.judge(leader_with_an_edge, cut_off=2):
+            least_us = CUT_US - GRANT_SPAN_US - LOOK_US
+            self.assertGreaterEqual(min(day.unready_us.values()), least_us)
+
+    def test_the_leader_from_the_cores_alone(self) -> None:
+        for day in self.judge(leader_from_cores_alone):
+            self.assertGreater(len(day.history.acknowledged), ORDERS_WHILE_RELAYED)
+
+    def test_a_follower_from_the_cores_alone(self) -> None:
+        for day in self.judge(follower_from_cores_alone):
+            self.assertGreater(len(day.history.acknowledged), ORDERS_WHILE_RELAYED)
+
+    def test_the_leader_hears_nothing(self) -> None:
+        self.judge(leader_hears_nothing, bound_us=ACKNOWLEDGED_LATE_US, cut_off=1)
+
+    def test_the_leader_is_not_heard(self) -> None:
+        self.judge(leader_is_not_heard, cut_off=1)
+
+
+async def unconfirmed(self: Desk) -> None:
+    """Planted fault: a deposed leader goes on renewing leases."""
+
+
+def lapsed_at_once(self: Ledger, *, edge: str, epoch: int, now_us: int) -> bool:
+    """Planted fault: a new leader holds unknown leases for lapsed."""
+    holder = self._holders.get(edge)
+    return holder is None or not holder.grants
+
+
+class PlantedFaults(unittest.TestCase):
+    """The watch is shown to notice faults of its kind."""
+
+    def watched(self, story: Story) -> str:
+        return " ".join(run_day(story, seed=1).watch.violations)
+
+    def test_leases_renewed_by_a_deposed_leader(self) -> None:
+        with (
+            mock.patch.object(Desk, "_confirm", unconfirmed),
+            mock.patch.object(Replica, "_hears_majority", lambda self: True),
+        ):
+            found = self.watched(leader_with_an_edge)
+        self.assertIn("a lease at", found)
+        self.assertIn("serves", found)
+
+    def test_a_new_leader_that_does_not_wait(self) -> None:
+        with mock.patch.object(Ledger, "_is_lapsed", lapsed_at_once):
+            found = self.watched(leader_is_not_heard)
+        self.assertIn("a lease at", found)
+
+    def test_an_edge_that_serves_past_its_lease(self) -> None:
+        with mock.patch.object(Keeper, "refusal", lambda self, *, now_us: ""):
+            found = self.watched(leader_with_an_edge)
+        self.assertIn("serves", found)
+
+
+if __name__ == "__main__":
+    unittest.main()
