Incarnations: an edge that starts on a clock stepped back takes a number above its former

An edge's incarnation is the clock on the wall at its birth, and the higher one counts. An edge that started again after that clock had been stepped back spoke under a lower number than its former process: the leader passed over every word of it, so that it counted as having installed what the former had and never more; peers kept the former's record. With four of six edges started again an hour "earlier", no order was acknowledged any more until the leader changed (503 for the whole 5 s of the test), since no majority of the membership was ever heard to have the new epoch.

The leader now refuses a lease to an incarnation below one that it heard and says which one that was; a peer that is spoken to under a lower incarnation than it knows tells the sender its record. In both cases the edge takes a number above, as SWIM's refutation does, and is believed. A renewal of a former process that arrives late gets no lease, which it did before (nobody was there to use it, but the ledger counted it).

Failing test first (tests/test_leases.py, SteppedClock): 503, now 200 within the 5 s, with all peers listing all edges under the version in force.

Ruled out: the boot clock as incarnation (it begins again with the machine); a file (most nodes have no disk); a random number without an order (a late word of a former process would reset what is known of the present one).

--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -250,6 +250,7 @@
     why: str = bp.string_field(9)
     partners: List[EdgeContact] = bp.message_field(10)  # what changed since `known`
     known: int = bp.uint64_field(11)
+    newest_incarnation: int = bp.uint64_field(12)  # that the asker has to be above
 
 
 @dataclass
--- a/kelpstage/core/grants/desk.py
+++ b/kelpstage/core/grants/desk.py
@@ -151,7 +151,7 @@
             self._news.notify_all()
             return GrantReply(cluster=task.cluster, why="leaving")
         if ask.cluster:
-            ledger.heard(
+            is_newest = ledger.heard(
                 edge=ask.edge,
                 incarnation=ask.incarnation,
                 epoch=ask.epoch,
@@ -159,19 +159,21 @@
                 now_us=now_us,
                 relayed_by=ask.relayed_by,
             )
+            if not is_newest:
+                return self._superseded(ledger=ledger, edge=ask.edge)
             self._news.notify_all()
         defect = await self._confirm()
         if defect is not None or ledger is not self.ledger:
             return GrantReply(cluster=task.cluster, why=defect.why if defect else "lead changed")
-        if not ask.cluster:
-            ledger.heard(
-                edge=ask.edge,
-                incarnation=ask.incarnation,
-                epoch=0,
-                contact=ask.contact,
-                now_us=now_us,
-                relayed_by=ask.relayed_by,
-            )
+        if not ask.cluster and not ledger.heard(
+            edge=ask.edge,
+            incarnation=ask.incarnation,
+            epoch=0,
+            contact=ask.contact,
+            now_us=now_us,
+            relayed_by=ask.relayed_by,
+        ):
+            return self._superseded(ledger=ledger, edge=ask.edge)
         state = task.machine.state
         is_on_roster = ask.edge in state.roster
         ledger.note_cores(cores=[member.address for member in task.raft.members.current])
@@ -200,6 +202,17 @@
         ledger.grant(edge=ask.edge, epoch=state.epoch, now_us=self._ports.clock.now_us())
         return reply
 
+    def _superseded(self, *, ledger: Ledger, edge: str) -> GrantReply:
+        """No lease for an incarnation below one that was heard. It may be the newer process
+        all the same, on a clock that was stepped back: it takes a number above."""
+        holder = ledger.holder(edge=edge)
+        return GrantReply(
+            cluster=self._task.cluster,
+            why="superseded by a newer incarnation",
+            leader_address=self._own,
+            newest_incarnation=holder.incarnation if holder else 0,
+        )
+
     async def _confirm(self) -> Defect | None:
         """Is this leader confirmed, by a round that began after now? One round stands
         for all that asked before it began; one at a time is under way."""
--- a/kelpstage/core/grants/ledger.py
+++ b/kelpstage/core/grants/ledger.py
@@ -32,6 +32,7 @@
 
     >>> ledger = Ledger(since_us=0)
     >>> ledger.heard(edge="a", incarnation=1, epoch=1, contact=None, now_us=10)
+    True
     >>> ledger.is_settled(epoch=1, roster=["a"], now_us=20)
     True
     >>> ledger.is_settled(epoch=1, roster=["a", "b", "c"], now_us=20)
@@ -54,11 +55,18 @@
         contact: EdgeContact | None,
         now_us: int,
         relayed_by: str = "",
-    ) -> None:
-        """An edge says what it has installed."""
+    ) -> bool:
+        """An edge says what it has installed. False if a newer incarnation of it was heard:
+        what an older one says counts for nothing.
+
+        >>> ledger = Ledger(since_us=0)
+        >>> [ledger.heard(edge="a", incarnation=n, epoch=1, contact=None, now_us=10)
+        ...     for n in (2, 1, 3)]
+        [True, False, True]
+        """
         holder = self._holders.setdefault(edge, Holder())
         if incarnation < holder.incarnation:
-            return
+            return False
         if incarnation > holder.incarnation:
             holder.incarnation = incarnation
             holder.epoch = 0
@@ -66,11 +74,12 @@
         holder.heard_us = now_us
         holder.relayed_by = relayed_by
         if contact is None or not contact.name:
-            return  # as it was
+            return True  # as it was
         if holder.contact != contact:
             self._changes += 1
             holder.changed_at = self._changes
         holder.contact = contact
+        return True
 
     def grant(self, *, edge: str, epoch: int, now_us: int) -> None:
         holder = self._holders.setdefault(edge, Holder())
@@ -173,7 +182,7 @@
 
         >>> ledger = Ledger(since_us=0)
         >>> for name in ("a", "b"):
-        ...     ledger.heard(edge=name, incarnation=1, epoch=1, now_us=10,
+        ...     _ = ledger.heard(edge=name, incarnation=1, epoch=1, now_us=10,
         ...         contact=EdgeContact(name=name, address=name))
         >>> contacts, _ = ledger.news_for(known=0, now_us=20, limit=9)
         >>> [contact.name for contact in contacts]
--- a/kelpstage/edge/gossip/swim.py
+++ b/kelpstage/edge/gossip/swim.py
@@ -141,6 +141,7 @@
     _fresh: dict[str, None] = field(default_factory=dict)  # news that was not told yet
     _news: dict[str, int] = field(default_factory=dict)  # told so often, the latest last
     _odd: dict[str, None] = field(default_factory=dict)  # those that are not alive
+    _outranked: dict[str, None] = field(default_factory=dict)  # speak as of a former life
     _lists: dict[str, list[str]] = field(default_factory=dict)  # made when asked for
 
     # --- the table ------------------------------------------------------------------
@@ -339,6 +340,7 @@
             self._set_status(member=member, status=DEAD, now_us=now_us, why="suspicion ran out")
         elif member.info.status in (DEAD, LEAVING) and age_us > FORGET_US:
             del self.members[name]
+            self._outranked.pop(name, None)
             self._forget_news(name=name)
             self._note(name=name)
 
@@ -402,7 +404,8 @@
         """Members whose status changed lately, the least told first, and a few of the
         others by lot; whom the others hold for lost hears of it."""
         news = self._next_news()
-        if to in self._odd and to not in news and self.members[to].info.beat:
+        is_told = to in self._odd or to in self._outranked
+        if is_told and to not in news and self.members[to].info.beat:
             news.append(to)
         if not self.is_small and kind == ACK:
             return news
@@ -531,6 +534,8 @@
             return
         old = known.info
         mark, old_mark = (info.incarnation, info.beat), (old.incarnation, old.beat)
+        if is_direct:
+            self._note_outranked(info=info, old=old)
         if mark < old_mark:
             if info.status in (SUSPECT, DEAD) and old.status == ALIVE:
                 self._doubt(known=known, info=info, now_us=now_us)
@@ -556,6 +561,13 @@
             limit = times_told(count=len(self.members))
             self._news.setdefault(info.name, limit - READY_TOLD)
 
+    def _note_outranked(self, *, info: MemberMsg, old: MemberMsg) -> None:
+        """A member speaks under a lower incarnation than is known of it: it is told."""
+        if info.incarnation < old.incarnation:
+            self._outranked[info.name] = None
+        else:
+            self._outranked.pop(info.name, None)
+
     def _knows_the_rest(self, *, now_us: int) -> bool:
         """In a large fleet, whom a new node meets first is no news to the others."""
         is_old = self._born_us is not None and now_us - self._born_us > BORN_US
@@ -569,6 +581,13 @@
         else:
             self._tell(name=info.name)
 
+    def outrank(self, *, incarnation: int) -> None:
+        """Another process of this name was heard under this incarnation: the one before
+        this, if the clock was stepped back since. What this one says has to count for more."""
+        if incarnation > self.me.incarnation:
+            self.me.incarnation = incarnation + 1
+
     def _refute(self, *, info: MemberMsg) -> None:
+        self.outrank(incarnation=info.incarnation)
         if info.incarnation == self.me.incarnation and info.status in (SUSPECT, DEAD):
             self.me.beat = max(self.me.beat, info.beat + 1)
--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -148,6 +148,7 @@
         """What was told to this leader before is not told again, but for the contact
         now and then."""
         keeper = self.keeper
+        self._contact.incarnation = self._swim.me.incarnation
         now_us = self._ports.clock.now_us()
         is_known = target == self._known_by
         message = Renew(
@@ -236,6 +237,7 @@
             reply = await call
             if not isinstance(reply, GrantReply):
                 continue
+            self._swim.outrank(incarnation=reply.newest_incarnation)
             refused = None if reply.is_granted else reply
             if reply.is_granted and self._take(reply=reply, sent_us=sent_us, target=target):
                 return True
@@ -248,6 +250,7 @@
         if reply.cluster and keeper.cluster and reply.cluster != keeper.cluster:
             self.last_why = f"{target} belongs to another cluster"
             return False
+        self._swim.outrank(incarnation=reply.newest_incarnation)
         self._meet_partners(contacts=reply.partners)
         if reply.cores:
             self.cores = list(reply.cores)
@@ -287,6 +290,7 @@
         return int(MEET_SETTLED_US * (0.75 + 0.5 * self._ports.rand.random()))
 
     async def _meet(self, *, address: str) -> None:
+        self._contact.incarnation = self._swim.me.incarnation
         message = Meet(
             edge=self.keeper.me, incarnation=self._contact.incarnation, contact=self._contact
         )
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -20,6 +20,7 @@
 from kelpstage.edge.grant.keeper import WITNESS_US, Keeper
 from proof.fleet.deployment import load
 from proof.sim.fleet import SimFleet, run_sim
+from proof.sim.world import SimClock
 from tests.test_core_cuts import CUT_US, History, Operators, Pairs
 
 LOOK_US = 20_000
@@ -226,6 +227,40 @@
         self.judge(leader_is_not_heard, cut_off=1)
 
 
+class SteppedClock(unittest.TestCase):
+    """No answer depends on the clock on the wall: edges that start again after it was
+    stepped back are heard, hold leases and count as having installed what they have."""
+
+    def test_most_edges_start_again_an_hour_earlier(self) -> None:
+        stepped_back_us = 3_600_000_000
+
+        async def story(fleet: SimFleet) -> None:
+            await fleet.bring_up()
+            names = ["node-02", "node-03", "node-04", "node-05"]
+            for name in names:
+                fleet.kill_edge(name=name)
+            real = SimClock.wall_us
+            with mock.patch.object(SimClock, "wall_us", lambda self: real(self) - stepped_back_us):
+                for name in names:
+                    await fleet.start_edge(name=name)
+            await fleet.wait_for(
+                what="all edges ready",
+                is_there=lambda: len(fleet.ready_edges()) == len(machines(fleet=fleet)),
+                us=5_000_000,
+            )
+            row = await fleet.put_next(wait_us=ACKNOWLEDGED_WITHIN_US)
+            self.assertEqual(row["status"], 200, row)
+            await fleet.sleep(us=5_000_000)
+            for node in fleet.deployment.nodes:
+                swim = fleet.daemons[f"edge/{node.name}"].swim
+                versions = {name: swim.members[name].info.version for name in swim.members}
+                self.assertEqual(set(versions.values()), {2}, f"{node.name}: {versions}")
+                self.assertEqual(len(swim.live()), len(machines(fleet=fleet)), node.name)
+
+        for seed in SEEDS:
+            run_sim(seed=seed, deployment=load(name="tiny"), story=story)
+
+
 async def unconfirmed(self: Desk) -> None:
     """Planted fault: a deposed leader goes on renewing leases."""
 
