List readings are numbered: one that lay in a cut link is no news when it arrives

How fresh a reading of the platform's list is travels as an age, counted when it is sent. A reading that lay in a cut link for twenty seconds arrived as 1 ms old: if its changes fitted what the receiver had, an instance that had begun to drain meanwhile was taken for running again until the next reading, and a late one with the same content made an old list count as fresh and its former reader as the reader.

Each reader now counts on from the highest number that it has made or heard of, and news of a lower number than a node knows changes nothing there. A reader that began anew hears a higher number with the first news that reaches it, and goes on above that.

Failing tests first (tests/test_leases.py, SupersededReadings): the draining instance came back; the list counted as 9.0 s fresh where the newest reading was of 3.0 s.

Ruled out: stamps by the sender's clock with the least delay seen as offset (state for each sender, and nothing is known of the first message); asking back at each news (a round trip more before a drain is known).

--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -449,6 +449,7 @@
     tell: List[str] = bp.string_field(8)
     is_known: bool = bp.bool_field(9)  # False: the sender has no list either
     is_last: bool = bp.bool_field(10)  # the reader leaves: another may read at once
+    reading: int = bp.uint64_field(11)  # number of the reading, above all that it had heard of
 
 
 @dataclass
--- a/kelpstage/edge/backend/roll.py
+++ b/kelpstage/edge/backend/roll.py
@@ -4,7 +4,10 @@
 names what changed in the last seconds and the digest of the whole: whoever gets
 another digest after the changes lacks something and asks for all of it. So news of
 any reader fits on what was heard from any other, and a lost message costs nothing as
-long as a later one comes in time. How fresh a list is travels as an age.
+long as a later one comes in time. How fresh a list is travels as an age. An age says
+nothing of how long a message lay in a link, so readings are numbered as well: each reader
+counts on from the highest number it has heard, and news of a lower number than a node
+knows changes nothing there.
 """
 
 from __future__ import annotations
@@ -47,6 +50,7 @@
         self.fresh_us = 0
         self.heard_us = 0
         self.reader = ""
+        self.reading = 0  # the highest number of a reading that was made or heard of
         self._cold: dict[str, int] = {}
         self._changes: deque[tuple[int, str]] = deque()
 
@@ -61,6 +65,7 @@
         plain = {name: _plain(life=life) for name, life in found.items()}
         changed = [life for name, life in found.items() if self.lives.get(name) != plain[name]]
         gone = [name for name in self.lives if name not in found]
+        self.reading += 1
         self._note_fresh(fresh_us=read_us, now_us=now_us, reader=self._me)
         if not changed and not gone and self.is_known:
             return SAME
@@ -73,11 +78,13 @@
         if not news.is_known:
             return STALE
         fresh_us = now_us - news.age_us
+        is_superseded = news.reading < self.reading
+        self.reading = max(self.reading, news.reading)
         if self.is_known and news.digest == self.digest:
-            if fresh_us >= self.fresh_us:
+            if fresh_us >= self.fresh_us and not is_superseded:
                 self._note_fresh(fresh_us=fresh_us, now_us=now_us, reader=news.reader)
             return SAME
-        if self.is_known and fresh_us < self.fresh_us - STALE_US:
+        if self.is_known and (is_superseded or fresh_us < self.fresh_us - STALE_US):
             return STALE
         changed = [life_of(message=message) for message in news.changed]
         gone = [name for name in news.gone if name in self.lives]
@@ -142,6 +149,7 @@
             gone=sorted(name for name in names if name not in self.lives),
             tell=list(tell),
             is_known=self.is_known,
+            reading=self.reading,
         )
 
     def cold_us(self, *, name: str, now_us: int) -> int:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -10,13 +10,15 @@
 
 import asyncio
 import unittest
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Awaitable, Callable
 from unittest import mock
 
 from kelpstage.core.grants.desk import Desk
 from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
 from kelpstage.core.raft.replica import Replica
+from kelpstage.edge.backend.life import Life
+from kelpstage.edge.backend.roll import Roll
 from kelpstage.edge.grant.keeper import WITNESS_US, Keeper
 from proof.fleet.deployment import load
 from proof.sim.fleet import SimFleet, run_sim
@@ -79,7 +81,8 @@
             if not process.is_alive or process.is_frozen:
                 continue
             version = edge.keeper.blueprint.version
-            if version < newest and edge.keeper.has_grant(now_us=now_us):
+            own_us = edge.ports.clock.now_us()
+            if version < newest and edge.keeper.has_grant(now_us=own_us):
                 self._note(name=node.name, what=f"a lease at {version}, acknowledged {newest}")
             if edge.refusal():
                 self.unready_us[node.name] = self.unready_us.get(node.name, 0) + LOOK_US
@@ -261,6 +264,63 @@
             run_sim(seed=seed, deployment=load(name="tiny"), story=story)
 
 
+class SupersededReadings(unittest.TestCase):
+    """A reading of the list that lay in a cut link is no news when it arrives, however
+    young it says it is: readings are numbered."""
+
+    LIFE = Life(instance="i", service="s", address="127.0.0.1:1")
+
+    def two_rolls(self) -> tuple[Roll, Roll]:
+        """A reader, and a node that took its first reading."""
+        first, node = Roll(me="first", own="first:1"), Roll(me="node", own="node:1")
+        first.take_reading(lives=[self.LIFE], read_us=0, now_us=1_000)
+        node.take_news(news=first.news(now_us=1_000), now_us=2_000)
+        return first, node
+
+    def test_a_late_reading_of_a_reader_before(self) -> None:
+        first, node = self.two_rolls()
+        first.take_reading(lives=[self.LIFE], read_us=500_000, now_us=501_000)
+        late = first.news(now_us=501_000)  # 1 ms old as it is sent; it lies in the link
+        second = Roll(me="second", own="second:1")
+        second.take_news(news=node.news(now_us=600_000, is_whole=True), now_us=601_000)
+        draining = replace(self.LIFE, is_draining=True)
+        for turn in range(3, 10):
+            now_us = turn * 1_000_000
+            second.take_reading(lives=[draining], read_us=now_us, now_us=now_us)
+            node.take_news(news=second.news(now_us=now_us), now_us=now_us + 10_000)
+        self.assertTrue(node.lives["i"].is_draining)
+        node.take_news(news=late, now_us=9_500_000)
+        self.assertTrue(node.lives["i"].is_draining)
+        self.assertEqual(node.reader, "second")
+        self.assertEqual(node.fresh_us, 9_010_000)
+
+    def test_a_late_reading_that_says_the_same_does_not_count_as_fresh(self) -> None:
+        first, node = self.two_rolls()
+        late = first.news(now_us=2_000)
+        second = Roll(me="second", own="second:1")
+        second.take_news(news=node.news(now_us=600_000, is_whole=True), now_us=601_000)
+        second.take_reading(lives=[self.LIFE], read_us=3_000_000, now_us=3_000_000)
+        node.take_news(news=second.news(now_us=3_000_000), now_us=3_000_000)
+        node.take_news(news=late, now_us=9_000_000)
+        self.assertEqual(node.fresh_us, 3_000_000)
+        self.assertEqual(node.reader, "second")
+
+    def test_a_reader_that_began_anew_goes_on_above_what_it_hears(self) -> None:
+        first, node = self.two_rolls()
+        for turn in range(1, 6):
+            first.take_reading(lives=[self.LIFE], read_us=turn, now_us=turn)
+        node.take_news(news=first.news(now_us=10), now_us=10)
+        fresh = Roll(me="fresh", own="fresh:1")
+        other = replace(self.LIFE, instance="j")
+        fresh.take_reading(lives=[other], read_us=2_000_000, now_us=2_000_000)
+        node.take_news(news=fresh.news(now_us=2_000_000, is_whole=True), now_us=2_000_000)
+        self.assertEqual(list(node.lives), ["i"])  # its first number counts for little
+        fresh.take_news(news=node.news(now_us=2_100_000), now_us=2_100_000)
+        fresh.take_reading(lives=[other], read_us=3_000_000, now_us=3_000_000)
+        node.take_news(news=fresh.news(now_us=3_000_000, is_whole=True), now_us=3_000_000)
+        self.assertEqual(list(node.lives), ["j"])
+
+
 async def unconfirmed(self: Desk) -> None:
     """Planted fault: a deposed leader goes on renewing leases."""
 
