Leases: the margin for clock rates has a test, with a clock slow by 8 and 25 percent

A lease of 2.0 s by the edge's clock has to end within 2.2 s of the leader's, which holds as long as the edge's clock is slow by no more than 9 percent. Nothing showed that.

--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -230,6 +230,40 @@
         self.judge(leader_is_not_heard, cut_off=1)
 
 
+async def an_edge_cut_off_from_all(fleet: SimFleet, day: Day) -> None:
+    """Cut off at twenty places of the second, so that a lease is of every age."""
+    others = [n for n in machines(fleet=fleet) if n != "node-04"]
+    for _ in range(20):
+        pairs = between(left=["node-04"], right=others)
+        fleet.world.cuts |= set(pairs)
+        await fleet.sleep(us=3_500_000)
+        fleet.world.cuts -= set(pairs)
+        fleet.world.flush()
+        await fleet.sleep(us=525_000)
+
+
+class SlowClock(unittest.TestCase):
+    """An edge whose clock runs slow keeps its lease for longer than it was given."""
+
+    def watched(self, *, rate: float) -> list[str]:
+        real = SimClock.now_us
+
+        def now_us(self: SimClock) -> int:
+            is_slow = self._process.name == "edge/node-04"
+            return int(real(self) * rate) if is_slow else real(self)
+
+        with mock.patch.object(SimClock, "now_us", now_us):
+            day = run_day(an_edge_cut_off_from_all, seed=1)
+        self.assertEqual(day.history.violations[:5], [])
+        return day.watch.violations
+
+    def test_the_margin_is_enough_for_eight_percent(self) -> None:
+        self.assertEqual(self.watched(rate=0.92)[:5], [])
+
+    def test_it_is_not_for_twenty_five(self) -> None:
+        self.assertIn("a lease at", " ".join(self.watched(rate=0.75)))
+
+
 class SteppedClock(unittest.TestCase):
     """No answer depends on the clock on the wall: edges that start again after it was
     stepped back are heard, hold leases and count as having installed what they have."""
