Edges: what a core says that does not lead adds to the known cores and replaces none

A core that was away for long answers an edge with the members that it knew then. The edge put that list in place of its own, so that one word of a core of any age could take from it every core that it could have renewed its lease at, but for its seeds. Only the answer of the confirmed leader replaces the list now.

Failing test first (tests/test_leases.py, HintsOfCores): one hint left an edge with one address that nobody has.

Ruled out: a term on hints. A core that is cut off knows no newer term than its own, and an edge that has just started knows none at all.

--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -44,6 +44,7 @@
 CONTACT_AGAIN_US = 10_000_000
 RELAY_WAIT_US = 550_000
 RELAYS = 5
+CORES_KEPT = 16
 RELAY_EVERY_US = 250_000
 PASSED_OVER_US = 2_000_000
 MEET_US = 2_000_000
@@ -252,8 +253,7 @@
             return False
         self._swim.outrank(incarnation=reply.newest_incarnation)
         self._meet_partners(contacts=reply.partners)
-        if reply.cores:
-            self.cores = list(reply.cores)
+        self._learn_cores(reply=reply)
         self.leader = reply.leader_address
         if reply.known >> 32 != self._known >> 32:
             self._introduced_us = -CONTACT_AGAIN_US  # another ledger: it may not know this edge
@@ -264,6 +264,15 @@
             self.fetch_soon(first=reply.leader_address)
         return reply.is_granted
 
+    def _learn_cores(self, *, reply: GrantReply) -> None:
+        """The leader's list replaces what is known; that of a core which does not lead may
+        be of any age, so that it only adds."""
+        if not reply.cores:
+            return
+        is_from_leader = bool(reply.known)
+        kept = [] if is_from_leader else self.cores
+        self.cores = list(dict.fromkeys([*reply.cores, *kept]))[:CORES_KEPT]
+
     # --- meeting -----------------------------------------------------------------------
 
     async def _meet_loop(self) -> None:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -14,6 +14,7 @@
 from typing import Awaitable, Callable
 from unittest import mock
 
+from kelpstage.base.wire.messages import GrantReply
 from kelpstage.core.grants.desk import Desk
 from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
 from kelpstage.core.raft.replica import Replica
@@ -230,6 +231,24 @@
         self.judge(leader_is_not_heard, cut_off=1)
 
 
+class HintsOfCores(unittest.TestCase):
+    """What a core says that does not lead may be of any age: it adds, and replaces nothing."""
+
+    def test_a_core_that_was_away_does_not_take_the_others_from_an_edge(self) -> None:
+        async def story(fleet: SimFleet) -> None:
+            await fleet.bring_up()
+            edge = fleet.daemons["edge/node-05"]
+            known = set(edge.grants.cores)
+            self.assertEqual(known, set(fleet.core_address.values()))
+            hint = GrantReply(cluster=edge.keeper.cluster, cores=["10.9.9.9:7100"], why="no leader")
+            edge.grants._take(reply=hint, sent_us=fleet.now_us(), target="10.9.9.9:7100")
+            self.assertLessEqual(known, set(edge.grants.cores))
+            await fleet.sleep(us=2_000_000)
+            self.assertEqual(known, set(edge.grants.cores))  # the leader's word replaces
+
+        run_sim(seed=1, deployment=load(name="tiny"), story=story)
+
+
 async def an_edge_cut_off_from_all(fleet: SimFleet, day: Day) -> None:
     """Cut off at twenty places of the second, so that a lease is of every age."""
     others = [n for n in machines(fleet=fleet) if n != "node-04"]
