--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -59,52 +59,52 @@
 
 
 @dataclass
-class AskVote(Message):
+class RequestVote(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
-    last_index: int = bp.uint64_field(5)
-    last_term: int = bp.uint64_field(6)
-    is_pre: bool = bp.bool_field(7)
-    is_handover: bool = bp.bool_field(8)
+    last_log_index: int = bp.uint64_field(5)
+    last_log_term: int = bp.uint64_field(6)
+    is_pre_vote: bool = bp.bool_field(7)
+    is_transfer: bool = bp.bool_field(8)
     address: str = bp.string_field(9)
 
 
 @dataclass
-class VoteReply(Message):
+class RequestVoteReply(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
-    is_pre: bool = bp.bool_field(5)
+    is_pre_vote: bool = bp.bool_field(5)
     is_granted: bool = bp.bool_field(6)
 
 
 @dataclass
-class Append(Message):
+class AppendEntries(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
-    prev_index: int = bp.uint64_field(5)
-    prev_term: int = bp.uint64_field(6)
+    prev_log_index: int = bp.uint64_field(5)
+    prev_log_term: int = bp.uint64_field(6)
     entries: List[LogEntry] = bp.message_field(7)
-    commit: int = bp.uint64_field(8)
-    beat: int = bp.uint64_field(9)
+    commit_index: int = bp.uint64_field(8)
+    heartbeat: int = bp.uint64_field(9)
     leader_address: str = bp.string_field(10)
 
 
 @dataclass
-class AppendReply(Message):
+class AppendEntriesReply(Message):
     cluster: str = bp.string_field(1)
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
     is_ok: bool = bp.bool_field(5)
-    match: int = bp.uint64_field(6)
-    hint: int = bp.uint64_field(7)
-    beat: int = bp.uint64_field(8)
+    match_index: int = bp.uint64_field(6)
+    conflict_index: int = bp.uint64_field(7)
+    heartbeat: int = bp.uint64_field(8)
 
 
 @dataclass
@@ -113,10 +113,10 @@
     sender: str = bp.string_field(2)
     to: str = bp.string_field(3)
     term: int = bp.uint64_field(4)
-    index: int = bp.uint64_field(5)
-    index_term: int = bp.uint64_field(6)
+    last_included_index: int = bp.uint64_field(5)
+    last_included_term: int = bp.uint64_field(6)
     leader_address: str = bp.string_field(7)
-    beat: int = bp.uint64_field(8)
+    heartbeat: int = bp.uint64_field(8)
 
 
 @dataclass
@@ -169,6 +169,7 @@
     body: bytes = bp.bytes_field(5)
     wait_us: int = bp.uint64_field(6)
     version: int = bp.uint64_field(7)  # that a put is given; 0: the next one
+    packed: bytes = bp.bytes_field(8)  # the body compressed, in its place
 
 
 @dataclass
@@ -179,24 +180,27 @@
     etag: str = bp.string_field(4)
     is_leader: bool = bp.bool_field(5)
     location: str = bp.string_field(6)
+    packed: bytes = bp.bytes_field(7)  # the body compressed, in its place
 
 
 @dataclass
 class FetchSnapshot(Message):
     cluster: str = bp.string_field(1)
-    index: int = bp.uint64_field(2)
+    index: int = bp.uint64_field(2)  # a snapshot of this index or a later one
     offset: int = bp.uint64_field(3)
+    pinned: int = bp.uint64_field(4)  # index of the one whose transfer has begun; 0: none
 
 
 @dataclass
 class FetchState(Message):
-    epoch: int = bp.uint64_field(1)
+    epoch: int = bp.uint64_field(1)  # a state of this epoch or a later one
     offset: int = bp.uint64_field(2)
+    pinned: int = bp.uint64_field(3)  # epoch of the one whose transfer has begun; 0: none
 
 
 @dataclass
 class Chunk(Message):
-    """A piece of a snapshot or a state; `mark` is its index or epoch."""
+    """A piece of a compressed snapshot or state; `mark` is its index or epoch."""
 
     is_found: bool = bp.bool_field(1)
     mark: int = bp.uint64_field(2)
@@ -284,7 +288,7 @@
     vouches: bool = bp.bool_field(3)
     epoch: int = bp.uint64_field(4)
     cluster: str = bp.string_field(5)
-    asker_version: int = bp.uint64_field(6)  # what the asker was last heard to serve
+    asker_version: int = bp.uint64_field(6)  # what the applicant was last heard to serve
 
 
 # --- gathering -----------------------------------------------------------------------------
@@ -461,10 +465,10 @@
 
 
 TYPES: dict[int, type] = {
-    1: AskVote,
-    2: VoteReply,
-    3: Append,
-    4: AppendReply,
+    1: RequestVote,
+    2: RequestVoteReply,
+    3: AppendEntries,
+    4: AppendEntriesReply,
     5: InstallSnapshot,
     6: TimeoutNow,
     10: SeedProbe,
--- a/kelpstage/core/raft/members.py
+++ b/kelpstage/core/raft/members.py
@@ -46,7 +46,7 @@
     def __init__(self, *, base: list[CoreMember], entries: list[LogEntry], base_index: int) -> None:
         self._steps: list[tuple[int, list[CoreMember]]] = [(base_index, list(base))]
         for entry in entries:
-            self.follow(entry=entry)
+            self.append(entry=entry)
 
     @property
     def current(self) -> list[CoreMember]:
@@ -62,7 +62,7 @@
         fitting = [members for step, members in self._steps if step <= index]
         return fitting[-1] if fitting else self._steps[0][1]
 
-    def follow(self, *, entry: LogEntry) -> None:
+    def append(self, *, entry: LogEntry) -> None:
         if entry.kind == MEMBERSHIP:
             self._steps.append((entry.index, read_members(data=entry.data)))
 
@@ -92,6 +92,25 @@
     def others(self, *, replica: str) -> list[CoreMember]:
         return [m for m in self.current if m.replica != replica]
 
+    @property
+    def voters(self) -> list[CoreMember]:
+        """The members that vote."""
+        return [m for m in self.current if m.is_voter]
+
     def is_majority(self, *, names: set[str]) -> bool:
-        voters = {m.replica for m in self.current if m.is_voter}
-        return bool(voters) and len(voters & names) * 2 > len(voters)
+        return is_majority_of(members=self.current, names=names)
+
+
+def quorum_size(*, voters: int) -> int:
+    """The least majority of so many voters.
+
+    >>> [quorum_size(voters=count) for count in (1, 2, 3, 4, 5)]
+    [1, 2, 2, 3, 3]
+    """
+    return voters // 2 + 1
+
+
+def is_majority_of(*, members: list[CoreMember], names: set[str]) -> bool:
+    """Are these names a majority of the voters among the members?"""
+    voters = {m.replica for m in members if m.is_voter}
+    return bool(voters) and len(voters & names) >= quorum_size(voters=len(voters))
--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -9,14 +10,14 @@
 
 NOOP, MEMBERSHIP, COMMAND = 0, 1, 2
 
-FOLLOWER, PROSPECT, CANDIDATE, LEADER = "follower", "prospect", "candidate", "leader"
+FOLLOWER, PRE_CANDIDATE, CANDIDATE, LEADER = "follower", "pre_candidate", "candidate", "leader"
 
 
 @dataclass(frozen=True, kw_only=True)
-class Pace:
+class Timing:
     """Raft's spans."""
 
-    beat_us: int = 100_000
+    heartbeat_us: int = 100_000
     election_low_us: int = 800_000
     election_high_us: int = 1_600_000
     wake_low_us: int = 150_000  # in a life that has heard no leader yet
@@ -34,7 +35,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Heard:
+class Received:
     message: Any
 
 
@@ -46,7 +47,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class AskRead:
+class ReadIndex:
     """Tell me (by `ReadReady`) when this leader is confirmed as of now."""
 
     token: int
@@ -60,7 +61,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class HandOver:
+class TransferLeadership:
     """Give leadership to the voter that is furthest on."""
 
 
@@ -73,20 +74,47 @@
 
 @dataclass(frozen=True, kw_only=True)
 class SnapshotFetched:
-    """A snapshot offered by the leader is on disk; the log starts behind it."""
+    """The snapshot that a leader offered has arrived; `leader_term` is the term of that
+    offer, which may be over by now."""
 
     index: int
     term: int
     members: list[CoreMember]
     leader: str
-    beat: int
+    leader_term: int
+    heartbeat: int
 
 
 @dataclass(frozen=True, kw_only=True)
-class LearnerAsks:
+class JoinRequested:
     member: CoreMember
 
 
+@dataclass(frozen=True, kw_only=True)
+class LeaveRequested:
+    """A member is about to stop; it asks again until it is told that it may."""
+
+    replica: str
+
+
+class LeaveState(enum.IntEnum):
+    """What a leader says to a member that is about to stop."""
+
+    NOT_LEADER = 0
+    WAIT = 1  # a replacement is under way, or the others lack what it holds
+    REPLACED = 2  # its removal is committed
+    COPIED = 3  # none can replace it; the others hold all that it holds
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaveStatus:
+    """How far a leaving has come, and how many further losses the log then bears."""
+
+    state: LeaveState
+    losses_borne: int = 0
+    losses_wanted: int = 0
+
+
 # --- effects ---------------------------------------------------------------------
 
 
@@ -113,11 +141,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class KeepSnapshot:
-    """Keep the fetched snapshot; the log goes on behind it."""
+    """Keep the fetched snapshot; the log goes on behind it with the entries of `tail`."""
 
     number: int
     term: int
     vote: str
+    tail: list[LogEntry] = field(default_factory=list)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -156,13 +185,22 @@
 
 @dataclass(frozen=True, kw_only=True)
 class FetchOffered:
-    """Fetch the snapshot that the leader offers."""
+    """Fetch the snapshot that the leader of a term offers."""
 
     leader: str
     leader_address: str
+    leader_term: int
     index: int
     term: int
-    beat: int
+    heartbeat: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class MarginChanged:
+    """How many voters the leader can lose now and still have a majority."""
+
+    losses_borne: int
+    losses_wanted: int
 
 
 @dataclass(frozen=True, kw_only=True)
