Tests: cores that stand still for ten seconds, with calls open when they wake

The leader is frozen for 10 s, twice, then two of three cores for 6 s, with orders and reads at every member by callers who wait for a minute, so that they hear what a woken core makes of calls that it had taken before. A core that reads from memory, and one that judges orders from memory, are each noticed.

--- a/tests/test_core_cuts.py
+++ b/tests/test_core_cuts.py
@@ -33,6 +33,9 @@
 CALL_US = 1_000_000  # an operator moves on after so much silence
 ORDER_WAIT_US = 800_000
 PAUSE_US = 150_000
+FREEZE_US = 10_000_000
+PATIENT_US = 60_000_000
+READ_EVERY_US = 500_000
 ACKNOWLEDGED_WITHIN_US = 5_000_000
 CAUGHT_UP_WITHIN_US = 4_000_000
 SEEDS = (1, 2, 3)
@@ -98,8 +101,9 @@
     """One order at a time, sent to every member until one acknowledges it and once after
     that; reads at every member all the while."""
 
-    def __init__(self, *, cores: Cores) -> None:
+    def __init__(self, *, cores: Cores, call_us: int) -> None:
         self.cores = cores
+        self._call_us = call_us
         self.history = History()
         self.is_open = True
         self._version = 0
@@ -110,7 +114,7 @@
             call=HttpCall(
                 method=method,
                 url=f"http://{cores.address(member, 8100)}/v1/blueprint",
-                wait_us=CALL_US,
+                wait_us=self._call_us,
                 **more,
             )
         )
@@ -248,7 +252,11 @@
 
 
 def run_day(
-    story: Callable[[Cores, Operators, Day], Awaitable[None]], *, seed: int, count: int = 3
+    story: Callable[[Cores, Operators, Day], Awaitable[None]],
+    *,
+    seed: int,
+    count: int = 3,
+    call_us: int = CALL_US,
 ) -> Day:
     """Operators at work over a story of cuts."""
     days: list[Day] = []
@@ -256,7 +264,7 @@
     async def tell(cores: Cores) -> None:
         await cores.start(is_first=True)
         await cores.wait_for(lambda: len(cores.voters()) == 3)
-        operators = Operators(cores=cores)
+        operators = Operators(cores=cores, call_us=call_us)
         await operators.order()
         day = Day(history=operators.history)
         days.append(day)
@@ -290,6 +298,38 @@
         await hold_cut(cores=cores, operators=operators, day=day, name=name, cut=both_ways)
 
 
+async def freezes(cores: Cores, operators: Operators, day: Day) -> None:
+    """The leader stands still for ten seconds, twice; then all but one core for six. They
+    wake with calls open and every timer due at once."""
+    for count, span_us in ((1, FREEZE_US), (1, FREEZE_US), (2, FREEZE_US * 6 // 10)):
+        leader = cores.leader()
+        others = [name for name in cores.names if name != leader]
+        frozen = [leader, *others][:count]
+        for name in frozen:
+            cores.processes[name].freeze()
+        reads = []
+        for _ in range(span_us // READ_EVERY_US):
+            reads += [asyncio.ensure_future(operators.read(member=name)) for name in frozen]
+            await cores.sleep(READ_EVERY_US)
+        for name in frozen:
+            cores.processes[name].thaw()
+        await asyncio.gather(*reads)
+        await cores.sleep(5_000_000)
+
+
+class Freezes(unittest.TestCase):
+    """Callers who wait for longer than any freeze hear what a woken core makes of calls
+    that it took before: judged by when they were sent."""
+
+    def test_a_core_wakes_with_calls_open(self) -> None:
+        for seed in SEEDS:
+            day = run_day(freezes, seed=seed, call_us=PATIENT_US)
+            self.assertEqual(day.history.violations[:5], [], f"seed {seed}")
+            self.assertGreater(len(day.history.acknowledged), 50, f"seed {seed}")
+            waited_us = max(a.ended_us - a.began_us for a in day.history.answers)
+            self.assertGreater(waited_us, FREEZE_US - CALL_US, f"seed {seed}")
+
+
 class Cuts(unittest.TestCase):
     def judge(self, story: Callable[..., Awaitable[None]], *, may_disturb: bool = False) -> None:
         for seed in SEEDS:
@@ -387,6 +427,16 @@
             found = self.violations(story=cut_story(of="leader", cut=both_ways))
         self.assertIn("older than the acknowledged", found)
 
+    def test_a_woken_core_that_answers_from_memory(self) -> None:
+        with mock.patch.object(operators_module, "_verdict_of", read_from_memory):
+            day = run_day(freezes, seed=1, call_us=PATIENT_US)
+        self.assertIn("older than the acknowledged", " ".join(day.history.violations))
+
+    def test_a_woken_core_that_judges_orders_from_memory(self) -> None:
+        with mock.patch.object(Puts, "_look_up", looked_up_in_memory):
+            day = run_day(freezes, seed=2, call_us=PATIENT_US)
+        self.assertIn("status=412", " ".join(day.history.violations))
+
     def test_elections_without_a_pre_vote(self) -> None:
         with mock.patch.object(elections, "_start_pre_vote", campaign_without_pre_vote):
             day = run_day(cut_story(of="follower", cut=both_ways), seed=1)
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -25,7 +25,7 @@
 from proof.fleet.deployment import load
 from proof.sim.fleet import SimFleet, run_sim
 from proof.sim.world import SimClock
-from tests.test_core_cuts import CUT_US, History, Operators, Pairs
+from tests.test_core_cuts import CALL_US, CUT_US, History, Operators, Pairs
 
 LOOK_US = 20_000
 ACKNOWLEDGED_WITHIN_US = 5_000_000
@@ -142,7 +142,7 @@
     async def tell(fleet: SimFleet) -> None:
         await fleet.start()
         await fleet.wait_for(what="a whole membership", is_there=fleet.is_roster_whole)
-        operators = Operators(cores=FleetCores(fleet=fleet))
+        operators = Operators(cores=FleetCores(fleet=fleet), call_us=CALL_US)
         await operators.order()
         await fleet.wait_for(
             what="all ready",
