Leases: a wave of relayed renewals that breaks off does not end them for good

One wave is under way at a time, and the mark for it was taken off only when the wave came to its end. An error in it (none is known) would have left an edge without relayed renewals until it was started again. Failing test first (tests/test_leases.py, RelayedRenewals): the second wave did not begin.

--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -213,12 +213,14 @@
         """One wave, and another if an epoch was installed meanwhile: the leader may be
         waiting to hear of it."""
         epoch = -1
-        while epoch < self.keeper.epoch:
-            epoch = self.keeper.epoch
-            self._needs_relay = await self._renew_through_partner(target=target)
-            if not self._needs_relay:
-                break
-        self._is_relaying = False
+        try:
+            while epoch < self.keeper.epoch:
+                epoch = self.keeper.epoch
+                self._needs_relay = await self._renew_through_partner(target=target)
+                if not self._needs_relay:
+                    break
+        finally:
+            self._is_relaying = False
 
     async def _renew_through_partner(self, *, target: str) -> bool:
         """A core that cannot be reached from here may be from elsewhere. Several
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -271,6 +271,25 @@
         run_sim(seed=1, deployment=load(name="tiny"), story=story)
 
 
+class RelayedRenewals(unittest.TestCase):
+    def test_a_wave_that_breaks_off_does_not_end_them_for_good(self) -> None:
+        async def story(fleet: SimFleet) -> None:
+            await fleet.bring_up()
+            leases = fleet.daemons["edge/node-05"].grants
+            broken = mock.AsyncMock(side_effect=RuntimeError("planted"))
+            with mock.patch.object(leases, "_renew_through_partner", broken):
+                leases._relay_now(target="10.9.9.9:7100")
+                await fleet.sleep(us=100_000)
+            self.assertEqual(broken.await_count, 1)
+            real = mock.AsyncMock(return_value=False)
+            with mock.patch.object(leases, "_renew_through_partner", real):
+                leases._relay_now(target="10.9.9.9:7100")
+                await fleet.sleep(us=100_000)
+            self.assertEqual(real.await_count, 1)
+
+        run_sim(seed=1, deployment=load(name="tiny"), story=story)
+
+
 async def an_edge_cut_off_from_all(fleet: SimFleet, day: Day) -> None:
     """Cut off at twenty places of the second, so that a lease is of every age."""
     others = [n for n in machines(fleet=fleet) if n != "node-04"]
