--- a/tests/test_core_cuts.py
+++ b/tests/test_core_cuts.py
@@ -443,12 +443,15 @@
         self.assertIn("older than the acknowledged", found)
 
     def test_a_woken_core_that_answers_from_memory(self) -> None:
-        with mock.patch.object(operators_module, "_verdict_of", read_from_memory):
+        with mock.patch.object(operators_module, "_answer", read_from_memory):
             day = run_day(freezes, seed=1, call_us=PATIENT_US)
         self.assertIn("older than the acknowledged", " ".join(day.history.violations))
 
     def test_a_woken_core_that_judges_orders_from_memory(self) -> None:
-        with mock.patch.object(Puts, "_look_up", looked_up_in_memory):
+        with (
+            mock.patch.object(Puts, "_look_up", looked_up_in_memory),
+            mock.patch.object(Puts, "_refuse", refused_in_memory),
+        ):
             day = run_day(freezes, seed=2, call_us=PATIENT_US)
         self.assertIn("status=412", " ".join(day.history.violations))
 
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -15,7 +15,7 @@
 from unittest import mock
 
 from kelpstage.base.wire.messages import GrantReply
-from kelpstage.core.grants.desk import Desk
+from kelpstage.core.grants.lease_service import LeaseService
 from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
 from kelpstage.core.raft.state import RaftState
 from kelpstage.core.raft.types import TransferLeadership
@@ -415,7 +415,7 @@
         self.assertEqual(list(node.lives), ["j"])
 
 
-async def unconfirmed(self: Desk) -> None:
+async def unconfirmed(self: LeaseService) -> None:
     """Planted fault: a deposed leader goes on renewing leases."""
 
 
@@ -433,7 +433,7 @@
 
     def test_leases_renewed_by_a_deposed_leader(self) -> None:
         with (
-            mock.patch.object(Desk, "_confirm", unconfirmed),
+            mock.patch.object(LeaseService, "_confirm", unconfirmed),
             mock.patch.object(RaftState, "has_quorum_contact", lambda self: True),
         ):
             found = self.watched(leader_with_an_edge)
