--- a/kelpstage/core/raft/log.py
+++ b/kelpstage/core/raft/log.py
@@ -24,10 +24,12 @@
 
     @property
     def last_index(self) -> int:
+        """The index of the last entry, or that of the snapshot before the log."""
         return self.base_index + len(self.entries)
 
     @property
     def last_term(self) -> int:
+        """The term of that."""
         return self.entries[-1].term if self.entries else self.base_term
 
     def term_at(self, *, index: int) -> int | None:
@@ -39,6 +41,7 @@
         return self.entries[index - self.base_index - 1].term
 
     def add(self, entry: LogEntry) -> None:
+        """Append an entry; its index is the next."""
         self.entries.append(entry)
 
     def cut(self, *, index: int) -> None:
--- a/kelpstage/core/raft/members.py
+++ b/kelpstage/core/raft/members.py
@@ -13,6 +13,8 @@
 
 @dataclass
 class Members(bp.Message):
+    """The data of a membership entry."""
+
     members: List[CoreMember] = bp.message_field(1)
 
 
@@ -50,6 +52,7 @@
 
     @property
     def current(self) -> list[CoreMember]:
+        """The members in force."""
         return self._steps[-1][1]
 
     @property
@@ -63,6 +66,7 @@
         return fitting[-1] if fitting else self._steps[0][1]
 
     def append(self, *, entry: LogEntry) -> None:
+        """Put a membership entry in force; other entries change nothing."""
         if entry.kind == MEMBERSHIP:
             self._steps.append((entry.index, read_members(data=entry.data)))
 
@@ -76,20 +80,25 @@
         self._steps = [(index, members)] + [s for s in self._steps if s[0] > index]
 
     def get(self, *, replica: str) -> CoreMember | None:
+        """A member by its name."""
         return next((m for m in self.current if m.replica == replica), None)
 
     def has(self, *, replica: str) -> bool:
+        """Is the replica a member?"""
         return self.get(replica=replica) is not None
 
     def address(self, *, replica: str) -> str:
+        """A member's address; empty if it is none."""
         member = self.get(replica=replica)
         return member.address if member else ""
 
     def is_voter(self, *, replica: str) -> bool:
+        """Does the replica vote?"""
         member = self.get(replica=replica)
         return bool(member and member.is_voter)
 
     def others(self, *, replica: str) -> list[CoreMember]:
+        """All members but this one."""
         return [m for m in self.current if m.replica != replica]
 
     @property
@@ -98,6 +107,7 @@
         return [m for m in self.current if m.is_voter]
 
     def is_majority(self, *, names: set[str]) -> bool:
+        """Are these names a majority of the voters in force?"""
         return is_majority_of(members=self.current, names=names)
 
 
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -50,6 +50,8 @@
 from kelpstage.core.raft.transfer import on_transfer_leadership
 from kelpstage.core.raft.types import (
     LEADER,
+    Effect,
+    Event,
     JoinRequested,
     LeaveRequested,
     LeaveStatus,
@@ -157,7 +159,7 @@
         reset_election_timeout(self.state)
         hasten_first_campaign(self.state)
 
-    def step(self, *, now_us: int, event: Any) -> list[Any]:
+    def step(self, *, now_us: int, event: Event) -> list[Effect]:
         """Take one event, give the effects."""
         state = self.state
         term, commit_index = state.term, state.commit_index
--- a/kelpstage/core/raft/state.py
+++ b/kelpstage/core/raft/state.py
@@ -11,13 +11,12 @@
 
 import random
 from dataclasses import dataclass, field
-from typing import Any
 
 from kelpstage.base.wire.messages import CoreMember, LogEntry
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.raft.members import MemberList
 from kelpstage.core.raft.pending_writes import PendingWrites
-from kelpstage.core.raft.types import FOLLOWER, LEADER, Persist, Send, Timing
+from kelpstage.core.raft.types import FOLLOWER, LEADER, Effect, Message, Persist, Send, Timing
 
 LONG_AGO_US = -(10**12)
 
@@ -99,7 +98,7 @@
     losses_borne: int | None = None
     margin_since_us: int = 0
 
-    effects: list[Any] = field(default_factory=list)
+    effects: list[Effect] = field(default_factory=list)
 
     # --- what is asked in more than one module -----------------------------------------
 
@@ -167,11 +166,11 @@
 
     # --- effects -------------------------------------------------------------------------
 
-    def emit(self, effect: Any) -> None:
+    def emit(self, effect: Effect) -> None:
         """Add an effect to those of the event."""
         self.effects.append(effect)
 
-    def take_effects(self) -> list[Any]:
+    def take_effects(self) -> list[Effect]:
         """The effects since the last call."""
         taken, self.effects = self.effects, []
         return taken
@@ -191,7 +190,9 @@
         )
         return number
 
-    def send(self, *, to: str, message: Any, is_promise: bool = False, address: str = "") -> None:
+    def send(
+        self, *, to: str, message: Message, is_promise: bool = False, address: str = ""
+    ) -> None:
         """Send to a member, or to one that this replica has not heard of yet; a promise
         only when all that was persisted so far is on disk."""
         member = self.members.get(replica=to)
--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -4,9 +4,26 @@
 
 import enum
 from dataclasses import dataclass, field
-from typing import Any
 
-from kelpstage.base.wire.messages import CoreMember, LogEntry
+from kelpstage.base.wire.messages import (
+    AppendEntries,
+    AppendEntriesReply,
+    CoreMember,
+    InstallSnapshot,
+    LogEntry,
+    RequestVote,
+    RequestVoteReply,
+    TimeoutNow,
+)
+
+Message = (
+    RequestVote
+    | RequestVoteReply
+    | AppendEntries
+    | AppendEntriesReply
+    | InstallSnapshot
+    | TimeoutNow
+)
 
 NOOP, MEMBERSHIP, COMMAND = 0, 1, 2
 
@@ -31,16 +48,20 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Tick:
-    pass
+    """Time has passed; it comes every 20 ms."""
 
 
 @dataclass(frozen=True, kw_only=True)
 class Received:
-    message: Any
+    """A message of another replica."""
+
+    message: Message
 
 
 @dataclass(frozen=True, kw_only=True)
 class Propose:
+    """Append an entry; `Proposed` or `NotLeader` answers with the token."""
+
     kind: int
     data: bytes
     token: int
@@ -87,6 +108,8 @@
 
 @dataclass(frozen=True, kw_only=True)
 class JoinRequested:
+    """A replica asks for a place, or tells its new address."""
+
     member: CoreMember
 
 
@@ -97,6 +120,20 @@
     replica: str
 
 
+Event = (
+    Tick
+    | Received
+    | Propose
+    | ReadIndex
+    | Synced
+    | TransferLeadership
+    | SnapshotTaken
+    | SnapshotFetched
+    | JoinRequested
+    | LeaveRequested
+)
+
+
 class LeaveState(enum.IntEnum):
     """What a leader says to a member that is about to stop."""
 
@@ -123,7 +160,7 @@
     """Send once everything persisted up to `after` is synced."""
 
     to: CoreMember
-    message: Any
+    message: Message
     after: int
 
 
@@ -151,22 +188,30 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Commit:
+    """Apply these entries, which follow those applied before."""
+
     entries: list[LogEntry]
 
 
 @dataclass(frozen=True, kw_only=True)
 class ReadReady:
+    """The read may be answered from the state as of `index` or later."""
+
     token: int
     index: int
 
 
 @dataclass(frozen=True, kw_only=True)
 class ReadLost:
+    """The read cannot be answered here: this replica does not lead."""
+
     token: int
 
 
 @dataclass(frozen=True, kw_only=True)
 class Proposed:
+    """The entry is in the leader's log, not committed yet."""
+
     token: int
     index: int
     term: int
@@ -174,11 +219,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class NotLeader:
+    """Nothing was proposed: this replica does not lead, or is handing the lead on."""
+
     token: int
 
 
 @dataclass(frozen=True, kw_only=True)
 class RoleChanged:
+    """This replica has another role from now on."""
+
     role: str
     term: int
 
@@ -206,3 +255,19 @@
 @dataclass(frozen=True, kw_only=True)
 class Removed:
     """This replica is in no configuration any more."""
+
+
+Effect = (
+    Send
+    | Persist
+    | KeepSnapshot
+    | Commit
+    | ReadReady
+    | ReadLost
+    | Proposed
+    | NotLeader
+    | RoleChanged
+    | FetchOffered
+    | MarginChanged
+    | Removed
+)
