--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -319,10 +319,39 @@
     return found
 
 
-def lose_each(*, cluster: Cluster, found: Exploration, is_power: bool) -> None:
-    """Copy the run for each set of machines that the voters are to bear the loss of."""
+def explore_replacement(*, is_leader: bool, seed: int, is_power: bool) -> Exploration:
+    """One of five is lost while a learner is there; at each step from the first change of
+    members on lose one more, as many as five are to bear."""
+    cluster = Cluster(voters=5, learners=1, seed=seed)
+    cluster.settle(learners=["f"])
+    lost = cluster.leader() if is_leader else a_follower(cluster)
+    cluster.lose(lost)
+    before = max(node.replica.members.index for node in cluster.nodes.values())
+    cluster.run_until(
+        lambda: any(node.replica.members.index > before for node in cluster.nodes.values()),
+        us=6_000_000,
+    )
+    until_us = cluster.now + AFTER_US
+    seen: set[tuple] = set()
+    found = Exploration()
+    while cluster.now < until_us:
+        signature = cluster.signature()
+        if signature not in seen:
+            seen.add(signature)
+            lose_each(cluster=cluster, found=found, is_power=is_power, count=1)
+        cluster.turn()
+    if lost in cluster.voter_names() or "f" not in cluster.voter_names():
+        found.problems.append("it was not replaced")
+    return found
+
+
+def lose_each(
+    *, cluster: Cluster, found: Exploration, is_power: bool, count: int | None = None
+) -> None:
+    """Copy the run for each set of `count` machines, by default as many as the voters are to
+    bear the loss of."""
     alive = [name for name, node in cluster.nodes.items() if node.is_alive]
-    for lost in itertools.combinations(alive, (cluster.voters - 1) // 2):
+    for lost in itertools.combinations(alive, count or (cluster.voters - 1) // 2):
         fork = copy.deepcopy(cluster)
         fork.lose(*lost)
         if is_power:
@@ -363,6 +392,14 @@
         self.explore(voters=5, leaver="leader", seed=7, is_power=True)
 
 
+class ASecondLossTest(unittest.TestCase):
+    def test_at_every_step_while_the_first_of_five_is_replaced(self) -> None:
+        for is_leader, is_power, seed in ((False, True, 41), (True, False, 42)):
+            found = explore_replacement(is_leader=is_leader, seed=seed, is_power=is_power)
+            self.assertEqual([], found.problems[:5])
+            self.assertGreater(found.runs, 100)
+
+
 def remove_first(state: RaftState) -> bool:
     """A planted fault: the leaving voter is removed before a learner is raised."""
     for member in state.members.voters:
