--- a/kelpstage/core/grants/ledger.py
+++ b/kelpstage/core/grants/ledger.py
@@ -23,6 +23,7 @@
     heard_us: int = -(10**12)
     grants: list[tuple[int, int]] = field(default_factory=list)  # epoch, when
     contact: EdgeContact | None = None
+    relayed_by: str = ""  # address of the edge that carried its last renewal, if one did
     changed_at: int = 0  # count of changes when its contact changed last
 
 
@@ -31,6 +32,7 @@
 
     >>> ledger = Ledger(since_us=0)
     >>> ledger.heard(edge="a", incarnation=1, epoch=1, contact=None, now_us=10)
+    True
     >>> ledger.is_settled(epoch=1, roster=["a"], now_us=20)
     True
     >>> ledger.is_settled(epoch=1, roster=["a", "b", "c"], now_us=20)
@@ -45,23 +47,39 @@
         self._cores_changed_at = 1
 
     def heard(
-        self, *, edge: str, incarnation: int, epoch: int, contact: EdgeContact | None, now_us: int
-    ) -> None:
-        """An edge says what it has installed."""
+        self,
+        *,
+        edge: str,
+        incarnation: int,
+        epoch: int,
+        contact: EdgeContact | None,
+        now_us: int,
+        relayed_by: str = "",
+    ) -> bool:
+        """An edge says what it has installed. False if a newer incarnation of it was heard:
+        what an older one says counts for nothing.
+
+        >>> ledger = Ledger(since_us=0)
+        >>> [ledger.heard(edge="a", incarnation=n, epoch=1, contact=None, now_us=10)
+        ...     for n in (2, 1, 3)]
+        [True, False, True]
+        """
         holder = self._holders.setdefault(edge, Holder())
         if incarnation < holder.incarnation:
-            return
+            return False
         if incarnation > holder.incarnation:
             holder.incarnation = incarnation
             holder.epoch = 0
         holder.epoch = max(holder.epoch, epoch)
         holder.heard_us = now_us
+        holder.relayed_by = relayed_by
         if contact is None or not contact.name:
-            return  # as it was
+            return True  # as it was
         if holder.contact != contact:
             self._changes += 1
             holder.changed_at = self._changes
         holder.contact = contact
+        return True
 
     def grant(self, *, edge: str, epoch: int, now_us: int) -> None:
         holder = self._holders.setdefault(edge, Holder())
@@ -169,7 +187,7 @@
 
         >>> ledger = Ledger(since_us=0)
         >>> for name in ("a", "b"):
-        ...     ledger.heard(edge=name, incarnation=1, epoch=1, now_us=10,
+        ...     _ = ledger.heard(edge=name, incarnation=1, epoch=1, now_us=10,
         ...         contact=EdgeContact(name=name, address=name))
         >>> contacts, _ = ledger.news_for(known=0, now_us=20, limit=9)
         >>> [contact.name for contact in contacts]
