Joining: a late seed begins with committed members only

Committed members are safe at any age: a replica that holds them with a shorter log cannot win a majority of them, since one of it holds the entry that brought them.

--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -195,7 +195,10 @@
         identity = self.identity or DiskIdentity()
         if identity.cluster and self.task is None:
             identity = DiskIdentity()  # not up yet: neither empty nor a member
-        members = self.task.raft.members.current if self.task else []
+        members: list[CoreMember] = []
+        if self.task is not None:
+            replica = self.task.raft
+            members = replica.members.at(index=replica.commit_index)
         return SeedState(
             replica=identity.replica,
             address=self.own,
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -884,3 +884,21 @@
             self.assertLess(took_us, 100_000)
 
         play(story, seed=1, count=1, tolerance=0)
+
+
+class FoundingMembersTest(unittest.TestCase):
+    def test_a_late_seed_is_told_committed_members_only(self) -> None:
+        """It writes them into the snapshot that it begins with, where no truncation of the
+        log could undo a change that never came to be."""
+
+        async def story(cores: Cores) -> None:
+            await cores.start(is_first=True)
+            await cores.wait_for(lambda: len(cores.voters()) == 3)
+            core = cores.daemons[cores.leader()]
+            committed = list(core.task.raft.members.current)
+            newcomer = CoreMember(replica="new", address="10.0.0.99:7100")
+            membership._propose(core.task.raft.state, members=[*committed, newcomer])
+            self.assertTrue(core.task.raft.members.has(replica="new"))
+            self.assertEqual(committed, core.seed_state().members)
+
+        play(story, seed=1, count=3, tolerance=1)
