--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -349,6 +349,7 @@
             "commit": task.raft.commit_index,
             "applied": task.applied,
         },
+        "snapshot_transfers": dict(sorted(task.snapshots.counts.items())),
         "members": task.raft.lag()
         if task.is_leader
         else [
@@ -359,6 +360,7 @@
         "epoch": task.machine.state.epoch,
     }
     if task.is_leader:
+        view["margin"] = task.raft.margin()
         view["roster"] = roster_view(core=core)["edges"]
     return view
 
