--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -263,7 +263,7 @@
 ANSWERS = {200: Answer.ACKNOWLEDGED, 412: Answer.CONFLICT, 400: Answer.INVALID}
 
 
-def day(*, seed: int, count: int, at_once: int, step: int, troubles: int = 5) -> OrderSite:
+def day(*, seed: int, count: int, at_once: int, step: int, troubles: int = 7) -> OrderSite:
     """Operators at work while machines of the core suffer what is to be borne."""
     sites: list[OrderSite] = []
 
@@ -366,7 +366,7 @@
 
     def test_one_number_among_eight_at_five_voters(self) -> None:
         with self.subTest(seed=40):
-            self.check(seed=40, count=5, at_once=4, step=3, troubles=4)
+            self.check(seed=40, count=5, at_once=4, step=3, troubles=8)
 
 
 class InFlight(unittest.TestCase):
