--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -257,6 +257,7 @@
     hops: int = bp.uint32_field(6)
     is_leaving: bool = bp.bool_field(7)
     known: int = bp.uint64_field(8)  # mark of the contacts and cores that it knows
+    relayed_by: str = bp.string_field(9)  # address of the edge that carried this for it
 
 
 @dataclass
@@ -272,6 +273,7 @@
     why: str = bp.string_field(9)
     partners: List[EdgeContact] = bp.message_field(10)  # what changed since `known`
     known: int = bp.uint64_field(11)
+    newest_incarnation: int = bp.uint64_field(12)  # that the asker has to be above
 
 
 @dataclass
@@ -472,6 +474,7 @@
     tell: List[str] = bp.string_field(8)
     is_known: bool = bp.bool_field(9)  # False: the sender has no list either
     is_last: bool = bp.bool_field(10)  # the reader leaves: another may read at once
+    reading: int = bp.uint64_field(11)  # number of the reading, above all that it had heard of
 
 
 @dataclass
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -91,6 +91,7 @@
         for name in names:
             self.start(name, Disk(term=1, vote=""))
         self.are_messages_lost = True
+        self.far: dict[str, int] = {}  # name -> how much longer its messages take, us
         self.token = 0
         self.proposed: dict[int, bytes] = {}  # token -> data
         self.acknowledged: dict[int, bytes] = {}  # index -> data
@@ -191,7 +192,9 @@
     def dispatch(self, send: t.Send) -> None:
         to = send.to.replica
         if to in self.nodes:
-            self.schedule(self.rand.randrange(*LATENCY_US), "message", to, send.message)
+            far_us = max(self.far.get(to, 0), self.far.get(send.message.sender, 0))
+            after_us = far_us + self.rand.randrange(*LATENCY_US)
+            self.schedule(after_us, "message", to, send.message)
 
     def propose(self, leader: str) -> int:
         self.token += 1
@@ -396,6 +399,46 @@
             self.assertIn("nothing more is committed", self.problems()[0])
 
 
+class OtherLeavingsTest(unittest.TestCase):
+    def test_two_of_five_leave_at_once(self) -> None:
+        cluster = Cluster(voters=5, learners=2, seed=31)
+        cluster.settle(learners=["f", "g"])
+        leaving = [n for n in cluster.voter_names() if n != cluster.leader()][:2]
+        least = 5
+        for name in leaving:
+            cluster.begin_leave(name)
+        until_us = cluster.now + 2_000_000
+        while cluster.now < until_us:
+            cluster.turn()
+            least = min(least, len(cluster.voter_names()))
+        self.assertEqual(5, least)
+        stayed = set("abcdefg") - set(leaving)
+        self.assertEqual(stayed, set(cluster.voter_names()))
+        self.assertFalse(any(cluster.nodes[name].is_alive for name in leaving))
+        self.assertEqual("", cluster.recovers())
+
+    def test_it_dies_when_the_learner_has_been_raised(self) -> None:
+        cluster = Cluster(voters=3, learners=1, seed=32)
+        cluster.settle(learners=["d"])
+        name = a_follower(cluster)
+        cluster.begin_leave(name)
+        self.assertTrue(cluster.run_until(lambda: len(cluster.voter_names()) == 4, us=1_000_000))
+        cluster.lose(name)
+        self.assertTrue(cluster.run_until(lambda: len(cluster.voter_names()) == 3, us=500_000))
+        self.assertNotIn(name, cluster.voter_names())
+
+    def test_it_is_killed_and_asks_no_more(self) -> None:
+        """A learner is there but has not been raised yet: silence removes the lost one."""
+        cluster = Cluster(voters=3, learners=1, seed=33)
+        cluster.settle(learners=["d"])
+        name = a_follower(cluster)
+        cluster.lose(name)
+        replaced = set("abcd") - {name}
+        self.assertTrue(
+            cluster.run_until(lambda: set(cluster.voter_names()) == replaced, us=3_000_000)
+        )
+
+
 class LeavingWithoutReplacementTest(unittest.TestCase):
     """No learner is there: a leaving voter may go once the others hold all that it has."""
 
@@ -583,17 +626,46 @@
         cluster.step(leader.me, t.Received(message=reply))
         self.assertLess(leader.commit_index, leader.members.index)
 
-    def test_a_learner_is_raised_only_with_all_that_is_committed_on_its_disk(self) -> None:
+    def test_a_learner_is_raised_only_with_what_was_committed_a_moment_ago(self) -> None:
         cluster, leader = self.cluster()
-        cluster.run_until(lambda: leader.commit_index == leader.log.last_index, us=500_000)
+        progress = leader.state.progress["d"]
+        behind = progress.match_index
+        cluster.far["d"] = 10_000_000  # nothing reaches it from here on
+        cluster.run_until(lambda: False, us=900_000)
         cluster.step(leader.me, t.LeaveRequested(replica=a_follower(cluster)))
+        self.assertGreater(leader.commit_index, behind)
+        committed = leader.commit_index
+        for match_index, is_raised in ((committed - 1, False), (committed, True)):
+            progress.heard_us = leader.state.now_us  # it is there, and has this much
+            progress.match_index = match_index
+            membership.maintain_membership(leader.state)
+            self.assertEqual(is_raised, leader.members.is_voter(replica="d"))
+
+    def test_a_distant_learner_is_raised_while_changes_go_on(self) -> None:
+        """It never has what is committed this moment: a change comes each 4 ms, and it is
+        40 ms away."""
+        for seed in range(3):
+            cluster, _ = self.cluster(seed=seed)
+            cluster.far["d"] = 40_000
+            with mock.patch("tests.test_membership.PROPOSE_US", 4_000):
+                cluster.run_until(lambda: False, us=500_000)
+                cluster.begin_leave(a_follower(cluster))
+                left = cluster.run_until(lambda c=cluster: bool(c.left_us), us=3_000_000)
+            self.assertTrue(left)
+            self.assertEqual(LeaveState.REPLACED, cluster.statuses[-1])
+
+    def test_none_is_removed_before_the_newcomer_holds_the_change_that_raised_it(self) -> None:
+        cluster, leader = self.cluster()
+        leaving = a_follower(cluster)
+        cluster.begin_leave(leaving)
+        self.assertTrue(cluster.run_until(lambda: len(cluster.voter_names()) == 4, us=1_000_000))
         progress = leader.state.progress["d"]
-        progress.match_index, progress.heard_us = leader.commit_index - 1, leader.state.now_us
-        membership.maintain_membership(leader.state)
-        self.assertFalse(leader.members.is_voter(replica="d"))
-        progress.match_index = leader.commit_index
-        membership.maintain_membership(leader.state)
-        self.assertTrue(leader.members.is_voter(replica="d"))
+        change = leader.members.index
+        while leader.members.has(replica=leaving):
+            self.assertEqual(change, leader.members.index)
+            held = progress.match_index
+            cluster.turn()
+        self.assertGreaterEqual(held, change)
 
     def test_a_vote_of_a_learner_counts_for_nothing(self) -> None:
         cluster, leader = self.cluster()
