--- a/kelpstage/base/ports/live.py
+++ b/kelpstage/base/ports/live.py
@@ -143,15 +143,15 @@
     async def connect(
         self, *, address: str, wait_us: int, lost_after_us: int = 0
     ) -> LiveStream | Defect:
-        host, port = split_address(address=address)
         try:
+            host, port = split_address(address=address)
             stream = await self._tcp.connect(
                 host, port, timeout=wait_us / 1_000_000, max_buffer_size=64 * 1024 * 1024
             )
         except gen.TimeoutError:
             return WaitOver(address=address, after_us=wait_us)
-        except (OSError, iostream.StreamClosedError):
-            return ConnectRefused(address=address)
+        except (OSError, iostream.StreamClosedError, ValueError, OverflowError):
+            return ConnectRefused(address=address)  # nobody there, or no address
         if lost_after_us:
             notice_loss(sock=stream.socket, after_ms=lost_after_us // 1000)
         return LiveStream(stream=stream, address=address)
