--- a/tests/test_store_power_loss.py
+++ b/tests/test_store_power_loss.py
@@ -26,7 +26,7 @@
 from kelpstage.core.store.records import DiskIdentity, DiskSnapshot, DiskStep
 from kelpstage.core.store.store import Store
 from kelpstage.core.store.task import DiskTask, KeepThis
-from proof.sim.disk import Platter
+from proof.sim.disk import Platter, SimFile
 from tests.power_loss import Machine, copy_of, every_way, finish
 
 REPLICA, CLUSTER = "r1", "c1"
@@ -257,8 +257,9 @@
             await self.store.mark_synced()
 
     def _note(self, *, failure: Defect) -> None:
-        """A full disk is emptied after some failures."""
+        """A full disk is emptied after some failures; a sync fails once."""
         self.failures.append(failure)
+        self.machine.platter.is_sync_failing = False
         if len(self.failures) % PATIENCE == 0:
             self.machine.platter.is_full = False
 
@@ -353,6 +354,19 @@
                 self.survive(writer, seed=seed, ways=4)
         self.assertGreater(refused, 75)
 
+    def test_a_sync_that_fails_once(self) -> None:
+        """What it should have covered is readable, but only another write brings it to
+        the disk."""
+        failed = 0
+        for step in range(110):
+            writer = founded()
+            fail = partial(setattr, writer.machine.platter, "is_sync_failing", True)
+            writer.machine.run_until(step=step + 25, work=writer.play(), faults={step: fail})
+            failed += bool(writer.failures)
+            with self.subTest(step=step, under_way=writer.pending):
+                self.survive(writer, seed=step, ways=4)
+        self.assertGreater(failed, 75)
+
     def test_a_core_comes_up_on_a_full_disk_if_its_log_is_marked_to_the_end(self) -> None:
         writer = grown()
         writer.machine.platter.is_full = True
@@ -540,6 +554,15 @@
             self.assertFalse([p for p in again.machine.platter.files if REPLICA in p])
         self.assertEqual({True, False}, seen)
 
+    def test_files_of_other_kinds_stay(self) -> None:
+        writer = grown()
+        for path in ("log/notes", "snapshots/r1-1.other", "other"):
+            writer.machine.platter.files[path] = SimFile(data=b"x")
+        self.assertEqual(writer.promised, finish(writer.open()))
+        finish(writer.store.set_aside())
+        left = sorted(writer.machine.platter.files)
+        self.assertEqual(["log/notes", "other", "snapshots/r1-1.other"], left)
+
     def join_anew(self, writer: Writer) -> Coroutine[Any, Any, Any]:
         return writer.become_member(empty=DiskIdentity(replica=OTHER.replica), member=OTHER)
 
