Forwarded requests: a header that stands twice goes along whole

Only the last of two header lines of one name went on to the backend: the headers were put into a dict. An id that stood twice was asked for under one value and waited for under another, so that its request ran and was answered 504.

Figures: test_forward's new test fails before ('2' for '1, 2') and passes after.

--- a/kelpstage/edge/forward/sealed.py
+++ b/kelpstage/edge/forward/sealed.py
@@ -11,6 +11,7 @@
 from typing import Any
 
 from kelpstage.base.defects import BackendFailed, BadReply, NotRun
+from kelpstage.base.http.head import joined
 from kelpstage.base.ports.types import HttpCall, HttpReply, Owner
 from kelpstage.edge.backend.reply import SealedPart
 from kelpstage.edge.forward.names import HeaderNames
@@ -70,6 +71,8 @@
         """The call to one backend life, named in it so that no other runs it."""
         request = ask.record.request
         headers = dict(request.headers)
+        if len(headers) < len(request.headers):  # some stand more than once
+            headers = joined(pairs=request.headers)
         headers[self.names.deadline_ms] = str(max(1, ask.wait_us // 1000))
         headers[self.names.expect_instance] = ask.backend
         return HttpCall(
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -115,6 +115,24 @@
         self.assertEqual(call.headers["Kelp-Expect-Instance"], "i-1")
         self.assertEqual(call.headers["Kelp-Deadline-Ms"], "9")
 
+    def test_a_header_that_stands_twice_goes_along_whole(self):
+        request = SimpleNamespace(
+            method="GET",
+            target="/",
+            request_id="r-1",
+            headers=(("X-A", "1"), ("Cookie", "a=1"), ("X-A", "2"), ("Cookie", "b=2")),
+            body=b"",
+        )
+        ask = SimpleNamespace(
+            record=SimpleNamespace(request=request),
+            address="127.0.0.1:1",
+            backend="i-1",
+            wait_us=9_000,
+            line_limit=2,
+        )
+        headers = {name.lower(): value for name, value in self.codec.call(ask=ask).headers.items()}
+        self.assertEqual(("1, 2", "a=1; b=2"), (headers["x-a"], headers["cookie"]))
+
     def test_only_what_surely_did_not_run_may_be_sent_again_where_once_is_the_most(self):
         for outcome, is_sure in (
             (ConnectRefused(address="a"), True),
