--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -513,6 +513,15 @@
                 self.assertEqual(is_again, status == 200)
                 self.assertNotIn(status, PROMISES)
 
+    async def test_an_id_that_stands_twice_is_one_id(self) -> None:
+        [backend] = await self.start(GOOD)
+        raw = await self.connect()
+        raw.send(
+            self.request("a", deadline_ms=500).replace(b": a\r\n", b": a\r\nKelp-Request-Id: b\r\n")
+        )
+        self.assertEqual(200, (await raw.reply())[0])
+        self.assertEqual(["a, b"], backend.arrivals)
+
     async def test_a_further_try_is_a_request_of_its_own(self) -> None:
         first, second = await self.start(says(lambda name: b"", then="close"), GOOD)
         self.assertEqual(502, (await self.ask("try-1"))[0])
