--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -16,8 +16,8 @@
 from kelpstage.base.log.ring import logger
 from kelpstage.base.ports.types import Ports
 from kelpstage.base.wire import frames
-from kelpstage.base.wire.chunks import ChunkSource, backoff_us, fetch_chunks
-from kelpstage.base.wire.delta import apply_delta, pack_delta
+from kelpstage.base.wire.chunks import ChunkSource
+from kelpstage.base.wire.delta import pack_delta
 from kelpstage.base.wire.lines import Lines
 from kelpstage.base.wire.messages import (
     AppendEntries,
@@ -25,18 +25,19 @@
     CoreMember,
     FetchSnapshot,
     FetchState,
+    LogEntry,
 )
 from kelpstage.core.events import (
     MarginNoted,
     MembersChanged,
     RoleTaken,
-    SnapshotFetchFailed,
     SnapshotInstalled,
     SnapshotKept,
 )
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.members import read_members
 from kelpstage.core.raft.replica import Replica
+from kelpstage.core.snapshots import LogSize, SnapshotFetcher, SnapshotPolicy
 from kelpstage.core.state.machine import CoreState, Machine
 from kelpstage.core.store.records import DiskSnapshot
 from kelpstage.core.store.store import Recovered, Store
@@ -44,16 +45,15 @@
 from kelpstage.core.waiters import Waiters
 
 TICK_US = 20_000
-SNAPSHOT_ENTRIES = 400
-SNAPSHOT_BYTES = 1024 * 1024  # of the log, or more where a snapshot is large itself:
-SNAPSHOT_FACTOR = 2  # so many times the bytes of the last one
-HELD_BACK_FACTOR = 4  # how much longer the log may grow while a member fetches a snapshot
-HELD_BACK_LONGEST_US = 60_000_000
 LARGE_BYTES = 64 * 1024
 LOST = "leadership was lost before the commit"
 log = logger(name="replica")
 
 
+def _data_bytes(*, entries: list[LogEntry]) -> int:
+    return sum(len(entry.data) for entry in entries)
+
+
 class ReplicaTask:
     """One replica with its disk and its state."""
 
@@ -85,14 +85,18 @@
         self._held: deque[raft.Send] = deque()
         self._synced = 0
         self._proposals: dict[int, tuple[int, int]] = {}  # index -> token, term
-        self._log_bytes = 0
+        self._log_bytes = _data_bytes(entries=recovered.log.entries)
         self._in_writing: DiskSnapshot | None = None  # taken here, not on disk yet
-        self._transfer_began_us = 0  # since when a transfer has held back the next snapshot
+        self._policy = SnapshotPolicy()
         self._fetched: DiskSnapshot | None = None
-        self._offer: raft.FetchOffered | None = None  # the newest one
-        self._is_fetching = False
-        self._fetch_failures = 0
-        self._fetch_not_before_us = 0
+        self._fetcher = SnapshotFetcher(
+            lines=lines,
+            clock=ports.clock,
+            journal=journal,
+            cluster=self.cluster,
+            spawn=ports.spawn,
+            on_fetched=self._snapshot_arrived,
+        )
         self.snapshots = ChunkSource()
         self.states = ChunkSource()
         members: list[CoreMember] = []
@@ -218,7 +222,7 @@
     def _(self, effect: raft.Persist) -> None:
         if effect.cut_from is not None:
             self._lose_proposals(start=effect.cut_from)
-        self._log_bytes += sum(len(entry.data) for entry in effect.entries)
+        self._log_bytes += _data_bytes(entries=effect.entries)
         self._disk.inbox.put_nowait(effect)
 
     def _lose_proposals(self, *, start: int) -> None:
@@ -284,29 +288,17 @@
     # --- snapshots ----------------------------------------------------------------------------
 
     def _consider_snapshot(self) -> None:
-        """Take a snapshot when the log has grown long, in entries or in bytes.
-
-        While a member is fetching the one before, the next waits: the entries behind that
-        one stay in the log, so that the member finds them there once it has installed it.
-        """
         if self._in_writing is not None:
             return
-        behind = self.applied - self.raft.log.base_index
-        factor = HELD_BACK_FACTOR if self._is_held_back() else 1
-        is_long = behind >= SNAPSHOT_ENTRIES * factor
-        most_bytes = max(SNAPSHOT_BYTES, SNAPSHOT_FACTOR * self.snapshots.size)
-        is_large = self._log_bytes >= most_bytes * factor and behind > 1
-        if is_long or is_large:
-            self.snapshot_now()
-
-    def _is_held_back(self) -> bool:
-        """Does a transfer hold back the next snapshot, and has it not done so for long?"""
         now_us = self._ports.clock.now_us()
-        if not self.snapshots.is_in_transfer(now_us=now_us):
-            self._transfer_began_us = 0
-            return False
-        self._transfer_began_us = self._transfer_began_us or now_us
-        return now_us - self._transfer_began_us < HELD_BACK_LONGEST_US
+        size = LogSize(
+            entries=self.applied - self.raft.log.base_index,
+            data_bytes=self._log_bytes,
+            snapshot_bytes=self.snapshots.size,
+        )
+        is_in_transfer = self.snapshots.is_in_transfer(now_us=now_us)
+        if self._policy.is_due(size=size, is_in_transfer=is_in_transfer, now_us=now_us):
+            self.snapshot_now()
 
     def snapshot_now(self) -> None:
         """Write a snapshot of all that is applied, unless one is being written."""
@@ -337,7 +329,7 @@
             self._in_writing = None
             if index == self.raft.log.base_index:  # none of another core's came meanwhile
                 self._publish_snapshot(snapshot=snapshot)
-        self._log_bytes = sum(len(entry.data) for entry in self.raft.log.entries)
+        self._log_bytes = _data_bytes(entries=self.raft.log.entries)
         self._journal.add(SnapshotKept(index=index))
 
     def _publish_snapshot(self, *, snapshot: DiskSnapshot) -> None:
@@ -373,31 +365,11 @@
 
     @_perform.register
     def _(self, effect: raft.FetchOffered) -> None:
-        """One fetch at a time; the leader offers again with each heartbeat."""
-        self._offer = effect
-        if self._is_fetching or self._ports.clock.now_us() < self._fetch_not_before_us:
-            return
-        self._is_fetching = True
-        self._ports.spawn(self._fetch_snapshot(offer=effect))
-
-    async def _fetch_snapshot(self, *, offer: raft.FetchOffered) -> None:
-        packed = await fetch_chunks(
-            lines=self._lines,
-            clock=self._ports.clock,
-            address=offer.leader_address,
-            ask=lambda pinned, offset: FetchSnapshot(
-                cluster=self.cluster, index=offer.index, offset=offset, pinned=pinned
-            ),
-            is_wanted=lambda: self._offer.leader_address == offer.leader_address,
-        )
-        self._is_fetching = False
-        data = None if packed is None else apply_delta(base=b"", delta=packed)
-        if data is None:
-            self._fetch_failed(offer=offer)
-            return
-        self._fetch_failures = 0
-        snapshot = DiskSnapshot().parse(data)
-        if snapshot.cluster != self.cluster or snapshot.index <= self.raft.commit_index:
+        self._fetcher.offered(offer=effect)
+
+    def _snapshot_arrived(self, offer: raft.FetchOffered, snapshot: DiskSnapshot) -> None:
+        """Install it, if it still is ahead of what is committed here."""
+        if snapshot.index <= self.raft.commit_index:
             return
         self._fetched = snapshot
         self._take(
@@ -412,12 +384,6 @@
         )
         self._fetched = None
 
-    def _fetch_failed(self, *, offer: raft.FetchOffered) -> None:
-        self._fetch_failures += 1
-        wait_us = backoff_us(failures=self._fetch_failures)
-        self._fetch_not_before_us = self._ports.clock.now_us() + wait_us
-        self._journal.add(SnapshotFetchFailed(index=offer.index, again_after_us=wait_us))
-
     @_perform.register
     def _(self, effect: raft.KeepSnapshot) -> None:
         snapshot = self._fetched
@@ -425,6 +391,7 @@
         self.machine = Machine(cluster=self.cluster, state=CoreState().parse(snapshot.state))
         self.applied = snapshot.index
         self._publish_snapshot(snapshot=snapshot)
+        self._log_bytes = _data_bytes(entries=effect.tail)
         self._journal.add(SnapshotInstalled(index=snapshot.index))
         self._on_applied(None, snapshot.index)
         self._disk.inbox.put_nowait(
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -19,7 +19,7 @@
 )
 from kelpstage.base.wire.delta import apply_delta, pack_delta
 from kelpstage.base.wire.messages import Chunk, FetchSnapshot
-from kelpstage.core import replica_task
+from kelpstage.core import snapshots
 from kelpstage.core.raft import elections
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import (
@@ -545,7 +545,7 @@
 
     def play_day(self, *, seed: int, count: int, tolerance: int) -> list[int]:
         spans: list[int] = []
-        with mock.patch.object(replica_task, "SNAPSHOT_ENTRIES", 60):
+        with mock.patch.object(snapshots, "SNAPSHOT_ENTRIES", 60):
             play(lambda cores: day(cores, spans), seed=seed, count=count, tolerance=tolerance)
         return spans
 
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -13,7 +13,7 @@
 from unittest import mock
 
 from kelpstage.base.ports.types import HttpCall, HttpReply
-from kelpstage.core import replica_task
+from kelpstage.core import snapshots
 from kelpstage.core.grants.puts import Puts
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state import machine as state_machine
@@ -326,7 +326,7 @@
                 self.assertGreater(max(numbers.values()), 1, "they never met")
 
     def test_two_operators_with_one_number_over_many_snapshots(self) -> None:
-        with mock.patch.object(replica_task, "SNAPSHOT_ENTRIES", 3):
+        with mock.patch.object(snapshots, "SNAPSHOT_ENTRIES", 3):
             for seed in range(10, 13):
                 with self.subTest(seed=seed):
                     self.check(seed=seed, count=3, at_once=1, step=2)
@@ -356,7 +356,7 @@
 
         with (
             mock.patch.object(Machine, "__init__", forgetful),
-            mock.patch.object(replica_task, "SNAPSHOT_ENTRIES", 3),
+            mock.patch.object(snapshots, "SNAPSHOT_ENTRIES", 3),
         ):
             self.assertIn("was taken, and refused", self.found())
 
