--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -45,6 +45,7 @@
 CONTACT_AGAIN_US = 10_000_000
 RELAY_WAIT_US = 550_000
 RELAYS = 5
+CORES_KEPT = 16
 RELAY_EVERY_US = 250_000
 PASSED_OVER_US = 2_000_000
 MEET_US = 2_000_000
@@ -103,6 +104,7 @@
         self._silent_until: dict[str, int] = {}
         self._is_relaying = False
         self._relayed_us = 0
+        self._needs_relay = False  # the last grant came through a partner
         self._fetching = False
         self._state_source = ChunkSource()
         self._wake = asyncio.Event()
@@ -149,6 +151,7 @@
         """What was told to this leader before is not told again, but for the contact
         now and then."""
         keeper = self.keeper
+        self._contact.incarnation = self._swim.me.incarnation
         now_us = self._ports.clock.now_us()
         is_known = target == self._known_by
         message = Renew(
@@ -183,6 +186,7 @@
         reply = await self._lines.call(address=target, message=message, wait_us=wait_us)
         if isinstance(reply, GrantReply):
             is_granted = self._take(reply=reply, sent_us=sent_us, target=target)
+            self._needs_relay = self._needs_relay and not is_granted
             if not is_granted and not self.leader:
                 self._relay_soon(target=target)  # this core may be the one that is cut off
             return is_granted
@@ -196,14 +200,31 @@
         """Ask through partners, one wave at a time, if the grant is not fresh."""
         now_us = self._ports.clock.now_us()
         is_fresh = now_us - self.keeper.granted_us < renew_period_us(count=len(self.keeper.roster))
-        if is_fresh or self._is_relaying or now_us - self._relayed_us < RELAY_EVERY_US:
+        if is_fresh or now_us - self._relayed_us < RELAY_EVERY_US:
             return
-        self._is_relaying, self._relayed_us = True, now_us
-        self._ports.spawn(self._renew_through_partner(target=target))
+        self._relay_now(target=target)
 
-    async def _renew_through_partner(self, *, target: str) -> None:
+    def _relay_now(self, *, target: str) -> None:
+        if not self._is_relaying:
+            self._is_relaying, self._relayed_us = True, self._ports.clock.now_us()
+            self._ports.spawn(self._renew_through_partners(target=target))
+
+    async def _renew_through_partners(self, *, target: str) -> None:
+        """One wave, and another if an epoch was installed meanwhile: the leader may be
+        waiting to hear of it."""
+        epoch = -1
+        try:
+            while epoch < self.keeper.epoch:
+                epoch = self.keeper.epoch
+                self._needs_relay = await self._renew_through_partner(target=target)
+                if not self._needs_relay:
+                    break
+        finally:
+            self._is_relaying = False
+
+    async def _renew_through_partner(self, *, target: str) -> bool:
         """A core that cannot be reached from here may be from elsewhere. Several
-        partners are asked at once: some may be behind the same cut."""
+        partners are asked at once: some may be behind the same cut. Was it granted?"""
         partners = sorted(
             m.info.address for m in self._swim.members.values() if m.info.status == ALIVE
         )
@@ -221,21 +242,22 @@
             reply = await call
             if not isinstance(reply, GrantReply):
                 continue
+            self._swim.outrank(incarnation=reply.newest_incarnation)
             refused = None if reply.is_granted else reply
             if reply.is_granted and self._take(reply=reply, sent_us=sent_us, target=target):
-                break
+                return True
         if refused is not None and not self.leader:
             self._take(reply=refused, sent_us=sent_us, target=target)
-        self._is_relaying = False
+        return False
 
     def _take(self, *, reply: GrantReply, sent_us: int, target: str) -> bool:
         keeper = self.keeper
         if reply.cluster and keeper.cluster and reply.cluster != keeper.cluster:
             self.last_why = f"{target} belongs to another cluster"
             return False
+        self._swim.outrank(incarnation=reply.newest_incarnation)
         self._meet_partners(contacts=reply.partners)
-        if reply.cores:
-            self.cores = list(reply.cores)
+        self._learn_cores(reply=reply)
         self.leader = reply.leader_address
         if reply.known >> 32 != self._known >> 32:
             self._introduced_us = -CONTACT_AGAIN_US  # another ledger: it may not know this edge
@@ -246,6 +268,15 @@
             self.fetch_soon(first=reply.leader_address)
         return reply.is_granted
 
+    def _learn_cores(self, *, reply: GrantReply) -> None:
+        """The leader's list replaces what is known; that of a core which does not lead may
+        be of any age, so that it only adds."""
+        if not reply.cores:
+            return
+        is_from_leader = bool(reply.known)
+        kept = [] if is_from_leader else self.cores
+        self.cores = list(dict.fromkeys([*reply.cores, *kept]))[:CORES_KEPT]
+
     # --- meeting -----------------------------------------------------------------------
 
     async def _meet_loop(self) -> None:
@@ -272,6 +303,7 @@
         return int(MEET_SETTLED_US * (0.75 + 0.5 * self._ports.rand.random()))
 
     async def _meet(self, *, address: str) -> None:
+        self._contact.incarnation = self._swim.me.incarnation
         message = Meet(
             edge=self.keeper.me, incarnation=self._contact.incarnation, contact=self._contact
         )
@@ -458,6 +490,8 @@
         self._swim.me.version = doc.version
         self._on_installed()
         self.renew_soon()
+        if self._needs_relay:
+            self._relay_now(target=self._next_core())
         return True
 
     # --- leaving ------------------------------------------------------------------------------
