--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -45,7 +45,6 @@
 from kelpstage.core.waiters import Waiters
 
 TICK_US = 20_000
-LARGE_BYTES = 64 * 1024
 LOST = "leadership was lost before the commit"
 log = logger(name="replica")
 
@@ -206,10 +205,7 @@
 
     def _dispatch(self, *, send: raft.Send) -> None:
         lane = frames.CONTROL
-        if (
-            isinstance(send.message, AppendEntries)
-            and sum(len(entry.data) for entry in send.message.entries) > LARGE_BYTES
-        ):
+        if isinstance(send.message, AppendEntries) and raft.is_large(send.message.entries):
             lane = frames.BULK
         self._ports.point("raft.before_send")
         self._lines.send(address=send.to.address, message=send.message, lane=lane)
