--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -73,12 +74,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class SnapshotFetched:
-    """A snapshot offered by the leader is on disk; the log starts behind it."""
+    """The snapshot that a leader offered has arrived; `leader_term` is the term of that
+    offer, which may be over by now."""
 
     index: int
     term: int
     members: list[CoreMember]
     leader: str
+    leader_term: int
     heartbeat: int
 
 
@@ -87,6 +90,31 @@
     member: CoreMember
 
 
+@dataclass(frozen=True, kw_only=True)
+class LeaveRequested:
+    """A member is about to stop; it asks again until it is told that it may."""
+
+    replica: str
+
+
+class LeaveState(enum.IntEnum):
+    """What a leader says to a member that is about to stop."""
+
+    NOT_LEADER = 0
+    WAIT = 1  # a replacement is under way, or the others lack what it holds
+    REPLACED = 2  # its removal is committed
+    COPIED = 3  # none can replace it; the others hold all that it holds
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaveStatus:
+    """How far a leaving has come, and how many further losses the log then bears."""
+
+    state: LeaveState
+    losses_borne: int = 0
+    losses_wanted: int = 0
+
+
 # --- effects ---------------------------------------------------------------------
 
 
@@ -113,11 +141,12 @@
 
 @dataclass(frozen=True, kw_only=True)
 class KeepSnapshot:
-    """Keep the fetched snapshot; the log goes on behind it."""
+    """Keep the fetched snapshot; the log goes on behind it with the entries of `tail`."""
 
     number: int
     term: int
     vote: str
+    tail: list[LogEntry] = field(default_factory=list)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -156,15 +185,24 @@
 
 @dataclass(frozen=True, kw_only=True)
 class FetchOffered:
-    """Fetch the snapshot that the leader offers."""
+    """Fetch the snapshot that the leader of a term offers."""
 
     leader: str
     leader_address: str
+    leader_term: int
     index: int
     term: int
     heartbeat: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class MarginChanged:
+    """How many voters the leader can lose now and still have a majority."""
+
+    losses_borne: int
+    losses_wanted: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class Removed:
     """This replica is in no configuration any more."""
--- a/proof/model/adapter.py
+++ b/proof/model/adapter.py
@@ -50,7 +50,7 @@
 KeepSnapshot, FetchOffered = raft.KeepSnapshot, raft.FetchOffered
 ReadReady, ReadLost = raft.ReadReady, raft.ReadLost
 Proposed, NotLeader = raft.Proposed, raft.NotLeader
-RoleChanged, Removed = raft.RoleChanged, raft.Removed
+RoleChanged, Removed, MarginChanged = raft.RoleChanged, raft.Removed, raft.MarginChanged
 
 # Events.
 Received, Synced, SnapshotFetched = raft.Received, raft.Synced, raft.SnapshotFetched
@@ -93,6 +93,7 @@
     "ReadLost",
     "ReadReady",
     "Received",
+    "MarginChanged",
     "Removed",
     "Replica",
     "RequestVote",
@@ -177,6 +178,7 @@
         term=snapshot.term,
         members=list(snapshot.members),
         leader=offer.leader,
+        leader_term=offer.leader_term,
         heartbeat=offer.heartbeat,
     )
 
--- a/proof/model/node.py
+++ b/proof/model/node.py
@@ -180,6 +180,10 @@
     def _perform(self, effect: Any) -> None:
         raise TypeError(type(effect))
 
+    @_perform.register
+    def _(self, effect: core.MarginChanged) -> None:
+        """How many losses the voters in reach still bear: for operators only."""
+
     @_perform.register
     def _(self, effect: core.Send) -> None:
         if effect.after > self.synced:
