--- a/proof/model/adapter.py
+++ b/proof/model/adapter.py
@@ -7,9 +7,12 @@
 from __future__ import annotations
 
 import random
-from typing import Any
+from contextlib import AbstractContextManager
+from typing import Any, Callable
+from unittest import mock
 
 from kelpstage.base.blueprint.types import EMPTY
+from kelpstage.base.defects import Defect, Unresolved
 from kelpstage.base.wire.messages import (
     AppendEntries,
     AppendEntriesReply,
@@ -25,19 +28,20 @@
 from kelpstage.core.founding import FOUNDING_INDEX, FOUNDING_TERM
 from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
 from kelpstage.core.grants.puts import as_verdict
+from kelpstage.core.raft import membership
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.raft.members import read_members, write_members
 from kelpstage.core.raft.replica import Replica
+from kelpstage.core.raft.replication import commit_to
 from kelpstage.core.state.machine import (
-    Command,
     CoreState,
     Machine,
     PutApplied,
     PutBlueprint,
-    PutClash,
     PutLost,
     PutNotAbove,
+    put_command,
     put_digest,
 )
 from kelpstage.core.store.records import DiskSnapshot
@@ -56,7 +60,7 @@
 Received, Synced, SnapshotFetched = raft.Received, raft.Synced, raft.SnapshotFetched
 SnapshotTaken, ReadIndexRequest = raft.SnapshotTaken, raft.ReadIndex
 Propose, Tick, TransferLeadership = raft.Propose, raft.Tick, raft.TransferLeadership
-JoinRequest = raft.JoinRequested
+JoinRequest, LeaveRequest = raft.JoinRequested, raft.LeaveRequested
 
 LEADER, COMMAND, MEMBERSHIP = raft.LEADER, raft.COMMAND, raft.MEMBERSHIP
 LEASE_US = GRANT_SPAN_US
@@ -78,6 +82,7 @@
     "FetchOffered",
     "InstallSnapshot",
     "JoinRequest",
+    "LeaveRequest",
     "KeepSnapshot",
     "Keeper",
     "Ledger",
@@ -166,6 +171,12 @@
     return bool(replica.leader)
 
 
+def may_leave(replica: Replica, *, leaving: str, term: int, last_index: int) -> bool:
+    """Does this leader allow a member to stop for good?"""
+    status = replica.leave_status(replica=leaving, term=term, last_index=last_index)
+    return status.state in (raft.LeaveState.REPLACED, raft.LeaveState.COPIED)
+
+
 def tail_of(effect: KeepSnapshot) -> list[LogEntry]:
     """Entries that stay behind a fetched snapshot."""
     return list(getattr(effect, "tail", []))
@@ -183,10 +194,12 @@
     )
 
 
-def order_bytes(*, put_id: str, expected: int, version: int, document: bytes) -> bytes:
-    """An operator's order as a command of the log."""
+def order_bytes(
+    *, put_id: str, expected: int, version: int, document: bytes, state: CoreState
+) -> bytes:
+    """An operator's order as the command that a leader in this state proposes."""
     put = PutBlueprint(put_id=put_id, expected=expected, version=version, document=document)
-    return bytes(Command(put=put))
+    return bytes(put_command(put=put, state=state))
 
 
 def order_digest(*, expected: int, version: int, document: bytes) -> bytes:
@@ -194,16 +207,14 @@
     return put_digest(document=document, expected=expected, version=version)
 
 
-def is_put_outcome(outcome: Any) -> bool:
-    """Was this order decided by the state machine?"""
-    return isinstance(outcome, (PutApplied, PutLost, PutNotAbove, PutClash))
+def is_unclear(outcome: Any) -> bool:
+    """Would the operator hear that nobody knows what became of the order?"""
+    return isinstance(as_verdict(outcome=outcome, put_id=""), Unresolved)
 
 
 def is_refusal(outcome: Any) -> bool:
     """Would the operator hear that the order was refused for good?"""
-    if not is_put_outcome(outcome):
-        return False
-    return not isinstance(as_verdict(outcome=outcome, put_id=""), PutApplied)
+    return isinstance(as_verdict(outcome=outcome, put_id=""), Defect) and not is_unclear(outcome)
 
 
 def refusal_of_base(*, expected: int, version: int, current: int) -> Any:
@@ -253,3 +264,52 @@
 def ledger_settled(ledger: Ledger, *, state: CoreState, epoch: int, now_us: int) -> bool:
     """Can no edge serve an older epoch any more, as far as the leader knows?"""
     return ledger.is_settled(epoch=epoch, roster=list(state.roster), now_us=now_us)
+
+
+# --- what planted faults need ---------------------------------------------------------
+
+
+def copy_message(message: Any) -> Any:
+    """A message of its own, to be changed."""
+    return type(message)().parse(bytes(message))
+
+
+def forget_vote(replica: Replica) -> None:
+    """The vote of the present term is gone from memory."""
+    replica.state.vote = ""
+
+
+def claim_durable(replica: Replica) -> None:
+    """The whole log counts as on disk."""
+    replica.state.writes.durable = replica.log.last_index
+
+
+def drop_log_behind(replica: Replica, *, index: int) -> None:
+    """The entries behind `index` leave the log in memory."""
+    replica.log.cut(index=index + 1)
+    replica.members.cut(index=index + 1)
+    replica.state.writes.drop_behind(index=index)
+
+
+def truncate(node: Any, *, index: int) -> None:
+    """The entries behind `index` leave the log, in memory and on disk."""
+    if node.replica.log.last_index <= index:
+        return
+    drop_log_behind(node.replica, index=index)
+    number = node.replica.state.writes.begin(last_index=index, now_us=node.replica.state.now_us)
+    node.disk.queue.append(Persist(number=number, cut_from=index + 1))
+
+
+def commit_unchecked(replica: Replica, *, index: int) -> None:
+    """The commit index rises over whatever is in the log; the effect stays for the step."""
+    commit_to(replica.state, index=index)
+
+
+def patch_change_pending(replacement: Callable[[Any], bool]) -> AbstractContextManager:
+    """Another rule of when a change of members may begin."""
+    return mock.patch.object(membership, "is_change_pending", replacement)
+
+
+def patch_caught_up(replacement: Callable[..., bool]) -> AbstractContextManager:
+    """Another rule of when a learner can be raised."""
+    return mock.patch.object(membership, "_is_caught_up", replacement)
--- a/proof/model/checks.py
+++ b/proof/model/checks.py
@@ -72,6 +72,10 @@
     return hashlib.sha1(bytes([entry.kind]) + entry.data).digest()
 
 
+def _voters(members: list[core.CoreMember]) -> set[tuple[str, bool]]:
+    return {(member.replica, member.is_voter) for member in members}
+
+
 @dataclass(kw_only=True, eq=False)
 class Checks:
     """What was seen of the whole system, by an observer who sees everything."""
@@ -91,6 +95,7 @@
     settled_epoch: int = 0
     took_effect: set[bytes] = field(default_factory=set)
     refused: set[bytes] = field(default_factory=set)
+    memberships: dict[int, list[core.CoreMember]] = field(default_factory=dict)
     membership_changes: int = 0
     snapshots_installed: int = 0
 
@@ -158,6 +163,7 @@
                 )
             if entry.kind == core.MEMBERSHIP and entry.index > self.newest_committed:
                 self.members = core.read_members(data=entry.data)
+                self.memberships[entry.index] = self.members
                 self.membership_changes += 1
         last = entries[-1].index if entries else 0
         if last <= self.newest_committed:
@@ -197,6 +203,15 @@
         state = hashlib.sha1(bytes(node.machine.state)).digest()
         if self.states.setdefault(snapshot.index, state) != state:
             self.fail(STATE_MACHINE_SAFETY, f"the snapshot at {snapshot.index} has another state")
+        known = [index for index in self.memberships if index <= snapshot.index]
+        if not known:
+            return
+        wanted = _voters(self.memberships[max(known)])
+        if _voters(core.members_at(node.replica, index=snapshot.index)) != wanted:
+            self.fail(
+                STATE_MACHINE_SAFETY,
+                f"{node.identity} has other members behind the snapshot at {snapshot.index}",
+            )
 
     def stepped(self, *, node: "Node") -> None:
         """After each event: the commit index rose or stayed, and the log holds it."""
--- a/proof/model/node.py
+++ b/proof/model/node.py
@@ -60,7 +60,6 @@
     starts: int = 0
     is_up: bool = False
     is_frozen: bool = False
-    is_away: bool = False  # stopped and not to be started for a while
     replica: core.Replica | None = None
     machine: core.Machine | None = None
     ledger: core.Ledger | None = None
@@ -71,7 +70,8 @@
     fetches: list[Fetch] = field(default_factory=list)
     arrived: core.DiskSnapshot | None = None
     shown: core.DiskSnapshot | None = None
-    is_taking_snapshot: bool = False
+    in_writing: core.DiskSnapshot | None = None
+    is_leaving: bool = False
     asked_place_us: int = -JOIN_AGAIN_US
 
     @property
@@ -95,7 +95,8 @@
         self.ledger = core.Ledger(since_us=self.world.now_us)
         self.synced = 0
         self.held, self.proposals, self.fetches = [], {}, []
-        self.arrived, self.is_taking_snapshot = None, False
+        self.arrived, self.in_writing = None, None
+        self.is_leaving = False
         self.starts += 1
         self.replica = core.make_replica(
             me=self.identity,
@@ -137,7 +138,7 @@
         for effect in effects:
             self._perform(effect)
         if isinstance(event, core.SnapshotTaken):
-            self.is_taking_snapshot = False
+            self._snapshot_is_on_disk(index=event.index)
         self.world.checks.stepped(node=self)
         if self.applied - self.replica.log.base_index >= SNAPSHOT_ENTRIES:
             self.take_snapshot()
@@ -146,6 +147,9 @@
         """The timer of the process: Raft, waiting orders, and a request for a place."""
         self.take(core.Tick())
         self.world.sessions.tick(node=self)
+        if self.is_leaving:
+            self.world.ask_to_leave(node=self)
+            return
         has_place = any(m.replica == self.identity for m in core.members_of(self.replica))
         if has_place and core.knows_leader(self.replica):
             return
@@ -239,7 +243,7 @@
     @_perform.register
     def _(self, effect: core.RoleChanged) -> None:
         if effect.role == core.LEADER:
-            self.ledger = core.Ledger(since_us=self.world.now_us)
+            self.ledger = self.world.make_ledger()
             self.world.checks.elected(node=self, term=effect.term)
 
     @_perform.register
@@ -250,9 +254,8 @@
 
     def take_snapshot(self) -> None:
         """Begin to write a snapshot of all that is applied."""
-        if self.is_taking_snapshot or self.applied == self.replica.log.base_index:
+        if self.in_writing is not None or self.applied == self.replica.log.base_index:
             return
-        self.is_taking_snapshot = True
         log = self.replica.log
         snapshot = core.DiskSnapshot(
             index=self.applied,
@@ -262,7 +265,7 @@
             cluster=core.CLUSTER,
         )
         snapshot = self.world.hooks.snapshot(self, snapshot)
-        self.shown = snapshot
+        self.in_writing = snapshot
         self.disk.queue.append(
             SnapshotWrite(
                 snapshot=snapshot,
@@ -273,10 +276,18 @@
             )
         )
 
+    def _snapshot_is_on_disk(self, *, index: int) -> None:
+        snapshot = self.in_writing
+        if snapshot is None or snapshot.index != index:
+            return
+        self.in_writing = None
+        if index == self.replica.log.base_index:
+            self.shown = snapshot
+
     @_perform.register
     def _(self, effect: core.FetchOffered) -> None:
-        if any(fetch.offer.index == effect.index for fetch in self.fetches):
-            return
+        if self.fetches:
+            return  # one at a time
         self.fetches.append(Fetch(offer=effect))
 
     def advance_fetch(self, *, place: int) -> None:
@@ -290,7 +301,7 @@
                 self.fetches.remove(fetch)
             return
         self.fetches.remove(fetch)
-        if fetch.offer.index <= core.commit_index_of(self.replica):
+        if fetch.snapshot.index <= core.commit_index_of(self.replica):
             return
         self.arrived = fetch.snapshot
         self.take(core.fetched_event(snapshot=fetch.snapshot, offer=fetch.offer))
--- a/proof/model/sessions.py
+++ b/proof/model/sessions.py
@@ -18,6 +18,7 @@
 
 ORDER_WAIT_US = 10_000_000
 ACKNOWLEDGED_KEPT = 40
+PADDING = 200  # each second document is long enough to travel as a difference
 
 LOOK_UP, TURN, PROPOSED, SETTLE = "look-up", "turn", "proposed", "settle"
 
@@ -114,7 +115,7 @@
                 operator=self.name,
                 expected=self.known,
                 version=self.known + 1,
-                document=mark.encode(),
+                document=mark.encode() * (1 + self.count % 2 * PADDING),
                 put_id=mark,
             )
         return self.pending
@@ -272,6 +273,7 @@
             expected=order.expected,
             version=order.version,
             document=order.document,
+            state=state,
         )
         node.take(core.Propose(kind=core.COMMAND, data=data, token=token))
 
@@ -282,6 +284,9 @@
             self._decided(node=node, token=token, work=work, outcome=outcome)
 
     def _decided(self, *, node: "Node", token: int, work: Work, outcome: Any) -> None:
+        if core.is_unclear(outcome):
+            del self._work[token]
+            return
         if core.is_refusal(outcome):
             self._refuse(node=node, token=token, work=work)
             return
--- a/proof/model/walk.py
+++ b/proof/model/walk.py
@@ -24,7 +24,7 @@
     "crash": 4,
     "power": 1,
     "start": 12,
-    "wipe": 1,
+    "wipe": 3,
     "freeze": 2,
     "wake": 6,
     "cut": 3,
@@ -33,16 +33,36 @@
     "snapshot": 6,
     "fetch": 20,
     "transfer": 2,
+    "leave": 1,
     "order": 30,
     "repeat": 6,
     "read": 8,
     "renew": 15,
     "restart_edge": 1,
+    "mute": 2,
     "rounds": 8,
     "busy": 4,
 }
-LONG = CHAOS | {"busy": 40, "rounds": 20, "wipe": 4, "isolate": 6, "heal": 10, "start": 30}
-PROFILES = {"chaos": CHAOS, "long": LONG}
+LONG = CHAOS | {
+    "busy": 40,
+    "rounds": 20,
+    "wipe": 8,
+    "leave": 3,
+    "isolate": 6,
+    "heal": 10,
+    "start": 30,
+}
+ELECTIONS = CHAOS | {"tick": 120, "crash": 25, "start": 60, "power": 4, "order": 10, "isolate": 8}
+CUTS = CHAOS | {
+    "mute": 8,
+    "isolate": 12,
+    "heal": 8,
+    "rounds": 25,
+    "read": 40,
+    "renew": 40,
+    "order": 50,
+}
+PROFILES = {"chaos": CHAOS, "long": LONG, "elections": ELECTIONS, "cuts": CUTS}
 
 
 @dataclass(kw_only=True)
@@ -76,50 +96,60 @@
         return not self.invariant
 
 
+TICK_WEIGHTS = (30, 60, 25, 8, 3, 1)  # of the steps in time, from a millisecond to 3 s
+
+
 def choose(*, rand: random.Random, world: World, profile: dict[str, int]) -> Action:
     """The next action of a random walk."""
     name = rand.choices(list(profile), weights=list(profile.values()))[0]
-    machines, operators = world.scope.machines, max(1, world.scope.operators)
-    machine = rand.randrange(machines)
+    return Action(name, _first_number(name, rand, world), _second_number(name, rand, world))
+
+
+def _first_number(name: str, rand: random.Random, world: World) -> int:
     if name in ("deliver", "drop", "duplicate"):
         # Mostly the oldest, so that something comes about; at times any.
-        place = 0 if rand.random() < 0.6 else rand.randrange(max(1, len(world.packets)))
-        return Action(name, place)
+        return 0 if rand.random() < 0.6 else rand.randrange(max(1, len(world.packets)))
+    if name in ("rounds", "busy"):
+        return rand.choice([1, 3, 10, 30, 90])
+    if name in ("order", "repeat"):
+        return rand.randrange(max(1, world.scope.operators))
+    if name in ("renew", "mute", "restart_edge"):
+        return rand.randrange(max(1, world.scope.edges))
+    return rand.randrange(world.scope.machines)
+
+
+def _second_number(name: str, rand: random.Random, world: World) -> int:
+    machines = world.scope.machines
     if name == "tick":
-        step = rand.choices(range(6), weights=[30, 60, 25, 8, 3, 1])[0]
-        return Action(name, machine, step)
+        return rand.choices(range(len(TICK_WEIGHTS)), weights=TICK_WEIGHTS)[0]
     if name == "sync":
-        return Action(name, machine, rand.choice([0, 0, 1, 9]))
+        return rand.choice([0, 0, 1, 9])
     if name == "crash":
-        return Action(name, machine, rand.choice([0, 0, 1, 2, 3, 9]))
+        return rand.choice([0, 0, 1, 2, 3, 9])
     if name == "power":
-        return Action(name, 0, rand.choice([0, 0, 1, 2, 4]))
-    if name in ("order", "repeat"):
+        return rand.choice([0, 0, 1, 2, 4])
+    if name == "isolate":
+        return rand.randrange(3)
+    place = rand.randrange(machines)
+    if name in ("order", "repeat", "renew"):
         leader = world.leader()
-        place = machine
         if leader is not None and rand.random() < 0.8:
             place = list(world.nodes).index(leader.address)
-        return Action(name, rand.randrange(operators), place + machines * 8 * rand.randrange(40))
-    if name == "renew":
-        leader = world.leader()
-        if leader is not None and rand.random() < 0.8:
-            machine = list(world.nodes).index(leader.address)
-        return Action(name, rand.randrange(max(1, world.scope.edges)), machine)
-    if name in ("rounds", "busy"):
-        return Action(name, rand.choice([1, 3, 10, 30, 90]))
-    if name == "isolate":
-        return Action(name, machine, rand.randrange(3))
-    return Action(name, machine, rand.randrange(machines))
+    if name == "repeat":
+        place += machines * rand.randrange(320)  # which of the acknowledged orders
+    return place
 
 
 def settle(*, world: World) -> None:
     """Everything is mended: one leader, and all members reach its commit index within
     bounded virtual time; then a new order is acknowledged."""
     world.cuts.clear()
+    world.muted.clear()
     for node in world.nodes.values():
         if not node.is_up:
             node.start()
         node.is_frozen = False
+        node.is_leaving = False
     for _ in range(SETTLE_ROUNDS):
         world.act(Action("rounds", 1))
         if _is_settled(world=world):
@@ -187,9 +217,9 @@
     return _outcome(world=world, walk=walk, violated=None)
 
 
-def replay(*, walk: Walk, hooks: Hooks | None = None) -> Outcome:
+def replay(*, walk: Walk, hooks: Hooks | None = None, make_world: type[World] = World) -> Outcome:
     """Run the actions of a walk."""
-    world = World(scope=walk.scope, seed=walk.seed, hooks=hooks)
+    world = make_world(scope=walk.scope, seed=walk.seed, hooks=hooks)
     try:
         for action in walk.actions:
             world.act(Action(*action))
--- a/proof/model/world.py
+++ b/proof/model/world.py
@@ -65,6 +65,22 @@
     member: core.CoreMember
 
 
+@dataclass(frozen=True, kw_only=True)
+class LeaveCall:
+    """A replica is about to stop for good and asks whether it may."""
+
+    replica: str
+    term: int
+    last_index: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaveAnswer:
+    """It may."""
+
+    replica: str
+
+
 class World:
     """The modelled system.
 
@@ -81,18 +97,27 @@
         self.steps = 0
         self.packets: deque[Packet] = deque()
         self.cuts: set[tuple[str, str]] = set()
+        self.muted: set[str] = set()  # edges that are cut off
         self.lost: set[str] = set()
         self.calm_us = 0
         self.checks = Checks(world=self)
         self.sessions = Sessions(world=self, operators=scope.operators, edges=scope.edges)
         self.nodes: dict[str, Node] = {}
-        self._actions = self._action_table()
+        self.bind_actions()
         self._found()
 
+    def bind_actions(self) -> None:
+        """Have the actions' names stand for this world's own methods."""
+        self._actions = self._action_table()
+
     def random_for(self, *, name: str) -> random.Random:
         """The generator of one life of one replica."""
         return seeded(seed=self.seed, name=name)
 
+    def make_ledger(self) -> core.Ledger:
+        """The ledger of a leader that was elected now."""
+        return core.Ledger(since_us=self.now_us)
+
     def _found(self) -> None:
         names = [f"n{i}" for i in range(self.scope.machines)]
         founders = names[: self.scope.voters]
@@ -117,6 +142,49 @@
         for node in self.nodes.values():
             node.start()
 
+    # --- members that come and go ---------------------------------------------------
+
+    def ask_place(self, *, node: Node) -> None:
+        """A replica asks every other machine for its place."""
+        member = core.CoreMember(replica=node.identity, address=node.address)
+        self._send_to_all(source=node.address, body=JoinCall(member=member))
+
+    def ask_to_leave(self, *, node: Node) -> None:
+        """A replica that is about to stop asks whether it may; a leader hands over first."""
+        if core.role_of(node.replica) == core.LEADER:
+            node.take(core.TransferLeadership())
+            return
+        call = LeaveCall(
+            replica=node.identity,
+            term=core.term_of(node.replica),
+            last_index=node.replica.log.last_index,
+        )
+        self._send_to_all(source=node.address, body=call)
+
+    def _send_to_all(self, *, source: str, body: Any) -> None:
+        for address in self.nodes:
+            if address != source:
+                self.send(source=source, to=address, body=body)
+
+    def _take_leave_call(self, *, node: Node, source: str, call: LeaveCall) -> None:
+        if core.role_of(node.replica) != core.LEADER:
+            return
+        node.take(core.LeaveRequest(replica=call.replica))
+        if core.may_leave(
+            node.replica, leaving=call.replica, term=call.term, last_index=call.last_index
+        ):
+            self.send(source=node.address, to=source, body=LeaveAnswer(replica=call.replica))
+
+    def _take_leave_answer(self, *, node: Node, answer: LeaveAnswer) -> None:
+        """The member is gone for good, and its disk with it; another comes in its place."""
+        if not node.is_leaving or node.identity != answer.replica:
+            return
+        self.lost.add(node.address)
+        node.replace_disk()
+        self.sessions.node_ended(node=node)
+        self.checks.disks_changed()
+        node.start()
+
     # --- the network ---------------------------------------------------------------
 
     def send(self, *, source: str, to: str, body: Any) -> None:
@@ -125,16 +193,11 @@
         if len(self.packets) > BAG_LIMIT:
             self.packets.popleft()
 
-    def ask_place(self, *, node: Node) -> None:
-        """A replica asks every other machine for its place."""
-        member = core.CoreMember(replica=node.identity, address=node.address)
-        for address in self.nodes:
-            if address != node.address:
-                self.send(source=node.address, to=address, body=JoinCall(member=member))
-
     def _deliver(self, packet: Packet) -> None:
         if (packet.source, packet.to) in self.cuts:
             return
+        if {packet.source, packet.to} & self.muted:
+            return
         node = self.nodes.get(packet.to)
         if node is None:
             self.sessions.hear(name=packet.to, body=packet.body)
@@ -148,6 +211,12 @@
             if core.role_of(node.replica) == core.LEADER:
                 node.take(core.JoinRequest(member=packet.body.member))
             return
+        if isinstance(packet.body, LeaveCall):
+            self._take_leave_call(node=node, source=packet.source, call=packet.body)
+            return
+        if isinstance(packet.body, LeaveAnswer):
+            self._take_leave_answer(node=node, answer=packet.body)
+            return
         if packet.source in self.nodes:
             node.take(core.Received(message=packet.body))
             return
@@ -160,7 +229,7 @@
             return None
         if {(reader.address, address), (address, reader.address)} & self.cuts:
             return None
-        return node.shown if node.shown.index == index else None
+        return node.shown if node.shown.index >= index else None
 
     # --- what can be asked of it -------------------------------------------------------
 
@@ -206,11 +275,13 @@
             "snapshot": self._act_snapshot,
             "fetch": self._act_fetch,
             "transfer": self._act_transfer,
+            "leave": self._act_leave,
             "order": self._act_order,
             "repeat": self._act_repeat,
             "read": self._act_read,
             "renew": self._act_renew,
             "restart_edge": self._act_restart_edge,
+            "mute": self._act_mute,
             "rounds": self._act_rounds,
             "busy": self._act_busy,
         }
@@ -361,6 +432,14 @@
         if node.runs:
             node.take(core.TransferLeadership())
 
+    def _act_leave(self, a: int, b: int) -> None:
+        """A planned stop, begun only while nothing is lost."""
+        node = self.node_at(a)
+        self._note_repairs()
+        if node.runs and not self.lost:
+            self.lost.add(node.address)
+            node.is_leaving = True
+
     def _act_order(self, a: int, b: int) -> None:
         if not self.sessions.operators:
             return
@@ -374,7 +453,7 @@
             return
         operator = self.sessions.operators[f"op{a % self.scope.operators}"]
         if operator.acknowledged:
-            order = operator.acknowledged[b // 8 % len(operator.acknowledged)]
+            order = operator.acknowledged[b // len(self.nodes) % len(operator.acknowledged)]
             self.send(source=operator.name, to=self.node_at(b).address, body=OrderCall(order=order))
 
     def _act_read(self, a: int, b: int) -> None:
@@ -390,6 +469,11 @@
         if self.sessions.edges:
             self.sessions.restart_edge(edge=self.sessions.edges[f"e{a % self.scope.edges}"])
 
+    def _act_mute(self, a: int, b: int) -> None:
+        """An edge is cut off from all cores, or no longer so."""
+        if self.sessions.edges:
+            self.muted ^= {f"e{a % self.scope.edges}"}
+
     def _act_rounds(self, a: int, b: int) -> None:
         """Rounds in which all that travels arrives, all disks sync and all clocks tick."""
         for _ in range(a):
