--- a/proof/model/adapter.py
+++ b/proof/model/adapter.py
@@ -27,7 +27,7 @@
 )
 from kelpstage.core.founding import FOUNDING_INDEX, FOUNDING_TERM
 from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
-from kelpstage.core.grants.puts import as_verdict
+from kelpstage.core.grants.puts import as_result
 from kelpstage.core.raft import membership
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.log import MemoryLog
@@ -35,12 +35,14 @@
 from kelpstage.core.raft.replica import Replica
 from kelpstage.core.raft.replication import commit_to
 from kelpstage.core.state.machine import (
+    Command,
     CoreState,
     Machine,
     PutApplied,
     PutBlueprint,
     PutLost,
     PutNotAbove,
+    RefusePut,
     put_command,
     put_digest,
 )
@@ -202,6 +204,12 @@
     return bytes(put_command(put=put, state=state))
 
 
+def refusal_bytes(*, put_id: str, expected: int, version: int, digest: bytes) -> bytes:
+    """The command that refuses an order on a version to come by the log."""
+    refusal = RefusePut(put_id=put_id, digest=digest, expected=expected, version=version)
+    return bytes(Command(refuse=refusal))
+
+
 def order_digest(*, expected: int, version: int, document: bytes) -> bytes:
     """What tells a repeat of an order from another one."""
     return put_digest(document=document, expected=expected, version=version)
@@ -209,12 +217,12 @@
 
 def is_unclear(outcome: Any) -> bool:
     """Would the operator hear that nobody knows what became of the order?"""
-    return isinstance(as_verdict(outcome=outcome, put_id=""), Unresolved)
+    return isinstance(as_result(outcome=outcome, put_id=""), Unresolved)
 
 
 def is_refusal(outcome: Any) -> bool:
     """Would the operator hear that the order was refused for good?"""
-    return isinstance(as_verdict(outcome=outcome, put_id=""), Defect) and not is_unclear(outcome)
+    return isinstance(as_result(outcome=outcome, put_id=""), Defect) and not is_unclear(outcome)
 
 
 def refusal_of_base(*, expected: int, version: int, current: int) -> Any:
--- a/proof/model/sessions.py
+++ b/proof/model/sessions.py
@@ -245,11 +245,16 @@
 
     def _look_up(self, *, node: "Node", token: int, work: Work) -> None:
         order = work.call.order
-        outcome = node.machine.decided(put_id=order.put_id, digest=order.digest)
+        outcome = node.machine.decided(
+            put_id=order.put_id, digest=order.digest, expected=order.expected
+        )
         if outcome is not None:
             self._decided(node=node, token=token, work=work, outcome=outcome)
             return
         current = node.machine.state.version
+        if order.expected > current:
+            self._refuse_by_log(node=node, token=token, work=work)
+            return
         refusal = core.refusal_of_base(
             expected=order.expected, version=order.version, current=current
         )
@@ -277,6 +282,18 @@
         )
         node.take(core.Propose(kind=core.COMMAND, data=data, token=token))
 
+    def _refuse_by_log(self, *, node: "Node", token: int, work: Work) -> None:
+        """Have the state machine refuse an order on a version to come."""
+        order = work.call.order
+        work.stage = PROPOSED
+        data = core.refusal_bytes(
+            put_id=order.put_id,
+            expected=order.expected,
+            version=order.version,
+            digest=order.digest,
+        )
+        node.take(core.Propose(kind=core.COMMAND, data=data, token=token))
+
     def applied(self, *, node: "Node", token: int, outcome: Any) -> None:
         """The state machine decided an order that was proposed here."""
         work = self._work.get(token)
--- a/tests/model_mutants.py
+++ b/tests/model_mutants.py
@@ -167,7 +167,7 @@
 
     def snapshot(self, node: Node, snapshot: core.DiskSnapshot) -> core.DiskSnapshot:
         state = core.CoreState().parse(snapshot.state)
-        state.puts = []
+        state.puts, state.superseded = [], b""
         return core.DiskSnapshot(
             index=snapshot.index,
             term=snapshot.term,
