--- a/proof/model/adapter.py
+++ b/proof/model/adapter.py
@@ -218,6 +218,12 @@
     return put_digest(document=document, expected=expected, version=version)
 
 
+def decided(*, machine: Machine, order: Any) -> Any:
+    """What became of an order, as far as the state machine's records tell."""
+    put = PutBlueprint(put_id=order.put_id, expected=order.expected, version=order.version)
+    return machine.decided(put=put, digest=order.digest)
+
+
 def is_unclear(outcome: Any) -> bool:
     """Would the operator hear that nobody knows what became of the order?"""
     return isinstance(as_result(outcome=outcome, put_id=""), Unresolved)
--- a/tests/test_core_cuts.py
+++ b/tests/test_core_cuts.py
@@ -25,8 +25,8 @@
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import PutBlueprint
 from kelpstage.core.web import operators as operators_module
+from kelpstage.core.web.operators import _answer as real_answer
 from kelpstage.core.web.operators import _get_blueprint
-from kelpstage.core.web.operators import _verdict_of as real_verdict_of
 from tests.test_cores import Cores, play
 
 CUT_US = 20_000_000
@@ -335,22 +335,21 @@
 
 async def looked_up_in_memory(self: Puts, *, put: PutBlueprint, digest: bytes) -> Any:
     """Planted fault: an order is judged by what this member happens to know."""
-    outcome = self._task.machine.decided(put_id=put.put_id, digest=digest, expected=put.expected)
+    outcome = self._task.machine.decided(put=put, digest=digest)
     return None if outcome is None else as_result(outcome=outcome, put_id=put.put_id)
 
 
-async def refused_from_memory(
-    self: Puts, *, put: PutBlueprint, digest: bytes, until_us: int
-) -> VersionMismatch:
-    """Planted fault: an order on a version to come is refused without the log's word."""
-    return VersionMismatch(expected=put.expected, current=self._task.machine.state.version)
+async def refused_in_memory(self: Puts, *, put: PutBlueprint, **_: Any) -> Any:
+    """Planted fault: a base version that this member has not got is refused by its word."""
+    current = self._task.machine.state.version
+    return VersionMismatch(expected=put.expected, current=current)
 
 
 async def read_from_memory(*, core: Core, ask: ProxyOperator) -> HttpReply:
     """Planted fault: a member that leads, or thinks so, reads without the read index."""
     if ask.method == "GET" and core.task.is_leader:
         return _get_blueprint(task=core.task)
-    return await real_verdict_of(core=core, ask=ask)
+    return await real_answer(core=core, ask=ask)
 
 
 def campaign_without_pre_vote(state: RaftState) -> None:
@@ -366,7 +365,7 @@
 
     def test_reads_without_the_read_index(self) -> None:
         with (
-            mock.patch.object(operators_module, "_verdict_of", read_from_memory),
+            mock.patch.object(operators_module, "_answer", read_from_memory),
             mock.patch.object(RaftState, "has_quorum_contact", lambda self: True),
         ):
             found = self.violations(story=cut_story(of="leader", cut=both_ways))
@@ -380,13 +379,21 @@
     def test_an_order_refused_from_stale_state(self) -> None:
         with (
             mock.patch.object(Puts, "_look_up", looked_up_in_memory),
-            mock.patch.object(Puts, "_refuse", refused_from_memory),
+            mock.patch.object(Puts, "_refuse", refused_in_memory),
             mock.patch.object(RaftState, "has_quorum_contact", lambda self: True),
         ):
             found = self.violations(story=cut_story(of="leader", cut=both_ways))
         self.assertIn("neither done nor to be tried again", found)
         self.assertIn("status=412", found)
 
+    def test_a_refusal_by_the_log_needs_a_majority_even_beside_a_stale_look_up(self) -> None:
+        with (
+            mock.patch.object(Puts, "_look_up", looked_up_in_memory),
+            mock.patch.object(RaftState, "has_quorum_contact", lambda self: True),
+        ):
+            found = self.violations(story=cut_story(of="leader", cut=both_ways))
+        self.assertNotIn("neither done nor to be tried again", found)
+
     def test_a_leader_that_is_not_confirmed(self) -> None:
         with (
             mock.patch.object(ReplicaTask, "confirm", never_confirmed),
