Membership: who takes the address of a member that left is no reason to raise first

A voter that leaves is replaced by raising a learner first and removing it afterwards. Its request to leave is kept for a second. If it has stopped meanwhile, and an empty replica has come up at its address, that newcomer was raised while the one that left was still a voter: four voters of whom one is gone, so a majority needs the newcomer's life. Its disk lost in that moment, two of four are left, and nothing is committed any more for good. It is one machine that was lost, which three voters are to bear.

Ruled out: forgetting the request when a newcomer asks for its place. The request may arrive after that, late or twice.

Now a leaving voter whose address another replica has taken counts as lost: removed first, then the newcomer is raised.

--- a/kelpstage/core/raft/membership.py
+++ b/kelpstage/core/raft/membership.py
@@ -81,7 +81,8 @@
     """Raise a learner for a voter that is about to stop, then remove that voter."""
     leaving = [m for m in state.members.current if m.replica in state.leave_requests]
     leaving_learners = [m for m in leaving if not m.is_voter]
-    leaving_voters = [m for m in leaving if m.is_voter]
+    # One whose address another replica has taken is gone: it is removed first, as lost.
+    leaving_voters = [m for m in leaving if m.is_voter and not _has_successor(state, member=m)]
     if leaving_learners:
         return _remove(state, member=leaving_learners[0])
     if not leaving_voters:
@@ -246,12 +247,15 @@
     back without its disk is a new replica, and the one before is gone for good."""
     if state.now_us - state.progress[member.replica].heard_us > LOST_AFTER_US:
         return True
+    return _has_successor(state, member=member) and not state.is_active(name=member.replica)
+
+
+def _has_successor(state: RaftState, *, member: CoreMember) -> bool:
+    """Is another replica there, at the same address?"""
     return any(
-        other.address == member.address
+        other.address == member.address and state.is_active(name=other.replica)
         for other in state.members.current
         if other.replica != member.replica
-        and state.is_active(name=other.replica)
-        and not state.is_active(name=member.replica)
     )
 
 
