--- a/kelpstage/core/grants/lease_service.py
+++ b/kelpstage/core/grants/lease_service.py
@@ -94,9 +94,7 @@
             holder = self.ledger.holder(edge=contact.name)
             is_at_base = holder is not None and holder.epoch == message.base_epoch
             fits = is_at_base or not message.base_epoch
-            self._send_announce(
-                address=contact.address, message=message if fits else self._announce_whole()
-            )
+            self._announce_to(contact=contact, message=message if fits else self._announce_whole())
 
     def _announce_whole(self) -> Announce:
         """The newest state whole, for edges that do not have the one before it."""
@@ -119,6 +117,13 @@
         self._ports.point("core.before_announce")
         self._lines.send(address=address, message=message)
 
+    def _announce_to(self, *, contact: EdgeContact, message: Announce) -> None:
+        """To one edge; through the edge that carries its renewals, if it needs one."""
+        holder = self.ledger.holder(edge=contact.name)
+        relay = holder.relayed_by if holder else ""
+        message.hand_on = [contact.address] if relay else []
+        self._send_announce(address=relay or contact.address, message=message)
+
     def _announce_by_domain(self, *, contacts: list[EdgeContact], message: Announce) -> None:
         """To one edge of each domain, which hands it on to the others there."""
         domains: dict[str, list[str]] = {}
@@ -138,7 +143,7 @@
         for contact in self.ledger.contacts(now_us=self._ports.clock.now_us()):
             holder = self.ledger.holder(edge=contact.name)
             if holder is not None and holder.epoch < epoch:
-                self._send_announce(address=contact.address, message=self._announce_whole())
+                self._announce_to(contact=contact, message=self._announce_whole())
 
     # --- grants ---------------------------------------------------------------------------
 
@@ -154,25 +159,29 @@
             self._news.notify_all()
             return GrantReply(cluster=task.cluster, why="leaving")
         if ask.cluster:
-            ledger.heard(
+            is_newest = ledger.heard(
                 edge=ask.edge,
                 incarnation=ask.incarnation,
                 epoch=ask.epoch,
                 contact=ask.contact,
                 now_us=now_us,
+                relayed_by=ask.relayed_by,
             )
+            if not is_newest:
+                return self._superseded(ledger=ledger, edge=ask.edge)
             self._news.notify_all()
         defect = await self._confirm()
         if defect is not None or ledger is not self.ledger:
             return GrantReply(cluster=task.cluster, why=defect.why if defect else "lead changed")
-        if not ask.cluster:
-            ledger.heard(
-                edge=ask.edge,
-                incarnation=ask.incarnation,
-                epoch=0,
-                contact=ask.contact,
-                now_us=now_us,
-            )
+        if not ask.cluster and not ledger.heard(
+            edge=ask.edge,
+            incarnation=ask.incarnation,
+            epoch=0,
+            contact=ask.contact,
+            now_us=now_us,
+            relayed_by=ask.relayed_by,
+        ):
+            return self._superseded(ledger=ledger, edge=ask.edge)
         state = task.machine.state
         is_on_roster = ask.edge in state.roster
         ledger.note_cores(cores=[member.address for member in task.raft.members.current])
@@ -201,6 +210,17 @@
         ledger.grant(edge=ask.edge, epoch=state.epoch, now_us=self._ports.clock.now_us())
         return reply
 
+    def _superseded(self, *, ledger: Ledger, edge: str) -> GrantReply:
+        """No lease for an incarnation below one that was heard. It may be the newer process
+        all the same, on a clock that was stepped back: it takes a number above."""
+        holder = ledger.holder(edge=edge)
+        return GrantReply(
+            cluster=self._task.cluster,
+            why="superseded by a newer incarnation",
+            leader_address=self._own,
+            newest_incarnation=holder.incarnation if holder else 0,
+        )
+
     async def _confirm(self) -> Defect | None:
         """Is this leader confirmed, by a round that began after now? One round stands
         for all that asked before it began; one at a time is under way."""
