--- a/kelpstage/edge/gather/passes/plan.py
+++ b/kelpstage/edge/gather/passes/plan.py
@@ -52,9 +52,10 @@
     goes to the nearest zone that has a backend for it which may be asked; among zones as
     far as each other one is taken by lot for the whole search, so that as much as can be
     is merged before it crosses."""
-    if any(record.left_of(shard=s) < record.attempts for s in record.route.fan_out):
+    shards = record.route.fan_out
+    if record.attempts_left and any(record.left_of(shard=s) < record.attempts for s in shards):
         # Begun again: what is left of the attempts differs by shard, so no helper has any.
-        return Branch(node=world.me, shards=record.route.fan_out)
+        return Branch(node=world.me, shards=shards)
     helpers = world.helpers_by_zone(collection=record.collection)
     order = world.zones_by_distance()
     groups: dict[str, list[str]] = {}
--- a/kelpstage/edge/gather/passes/settle.py
+++ b/kelpstage/edge/gather/passes/settle.py
@@ -61,6 +61,7 @@
 def _child_reply(*, record: Gathering) -> Gathered:
     """What a child has and has not handed up yet."""
     missing = missing_of(record=record)
+    waiting = record.waiting_shards()
     # Each run was cut where it came in; what is handed up is cut again, and across regions
     # at the limit itself: nothing beyond it can be in the answer, and bytes are dear there.
     cut = record.limit if record.is_far else lowest_cut(limit=record.limit)
@@ -77,7 +78,7 @@
                 shard=shard,
                 cause=cause,
                 detail=detail,
-                attempts_left=record.surely_left(shard=shard),
+                attempts_left=0 if shard in waiting else record.surely_left(shard=shard),
             )
             for shard, cause, detail in missing
         ],
--- a/kelpstage/edge/gather/record.py
+++ b/kelpstage/edge/gather/record.py
@@ -193,10 +193,8 @@
             self.attempts_left[shard] = self.left_of(shard=shard) + back
 
     def surely_left(self, *, shard: str) -> int:
-        """Of the attempts for a shard, those that this node surely never uses: what it
-        tells the node above."""
-        if shard in self.waiting_shards():
-            return 0
+        """Of the attempts for a shard that nothing is awaited for any more, those that this
+        node never uses: what it tells the node above."""
         cell = self.cells.get(shard)
         used = len(cell.rounds) if cell else 0
         return max(0, self.left_of(shard=shard) - used)
