kelprig model: searches and walks of the model checker on the command line

Cause: searches and walks could only be begun from tests. Change: `kelprig model search` and `kelprig model walk` print states, depth and time; a failing walk is shortened and printed as a ready test.

--- a/proof/main.py
+++ b/proof/main.py
@@ -20,6 +20,7 @@
 from proof.hollow.options import Options, check, memory_of_machine
 from proof.measure.choices import CHOICES, run_variant, summarize
 from proof.measure.http import measure_http
+from proof.model.main import app as model_app
 from proof.platform.main import app as platform_app
 from proof.sim.faults import FAULTS
 from proof.sim.figures import figures, summary
@@ -28,6 +29,7 @@
 
 app = typer.Typer(add_completion=False, help=__doc__, pretty_exceptions_enable=False)
 app.add_typer(platform_app, name="platform")
+app.add_typer(model_app, name="model")
 
 
 @app.callback()
--- /dev/null
+++ b/proof/model/main.py
@@ -0,0 +1,144 @@
+"""`kelprig model`: the model checker on the command line."""
+
+from __future__ import annotations
+
+import itertools
+import time
+from concurrent.futures import ProcessPoolExecutor
+
+import typer
+
+from proof.model.search import Limits, SearchReport, search
+from proof.model.walk import PROFILES, Outcome, as_test, random_walk, shrink
+from proof.model.world import Action, Scope
+
+SETTLED_ROUNDS = 60
+
+app = typer.Typer(
+    add_completion=False,
+    no_args_is_help=True,
+    help="Check the control side's own code: every interleaving of a small system to a "
+    "depth, or random walks far past it.",
+)
+
+
+def scope_of(*, machines: int, voters: int, operators: int, edges: int) -> Scope:
+    """A scope whose voters bear as many lost disks as so many can.
+
+    >>> scope_of(machines=6, voters=5, operators=2, edges=1).tolerance
+    2
+    """
+    return Scope(
+        machines=max(machines, voters),
+        voters=voters,
+        tolerance=(voters - 1) // 2,
+        operators=operators,
+        edges=edges,
+    )
+
+
+@app.command("search")
+def search_command(
+    voters: int = typer.Option(3, min=1, max=5, help="Voters; no other machines."),
+    depth: int = typer.Option(8, min=1, max=60, help="Actions in a row."),
+    states: int = typer.Option(20_000, min=10, help="Stop when so many states were seen."),
+    elections: int = typer.Option(2, min=0, help="Election timeouts on one path."),
+    orders: int = typer.Option(1, min=0, help="Orders on one path."),
+    crashes: int = typer.Option(1, min=0, help="Crashes on one path."),
+    drops: int = typer.Option(1, min=0, help="Lost messages on one path."),
+    duplicates: int = typer.Option(1, min=0, help="Doubled messages on one path."),
+    packets: int = typer.Option(4, min=1, help="Choose among so many of the oldest messages."),
+    led: bool = typer.Option(False, help="Begin with a leader instead of the founding."),
+) -> None:
+    """Every interleaving to a depth; prints a shortest trace that breaks an invariant."""
+    limits = Limits(
+        elections=elections,
+        orders=orders,
+        crashes=crashes,
+        drops=drops,
+        duplicates=duplicates,
+        packets=packets,
+    )
+    report = search(
+        scope=scope_of(machines=voters, voters=voters, operators=1, edges=0),
+        depth=depth,
+        states=states,
+        limits=limits,
+        first=(Action("rounds", SETTLED_ROUNDS),) if led else (),
+    )
+    print(show_search(report=report))
+    raise SystemExit(0 if report.failure is None else 1)
+
+
+def show_search(*, report: SearchReport) -> str:
+    """A search's figures, and its trace if it found one.
+
+    >>> show_search(report=SearchReport(states=3, transitions=4, depth=2))
+    '3 states, 4 transitions, depth 2 complete, 0.0 s'
+    """
+    end = ", nothing left" if report.is_complete else ""
+    text = (
+        f"{report.states} states, {report.transitions} transitions, "
+        f"depth {report.depth} complete{end}, {report.seconds:.1f} s"
+    )
+    if report.failure is None:
+        return text
+    return f"{text}\n{report.failure.invariant}: {report.failure.detail}\n" + as_test(
+        outcome=report.failure, is_search=True
+    )
+
+
+@app.command("walk")
+def walk_command(
+    machines: int = typer.Option(3, min=1, max=9, help="Machines; those above the voters wait."),
+    voters: int = typer.Option(3, min=1, max=5, help="Voters."),
+    operators: int = typer.Option(2, min=0, max=4, help="Operators, all with one number."),
+    edges: int = typer.Option(3, min=0, max=4, help="Edges with leases."),
+    profile: str = typer.Option("chaos", help=f"One of: {', '.join(PROFILES)}."),
+    first_seed: int = typer.Option(1, min=0, help="The first seed."),
+    walks: int = typer.Option(40, min=1, help="How many seeds."),
+    steps: int = typer.Option(3_000, min=1, help="Actions of each walk."),
+    workers: int = typer.Option(4, min=1, max=64, help="Walks side by side."),
+) -> None:
+    """Random walks; prints a failing one, shortened, as a ready test."""
+    if profile not in PROFILES:
+        raise typer.BadParameter(f"there are: {', '.join(PROFILES)}", param_hint="--profile")
+    scope = scope_of(machines=machines, voters=voters, operators=operators, edges=edges)
+    began = time.monotonic()
+    with ProcessPoolExecutor(max_workers=workers) as pool:
+        outcomes = list(
+            pool.map(
+                _walk,
+                itertools.repeat(scope),
+                range(first_seed, first_seed + walks),
+                itertools.repeat(steps),
+                itertools.repeat(profile),
+            )
+        )
+    print(show_walks(outcomes=outcomes, seconds=time.monotonic() - began))
+    failed = [outcome for outcome in outcomes if not outcome.is_kept]
+    for outcome in failed:
+        print(f"seed {outcome.walk.seed}: {outcome.invariant}: {outcome.detail}")
+    if failed:
+        print(as_test(outcome=shrink(outcome=failed[0])))
+    raise SystemExit(1 if failed else 0)
+
+
+def _walk(scope: Scope, seed: int, steps: int, profile: str) -> Outcome:
+    return random_walk(scope=scope, seed=seed, steps=steps, profile=profile)
+
+
+def show_walks(*, outcomes: list[Outcome], seconds: float) -> str:
+    """What some walks came to, in one line.
+
+    >>> show_walks(outcomes=[], seconds=1.0)
+    '0 of 0 walks kept; 0 steps, 0 entries, 0 orders, 0 membership changes, 0 snapshots, 1.0 s'
+    """
+    kept = sum(outcome.is_kept for outcome in outcomes)
+    return (
+        f"{kept} of {len(outcomes)} walks kept; "
+        f"{sum(o.steps for o in outcomes)} steps, {sum(o.entries for o in outcomes)} entries, "
+        f"{sum(o.acknowledged for o in outcomes)} orders, "
+        f"{sum(o.membership_changes for o in outcomes)} membership changes, "
+        f"{sum(o.snapshots_fetched for o in outcomes)} snapshots, {seconds:.1f} s"
+    )
--- a/proof/model/walk.py
+++ b/proof/model/walk.py
@@ -277,13 +277,14 @@
     return best
 
 
-def as_test(*, outcome: Outcome) -> str:
+def as_test(*, outcome: Outcome, is_search: bool = False) -> str:
     """A walk as a ready test method.
 
     >>> print(as_test(outcome=Outcome(walk=Walk(scope=Scope(), seed=3))).splitlines()[0])
         def test_walk_of_seed_3(self) -> None:
     """
     walk = outcome.walk
+    run = "replay_search" if is_search else "replay"
     lines = [
         f"    def test_walk_of_seed_{walk.seed}(self) -> None:",
         f"        # {outcome.invariant}: {outcome.detail}"[:99],
@@ -296,6 +297,6 @@
         "            actions=actions,",
         f"            is_settled_at_end={walk.is_settled_at_end},",
         "        )",
-        '        self.assertEqual("", replay(walk=walk).detail)',
+        f'        self.assertEqual("", {run}(walk=walk).detail)',
     ]
     return "\n".join(lines)
