--- a/proof/model/adapter.py
+++ b/proof/model/adapter.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
 from contextlib import AbstractContextManager
 from typing import Any, Callable
@@ -28,12 +29,12 @@
 from kelpstage.core.founding import FOUNDING_INDEX, FOUNDING_TERM
 from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
 from kelpstage.core.grants.puts import as_result
-from kelpstage.core.raft import membership
+from kelpstage.core.raft import leadership, membership
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.raft.members import MemberList, read_members, write_members
 from kelpstage.core.raft.replica import Replica
-from kelpstage.core.raft.replication import commit_to
+from kelpstage.core.raft.replication import append_own, commit_to, replicate_all
 from kelpstage.core.raft.state import InvariantViolated as ReplicaInvariantViolated
 from kelpstage.core.state.machine import (
     Command,
@@ -322,6 +323,40 @@
     commit_to(replica.state, index=index)
 
 
+def send_one_entry_at_a_time(replica: Replica) -> None:
+    """AppendEntries carries one entry, so that messages end anywhere in the log."""
+    replica.state.timing = dataclasses.replace(replica.state.timing, batch_bytes=1)
+
+
+def change_members(replica: Replica, *, members: list[CoreMember]) -> bool:
+    """Have a leader propose these members, if its rule lets a change begin now."""
+    if membership.is_change_pending(replica.state):
+        return False
+    append_own(replica.state, kind=MEMBERSHIP, data=write_members(members=members))
+    replicate_all(replica.state)
+    return True
+
+
+def patch_change_pending(rule: Callable[[Any], bool]) -> AbstractContextManager:
+    """Another rule of when a change of members has to wait."""
+    return mock.patch.object(membership, "is_change_pending", rule)
+
+
+def patch_commit_any_term() -> AbstractContextManager:
+    """Entries of older terms are committed by counting who has them."""
+
+    def advance(state: Any) -> bool:
+        matches = sorted(
+            state.match_index_of(name=m.replica) for m in state.members.current if m.is_voter
+        )
+        index = matches[(len(matches) - 1) // 2]
+        is_ahead = index > state.commit_index
+        commit_to(state, index=index)
+        return is_ahead
+
+    return mock.patch.object(leadership, "advance_commit_index", advance)
+
+
 def put_off_learners_timeout(replica: Replica) -> None:
     """The election timeout of a replica that may not vote never comes."""
     if not replica.members.is_voter(replica=replica.me):
--- a/proof/model/node.py
+++ b/proof/model/node.py
@@ -139,14 +139,18 @@
         except core.ReplicaInvariantViolated as violated:
             self.world.checks.fail(OWN_ASSERTIONS, f"{self.identity}: {violated}")
         effects = self.world.hooks.after(self, event, effects)
-        for effect in effects:
-            self._perform(effect)
+        self.perform(effects)
         if isinstance(event, core.SnapshotTaken):
             self._snapshot_is_on_disk(index=event.index)
         self.world.checks.stepped(node=self)
         if self.applied - self.replica.log.base_index >= SNAPSHOT_ENTRIES:
             self.take_snapshot()
 
+    def perform(self, effects: list[Any]) -> None:
+        """Do what the replica asks for, in its order."""
+        for effect in effects:
+            self._perform(effect)
+
     def tick(self) -> None:
         """The timer of the process: Raft, waiting orders, and a request for a place."""
         self.take(core.Tick())
--- a/tests/model_mutants.py
+++ b/tests/model_mutants.py
@@ -267,6 +267,28 @@
     return core.patch_majority(lambda names, voters: len(names & voters) * 2 >= len(voters) - 1)
 
 
+class SmallMessages(Hooks):
+    """No fault: AppendEntries carries one entry at a time."""
+
+    def on_start(self, node: Node) -> None:
+        core.send_one_entry_at_a_time(node.replica)
+
+
+def older_term_counted() -> contextlib.AbstractContextManager:
+    """An entry of an older term is committed because a majority has it."""
+    return core.patch_commit_any_term()
+
+
+def change_before_terms_entry() -> contextlib.AbstractContextManager:
+    """A leader changes members before an entry of its term is committed."""
+    return core.patch_change_pending(lambda state: state.members.index > state.commit_index)
+
+
+def changes_side_by_side() -> contextlib.AbstractContextManager:
+    """A leader changes members while a change is under way."""
+    return core.patch_change_pending(lambda state: False)
+
+
 def snapshot_never_found() -> contextlib.AbstractContextManager:
     """A leader offers a snapshot that it does not give."""
     return patched(World, "snapshot_at", lambda *_, **__: None)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -21,6 +21,7 @@
 LOG_ONLY = Scope(machines=3, voters=3, tolerance=1, operators=0, edges=0)
 FIVE = Scope(machines=5, voters=5, tolerance=2)
 WITH_SPARE = Scope(machines=4, voters=3, tolerance=1, edges=3)
+FOUR_AND_ONE = Scope(machines=5, voters=4, operators=0, edges=0)
 SMALL = Scope(machines=3, voters=3, operators=1, edges=0)
 
 
@@ -92,11 +93,12 @@
 class Script:
     """A world in which a test itself says what arrives, and when."""
 
-    def __init__(self, *, hooks: Hooks) -> None:
-        self.world = World(scope=LOG_ONLY, seed=1, hooks=hooks)
+    def __init__(self, *, hooks: Hooks, scope: Scope = LOG_ONLY) -> None:
+        self.world = World(scope=scope, seed=1, hooks=hooks)
         self.world.act(Action("rounds", 100))
         self.leader = self.world.leader()
-        self.near, self.far = [n for n in self.world.nodes.values() if n is not self.leader]
+        self.others = [n for n in self.world.nodes.values() if n is not self.leader]
+        self.near, self.far = self.others[:2]
         self.world.packets.clear()
 
     def cut(self, *nodes: Node) -> None:
@@ -129,6 +131,96 @@
                 self.deliver(source=source, to=to)
                 to.sync(count=9)
 
+    def connect(self, *nodes: Node) -> None:
+        """These hear each other, and nobody else anybody."""
+        names = {node.address for node in nodes}
+        self.world.packets.clear()
+        self.world.cuts = {
+            (one, other)
+            for one in self.world.nodes
+            for other in self.world.nodes
+            if not {one, other} <= names
+        }
+
+    def change(self, node: Node, *, without: Node | None = None, voter: Node | None = None) -> None:
+        """A leader changes members, if it may."""
+        raised = voter.identity if voter is not None else ""
+        members = [
+            core.CoreMember(
+                replica=m.replica, address=m.address, is_voter=m.is_voter or m.replica == raised
+            )
+            for m in core.members_of(node.replica)
+            if without is None or m.replica != without.identity
+        ]
+        core.change_members(node.replica, members=members)
+        node.perform(node.replica.state.take_effects())
+        node.sync(count=9)
+
+    def elect(self, node: Node, *, by: Node, also: Node | None = None) -> None:
+        """A node is elected by the votes of others; what it sends as a leader is lost."""
+        term = max(core.term_of(n.replica) for n in self.world.nodes.values())
+        while core.role_of(node.replica) != core.LEADER or core.term_of(node.replica) <= term:
+            self.world.now_us += 300_000
+            node.tick()
+            self.exchange(node, by, turns=1)
+            if also is not None:
+                self.exchange(node, also, turns=1)
+        self.world.packets.clear()
+
+
+def older_entry(hooks: Hooks) -> None:
+    """The paper's figure 8: an entry of an older term is on a majority, and is replaced."""
+    script = Script(hooks=hooks)
+    first, middle, last = script.leader, script.near, script.far
+    script.cut(first)
+    script.propose()
+    older = first.replica.log.last_index
+    script.world.packets.clear()
+    script.elect(last, by=middle)
+    script.cut(last)
+    script.elect(first, by=middle)
+    while middle.replica.log.last_index < older:
+        script.world.now_us += 100_000
+        first.tick()
+        script.deliver(source=first, to=middle)
+        middle.sync(count=9)
+        script.deliver(source=middle, to=first)
+    script.world.packets.clear()
+    script.cut(first)
+    script.elect(last, by=middle)
+
+
+def change_of_a_new_leader(hooks: Hooks) -> None:
+    """The correction to the thesis: a new leader's change beside one that it never saw."""
+    script = Script(hooks=hooks, scope=FOUR_AND_ONE)
+    first = script.leader
+    newcomer = script.world.nodes["n4"]
+    second, third, fourth = [node for node in script.others if node is not newcomer]
+    script.connect(first, newcomer)
+    script.change(first, voter=newcomer)
+    script.exchange(first, newcomer, turns=3)
+    script.connect(second, third, fourth)
+    script.elect(second, by=third, also=fourth)
+    script.connect(second, third)
+    script.change(second, without=first)
+    for _ in range(4):
+        script.world.now_us += 100_000
+        second.take(core.Tick())
+        script.exchange(second, third, turns=2)
+    script.connect(first, fourth, newcomer)
+    script.elect(first, by=fourth, also=newcomer)
+
+
+def two_changes(hooks: Hooks) -> None:
+    """A leader removes one member, and the next before that is committed."""
+    script = Script(hooks=hooks)
+    first, second, third = script.leader, script.near, script.far
+    script.connect(first)
+    script.change(first, without=second)
+    script.change(first, without=third)
+    script.connect(second, third)
+    script.elect(second, by=third)
+
 
 def late_snapshot(hooks: Hooks) -> None:
     """A snapshot that was offered by one leader arrives after the next one's entries."""
@@ -192,6 +284,26 @@
     def test_append_that_arrives_again_cuts_nothing_off(self) -> None:
         self.check(stale_append, mutants.StaleAppendTruncates(), checks.DURABILITY)
 
+    def test_entry_of_an_older_term_is_not_committed_by_counting(self) -> None:
+        older_entry(mutants.SmallMessages())
+        with mutants.older_term_counted(), self.assertRaises(checks.InvariantViolated) as caught:
+            older_entry(mutants.SmallMessages())
+        self.assertEqual(checks.LEADER_COMPLETENESS, caught.exception.invariant)
+
+    def test_change_of_members_waits_for_an_entry_of_the_term(self) -> None:
+        change_of_a_new_leader(Hooks())
+        fault = mutants.change_before_terms_entry()
+        with fault, self.assertRaises(checks.InvariantViolated) as caught:
+            change_of_a_new_leader(Hooks())
+        self.assertEqual(checks.LEADER_COMPLETENESS, caught.exception.invariant)
+
+    def test_change_of_members_waits_for_the_one_before(self) -> None:
+        two_changes(Hooks())
+        fault = mutants.changes_side_by_side()
+        with fault, self.assertRaises(checks.InvariantViolated) as caught:
+            two_changes(Hooks())
+        self.assertEqual(checks.LEADER_COMPLETENESS, caught.exception.invariant)
+
     def test_new_leader_waits_for_leases_that_the_one_before_gave(self) -> None:
         actions = [
             Action("rounds", 100),
