Model checker: a search can be bounded in time and says what it saw until then

Cause: a search ended by a count of states alone, and one that was stopped from outside said nothing. Behaviour of walks unchanged.

--- a/proof/model/main.py
+++ b/proof/model/main.py
@@ -41,13 +41,14 @@
 def search_command(
     voters: int = typer.Option(3, min=1, max=5, help="Voters; no other machines."),
     depth: int = typer.Option(8, min=1, max=60, help="Actions in a row."),
-    states: int = typer.Option(20_000, min=10, help="Stop when so many states were seen."),
+    states: int = typer.Option(100_000, min=10, help="Stop when so many states were seen."),
     elections: int = typer.Option(2, min=0, help="Election timeouts on one path."),
     orders: int = typer.Option(1, min=0, help="Orders on one path."),
     crashes: int = typer.Option(1, min=0, help="Crashes on one path."),
     drops: int = typer.Option(1, min=0, help="Lost messages on one path."),
     duplicates: int = typer.Option(1, min=0, help="Doubled messages on one path."),
     packets: int = typer.Option(4, min=1, help="Choose among so many of the oldest messages."),
+    seconds: float = typer.Option(120.0, min=1.0, help="Stop after so long."),
     led: bool = typer.Option(False, help="Begin with a leader instead of the founding."),
 ) -> None:
     """Every interleaving to a depth; prints a shortest trace that breaks an invariant."""
@@ -63,6 +64,7 @@
         scope=scope_of(machines=voters, voters=voters, operators=1, edges=0),
         depth=depth,
         states=states,
+        seconds=seconds,
         limits=limits,
         first=(Action("rounds", SETTLED_ROUNDS),) if led else (),
     )
--- a/proof/model/search.py
+++ b/proof/model/search.py
@@ -254,9 +254,10 @@
     first: tuple[Action, ...] = (),
     hooks: Hooks | None = None,
     states: int = 1_000_000,
+    seconds: float = 3_600.0,
 ) -> SearchReport:
     """Every interleaving behind the actions `first`, breadth first, to a depth or until
-    so many states were seen; the first failure found is a shortest one."""
+    so many states were seen or seconds spent; the first failure found is a shortest one."""
     began = time.monotonic()
     world = SearchWorld(scope=scope, seed=0, hooks=hooks)
     for action in first:
@@ -264,20 +265,22 @@
     report = SearchReport(states=1)
     seen = {canonical(world)}
     level = [Branch(world=world)]
-    while level and report.depth < depth and report.states < states:
+    is_over = False
+    while level and report.depth < depth and not is_over:
         following: list[Branch] = []
         for branch in level:
             report.failure = _expand(branch, following, seen, report, limits)
-            if report.failure is not None or report.states >= states:
+            is_over = report.states >= states or time.monotonic() - began > seconds
+            if report.failure is not None or is_over:
                 break
         if report.failure is not None:
             actions = [*first, *report.failure.walk.actions]
             report.failure.walk.actions = actions
             break
-        if report.states < states:
+        if not is_over:
             report.depth += 1
         level = following
-    report.is_complete = not level
+    report.is_complete = not level and not is_over
     report.seconds = time.monotonic() - began
     return report
 
