--- a/kelpstage/core/raft/state.py
+++ b/kelpstage/core/raft/state.py
@@ -11,13 +11,12 @@
 
 import random
 from dataclasses import dataclass, field
-from typing import Any
 
 from kelpstage.base.wire.messages import CoreMember, LogEntry
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.raft.members import MemberList
 from kelpstage.core.raft.pending_writes import PendingWrites
-from kelpstage.core.raft.types import FOLLOWER, LEADER, Persist, Send, Timing
+from kelpstage.core.raft.types import FOLLOWER, LEADER, Effect, Message, Persist, Send, Timing
 
 LONG_AGO_US = -(10**12)
 
@@ -28,7 +27,8 @@
 
 @dataclass(kw_only=True)
 class Progress:
-    """What a leader knows of one other replica."""
+    """What a leader knows of one other replica. A round of catching up (thesis, 4.2.1) ends
+    when the replica holds what was committed when the round began."""
 
     next_index: int
     match_index: int = 0
@@ -37,6 +37,11 @@
     heartbeat: int = 0
     is_probing: bool = True
     is_awaited: bool = False  # entries were sent; nothing has been heard since
+    large_from: int = 0  # the entries of a large message under way
+    large_to: int = 0
+    round_target: int = 0
+    round_began_us: int = 0
+    round_took_us: int | None = None  # the last one that ended
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -95,7 +100,7 @@
     losses_borne: int | None = None
     margin_since_us: int = 0
 
-    effects: list[Any] = field(default_factory=list)
+    effects: list[Effect] = field(default_factory=list)
 
     # --- what is asked in more than one module -----------------------------------------
 
@@ -152,17 +157,22 @@
             return
         names = {member.replica for member in self.members.others(replica=self.me)}
         for name in sorted(names - set(self.progress)):
-            self.progress[name] = Progress(next_index=self.log.last_index + 1, heard_us=self.now_us)
+            self.progress[name] = Progress(
+                next_index=self.log.last_index + 1,
+                heard_us=self.now_us,
+                round_target=self.log.last_index,
+                round_began_us=self.now_us,
+            )
         for name in sorted(set(self.progress) - names):
             del self.progress[name]
 
     # --- effects -------------------------------------------------------------------------
 
-    def emit(self, effect: Any) -> None:
+    def emit(self, effect: Effect) -> None:
         """Add an effect to those of the event."""
         self.effects.append(effect)
 
-    def take_effects(self) -> list[Any]:
+    def take_effects(self) -> list[Effect]:
         """The effects since the last call."""
         taken, self.effects = self.effects, []
         return taken
@@ -182,7 +192,9 @@
         )
         return number
 
-    def send(self, *, to: str, message: Any, is_promise: bool = False, address: str = "") -> None:
+    def send(
+        self, *, to: str, message: Message, is_promise: bool = False, address: str = ""
+    ) -> None:
         """Send to a member, or to one that this replica has not heard of yet; a promise
         only when all that was persisted so far is on disk."""
         member = self.members.get(replica=to)
