--- a/proof/model/sessions.py
+++ b/proof/model/sessions.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import functools
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, Any
 
@@ -18,6 +19,7 @@
 
 ORDER_WAIT_US = 10_000_000
 ACKNOWLEDGED_KEPT = 40
+PADDING = 200  # each second document is long enough to travel as a difference
 
 LOOK_UP, TURN, PROPOSED, SETTLE = "look-up", "turn", "proposed", "settle"
 
@@ -32,7 +34,7 @@
     document: bytes
     put_id: str
 
-    @property
+    @functools.cached_property
     def digest(self) -> bytes:
         """What tells a repeat from another order."""
         return core.order_digest(
@@ -114,7 +116,7 @@
                 operator=self.name,
                 expected=self.known,
                 version=self.known + 1,
-                document=mark.encode(),
+                document=mark.encode() * (1 + self.count % 2 * PADDING),
                 put_id=mark,
             )
         return self.pending
@@ -179,6 +181,8 @@
             return
         if isinstance(call, RenewCall):
             self._note_edge(node=node, call=call)
+        if isinstance(call, OrderCall) and self._is_at_work(node=node, order=call.order):
+            return  # the call joins the work that is under way for the same order
         self._token += 1
         self._work[self._token] = Work(
             address=node.address,
@@ -190,6 +194,14 @@
         )
         node.take(core.ReadIndexRequest(token=self._token))
 
+    def _is_at_work(self, *, node: "Node", order: Order) -> bool:
+        return any(
+            work.ledger is node.ledger
+            and isinstance(work.call, OrderCall)
+            and work.call.order.digest == order.digest
+            for work in self._work.values()
+        )
+
     def _note_edge(self, *, node: "Node", call: RenewCall) -> None:
         core.ledger_hears(
             node.ledger,
@@ -249,6 +261,9 @@
             self._decided(node=node, token=token, work=work, outcome=outcome)
             return
         current = node.machine.state.version
+        if order.expected > current:
+            self._refuse_by_log(node=node, token=token, work=work)
+            return
         refusal = core.refusal_of_base(
             expected=order.expected, version=order.version, current=current
         )
@@ -272,6 +287,19 @@
             expected=order.expected,
             version=order.version,
             document=order.document,
+            state=state,
+        )
+        node.take(core.Propose(kind=core.COMMAND, data=data, token=token))
+
+    def _refuse_by_log(self, *, node: "Node", token: int, work: Work) -> None:
+        """Have the state machine refuse an order on a version to come."""
+        order = work.call.order
+        work.stage = PROPOSED
+        data = core.refusal_bytes(
+            put_id=order.put_id,
+            expected=order.expected,
+            version=order.version,
+            digest=order.digest,
         )
         node.take(core.Propose(kind=core.COMMAND, data=data, token=token))
 
@@ -282,6 +310,9 @@
             self._decided(node=node, token=token, work=work, outcome=outcome)
 
     def _decided(self, *, node: "Node", token: int, work: Work, outcome: Any) -> None:
+        if core.is_unclear(outcome):
+            del self._work[token]
+            return
         if core.is_refusal(outcome):
             self._refuse(node=node, token=token, work=work)
             return
--- a/proof/model/world.py
+++ b/proof/model/world.py
@@ -21,6 +21,7 @@
 RENEW_US = 400_000
 BAG_LIMIT = 600
 CATCH_UP_US = 5_000_000  # of undisturbed time; a replaced machine counts as repaired after it
+HEARD_AGAIN_US = 500_000  # of undisturbed time; the leader has heard every member since
 SILENCE_US = 1_500_000
 STEPS_US = (1_000, 20_000, 100_000, 400_000, 1_700_000, 3_000_000)
 
@@ -64,6 +65,22 @@
     member: core.CoreMember
 
 
+@dataclass(frozen=True, kw_only=True)
+class LeaveCall:
+    """A replica is about to stop for good and asks whether it may."""
+
+    replica: str
+    term: int
+    last_index: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaveAnswer:
+    """It may."""
+
+    replica: str
+
+
 class World:
     """The modelled system.
 
@@ -80,18 +97,27 @@
         self.steps = 0
         self.packets: deque[Packet] = deque()
         self.cuts: set[tuple[str, str]] = set()
+        self.muted: set[str] = set()  # edges that are cut off
         self.lost: set[str] = set()
         self.calm_us = 0
         self.checks = Checks(world=self)
         self.sessions = Sessions(world=self, operators=scope.operators, edges=scope.edges)
         self.nodes: dict[str, Node] = {}
-        self._actions = self._action_table()
+        self.bind_actions()
         self._found()
 
+    def bind_actions(self) -> None:
+        """Have the actions' names stand for this world's own methods."""
+        self._actions = self._action_table()
+
     def random_for(self, *, name: str) -> random.Random:
         """The generator of one life of one replica."""
         return seeded(seed=self.seed, name=name)
 
+    def make_ledger(self) -> core.Ledger:
+        """The ledger of a leader that was elected now."""
+        return core.Ledger(since_us=self.now_us)
+
     def _found(self) -> None:
         names = [f"n{i}" for i in range(self.scope.machines)]
         founders = names[: self.scope.voters]
@@ -116,6 +142,49 @@
         for node in self.nodes.values():
             node.start()
 
+    # --- members that come and go ---------------------------------------------------
+
+    def ask_place(self, *, node: Node) -> None:
+        """A replica asks every other machine for its place."""
+        member = core.CoreMember(replica=node.identity, address=node.address)
+        self._send_to_all(source=node.address, body=JoinCall(member=member))
+
+    def ask_to_leave(self, *, node: Node) -> None:
+        """A replica that is about to stop asks whether it may; a leader hands over first."""
+        if core.role_of(node.replica) == core.LEADER:
+            node.take(core.TransferLeadership())
+            return
+        call = LeaveCall(
+            replica=node.identity,
+            term=core.term_of(node.replica),
+            last_index=node.replica.log.last_index,
+        )
+        self._send_to_all(source=node.address, body=call)
+
+    def _send_to_all(self, *, source: str, body: Any) -> None:
+        for address in self.nodes:
+            if address != source:
+                self.send(source=source, to=address, body=body)
+
+    def _take_leave_call(self, *, node: Node, source: str, call: LeaveCall) -> None:
+        if core.role_of(node.replica) != core.LEADER:
+            return
+        node.take(core.LeaveRequest(replica=call.replica))
+        if core.may_leave(
+            node.replica, leaving=call.replica, term=call.term, last_index=call.last_index
+        ):
+            self.send(source=node.address, to=source, body=LeaveAnswer(replica=call.replica))
+
+    def _take_leave_answer(self, *, node: Node, answer: LeaveAnswer) -> None:
+        """The member is gone for good, and its disk with it; another comes in its place."""
+        if not node.is_leaving or node.identity != answer.replica:
+            return
+        self.lost.add(node.address)
+        node.replace_disk()
+        self.sessions.node_ended(node=node)
+        self.checks.disks_changed()
+        node.start()
+
     # --- the network ---------------------------------------------------------------
 
     def send(self, *, source: str, to: str, body: Any) -> None:
@@ -124,16 +193,12 @@
         if len(self.packets) > BAG_LIMIT:
             self.packets.popleft()
 
-    def ask_place(self, *, node: Node) -> None:
-        """A replica asks every other machine for its place."""
-        member = core.CoreMember(replica=node.identity, address=node.address)
-        for address in self.nodes:
-            if address != node.address:
-                self.send(source=node.address, to=address, body=JoinCall(member=member))
-
-    def _deliver(self, packet: Packet) -> None:
+    def deliver(self, packet: Packet) -> None:
+        """A packet arrives, unless its way is cut or nobody is there."""
         if (packet.source, packet.to) in self.cuts:
             return
+        if {packet.source, packet.to} & self.muted:
+            return
         node = self.nodes.get(packet.to)
         if node is None:
             self.sessions.hear(name=packet.to, body=packet.body)
@@ -147,6 +212,12 @@
             if core.role_of(node.replica) == core.LEADER:
                 node.take(core.JoinRequest(member=packet.body.member))
             return
+        if isinstance(packet.body, LeaveCall):
+            self._take_leave_call(node=node, source=packet.source, call=packet.body)
+            return
+        if isinstance(packet.body, LeaveAnswer):
+            self._take_leave_answer(node=node, answer=packet.body)
+            return
         if packet.source in self.nodes:
             node.take(core.Received(message=packet.body))
             return
@@ -159,7 +230,7 @@
             return None
         if {(reader.address, address), (address, reader.address)} & self.cuts:
             return None
-        return node.shown if node.shown.index == index else None
+        return node.shown if node.shown.index >= index else None
 
     # --- what can be asked of it -------------------------------------------------------
 
@@ -205,18 +276,21 @@
             "snapshot": self._act_snapshot,
             "fetch": self._act_fetch,
             "transfer": self._act_transfer,
+            "leave": self._act_leave,
             "order": self._act_order,
             "repeat": self._act_repeat,
             "read": self._act_read,
             "renew": self._act_renew,
             "restart_edge": self._act_restart_edge,
+            "mute": self._act_mute,
+            "fill": self._act_fill,
             "rounds": self._act_rounds,
             "busy": self._act_busy,
         }
 
     def _act_deliver(self, a: int, b: int) -> None:
         if self.packets:
-            self._deliver(self._take_packet(a))
+            self.deliver(self._take_packet(a))
 
     def _take_packet(self, place: int) -> Packet:
         place %= len(self.packets)
@@ -230,7 +304,7 @@
 
     def _act_duplicate(self, a: int, b: int) -> None:
         if self.packets:
-            self._deliver(self.packets[a % len(self.packets)])
+            self.deliver(self.packets[a % len(self.packets)])
 
     def _act_tick(self, a: int, b: int) -> None:
         node = self.node_at(a)
@@ -287,7 +361,7 @@
     def _note_repairs(self) -> None:
         """Lost machines count as repaired when all voters are there again with all that
         is committed, or after an undisturbed while, whatever the system made of it."""
-        if self.lost and (self.calm_us >= CATCH_UP_US or self._is_whole()):
+        if self.calm_us >= CATCH_UP_US or (self.calm_us >= HEARD_AGAIN_US and self._is_whole()):
             self.lost.clear()
 
     def _is_whole(self) -> bool:
@@ -360,6 +434,14 @@
         if node.runs:
             node.take(core.TransferLeadership())
 
+    def _act_leave(self, a: int, b: int) -> None:
+        """A planned stop, begun only while nothing is lost."""
+        node = self.node_at(a)
+        self._note_repairs()
+        if node.runs and not self.lost:
+            self.lost.add(node.address)
+            node.is_leaving = True
+
     def _act_order(self, a: int, b: int) -> None:
         if not self.sessions.operators:
             return
@@ -373,7 +455,7 @@
             return
         operator = self.sessions.operators[f"op{a % self.scope.operators}"]
         if operator.acknowledged:
-            order = operator.acknowledged[b // 8 % len(operator.acknowledged)]
+            order = operator.acknowledged[b // len(self.nodes) % len(operator.acknowledged)]
             self.send(source=operator.name, to=self.node_at(b).address, body=OrderCall(order=order))
 
     def _act_read(self, a: int, b: int) -> None:
@@ -389,6 +471,17 @@
         if self.sessions.edges:
             self.sessions.restart_edge(edge=self.sessions.edges[f"e{a % self.scope.edges}"])
 
+    def _act_mute(self, a: int, b: int) -> None:
+        """An edge is cut off from all cores, or no longer so."""
+        if self.sessions.edges:
+            self.muted ^= {f"e{a % self.scope.edges}"}
+
+    def _act_fill(self, a: int, b: int) -> None:
+        """The leader's log grows by `a` entries that change no state."""
+        leader = self.leader()
+        for _ in range(a if leader is not None else 0):
+            leader.take(core.Propose(kind=core.NOOP, data=b"", token=0))
+
     def _act_rounds(self, a: int, b: int) -> None:
         """Rounds in which all that travels arrives, all disks sync and all clocks tick."""
         for _ in range(a):
@@ -409,7 +502,7 @@
         is_whole = not self.cuts and all(node.runs for node in self.nodes.values())
         self.calm_us = self.calm_us + ROUND_US if is_whole else 0
         for _ in range(len(self.packets)):
-            self._deliver(self.packets.popleft())
+            self.deliver(self.packets.popleft())
         for node in self.nodes.values():
             if not node.runs:
                 continue
@@ -426,4 +519,4 @@
                 self.sessions.renew(edge=edge, to=leader.address)
 
 
-CALM_ACTIONS = frozenset({"rounds", "busy", "order", "repeat", "read", "renew", "snapshot"})
+CALM_ACTIONS = frozenset({"rounds", "busy", "order", "repeat", "read", "renew", "snapshot", "fill"})
