--- a/tests/test_store_planted_faults.py
+++ b/tests/test_store_planted_faults.py
@@ -24,6 +24,7 @@
 REMOVED = ("PowerLoss", "test_removed_segments_that_stay_one_by_one_harm_nothing")
 REPORTS = ("Reports", "test_nothing_is_reported_before_it_is_synced")
 CORES = ("AllLosePower", "test_after_any_change")
+INSTALLING = ("AllLosePower", "test_while_a_snapshot_is_installed")
 FAILED_SYNC = ("PowerLoss", "test_a_sync_that_fails_once")
 FLIPPED = ("Damage", "test_every_byte_flipped")
 CUT_OFF = ("Damage", "test_every_length_cut_off")
@@ -163,6 +164,10 @@
         REPORTS,
     ),
     "a core's records are not synced": (lambda: disk_skips("sync", where=is_segment), CORES),
+    "a core does not finish a snapshot that was cut off": (
+        lambda: mock.patch.object(store_module, "is_to_begin_anew", is_last_empty),
+        INSTALLING,
+    ),
     "a segment's name is not synced": (
         lambda: disk_skips("sync_folder", where=lambda folder: folder == LOG_FOLDER),
         PREFIXES,
