Replication: a large message counts as lost after a time by its size, not after a second

Cause: a large message that was written to a connection whose other end had lost power goes with that connection, and nothing further went to the replica for a second. With two voters left that is a second without a commit: a wiped core was raised later than the 4 s in which it counts as made good. Now it is 0.3 s and what the bytes take at 0.5 MB/s.

--- a/kelpstage/core/raft/replication.py
+++ b/kelpstage/core/raft/replication.py
@@ -23,6 +23,7 @@
     Commit,
     Removed,
     is_large,
+    size_of,
 )
 
 # An entry that was sent and not answered is sent again with a heartbeat after so many.
@@ -92,7 +93,7 @@
         progress.sent_us = state.now_us
         progress.is_awaited = True
         if is_large(entries):
-            progress.large_from, progress.large_to = entries[0].index, entries[-1].index
+            _note_large(state, progress=progress, entries=entries)
         if not progress.is_probing:
             progress.next_index = entries[-1].index + 1
     state.send(
@@ -118,7 +119,14 @@
     what is known to match: a replica would else refuse it, and be sent all of it again."""
     if progress.large_to <= progress.match_index:
         return False
-    return state.now_us - progress.sent_us <= state.timing.large_lost_us
+    return state.now_us <= progress.large_until_us
+
+
+def _note_large(state: RaftState, *, progress: Progress, entries: list[LogEntry]) -> None:
+    """Remember what is under way, and until when it may be."""
+    progress.large_from, progress.large_to = entries[0].index, entries[-1].index
+    transfer_us = int(size_of(entries) / state.timing.large_bytes_per_us)
+    progress.large_until_us = state.now_us + state.timing.large_lost_us + transfer_us
 
 
 def _may_send_entries(progress: Progress) -> bool:
--- a/kelpstage/core/raft/state.py
+++ b/kelpstage/core/raft/state.py
@@ -39,6 +39,7 @@
     is_awaited: bool = False  # entries were sent; nothing has been heard since
     large_from: int = 0  # the entries of a large message under way
     large_to: int = 0
+    large_until_us: int = 0  # from then on it counts as lost
     round_target: int = 0
     round_began_us: int = 0
     round_took_us: int | None = None  # the last one that ended
--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -44,7 +44,8 @@
     wake_high_us: int = 500_000
     sync_limit_us: int = 1_500_000
     batch_bytes: int = 256_000
-    large_lost_us: int = 1_000_000  # unanswered for so long, a large message is sent again
+    large_lost_us: int = 300_000  # unanswered for so long, a large message is sent again,
+    large_bytes_per_us: float = 0.5  # and for what its bytes take at this rate
 
 
 # --- events --------------------------------------------------------------------
@@ -277,10 +278,19 @@
 )
 
 
+def size_of(entries: list[LogEntry]) -> int:
+    """The bytes of the entries' data.
+
+    >>> size_of([LogEntry(data=b"ab"), LogEntry(data=b"c")])
+    3
+    """
+    return sum(len(entry.data) for entry in entries)
+
+
 def is_large(entries: list[LogEntry]) -> bool:
     """Do these entries go by the connection for large messages?
 
     >>> is_large([LogEntry(data=bytes(LARGE_BYTES))]), is_large([LogEntry(data=b"x" * 70_000)])
     (False, True)
     """
-    return sum(len(entry.data) for entry in entries) > LARGE_BYTES
+    return size_of(entries) > LARGE_BYTES
--- a/tests/test_worst_days.py
+++ b/tests/test_worst_days.py
@@ -162,6 +162,50 @@
                 )
 
 
+def losses_of(*, seed: int, turns: int) -> Callable[[Cores], Awaitable[None]]:
+    """A loss each time that the one before counts as made good."""
+
+    async def story(cores: Cores) -> None:
+        rand = random.Random(f"{seed}/wipes")
+        await cores.start(is_first=True)
+        await cores.wait_for(lambda: len(cores.voters()) == 3)
+        changes = Changes(cores, seed=seed)
+        await cores.sleep(6_000_000)
+        for turn in range(turns):
+            kind = rand.choice(("wipe", "wipe", "replace", "power"))
+            await changes.go_on(after=f"turn {turn}")
+            name = rand.choice([cores.leader() or cores.names[0], *cores.names])
+            if kind == "replace":
+                await replace(cores, gone=name, fresh=f"c{turn + 3}")
+            else:
+                away_us = rand.choice((300_000, 1_500_000, 3_000_000))
+                await lose_and_return(cores, name=name, away_us=away_us, is_disk=kind == "wipe")
+            await cores.sleep(CATCH_UP_US)
+            expect_all_voters(cores, after=f"turn {turn}: {kind} of {name}")
+        await changes.go_on(after="the last loss")
+        await changes.end()
+        cores.kill(rand.choice(cores.names), is_disk=True)
+        cores.kill(*cores.up(), is_power=True)
+        await cores.sleep(1_000_000)
+        await cores.start()
+        await changes.register.read(rand)
+
+    return story
+
+
+class OneLossAfterTheOther(unittest.TestCase):
+    def test_each_is_made_good_in_time(self) -> None:
+        for seed in (9, 11):
+            with self.subTest(seed=seed):
+                play(
+                    losses_of(seed=seed, turns=8),
+                    seed=seed,
+                    count=3,
+                    tolerance=1,
+                    far_bytes_per_us=FAR_BYTES_PER_US,
+                )
+
+
 class Return(unittest.TestCase):
     """A member that was away for long is heard and told again as soon as it is back: no
     connection from before is waited for."""
