--- a/kelpstage/core/__init__.py
+++ b/kelpstage/core/__init__.py
@@ -0,0 +1,1 @@
+"""The core daemon: replicated log, leases of edges, operators' HTTP."""
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -288,6 +288,7 @@
     # --- edges heard of -----------------------------------------------------------------------
 
     def meet(self, *, contact: EdgeContact) -> None:
+        """Remember where an edge is that another process told of."""
         if not contact.name:
             return  # told before
         self._contacts[contact.name] = (self.ports.clock.now_us(), contact)
@@ -305,6 +306,7 @@
         return self.ports.rand.sample(partners, SOME_CONTACTS)
 
     def core_addresses(self) -> list[str]:
+        """Addresses of all members; none before this core is one."""
         return [m.address for m in self.task.raft.members.current] if self.task else []
 
     # --- end ----------------------------------------------------------------------------------
--- a/kelpstage/core/events.py
+++ b/kelpstage/core/events.py
@@ -9,27 +9,37 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Started(Event):
+    """The daemon runs, under this replica name."""
+
     replica: str
 
 
 @dataclass(frozen=True, kw_only=True)
 class Founded(Event):
+    """A new cluster was founded on this disk."""
+
     cluster: str
 
 
 @dataclass(frozen=True, kw_only=True)
 class JoinedCluster(Event):
+    """This core was admitted to a cluster."""
+
     cluster: str
 
 
 @dataclass(frozen=True, kw_only=True)
 class RoleTaken(Event):
+    """The replica changed its Raft role."""
+
     role: str
     term: int
 
 
 @dataclass(frozen=True, kw_only=True)
 class MembersChanged(Event):
+    """The cluster has other members: their addresses."""
+
     members: list
 
 
@@ -52,6 +62,8 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PutDecided(Event):
+    """The log decided an order."""
+
     put_id: str
     outcome: str
     version: int
@@ -59,17 +71,23 @@
 
 @dataclass(frozen=True, kw_only=True)
 class EpochSettled(Event):
+    """No edge can serve an older epoch any more, `after_us` after its proposal."""
+
     epoch: int
     after_us: int
 
 
 @dataclass(frozen=True, kw_only=True)
 class RosterChanged(Event):
+    """The membership of edges changed: their names."""
+
     roster: list
 
 
 @dataclass(frozen=True, kw_only=True)
 class SnapshotKept(Event):
+    """A snapshot up to this log index is on disk."""
+
     index: int
 
 
@@ -90,6 +108,8 @@
 
 @dataclass(frozen=True, kw_only=True)
 class DiskFailed(Event):
+    """An operation on the disk failed; the replica is built anew from the disk."""
+
     path: str
     op: str
     why: str
@@ -97,5 +117,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class SetAside(Event):
+    """A damaged replica was set aside; this core comes back under a new name."""
+
     path: str
     why: str
--- a/kelpstage/core/founding.py
+++ b/kelpstage/core/founding.py
@@ -42,6 +42,8 @@
 
 @dataclass(frozen=True, kw_only=True)
 class FoundNow:
+    """This core founds the cluster, with these members."""
+
     members: list[CoreMember]
 
 
--- a/kelpstage/core/grants/__init__.py
+++ b/kelpstage/core/grants/__init__.py
@@ -0,0 +1,1 @@
+"""Leases of edges, and the orders that wait for them."""
--- a/kelpstage/core/grants/lease_service.py
+++ b/kelpstage/core/grants/lease_service.py
@@ -70,6 +70,7 @@
     # --- told by the replica's task ---------------------------------------------------
 
     def took_lead(self) -> None:
+        """Begin with a ledger that knows of no lease yet."""
         self.ledger = Ledger(since_us=self._ports.clock.now_us())
 
     def applied(self) -> None:
--- a/kelpstage/core/grants/ledger.py
+++ b/kelpstage/core/grants/ledger.py
@@ -82,6 +82,7 @@
         return True
 
     def grant(self, *, edge: str, epoch: int, now_us: int) -> None:
+        """Note that an edge got a lease for an epoch, now."""
         holder = self._holders.setdefault(edge, Holder())
         oldest = now_us - GRANT_SPAN_US - GRANT_MARGIN_US
         holder.grants = [grant for grant in holder.grants if grant[1] > oldest]
@@ -129,6 +130,7 @@
         return not self.behind(epoch=epoch, roster=others, now_us=now_us)
 
     def heard_lately(self, *, roster: list[str], now_us: int) -> list[str]:
+        """The edges of a membership that were heard within the span of a lease."""
         return [
             edge
             for edge in roster
@@ -142,6 +144,7 @@
         return len(self.heard_lately(roster=roster, now_us=now_us)) * 2 > len(roster)
 
     def holder(self, *, edge: str) -> Holder | None:
+        """What is known of an edge; None if it was never heard."""
         return self._holders.get(edge)
 
     def contacts(self, *, now_us: int) -> list[EdgeContact]:
@@ -160,6 +163,7 @@
     # --- what an edge need not be told again ------------------------------------------
 
     def note_cores(self, *, cores: list[str]) -> None:
+        """Note the addresses of the cores, which edges are told when they change."""
         if cores != self._cores:
             self._changes += 1
             self._cores, self._cores_changed_at = list(cores), self._changes
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -41,6 +41,7 @@
 
 @singledispatch
 async def handle(message: Any, core: Any, source: str) -> Any:
+    """Answer a message of another process; None where none is due."""
     core.counts["line_unexpected_message"] += 1
     return None
 
--- a/kelpstage/core/main.py
+++ b/kelpstage/core/main.py
@@ -46,6 +46,7 @@
 
 
 def run() -> None:
+    """The entry point of `kelpc`."""
     app()
 
 
--- a/kelpstage/core/raft/__init__.py
+++ b/kelpstage/core/raft/__init__.py
@@ -0,0 +1,1 @@
+"""Raft, plain: events in, effects out."""
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -130,6 +130,7 @@
         ]
 
     def stop(self) -> None:
+        """End the tasks; nothing is answered any more."""
         for task in self._tasks:
             task.cancel()
 
@@ -137,10 +138,12 @@
 
     @property
     def is_leader(self) -> bool:
+        """Does this replica lead, as far as it knows?"""
         return self.raft.role == raft.LEADER
 
     @property
     def leader_address(self) -> str:
+        """Where the leader is, as far as this replica knows; empty if it knows none."""
         if self.is_leader:
             return self._own
         if not self.raft.leader:
@@ -168,6 +171,7 @@
         return outcome or NoLeader(why="no majority of cores confirmed the leader in time")
 
     def heard(self, *, message: Any) -> None:
+        """Queue a Raft message for the replica."""
         self.inbox.put_nowait(raft.Received(message=message))
 
     # --- the task ------------------------------------------------------------------------
--- a/kelpstage/core/state/__init__.py
+++ b/kelpstage/core/state/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated state machine."""
--- a/kelpstage/core/state/machine.py
+++ b/kelpstage/core/state/machine.py
@@ -28,6 +28,8 @@
 
 @dataclass
 class PutBlueprint(bp.Message):
+    """An order: replace the document of version `expected` by this one."""
+
     put_id: str = bp.string_field(1)
     expected: int = bp.uint64_field(2)
     document: bytes = bp.bytes_field(3)
@@ -75,17 +77,23 @@
 
 @dataclass
 class AddEdge(bp.Message):
+    """Edges join the membership."""
+
     edge: str = bp.string_field(1)
     more: List[str] = bp.string_field(2)  # that join together with it
 
 
 @dataclass
 class RemoveEdge(bp.Message):
+    """An edge leaves the membership."""
+
     edge: str = bp.string_field(1)
 
 
 @dataclass
 class Command(bp.Message):
+    """What one log entry does to the state."""
+
     put: PutBlueprint = bp.message_field(1, group="what")
     add: AddEdge = bp.message_field(2, group="what")
     remove: RemoveEdge = bp.message_field(3, group="what")
@@ -108,6 +116,8 @@
 
 @dataclass
 class CoreState(bp.Message):
+    """The replicated state, as snapshots hold it."""
+
     cluster: str = bp.string_field(1)
     epoch: int = bp.uint64_field(2)
     version: int = bp.uint64_field(3)
@@ -122,6 +132,8 @@
 
 @dataclass(frozen=True, kw_only=True)
 class PutApplied:
+    """The order was taken, as this version and epoch."""
+
     version: int
     epoch: int
 
@@ -161,6 +173,8 @@
 
 @dataclass(frozen=True, kw_only=True)
 class RosterSet:
+    """The membership of edges was changed, under this epoch."""
+
     epoch: int
 
 
--- a/kelpstage/core/web/__init__.py
+++ b/kelpstage/core/web/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' HTTP."""
