--- a/kelpstage/base/blueprint/check.py
+++ b/kelpstage/base/configuration/check.py
@@ -1,4 +1,4 @@
-"""Reading and judging of blueprints: whole, with every fault's path.
+"""Reading and judging of configurations: whole, with every fault's path.
 
 The core refuses a put by this module, `kelpctl check` judges offline by it, and
 the edges read by it what the core accepted.
@@ -11,12 +11,12 @@
 
 import trafaret as t
 
-from kelpstage.base.blueprint.forward import read_forward, read_services
-from kelpstage.base.blueprint.types import (
+from kelpstage.base.configuration.forward import read_forward, read_services
+from kelpstage.base.configuration.types import (
     Backend,
-    Blueprint,
     CallerLimits,
     Collection,
+    Configuration,
     ForwardRoute,
     ForwardTable,
     Route,
@@ -25,7 +25,7 @@
     Shard,
     is_match,
 )
-from kelpstage.base.defects import BlueprintRefused, Fault
+from kelpstage.base.defects import ConfigurationRefused, Fault
 from kelpstage.base.wire.address import is_address
 
 DOCUMENT_LIMIT = 4 * 1024 * 1024
@@ -161,7 +161,7 @@
     raise ValueError(f"{name} is not JSON")
 
 
-def load_json(*, data: bytes, limit: int = DOCUMENT_LIMIT) -> Any | BlueprintRefused:
+def load_json(*, data: bytes, limit: int = DOCUMENT_LIMIT) -> Any | ConfigurationRefused:
     """Read strict JSON: UTF-8, no double keys, no NaN.
 
     >>> load_json(data=b'{"a":1,"a":2}').faults[0].why
@@ -177,22 +177,22 @@
         return _refused(path="(whole)", why=f"not JSON: {error}")
 
 
-def _refused(*, path: str, why: str) -> BlueprintRefused:
-    return BlueprintRefused(faults=[Fault(path=path, why=why)])
+def _refused(*, path: str, why: str) -> ConfigurationRefused:
+    return ConfigurationRefused(faults=[Fault(path=path, why=why)])
 
 
 def _selector(raw: dict) -> Selector:
     return {n: (v,) if isinstance(v, str) else tuple(v) for n, v in raw.items()}
 
 
-def read_blueprint(*, data: bytes, version: int) -> Blueprint | BlueprintRefused:
-    """Read and judge a whole blueprint.
+def read_configuration(*, data: bytes, version: int) -> Configuration | ConfigurationRefused:
+    """Read and judge a whole configuration.
 
-    >>> read_blueprint(data=b"{}", version=1).faults[0]
+    >>> read_configuration(data=b"{}", version=1).faults[0]
     Fault(path='backends', why='is required')
     """
     raw = load_json(data=data)
-    if isinstance(raw, BlueprintRefused):
+    if isinstance(raw, ConfigurationRefused):
         return raw
     has_forward = isinstance(raw, dict) and "forward" in raw
     faults: list[Fault] = []
@@ -212,10 +212,12 @@
         forward, found = read_forward(raw=raw["forward"], services=named)
         faults += found
     if faults:
-        return BlueprintRefused(faults=faults)
-    blueprint = _build(form=form, data=data, version=version, services=services, forward=forward)
-    faults = _judge(blueprint=blueprint, form=form)
-    return BlueprintRefused(faults=faults) if faults else blueprint
+        return ConfigurationRefused(faults=faults)
+    configuration = _build(
+        form=form, data=data, version=version, services=services, forward=forward
+    )
+    faults = _judge(configuration=configuration, form=form)
+    return ConfigurationRefused(faults=faults) if faults else configuration
 
 
 def _build(
@@ -225,7 +227,7 @@
     version: int,
     services: dict[str, Service],
     forward: dict[str, ForwardRoute],
-) -> Blueprint:
+) -> Configuration:
     backends = {
         name: Backend(name=name, address=raw.get("address"), labels=raw["labels"])
         for name, raw in sorted(form.get("backends", {}).items())
@@ -273,7 +275,7 @@
         collections[route.name] = _collection_of(route=route, shards=shards_of[names])
         routes[route.name] = _route_of(route=route)
     limits = form.get("limits")
-    return Blueprint(
+    return Configuration(
         version=version,
         document=data,
         backends=backends,
@@ -312,28 +314,30 @@
     )
 
 
-def _judge(*, blueprint: Blueprint, form: dict) -> list[Fault]:
+def _judge(*, configuration: Configuration, form: dict) -> list[Fault]:
     faults = [
         Fault(path=f"forward.{name}", why="the name of a collection")
-        for name in blueprint.forward
+        for name in configuration.forward
         if name in form.get("collections", {}) or name in form.get("routes", {})
     ]
-    for collection in blueprint.collections.values():
+    for collection in configuration.collections.values():
         if collection.codec == RECORDS:
             continue  # made from a forward route, judged there
-        faults += _judge_collection(blueprint=blueprint, collection=collection, form=form)
+        faults += _judge_collection(configuration=configuration, collection=collection, form=form)
     for name in form.get("routes", {}):
-        faults += _judge_route(blueprint=blueprint, route=blueprint.routes[name])
+        faults += _judge_route(configuration=configuration, route=configuration.routes[name])
     return faults
 
 
-def _judge_collection(*, blueprint: Blueprint, collection: Collection, form: dict) -> list[Fault]:
+def _judge_collection(
+    *, configuration: Configuration, collection: Collection, form: dict
+) -> list[Fault]:
     path = f"collections.{collection.name}"
     faults: list[Fault] = []
     if not collection.shards:
         faults.append(Fault(path=f"{path}.shards", why="names no shard"))
     if "gatherers" in form["collections"][collection.name]:
-        faults += _judge_gatherers(blueprint=blueprint, collection=collection, path=path)
+        faults += _judge_gatherers(configuration=configuration, collection=collection, path=path)
     cuts = sorted({shard.cut for shard in collection.shards.values()})
     if len(cuts) > 1:
         faults.append(Fault(path=f"{path}.shards", why=f"two cuts in one collection: {cuts}"))
@@ -342,27 +346,29 @@
         if not shard.selector:
             faults.append(Fault(path=at, why="empty selector"))
             continue
-        if not blueprint.backends_of(collection=collection.name, shard=shard.name):
+        if not configuration.backends_of(collection=collection.name, shard=shard.name):
             faults.append(Fault(path=at, why="picks no backend"))
     return faults
 
 
-def _judge_gatherers(*, blueprint: Blueprint, collection: Collection, path: str) -> list[Fault]:
+def _judge_gatherers(
+    *, configuration: Configuration, collection: Collection, path: str
+) -> list[Fault]:
     if not collection.gatherers:
         return [Fault(path=f"{path}.gatherers", why="empty selector")]
     if set(collection.gatherers) <= {"name", "domain"}:
         return []
     if any(
         is_match(selector=collection.gatherers, labels={**labels, "name": name})
-        for name, labels in blueprint.nodes.items()
+        for name, labels in configuration.nodes.items()
     ):
         return []
     return [Fault(path=f"{path}.gatherers", why="picks no node")]
 
 
-def _judge_route(*, blueprint: Blueprint, route: Route) -> list[Fault]:
+def _judge_route(*, configuration: Configuration, route: Route) -> list[Fault]:
     path = f"routes.{route.collection}"
-    collection = blueprint.collections.get(route.collection)
+    collection = configuration.collections.get(route.collection)
     if collection is None:
         return [Fault(path=path, why="unknown collection")]
     faults: list[Fault] = []
--- a/kelpstage/base/blueprint/forward.py
+++ b/kelpstage/base/configuration/forward.py
@@ -9,7 +9,7 @@
 import math
 from typing import Any
 
-from kelpstage.base.blueprint.types import ForwardRoute, Service, host_key
+from kelpstage.base.configuration.types import ForwardRoute, Service, host_key
 from kelpstage.base.defects import Fault
 
 NAME_LIMIT = 128
--- a/kelpstage/base/blueprint/types.py
+++ b/kelpstage/base/configuration/types.py
@@ -1,4 +1,4 @@
-"""Blueprints as the daemons use them: labels, collections, routes."""
+"""Configurations as the daemons use them: labels, collections, routes."""
 
 from __future__ import annotations
 
@@ -154,7 +154,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Blueprint:
+class Configuration:
     """A whole configuration under its version.
 
     >>> EMPTY.version, EMPTY.route(collection="x")
@@ -197,4 +197,4 @@
         return is_match(selector=self.collections[collection].gatherers, labels=labels)
 
 
-EMPTY = Blueprint(version=0, document=b"")
+EMPTY = Configuration(version=0, document=b"")
--- a/kelpstage/base/defects.py
+++ b/kelpstage/base/defects.py
@@ -162,7 +162,7 @@
     status: ClassVar[int] = 503
     retry_after_s: ClassVar[int | None] = 1
     collection: str
-    blueprint: int
+    configuration: int
     shards_in: int
     quorum: int
     missing: list = field(default_factory=list)
@@ -295,14 +295,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Fault(Defect):
-    """One thing wrong in a blueprint or env, with its path."""
+    """One thing wrong in a configuration or env, with its path."""
 
     path: str
     why: str
 
 
 @dataclass(frozen=True, kw_only=True)
-class BlueprintRefused(Defect):
+class ConfigurationRefused(Defect):
     status: ClassVar[int] = 422
     faults: list
 
@@ -381,7 +381,7 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class NoBlueprint(Defect):
+class NoConfiguration(Defect):
     status: ClassVar[int] = 404
     why: str
 
--- a/kelpstage/base/env/bounds.py
+++ b/kelpstage/base/env/bounds.py
@@ -20,7 +20,7 @@
 
     drain_us: int = 3_000_000  # from the news that a backend leaves to the last request there
     apply_us: int = 3_000_000  # from a put's verdict to the last request under an older one
-    revert_us: int = 250_000  # from a request under a new blueprint to the last under the old
+    revert_us: int = 250_000  # from a request under a new configuration to the last under the old
     touch_us: int = 4_000_000  # how long a machine is up and in reach before it is counted on
     grace_us: int = 6_000_000  # from the request to stop to the end of a process
     recovery_us: int = 12_000_000  # from the return of the machines to service
--- a/kelpstage/base/env/read.py
+++ b/kelpstage/base/env/read.py
@@ -7,8 +7,8 @@
 
 import trafaret as t
 
-from kelpstage.base.blueprint.check import ADDRESS, NAME, flatten, load_json
-from kelpstage.base.defects import BlueprintRefused, EnvRefused, Fault
+from kelpstage.base.configuration.check import ADDRESS, NAME, flatten, load_json
+from kelpstage.base.defects import ConfigurationRefused, EnvRefused, Fault
 from kelpstage.base.env.bounds import judge_bounds
 
 
@@ -110,7 +110,7 @@
                 raw = load_json(data=handle.read())
         except OSError as error:
             return EnvRefused(faults=[Fault(path=file, why=error.strerror or "unreadable")])
-        if isinstance(raw, BlueprintRefused):
+        if isinstance(raw, ConfigurationRefused):
             return EnvRefused(faults=[Fault(path=file, why=raw.faults[0].why)])
         if not isinstance(raw, dict):
             return EnvRefused(faults=[Fault(path=file, why="not a JSON object")])
--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -38,7 +38,7 @@
 
 @dataclass
 class StateDoc(Message):
-    """What an edge installs: one blueprint and one roster under one epoch."""
+    """What an edge installs: one configuration and one roster under one epoch."""
 
     cluster: str = bp.string_field(1)
     epoch: int = bp.uint64_field(2)
--- a/kelpstage/core/grants/judge.py
+++ b/kelpstage/core/grants/judge.py
@@ -4,13 +4,13 @@
 
 import hashlib
 
-from kelpstage.base.blueprint.check import read_blueprint
-from kelpstage.base.defects import BlueprintRefused
+from kelpstage.base.configuration.check import read_configuration
+from kelpstage.base.defects import ConfigurationRefused
 
 JUDGED_KEPT = 8
 
 
-def judge_document(*, document: bytes) -> BlueprintRefused | int:
+def judge_document(*, document: bytes) -> ConfigurationRefused | int:
     """The document's faults, or the version that it states (0 for none).
 
     >>> judge_document(document=b'{"forward": {}, "version": 7}')
@@ -18,8 +18,8 @@
     >>> judge_document(document=b"{").faults[0].path
     '(whole)'
     """
-    judged = read_blueprint(data=document, version=1)
-    return judged if isinstance(judged, BlueprintRefused) else judged.stated_version
+    judged = read_configuration(data=document, version=1)
+    return judged if isinstance(judged, ConfigurationRefused) else judged.stated_version
 
 
 class Judge:
@@ -31,9 +31,9 @@
     """
 
     def __init__(self) -> None:
-        self._judged: dict[bytes, BlueprintRefused | int] = {}
+        self._judged: dict[bytes, ConfigurationRefused | int] = {}
 
-    def judge(self, *, document: bytes) -> BlueprintRefused | int:
+    def judge(self, *, document: bytes) -> ConfigurationRefused | int:
         """What `judge_document` says of it."""
         digest = hashlib.sha256(document).digest()
         found = self._judged.get(digest)
--- a/kelpstage/core/grants/puts.py
+++ b/kelpstage/core/grants/puts.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING, Any
 
 from kelpstage.base.defects import (
-    BlueprintRefused,
+    ConfigurationRefused,
     Defect,
     Fault,
     NoEdgeMajority,
@@ -31,8 +31,8 @@
 from kelpstage.core.state.machine import (
     Command,
     PutApplied,
-    PutBlueprint,
     PutClash,
+    PutConfiguration,
     PutLost,
     PutNotAbove,
     PutUnclear,
@@ -82,11 +82,11 @@
         put again, under whatever id, waits for the same work or hears what it came to.
         """
         judged = self.judge(document=document)
-        if isinstance(judged, BlueprintRefused):
+        if isinstance(judged, ConfigurationRefused):
             return judged
         if judged and version and judged != version:
             why = f"the put is given version {version}, the document says {judged}"
-            return BlueprintRefused(faults=[Fault(path="version", why=why)])
+            return ConfigurationRefused(faults=[Fault(path="version", why=why)])
         version = version or judged
         digest = put_digest(document=document, expected=expected, version=version)
         record = self._task.machine.record(put_id=put_id)
@@ -94,7 +94,9 @@
             return PutIdReused(put_id=put_id, why="it named another put")
         work = self._work.get(digest)
         if work is None:
-            put = PutBlueprint(put_id=put_id, expected=expected, document=document, version=version)
+            put = PutConfiguration(
+                put_id=put_id, expected=expected, document=document, version=version
+            )
             work = self._ports.spawn(
                 self._see_through(put=put, digest=digest, wait_us=max(wait_us, PATIENCE_US))
             )
@@ -107,7 +109,7 @@
         return outcome
 
     async def _see_through(
-        self, *, put: PutBlueprint, digest: bytes, wait_us: int
+        self, *, put: PutConfiguration, digest: bytes, wait_us: int
     ) -> PutApplied | Defect:
         until_us = self._ports.clock.now_us() + wait_us
         try:
@@ -116,7 +118,7 @@
             self._work.pop(digest, None)
 
     async def _decide(
-        self, *, put: PutBlueprint, digest: bytes, until_us: int
+        self, *, put: PutConfiguration, digest: bytes, until_us: int
     ) -> PutApplied | Defect:
         decided = await self._look_up(put=put, digest=digest)
         if decided is None:
@@ -137,7 +139,7 @@
     def _left_us(self, until_us: int) -> int:
         return max(0, until_us - self._ports.clock.now_us())
 
-    async def _look_up(self, *, put: PutBlueprint, digest: bytes) -> PutApplied | Defect | None:
+    async def _look_up(self, *, put: PutConfiguration, digest: bytes) -> PutApplied | Defect | None:
         """Was this put decided, by a log that is confirmed to be the newest?"""
         defect = await self._task.confirm(wait_us=CONFIRM_US)
         if defect is not None:
@@ -146,7 +148,7 @@
         return None if outcome is None else as_result(outcome=outcome, put_id=put.put_id)
 
     async def _refuse(
-        self, *, put: PutBlueprint, digest: bytes, until_us: int
+        self, *, put: PutConfiguration, digest: bytes, until_us: int
     ) -> PutApplied | Defect:
         """Refuse by the log an order on a version to come: a copy of it that is still
         under way must not be taken when that version is there."""
@@ -161,7 +163,7 @@
         return as_result(outcome=outcome, put_id=put.put_id)
 
     async def _propose(
-        self, *, put: PutBlueprint, digest: bytes, until_us: int
+        self, *, put: PutConfiguration, digest: bytes, until_us: int
     ) -> PutApplied | Defect:
         """Bring a put into the log. Versions only rise, so what is refused here without a
         trace in the log would be refused again whenever another copy of it came."""
--- a/kelpstage/core/salvage.py
+++ b/kelpstage/core/salvage.py
@@ -119,7 +119,7 @@
     if len(known) * 2 <= len(state.roster):
         return SalvageRefused(
             why=f"{len(known)} of {len(state.roster)} edges of the roster answer; most are needed, "
-            "to be sure of the newest blueprint that was acknowledged"
+            "to be sure of the newest configuration that was acknowledged"
         )
     source = "this folder"
     epoch, address = max(((e, a) for _, e, a in told), default=(0, ""))
--- a/kelpstage/core/state/machine.py
+++ b/kelpstage/core/state/machine.py
@@ -27,7 +27,7 @@
 
 
 @dataclass
-class PutBlueprint(bp.Message):
+class PutConfiguration(bp.Message):
     """An order: replace the document of version `expected` by this one."""
 
     put_id: str = bp.string_field(1)
@@ -63,13 +63,13 @@
     base_digest: bytes = bp.bytes_field(7)
 
 
-Put = PutBlueprint | PutDelta | RefusePut
+Put = PutConfiguration | PutDelta | RefusePut
 
 
 def version_of(*, put: Put) -> int:
     """The version that an order would bring.
 
-    >>> [version_of(put=PutBlueprint(expected=4, version=version)) for version in (0, 9)]
+    >>> [version_of(put=PutConfiguration(expected=4, version=version)) for version in (0, 9)]
     [5, 9]
     """
     return put.version or put.expected + 1
@@ -94,7 +94,7 @@
 class Command(bp.Message):
     """What one log entry does to the state."""
 
-    put: PutBlueprint = bp.message_field(1, group="what")
+    put: PutConfiguration = bp.message_field(1, group="what")
     add: AddEdge = bp.message_field(2, group="what")
     remove: RemoveEdge = bp.message_field(3, group="what")
     put_delta: PutDelta = bp.message_field(4, group="what")
@@ -192,7 +192,7 @@
     return hashlib.sha256(expected.to_bytes(8, "big") + stated + document).digest()
 
 
-def put_command(*, put: PutBlueprint, state: CoreState) -> Command:
+def put_command(*, put: PutConfiguration, state: CoreState) -> Command:
     """The command for a put, as few bytes as there is an easy way to.
 
     A difference is taken from the document in force if the put replaces that one. That is
@@ -200,7 +200,7 @@
     force is refused without a look at its document.
 
     >>> before = CoreState(version=1, document=b"0123456789abcdef" * 64)
-    >>> put = PutBlueprint(put_id="p", expected=1, document=before.document + b"!")
+    >>> put = PutConfiguration(put_id="p", expected=1, document=before.document + b"!")
     >>> len(bytes(put_command(put=put, state=before))) < 100
     True
     """
@@ -233,10 +233,10 @@
     """Applies commands.
 
     >>> machine = Machine(cluster="c")
-    >>> put = Command(put=PutBlueprint(put_id="p", expected=0, document=b"{}"))
+    >>> put = Command(put=PutConfiguration(put_id="p", expected=0, document=b"{}"))
     >>> machine.apply(data=bytes(put))
     PutApplied(version=1, epoch=1)
-    >>> late = Command(put=PutBlueprint(put_id="q", expected=0, document=b"[]"))
+    >>> late = Command(put=PutConfiguration(put_id="q", expected=0, document=b"[]"))
     >>> machine.apply(data=bytes(late))
     PutLost(expected=0, current=1)
     >>> machine.apply(data=bytes(put))
@@ -244,9 +244,9 @@
     >>> put.put.put_id = "r"  # the same put under another id
     >>> machine.apply(data=bytes(put))
     PutApplied(version=1, epoch=1)
-    >>> machine.apply(data=bytes(Command(put=PutBlueprint(put_id="s", expected=1, version=7))))
+    >>> machine.apply(data=bytes(Command(put=PutConfiguration(put_id="s", expected=1, version=7))))
     PutApplied(version=7, epoch=2)
-    >>> machine.apply(data=bytes(Command(put=PutBlueprint(put_id="t", expected=7, version=7))))
+    >>> machine.apply(data=bytes(Command(put=PutConfiguration(put_id="t", expected=7, version=7))))
     PutNotAbove(version=7, current=7)
     """
 
@@ -273,7 +273,7 @@
             return self._set_roster(names=set(self.state.roster) | {body.edge, *body.more})
         return self._set_roster(names=set(self.state.roster) - {body.edge})
 
-    def _put(self, *, put: PutBlueprint) -> object:
+    def _put(self, *, put: PutConfiguration) -> object:
         digest = put_digest(document=put.document, expected=put.expected, version=put.version)
         decided = self.decided(put=put, digest=digest)
         return self._decide(put=put, digest=digest) if decided is None else decided
@@ -288,7 +288,7 @@
             document = self._document_of(put=put)
         if document is None:
             return PutUnreadable()
-        whole = PutBlueprint(
+        whole = PutConfiguration(
             put_id=put.put_id, expected=put.expected, document=document, version=put.version
         )
         return self._decide(put=whole, digest=put.digest)
@@ -304,7 +304,7 @@
         digest = put_digest(document=document, expected=put.expected, version=put.version)
         return document if digest == put.digest else None
 
-    def _decide(self, *, put: PutBlueprint, digest: bytes) -> object:
+    def _decide(self, *, put: PutConfiguration, digest: bytes) -> object:
         record = self._record_of(put=put, digest=digest)
         version = version_of(put=put)
         if put.expected != self.state.version or version <= self.state.version:
@@ -323,7 +323,7 @@
         self._keep_refusal(record=record)
         return outcome_of(record=record)
 
-    def _record_of(self, *, put: PutBlueprint | RefusePut, digest: bytes) -> RequestRecord:
+    def _record_of(self, *, put: PutConfiguration | RefusePut, digest: bytes) -> RequestRecord:
         return RequestRecord(
             put_id=put.put_id,
             digest=digest,
--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING, Any, Callable
 from urllib.parse import unquote, urlsplit
 
-from kelpstage.base.blueprint.check import DOCUMENT_LIMIT, VERSION_LIMIT
+from kelpstage.base.configuration.check import DOCUMENT_LIMIT, VERSION_LIMIT
 from kelpstage.base.defects import (
     BadRequest,
     Defect,
     MissingIfMatch,
-    NoBlueprint,
+    NoConfiguration,
     NoLeader,
     OversizedBody,
     UnknownPut,
@@ -137,7 +137,7 @@
 
 def _refuse_early(*, ask: ProxyOperator) -> Defect | None:
     """Refuse what no leader is needed for."""
-    if ask.url == "/v1/blueprint":
+    if ask.url == "/v1/configuration":
         if ask.method == "GET":
             return None
         if ask.method != "PUT":
@@ -220,8 +220,8 @@
     defect = await _confirm_read(core=core, task=task, wait_us=ask.wait_us * 9 // 10)
     if defect is not None:
         return defect_reply(defect=defect)
-    if ask.url == "/v1/blueprint":
-        return _get_blueprint(task=task)
+    if ask.url == "/v1/configuration":
+        return _get_configuration(task=task)
     if ask.url == "/v1/roster":
         return json_reply(body=roster_view(core=core))
     return _get_put(core=core, put_id=unquote(ask.url.removeprefix("/v1/puts/")))
@@ -257,10 +257,10 @@
     return None
 
 
-def _get_blueprint(*, task: ReplicaTask) -> HttpReply:
+def _get_configuration(*, task: ReplicaTask) -> HttpReply:
     state = task.machine.state
     if not state.version:
-        return defect_reply(defect=NoBlueprint(why="none was put yet"))
+        return defect_reply(defect=NoConfiguration(why="none was put yet"))
     return HttpReply(
         status=200,
         headers={"Content-Type": JSON_TYPE, "ETag": f'"{state.version}"'},
--- a/kelpstage/ctl/commands/drains.py
+++ b/kelpstage/ctl/commands/drains.py
@@ -1,4 +1,4 @@
-"""Draining by label: a changed blueprint, put on the version it was read from."""
+"""Draining by label: a changed configuration, put on the version it was read from."""
 
 from __future__ import annotations
 
@@ -79,9 +79,9 @@
 
 
 def set_drain(*, name: str, is_drained: bool, cores: list[str], is_json: bool) -> None:
-    """Read the blueprint, change one label, put it back on its version."""
+    """Read the configuration, change one label, put it back on its version."""
     addresses = need_addresses(given=cores, what="core")
-    reply = ask(addresses=addresses, method="GET", path="/v1/blueprint")
+    reply = ask(addresses=addresses, method="GET", path="/v1/configuration")
     document = good_or_fail(reply=reply, is_json=is_json)
     version = reply.headers["etag"].strip('"')
     is_changed = with_drain(document=document, name=name, is_drained=is_drained)
@@ -104,7 +104,7 @@
     reply = ask(
         addresses=addresses,
         method="PUT",
-        path="/v1/blueprint",
+        path="/v1/configuration",
         headers={"If-Match": f'"{version}"', "Kelp-Put-Id": secrets.token_hex(8)},
         body=json.dumps(document, indent=1, ensure_ascii=False).encode(),
     )
--- a/kelpstage/ctl/commands/searches.py
+++ b/kelpstage/ctl/commands/searches.py
@@ -62,7 +62,7 @@
     """
     said = {
         "Began": lambda: "asked once more",
-        "Planned": lambda: f"planned under blueprint {row['version']}: " + _tree(row["branch"]),
+        "Planned": lambda: f"planned under configuration {row['version']}: " + _tree(row["branch"]),
         "OmissionSet": lambda: f"what is not in after {row['after_us']} us may be left out",
         "RoundSent": lambda: (
             f"{row['shard']} -> {row['backend']} ({row['why']}; window {row['window_us']} us; "
@@ -82,7 +82,7 @@
                 f"; {shard} missing: {why} {more}".rstrip() for shard, why, more in row["missing"]
             )
         ),
-        "BeganAgain": lambda: f"begun again, was under blueprint {row['was']}: {row['why']}",
+        "BeganAgain": lambda: f"begun again, was under configuration {row['was']}: {row['why']}",
         "Ended": lambda: f"{row['outcome']}, {row['shards_in']} of {row['shards']} shards",
     }
     return said[row["event"]]() if row["event"] in said else row["event"]
--- a/kelpstage/ctl/commands/views.py
+++ b/kelpstage/ctl/commands/views.py
@@ -10,7 +10,7 @@
 def plan_text(*, view: dict[str, Any]) -> str:
     """A plan as an indented tree."""
     lines = [
-        f"{view['collection']} under blueprint {view['blueprint']}, from {view['root']}: "
+        f"{view['collection']} under configuration {view['configuration']}, from {view['root']}: "
         f"{view['shards']} shards, quorum {view['quorum']}, fan-out {view['fan_out']}, "
         f"{view['levels']} levels, last fan-out {view['last_fan_out']}, "
         f"window {view['window_us']} us"
@@ -69,7 +69,7 @@
     log = view["log"]
     lines.append(
         f"  {view['role']} in term {view['term']}, leader {view['leader'] or 'unknown'}; "
-        f"blueprint {view['version']}, epoch {view['epoch']}"
+        f"configuration {view['version']}, epoch {view['epoch']}"
     )
     lines.append(
         f"  log {log['first']}..{log['last']}, durable {log['durable']}, "
@@ -100,7 +100,7 @@
     lines = [
         f"kelpd {view['name']} {view['address']} ({view['domain']}): "
         + ("ready" if view["is_ready"] else f"not ready: {view['why_not']}"),
-        f"  blueprint {view['version']}, epoch {view['epoch']} (newest known "
+        f"  configuration {view['version']}, epoch {view['epoch']} (newest known "
         f"{view['newest_epoch']}); grant "
         + (f"held for {grant['left_us']} us" if grant["is_held"] else "not held")
         + f", leader {grant['leader'] or 'unknown'}, {len(grant['vouchers'])} of "
--- a/kelpstage/ctl/main.py
+++ b/kelpstage/ctl/main.py
@@ -16,10 +16,10 @@
 
 import typer
 
-from kelpstage.base.blueprint.check import read_blueprint
-from kelpstage.base.blueprint.types import Blueprint
+from kelpstage.base.configuration.check import read_configuration
+from kelpstage.base.configuration.types import Configuration
 from kelpstage.base.defects import (
-    BlueprintRefused,
+    ConfigurationRefused,
     Defect,
     Fault,
     SalvageRefused,
@@ -46,36 +46,42 @@
 JSON = typer.Option(False, "--json", help="Print JSON.")
 
 
-def read_or_fail(*, path: str, is_json: bool, code: int = REFUSED) -> Blueprint:
-    """A blueprint from a file, or its faults and an end."""
-    outcome = read_blueprint(data=read_file(path=path), version=0)
-    if isinstance(outcome, BlueprintRefused):
+def read_or_fail(*, path: str, is_json: bool, code: int = REFUSED) -> Configuration:
+    """A configuration from a file, or its faults and an end."""
+    outcome = read_configuration(data=read_file(path=path), version=0)
+    if isinstance(outcome, ConfigurationRefused):
         fail(defect=outcome, code=code, is_json=is_json)
     return outcome
 
 
 @app.command()
-def check(file: str = typer.Argument(help="The blueprint's file."), is_json: bool = JSON) -> None:
-    """Judge a blueprint offline, by the core's own code, with warnings.
+def check(
+    file: str = typer.Argument(help="The configuration's file."), is_json: bool = JSON
+) -> None:
+    """Judge a configuration offline, by the core's own code, with warnings.
 
     A fault means exit code 1; warnings alone do not.
     """
-    blueprint = read_or_fail(path=file, is_json=is_json)
-    warnings = [{"path": w.path, "why": w.why} for w in warnings_of(blueprint=blueprint)]
+    configuration = read_or_fail(path=file, is_json=is_json)
+    warnings = [{"path": w.path, "why": w.why} for w in warnings_of(configuration=configuration)]
     lines = [f"warning at {w['path']}: {w['why']}" for w in warnings]
-    lines.append(f"good: {len(blueprint.backends)} backends, {len(blueprint.routes)} routes")
-    if blueprint.forward:
-        lines[-1] += f" ({len(blueprint.forward)} forward), {len(blueprint.services)} services"
+    lines.append(
+        f"good: {len(configuration.backends)} backends, {len(configuration.routes)} routes"
+    )
+    if configuration.forward:
+        lines[-1] += (
+            f" ({len(configuration.forward)} forward), {len(configuration.services)} services"
+        )
     show(body={"faults": [], "warnings": warnings}, is_json=is_json, text="\n".join(lines))
 
 
 @app.command()
 def diff(
-    old: str = typer.Argument(help="The blueprint's file as it is."),
-    new: str = typer.Argument(help="The blueprint's file as it would be."),
+    old: str = typer.Argument(help="The configuration's file as it is."),
+    new: str = typer.Argument(help="The configuration's file as it would be."),
     is_json: bool = JSON,
 ) -> None:
-    """Show what a new blueprint would alter."""
+    """Show what a new configuration would alter."""
     rows = diff_of(
         old=read_or_fail(path=old, is_json=is_json, code=BAD_INPUT),
         new=read_or_fail(path=new, is_json=is_json),
@@ -89,14 +95,16 @@
 @app.command()
 def get(
     core: Optional[List[str]] = CORE,
-    out: Optional[str] = typer.Option(None, help="Write the blueprint here instead."),
+    out: Optional[str] = typer.Option(None, help="Write the configuration here instead."),
     is_source: bool = typer.Option(
         False, "--source", help="Only the text that its `source` section keeps."
     ),
 ) -> None:
-    """Read the blueprint back, as the leader has it; its version goes to stderr."""
+    """Read the configuration back, as the leader has it; its version goes to stderr."""
     reply = ask(
-        addresses=need_addresses(given=core or [], what="core"), method="GET", path="/v1/blueprint"
+        addresses=need_addresses(given=core or [], what="core"),
+        method="GET",
+        path="/v1/configuration",
     )
     if reply.status != 200:
         good_or_fail(reply=reply, is_json=False)
@@ -113,7 +121,7 @@
 
 @app.command()
 def put(
-    file: str = typer.Argument(help="The blueprint's file."),
+    file: str = typer.Argument(help="The configuration's file."),
     replaces: int = typer.Option(..., min=0, help="The version that this put replaces; 0: none."),
     core: Optional[List[str]] = CORE,
     put_id: Optional[str] = typer.Option(
@@ -125,7 +133,7 @@
     wait_us: int = typer.Option(10_000_000, min=1, max=120_000_000, help="Time left."),
     is_json: bool = JSON,
 ) -> None:
-    """Put a whole blueprint. It is acknowledged when no edge can serve an older one."""
+    """Put a whole configuration. It is acknowledged when no edge can serve an older one."""
     document = read_file(path=file)
     addresses = need_addresses(given=core or [], what="core")
     name = put_id or secrets.token_hex(8)
@@ -133,7 +141,7 @@
     reply = ask(
         addresses=addresses,
         method="PUT",
-        path="/v1/blueprint",
+        path="/v1/configuration",
         headers={
             "If-Match": f'"{replaces}"',
             "Kelp-Put-Id": name,
@@ -167,7 +175,7 @@
 def plan(
     collection: str = typer.Argument(help="The collection."),
     edge: Optional[List[str]] = EDGE,
-    offline: Optional[str] = typer.Option(None, help="Plan from this blueprint file instead."),
+    offline: Optional[str] = typer.Option(None, help="Plan from this configuration file instead."),
     root: Optional[str] = typer.Option(None, help="Offline: the node that plans."),
     gone: Optional[List[str]] = typer.Option(None, help="Offline: a node or backend that is gone."),
     is_json: bool = JSON,
@@ -218,10 +226,10 @@
 def _plan_offline(
     *, file: str, collection: str, root: str | None, gone: list[str], is_json: bool
 ) -> None:
-    blueprint = read_or_fail(path=file, is_json=is_json, code=BAD_INPUT)
-    if collection not in blueprint.routes:
+    configuration = read_or_fail(path=file, is_json=is_json, code=BAD_INPUT)
+    if collection not in configuration.routes:
         fail(defect=UnknownCollection(collection=collection), code=BAD_INPUT, is_json=is_json)
-    known = {*blueprint.nodes, *blueprint.backends, *blueprint.services}
+    known = {*configuration.nodes, *configuration.backends, *configuration.services}
     unknown = [n for n in gone if n not in known]
     if unknown:
         fail(
@@ -229,10 +237,12 @@
             code=BAD_INPUT,
             is_json=is_json,
         )
-    start = root or any_root(blueprint=blueprint)
-    whole = offline_plan(blueprint=blueprint, collection=collection, root=start, gone=frozenset())
+    start = root or any_root(configuration=configuration)
+    whole = offline_plan(
+        configuration=configuration, collection=collection, root=start, gone=frozenset()
+    )
     after = offline_plan(
-        blueprint=blueprint, collection=collection, root=start, gone=frozenset(gone)
+        configuration=configuration, collection=collection, root=start, gone=frozenset(gone)
     )
     lines = [
         f"{collection} from {start}: {after['levels']} levels, last fan-out "
@@ -295,7 +305,7 @@
 
 @app.command()
 def drain(
-    name: str = typer.Argument(help="A backend or node of the blueprint."),
+    name: str = typer.Argument(help="A backend or node of the configuration."),
     core: Optional[List[str]] = CORE,
     edge: Optional[List[str]] = EDGE,
     wait_us: int = typer.Option(
@@ -313,7 +323,7 @@
 
 @app.command()
 def undrain(
-    name: str = typer.Argument(help="A backend or node of the blueprint."),
+    name: str = typer.Argument(help="A backend or node of the configuration."),
     core: Optional[List[str]] = CORE,
     is_json: bool = JSON,
 ) -> None:
@@ -355,7 +365,7 @@
         body=asdict(outcome),
         is_json=is_json,
         text=f"A NEW CLUSTER {outcome.cluster} IN PLACE OF {outcome.was}.\n"
-        f"It begins with blueprint {outcome.version}, epoch {outcome.epoch}, from "
+        f"It begins with configuration {outcome.version}, epoch {outcome.epoch}, from "
         f"{outcome.source}.\n"
         "Now: start this core; start two empty ones that have it among their seeds; then "
         "restart the edges one at a time.\n"
@@ -371,28 +381,28 @@
 @app.command("import")
 def import_routes(
     file: str = typer.Argument(help="An OpenAPI 3 file, JSON or YAML."),
-    into: str = typer.Option(..., help="The blueprint's file that the routes go into."),
-    out: str = typer.Option(..., help="Write the new blueprint here, for review."),
+    into: str = typer.Option(..., help="The configuration's file that the routes go into."),
+    out: str = typer.Option(..., help="Write the new configuration here, for review."),
     is_json: bool = JSON,
 ) -> None:
     """Take routes over from an OpenAPI file; what is not taken over is named."""
-    blueprint = read_or_fail(path=into, is_json=is_json, code=BAD_INPUT)
+    configuration = read_or_fail(path=into, is_json=is_json, code=BAD_INPUT)
     openapi = read_openapi(data=read_file(path=file))
     if isinstance(openapi, list):
-        fail(defect=BlueprintRefused(faults=openapi), code=BAD_INPUT, is_json=is_json)
+        fail(defect=ConfigurationRefused(faults=openapi), code=BAD_INPUT, is_json=is_json)
     imported = routes_of(
         openapi=openapi,
         shards={
             name: sorted(c.shards)
-            for name, c in blueprint.collections.items()
-            if name not in blueprint.forward
+            for name, c in configuration.collections.items()
+            if name not in configuration.forward
         },
     )
-    document = json.loads(blueprint.document)
+    document = json.loads(configuration.document)
     document["routes"] = {**document.get("routes", {}), **imported.routes}
     data = json.dumps(document, indent=1, ensure_ascii=False).encode()
-    judged = read_blueprint(data=data, version=0)
-    if isinstance(judged, BlueprintRefused):
+    judged = read_configuration(data=data, version=0)
+    if isinstance(judged, ConfigurationRefused):
         fail(defect=judged, code=REFUSED, is_json=is_json)
     write_whole(path=out, data=data)
     left = [{"path": f.path, "why": f.why} for f in imported.unsupported]
--- a/kelpstage/ctl/offline/diff.py
+++ b/kelpstage/ctl/offline/diff.py
@@ -1,22 +1,22 @@
-"""What a new blueprint would alter."""
+"""What a new configuration would alter."""
 
 from __future__ import annotations
 
 from dataclasses import asdict
 from typing import Any
 
-from kelpstage.base.blueprint.types import Blueprint
+from kelpstage.base.configuration.types import Configuration
 
 
-def diff_of(*, old: Blueprint, new: Blueprint) -> list[dict[str, Any]]:
+def diff_of(*, old: Configuration, new: Configuration) -> list[dict[str, Any]]:
     """Changes, each with its path, what was and what will be."""
     rows: list[dict[str, Any]] = []
     for name in sorted(set(old.backends) | set(new.backends)):
         _note(
             rows=rows,
             path=f"backends.{name}",
-            was=_backend(blueprint=old, name=name),
-            will=_backend(blueprint=new, name=name),
+            was=_backend(configuration=old, name=name),
+            will=_backend(configuration=new, name=name),
         )
     for name in sorted(set(old.nodes) | set(new.nodes)):
         _note(rows=rows, path=f"nodes.{name}", was=old.nodes.get(name), will=new.nodes.get(name))
@@ -27,13 +27,13 @@
         _note(
             rows=rows,
             path=f"routes.{name}",
-            was=_route(blueprint=old, name=name),
-            will=_route(blueprint=new, name=name),
+            was=_route(configuration=old, name=name),
+            will=_route(configuration=new, name=name),
         )
     return rows + _forward_rows(old=old, new=new)
 
 
-def _forward_rows(*, old: Blueprint, new: Blueprint) -> list[dict[str, Any]]:
+def _forward_rows(*, old: Configuration, new: Configuration) -> list[dict[str, Any]]:
     """Services and forward routes, field by field; limits, version, source."""
     rows: list[dict[str, Any]] = []
     for section in ("services", "forward"):
@@ -72,13 +72,13 @@
         rows.append({"path": path, "was": was, "will": will})
 
 
-def _backend(*, blueprint: Blueprint, name: str) -> dict | None:
-    backend = blueprint.backends.get(name)
+def _backend(*, configuration: Configuration, name: str) -> dict | None:
+    backend = configuration.backends.get(name)
     return {"address": backend.address, "labels": backend.labels} if backend else None
 
 
-def _route(*, blueprint: Blueprint, name: str) -> dict | None:
-    route = blueprint.routes.get(name)
+def _route(*, configuration: Configuration, name: str) -> dict | None:
+    route = configuration.routes.get(name)
     if route is None:
         return None
     return {
@@ -89,7 +89,7 @@
     }
 
 
-def _note_collection(*, rows: list, old: Blueprint, new: Blueprint, name: str) -> None:
+def _note_collection(*, rows: list, old: Configuration, new: Configuration, name: str) -> None:
     before, after = old.collections.get(name), new.collections.get(name)
     if before is None or after is None:
         _note(
--- a/kelpstage/ctl/offline/plan.py
+++ b/kelpstage/ctl/offline/plan.py
@@ -1,12 +1,12 @@
-"""The gathering plan of a blueprint without a fleet, by the edges' own code."""
+"""The gathering plan of a configuration without a fleet, by the edges' own code."""
 
 from __future__ import annotations
 
 import random
 from typing import Any
 
-from kelpstage.base.blueprint.check import RECORDS
-from kelpstage.base.blueprint.types import Blueprint
+from kelpstage.base.configuration.check import RECORDS
+from kelpstage.base.configuration.types import Configuration
 from kelpstage.edge.backend.book import GONE, Book
 from kelpstage.edge.backend.choose import options
 from kelpstage.edge.gather.pace import Paces
@@ -14,39 +14,39 @@
 
 
 def offline_plan(
-    *, blueprint: Blueprint, collection: str, root: str, gone: frozenset[str]
+    *, configuration: Configuration, collection: str, root: str, gone: frozenset[str]
 ) -> dict[str, Any]:
     """The plan that `root` would make if every node and backend but `gone` is up.
 
     The backends of a service come from a list that no file holds, so a forward route's
     plan names services; where no nodes are declared, it is drawn over nameless ones.
     """
-    route = blueprint.routes[collection]
-    domain = blueprint.nodes.get(root, {}).get("domain", "")
+    route = configuration.routes[collection]
+    domain = configuration.nodes.get(root, {}).get("domain", "")
     helpers = [
         name
         for _, name in sorted(
             (labels.get("domain", "") != domain, name)
-            for name, labels in blueprint.nodes.items()
+            for name, labels in configuration.nodes.items()
             if name != root
             and name not in gone
-            and blueprint.is_gatherer(
+            and configuration.is_gatherer(
                 collection=collection, name=name, domain=labels.get("domain", "")
             )
         )
     ]
-    if not blueprint.nodes and collection in blueprint.forward:
+    if not configuration.nodes and collection in configuration.forward:
         helpers = [f"edge {place + 2}" for place in range(len(route.fan_out))]
     book = Book(me=root)
-    for name in blueprint.backends:
+    for name in configuration.backends:
         entry = book.entry(name=name)
-        entry.address = blueprint.backends[name].address or "0.0.0.0:1"
+        entry.address = configuration.backends[name].address or "0.0.0.0:1"
         if name in gone:
             entry.state, entry.why = GONE, "named as gone"
     tree = grow(root=root, shards=route.fan_out, helpers=helpers, fan_out=route.tree_fan_out)
     count = len(route.fan_out)
-    placed = _placed(blueprint=blueprint, book=book, collection=collection, branch=tree)
-    if blueprint.collections[collection].codec == RECORDS:
+    placed = _placed(configuration=configuration, book=book, collection=collection, branch=tree)
+    if configuration.collections[collection].codec == RECORDS:
         for shard, row in placed.items():
             is_up = shard not in gone
             row |= {"backend": f"a backend of {shard}" if is_up else None, "is_near": is_up}
@@ -61,12 +61,12 @@
         "missing": missing,
         "coverage": (count - len(missing)) / count,
         "is_quorum_met": count - len(missing) >= route.quorum,
-    } | _shares(blueprint=blueprint, name=collection)
+    } | _shares(configuration=configuration, name=collection)
 
 
-def _shares(*, blueprint: Blueprint, name: str) -> dict[str, Any]:
+def _shares(*, configuration: Configuration, name: str) -> dict[str, Any]:
     """What part of a forward route's requests each service gets, if it is split."""
-    route = blueprint.forward.get(name)
+    route = configuration.forward.get(name)
     if route is None or not route.weights:
         return {}
     total = sum(weight for _, weight in route.weights)
@@ -74,13 +74,13 @@
 
 
 def _placed(
-    *, blueprint: Blueprint, book: Book, collection: str, branch: Branch
+    *, configuration: Configuration, book: Book, collection: str, branch: Branch
 ) -> dict[str, dict[str, Any]]:
-    domain = blueprint.nodes.get(branch.node, {}).get("domain", "")
+    domain = configuration.nodes.get(branch.node, {}).get("domain", "")
     out: dict[str, dict[str, Any]] = {}
     for shard in branch.shards:
         ranked = options(
-            blueprint=blueprint,
+            configuration=configuration,
             book=book,
             paces=Paces(),
             collection=collection,
@@ -99,7 +99,7 @@
             "left_out": {o.backend: o.refusal for o in ranked if o.refusal},
         }
     for child in branch.children:
-        out |= _placed(blueprint=blueprint, book=book, collection=collection, branch=child)
+        out |= _placed(configuration=configuration, book=book, collection=collection, branch=child)
     return out
 
 
@@ -121,11 +121,11 @@
     return out
 
 
-def any_root(*, blueprint: Blueprint, rand: random.Random | None = None) -> str:
+def any_root(*, configuration: Configuration, rand: random.Random | None = None) -> str:
     """A node to plan from when none is named: the first by name.
 
-    >>> from kelpstage.base.blueprint.types import EMPTY
-    >>> any_root(blueprint=EMPTY)
+    >>> from kelpstage.base.configuration.types import EMPTY
+    >>> any_root(configuration=EMPTY)
     'root'
     """
-    return min(blueprint.nodes, default="root")
+    return min(configuration.nodes, default="root")
--- a/kelpstage/ctl/offline/routes.py
+++ b/kelpstage/ctl/offline/routes.py
@@ -1,4 +1,4 @@
-"""Routes from an OpenAPI file, laid into a blueprint for review.
+"""Routes from an OpenAPI file, laid into a configuration for review.
 
 A `POST` on `/v1/collections/{collection}/search`, with the collection's name in
 its place, becomes that collection's route. `x-kelp-quorum`, `x-kelp-fan-out` and
@@ -75,7 +75,7 @@
     out = Imported()
     for name in ("servers", "security", "webhooks", "externalDocs"):
         if name in openapi.model_fields_set:
-            out.unsupported.append(Fault(path=name, why="has no place in a blueprint"))
+            out.unsupported.append(Fault(path=name, why="has no place in a configuration"))
     for path, item in (openapi.paths or {}).items():
         for method in METHODS:
             operation = getattr(item, method)
@@ -105,7 +105,9 @@
         return
     collection = found.group(1)
     if collection not in shards:
-        out.unsupported.append(Fault(path=at, why=f"the blueprint has no collection {collection}"))
+        out.unsupported.append(
+            Fault(path=at, why=f"the configuration has no collection {collection}")
+        )
         return
     route: dict[str, Any] = {"FanOut": shards[collection], "Quorum": len(shards[collection])}
     for name, value in (operation.model_extra or {}).items():
--- a/kelpstage/ctl/offline/warnings.py
+++ b/kelpstage/ctl/offline/warnings.py
@@ -1,32 +1,32 @@
-"""What is no fault in a blueprint, yet will hurt one day."""
+"""What is no fault in a configuration, yet will hurt one day."""
 
 from __future__ import annotations
 
 from collections import Counter
 
-from kelpstage.base.blueprint.types import Blueprint, Collection, Route, is_match
+from kelpstage.base.configuration.types import Collection, Configuration, Route, is_match
 from kelpstage.base.defects import Fault
 
 
-def warnings_of(*, blueprint: Blueprint) -> list[Fault]:
+def warnings_of(*, configuration: Configuration) -> list[Fault]:
     """Every warning with its path."""
-    out: list[Fault] = _forward_warnings(blueprint=blueprint)
-    for name, collection in blueprint.collections.items():
-        if name in blueprint.forward:
+    out: list[Fault] = _forward_warnings(configuration=configuration)
+    for name, collection in configuration.collections.items():
+        if name in configuration.forward:
             continue
-        out += _shard_warnings(blueprint=blueprint, collection=collection)
-        route = blueprint.route(collection=name)
+        out += _shard_warnings(configuration=configuration, collection=collection)
+        route = configuration.route(collection=name)
         if route is None:
             out.append(Fault(path=f"collections.{name}", why="no route leads to it"))
             continue
-        out += _route_warnings(blueprint=blueprint, collection=collection, route=route)
+        out += _route_warnings(configuration=configuration, collection=collection, route=route)
     return out
 
 
-def _forward_warnings(*, blueprint: Blueprint) -> list[Fault]:
+def _forward_warnings(*, configuration: Configuration) -> list[Fault]:
     out = []
     named: set[str] = set()
-    for name, route in blueprint.forward.items():
+    for name, route in configuration.forward.items():
         path = f"forward.{name}"
         named |= set(route.services)
         if route.aim_us > route.deadline_us:
@@ -37,47 +37,49 @@
         for service, weight in route.weights:
             if not weight:
                 out.append(Fault(path=f"{path}.weights.{service}", why="gets no request"))
-    for name in sorted(set(blueprint.services) - named):
+    for name in sorted(set(configuration.services) - named):
         out.append(Fault(path=f"services.{name}", why="no route leads to it"))
     return out
 
 
-def usable(*, blueprint: Blueprint, collection: str, shard: str) -> list[str]:
+def usable(*, configuration: Configuration, collection: str, shard: str) -> list[str]:
     """Backends of a shard that no label drains."""
     return [
         name
-        for name in blueprint.backends_of(collection=collection, shard=shard)
-        if not blueprint.backends[name].is_draining
+        for name in configuration.backends_of(collection=collection, shard=shard)
+        if not configuration.backends[name].is_draining
     ]
 
 
-def _shard_warnings(*, blueprint: Blueprint, collection: Collection) -> list[Fault]:
+def _shard_warnings(*, configuration: Configuration, collection: Collection) -> list[Fault]:
     out = []
     for shard in collection.shards:
         path = f"collections.{collection.name}.shards.{shard}"
-        names = usable(blueprint=blueprint, collection=collection.name, shard=shard)
+        names = usable(configuration=configuration, collection=collection.name, shard=shard)
         if not names:
             out.append(Fault(path=path, why="every backend is labelled drain"))
             continue
         if len(names) == 1:
             out.append(Fault(path=path, why=f"one backend only: {names[0]}"))
             continue
-        domains = {blueprint.backends[name].labels.get("domain") for name in names}
+        domains = {configuration.backends[name].labels.get("domain") for name in names}
         if len(domains) == 1:
             out.append(Fault(path=path, why=f"all backends in one domain: {domains.pop()}"))
     return out
 
 
-def _route_warnings(*, blueprint: Blueprint, collection: Collection, route: Route) -> list[Fault]:
+def _route_warnings(
+    *, configuration: Configuration, collection: Collection, route: Route
+) -> list[Fault]:
     path = f"routes.{route.collection}"
     out = []
     by_backend: Counter = Counter()
     by_domain: Counter = Counter()
     for shard in route.fan_out:
-        names = usable(blueprint=blueprint, collection=route.collection, shard=shard)
+        names = usable(configuration=configuration, collection=route.collection, shard=shard)
         if len(names) == 1:
             by_backend[names[0]] += 1
-        domains = {blueprint.backends[name].labels.get("domain") for name in names}
+        domains = {configuration.backends[name].labels.get("domain") for name in names}
         if len(domains) == 1:
             by_domain[domains.pop()] += 1
     spare = len(route.fan_out) - route.quorum
@@ -93,11 +95,11 @@
                 )
     gatherers = [
         name
-        for name, labels in blueprint.nodes.items()
+        for name, labels in configuration.nodes.items()
         if labels.get("drain") != "true"
         and is_match(selector=collection.gatherers, labels={**labels, "name": name})
     ]
-    if blueprint.nodes and len(gatherers) < route.tree_fan_out:
+    if configuration.nodes and len(gatherers) < route.tree_fan_out:
         out.append(
             Fault(
                 path=f"collections.{collection.name}.gatherers",
--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -20,7 +20,7 @@
 from kelpstage.edge.events import BackendChanged, Leaving, ServingChanged
 from kelpstage.edge.forward.names import HeaderNames
 from kelpstage.edge.forward.sealed import SealedCodec
-from kelpstage.edge.gather.messages import BlueprintMoved, WantState
+from kelpstage.edge.gather.messages import ConfigurationMoved, WantState
 from kelpstage.edge.gather.pace import Paces
 from kelpstage.edge.gather.task import GatherTask
 from kelpstage.edge.gather.world import World
@@ -131,7 +131,7 @@
             address=self.own,
             counts=self.counts,
             refresh=self._refresh,
-            has_backends=lambda: bool(self.keeper.blueprint.backends),
+            has_backends=lambda: bool(self.keeper.configuration.backends),
         )
         self.gather = GatherTask(
             ports=self.ports,
@@ -228,7 +228,7 @@
 
     def _caller_limits(self) -> HttpLimits:
         """What a client may send just now, and how long it may take over it."""
-        limits = self.keeper.blueprint.limits
+        limits = self.keeper.configuration.limits
         if limits is None:
             return HttpLimits()
         return HttpLimits(
@@ -267,11 +267,11 @@
 
     def _declare(self) -> None:
         listed = self.platform.addresses() if self.platform else {}
-        self.book.declare(blueprint=self.keeper.blueprint, listed=listed)
+        self.book.declare(configuration=self.keeper.configuration, listed=listed)
 
     def _on_installed(self) -> None:
         self._declare()
-        self.gather.inbox.put_nowait(BlueprintMoved())
+        self.gather.inbox.put_nowait(ConfigurationMoved())
         self._refresh()
 
     def _on_want_state(self, want: WantState) -> None:
@@ -299,7 +299,7 @@
         }
 
     def _health_path(self, service: str) -> str:
-        declared = self.keeper.blueprint.services.get(service)
+        declared = self.keeper.configuration.services.get(service)
         return declared.health_path if declared else ""
 
     def _on_lives_changed(self, names: list[str]) -> None:
--- a/kelpstage/edge/backend/book.py
+++ b/kelpstage/edge/backend/book.py
@@ -6,7 +6,7 @@
 answer at all ('dark') is kept for each observer: one cut line must not condemn
 a backend for all.
 
-Two kinds of backend stand in it. Declared ones come from the blueprint, under their
+Two kinds of backend stand in it. Declared ones come from the configuration, under their
 names. *Lives* come from the list (`lists.py`), under their instance ids: one that
 drains never comes back, one that the list leaves out is gone at once, and all else is
 judged by what requests show (`evidence.py`).
@@ -17,7 +17,7 @@
 from dataclasses import dataclass, field, replace  # noqa: F401, for the examples
 from typing import Iterable
 
-from kelpstage.base.blueprint.types import Blueprint
+from kelpstage.base.configuration.types import Configuration
 from kelpstage.base.wire.messages import RumorMsg
 from kelpstage.edge.backend import evidence
 from kelpstage.edge.backend.evidence import Evidence
@@ -138,21 +138,21 @@
             entry = self.entries[name] = Entry(name=name)
         return entry
 
-    def declare(self, *, blueprint: Blueprint, listed: dict[str, str]) -> None:
-        """Follow a blueprint; an address it leaves out comes from the platform."""
+    def declare(self, *, configuration: Configuration, listed: dict[str, str]) -> None:
+        """Follow a configuration; an address it leaves out comes from the platform."""
         self._max_connections = {
             name: service.max_connections
-            for name, service in getattr(blueprint, "services", {}).items()
+            for name, service in getattr(configuration, "services", {}).items()
         }
         self._set_line_limits()
-        for name, backend in blueprint.backends.items():
+        for name, backend in configuration.backends.items():
             entry = self.entry(name=name)
             address = backend.address or listed.get(name, "")
             if address and address != entry.address:
                 entry.address = address
                 entry.strikes = 0
                 entry.dark_by.clear()
-        for name in sorted(set(self.entries) - set(blueprint.backends)):
+        for name in sorted(set(self.entries) - set(configuration.backends)):
             if not self.entries[name].in_flight and not self.entries[name].is_life:
                 del self.entries[name]
 
@@ -399,7 +399,9 @@
         is_fresh = now_us - self._listed_us < LIST_KEPT_US
         return is_fresh and bool(self._listed) and name not in self._listed
 
-    def way_to_look(self, *, name: str, blueprint: Blueprint, now_us: int, is_first: bool) -> str:
+    def way_to_look(
+        self, *, name: str, configuration: Configuration, now_us: int, is_first: bool
+    ) -> str:
         """How a backend may be looked at now: by a request, by a bare connection, or
         not at all.
 
@@ -408,16 +410,16 @@
         until it refuses. So that a drain that was called off is not for ever, the
         first of its probers asks it once in half a minute.
 
-        >>> book, empty = Book(me="n1"), Blueprint(version=1, document=b"")
-        >>> book.way_to_look(name="b", blueprint=empty, now_us=0, is_first=True)
+        >>> book, empty = Book(me="n1"), Configuration(version=1, document=b"")
+        >>> book.way_to_look(name="b", configuration=empty, now_us=0, is_first=True)
         'probe'
         >>> _ = book.observe(name="b", state=DRAINING, why="sign", now_us=1)
-        >>> book.way_to_look(name="b", blueprint=empty, now_us=2, is_first=True)
+        >>> book.way_to_look(name="b", configuration=empty, now_us=2, is_first=True)
         'knock'
-        >>> book.way_to_look(name="b", blueprint=empty, now_us=REST_US + 1, is_first=True)
+        >>> book.way_to_look(name="b", configuration=empty, now_us=REST_US + 1, is_first=True)
         'probe'
         """
-        declared = blueprint.backends.get(name)
+        declared = configuration.backends.get(name)
         if declared is not None and declared.is_draining:
             return LEAVE
         if self.is_listed_stopping(name=name, now_us=now_us):
@@ -608,12 +610,12 @@
         voices = sum(now_us - at < DARK_KEPT_US for at in entry.dark_by.values())
         return voices >= DARK_VOICES
 
-    def refusal(self, *, name: str, blueprint: Blueprint, now_us: int) -> str:
+    def refusal(self, *, name: str, configuration: Configuration, now_us: int) -> str:
         """Why this backend may not be asked now; empty if it may."""
         known = self.entries.get(name)
         if known is not None and known.is_life:
             return self.refusal_of_life(entry=known, now_us=now_us)
-        backend = blueprint.backends.get(name)
+        backend = configuration.backends.get(name)
         if backend is None:
             return "not declared"
         if backend.is_draining:
--- a/kelpstage/edge/backend/choose.py
+++ b/kelpstage/edge/backend/choose.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from math import log
 
-from kelpstage.base.blueprint.types import Blueprint
+from kelpstage.base.configuration.types import Configuration
 from kelpstage.edge.backend.book import DARK_KEPT_US, DARK_VOICES, Book, Entry
 from kelpstage.edge.gather.pace import Paces
 
@@ -38,7 +38,7 @@
 
 def options(
     *,
-    blueprint: Blueprint,
+    configuration: Configuration,
     book: Book,
     paces: Paces,
     collection: str,
@@ -50,7 +50,7 @@
     """All backends of a shard, best first, the refused ones last with the reason.
 
     A shard whose service is on the list of lives has its lives; any other has the
-    backends that the blueprint's selector picks.
+    backends that the configuration's selector picks.
 
     Those that lied a moment ago come after the others, and those that let a window
     pass and are silent still. The least cost is chosen:
@@ -58,13 +58,13 @@
     domain; ties by lot.
     """
     lives = book.lives_of(shard)
-    if lives and not blueprint.backends_of(collection=collection, shard=shard):
+    if lives and not configuration.backends_of(collection=collection, shard=shard):
         return _life_options(book=book, service=shard, lives=lives, now_us=now_us, rand=rand)
     out = []
-    for name in blueprint.backends_of(collection=collection, shard=shard):
+    for name in configuration.backends_of(collection=collection, shard=shard):
         entry = book.entry(name=name)
-        refusal = book.refusal(name=name, blueprint=blueprint, now_us=now_us)
-        is_near = blueprint.backends[name].labels.get("domain") == domain
+        refusal = book.refusal(name=name, configuration=configuration, now_us=now_us)
+        is_near = configuration.backends[name].labels.get("domain") == domain
         mean_us = paces.mean_us(name=name, now_us=now_us)
         cost = (entry.in_flight + 1) * (max(mean_us, LEAST_US) // LEAST_US * LEAST_US)
         cost += 0 if is_near else FAR_US
--- a/kelpstage/edge/backend/probe.py
+++ b/kelpstage/edge/backend/probe.py
@@ -99,7 +99,7 @@
             return
         way = self._book.way_to_look(
             name=name,
-            blueprint=self._keeper.blueprint,
+            configuration=self._keeper.configuration,
             now_us=self._ports.clock.now_us(),
             is_first=self._me == probers(backend=name, edges=self._edges())[0],
         )
--- a/kelpstage/edge/gather/messages.py
+++ b/kelpstage/edge/gather/messages.py
@@ -52,8 +52,8 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class BlueprintMoved:
-    """Another blueprint is in force on this node."""
+class ConfigurationMoved:
+    """Another configuration is in force on this node."""
 
 
 # --- effects ----------------------------------------------------------------------
@@ -94,7 +94,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class WantState:
-    """A newer blueprint is known of; fetch it, from there if it can be had."""
+    """A newer configuration is known of; fetch it, from there if it can be had."""
 
     version: int
     source: str
--- a/kelpstage/edge/gather/passes/admit.py
+++ b/kelpstage/edge/gather/passes/admit.py
@@ -1,4 +1,4 @@
-"""Pass one: may this request be run here, and under which blueprint?"""
+"""Pass one: may this request be run here, and under which configuration?"""
 
 from __future__ import annotations
 
@@ -20,12 +20,12 @@
 
 
 def admit(*, record: Gathering, world: World) -> None:
-    """Bind a new request to a blueprint; begin a search again whose blueprint
+    """Bind a new request to a configuration; begin a search again whose configuration
     has been replaced for a while."""
     if record.stage == GATHERS:
         _look_again(record=record, world=world)
     is_awaiting = record.stage == AWAITS and record.kind == ROOT
-    if is_awaiting and world.keeper.blueprint.version >= record.awaits_version:
+    if is_awaiting and world.keeper.configuration.version >= record.awaits_version:
         record.begin_again()
     if record.stage not in (NEW, AWAITS):
         return
@@ -56,27 +56,27 @@
 def _stale(*, record: Gathering, world: World) -> Gathered:
     return Gathered(
         is_stale=True,
-        version=world.keeper.blueprint.version,
+        version=world.keeper.configuration.version,
         has_sent_nothing=not record.sent_shards,
     )
 
 
 def _look_again(*, record: Gathering, world: World) -> None:
-    """A search ends under a newer blueprint if it outlasts the older one."""
+    """A search ends under a newer configuration if it outlasts the older one."""
     keeper = world.keeper
-    if record.version == keeper.blueprint.version or record.kind == SINGLE:
+    if record.version == keeper.configuration.version or record.kind == SINGLE:
         return
     if world.now_us - keeper.installed_us < RESTART_US:
         return
     if record.kind == CHILD:
         end(record=record, outcome=KidReply(message=_stale(record=record, world=world)))
         return
-    note_again(record=record, world=world, why="blueprint moved on")
+    note_again(record=record, world=world, why="configuration moved on")
     record.begin_again()
 
 
 def note_again(*, record: Gathering, world: World, why: str) -> None:
-    """A search begins again under a newer blueprint."""
+    """A search begins again under a newer configuration."""
     world.journal.add(Restarted(collection=record.collection, was=record.version, why=why))
     world.trail.add(BeganAgain(search=record.search, was=record.version, why=why))
 
@@ -86,17 +86,17 @@
     if keeper.has_moved_on(version=record.version, now_us=world.now_us):
         end(record=record, outcome=KidReply(message=_stale(record=record, world=world)))
         return
-    blueprint = keeper.blueprint_for(version=record.version, now_us=world.now_us)
-    if blueprint is None:
+    configuration = keeper.configuration_for(version=record.version, now_us=world.now_us)
+    if configuration is None:
         if record.stage == NEW:
             record.stage = AWAITS
             world.emit(WantState(version=record.version, source=record.root))
         return
-    route = blueprint.route(collection=record.collection)
+    route = configuration.route(collection=record.collection)
     if route is None:
         end(record=record, outcome=KidReply(message=_stale(record=record, world=world)))
         return
-    record.blueprint, record.route = blueprint, route
+    record.configuration, record.route = configuration, route
     record.stage = GATHERS
 
 
@@ -105,7 +105,7 @@
     again under one that names other shards for it, or none."""
     path = record.request.target.partition("?")[0]
     host = record.request.host
-    route = world.keeper.blueprint.forward_for(host=host, path=path)
+    route = world.keeper.configuration.forward_for(host=host, path=path)
     if route is None:
         end(record=record, outcome=UnknownRoute(host=host[:200], path=path[:200]))
         return False
@@ -145,10 +145,10 @@
     if refusal:
         end(record=record, outcome=NotReady(why=refusal))
         return
-    blueprint = keeper.blueprint
+    configuration = keeper.configuration
     if record.request is not None and not _bind_forward(record=record, world=world):
         return
-    route = blueprint.route(collection=record.collection)
+    route = configuration.route(collection=record.collection)
     if route is None:
         end(record=record, outcome=UnknownCollection(collection=record.collection))
         return
@@ -158,6 +158,6 @@
             outcome=UnknownShard(collection=record.collection, shard=record.shard),
         )
         return
-    record.blueprint, record.route = blueprint, route
-    record.version = blueprint.version
+    record.configuration, record.route = configuration, route
+    record.version = configuration.version
     record.stage = GATHERS
--- a/kelpstage/edge/gather/passes/merge.py
+++ b/kelpstage/edge/gather/passes/merge.py
@@ -208,12 +208,12 @@
         may_name = set(first.branch.all_shards())
     if len(set(named)) != len(named) or not wanted <= set(named) <= may_name:
         return False
-    shards = record.blueprint.collections[record.collection].shards
+    shards = record.configuration.collections[record.collection].shards
     return all(part.cut == shards[part.shard].cut for part in reply.parts)
 
 
 def _kid_is_elsewhere(*, reply: Gathered, kid: Kid, record: Gathering, world: World) -> None:
-    """The kid runs under another blueprint: the whole query goes under the newer."""
+    """The kid runs under another configuration: the whole query goes under the newer."""
     if reply.has_sent_nothing:
         _note_sent_nothing(kid=kid, record=record)
         record.sent_shards -= set(kid.branch.all_shards()) - set(record.cells)
@@ -225,7 +225,7 @@
         end(record=record, outcome=KidReply(message=stale))
         return
     note_again(record=record, world=world, why="a partner moved on")
-    if world.keeper.blueprint.version >= reply.version:
+    if world.keeper.configuration.version >= reply.version:
         record.begin_again()
         return
     record.stage = AWAITS
--- a/kelpstage/edge/gather/passes/plan.py
+++ b/kelpstage/edge/gather/passes/plan.py
@@ -63,7 +63,7 @@
         zones = {
             world.book.entry(name=option.backend).zone
             for option in options(
-                blueprint=record.blueprint,
+                configuration=record.configuration,
                 book=world.book,
                 paces=world.paces,
                 collection=record.collection,
--- a/kelpstage/edge/gather/passes/send.py
+++ b/kelpstage/edge/gather/passes/send.py
@@ -95,7 +95,7 @@
     tried = {one.backend for one in cell.rounds}
     ranked = tuple(
         options(
-            blueprint=record.blueprint,
+            configuration=record.configuration,
             book=world.book,
             paces=world.paces,
             collection=record.collection,
@@ -160,7 +160,7 @@
             record=record,
             generation=record.generation,
             shard=cell.shard,
-            cut=record.blueprint.collections[record.collection].shards[cell.shard].cut,
+            cut=record.configuration.collections[record.collection].shards[cell.shard].cut,
             number=world.next_round,
             backend=backend,
             address=entry.address,
--- a/kelpstage/edge/gather/passes/settle.py
+++ b/kelpstage/edge/gather/passes/settle.py
@@ -134,7 +134,7 @@
         record=record,
         outcome=QuorumNotMet(
             collection=record.collection,
-            blueprint=record.version,
+            configuration=record.version,
             shards_in=len(record.parts),
             quorum=record.route.quorum,
             missing=_missing_json(
@@ -204,7 +204,7 @@
     head = {
         "search": record.search,
         "collection": record.collection,
-        "blueprint": record.version,
+        "configuration": record.version,
         "coverage": coverage,
         "warning": flag(coverage=coverage),
         "parts": [
--- a/kelpstage/edge/gather/record.py
+++ b/kelpstage/edge/gather/record.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
-from kelpstage.base.blueprint.types import Blueprint, Route
+from kelpstage.base.configuration.types import Configuration, Route
 from kelpstage.base.wire.messages import PartMsg
 from kelpstage.edge.forward.request import ClientRequest
 from kelpstage.edge.gather.order import ORDERS, ValueOrder
@@ -111,7 +111,7 @@
 
     stage: str = NEW
     generation: int = 0
-    blueprint: Blueprint | None = None
+    configuration: Configuration | None = None
     route: Route | None = None
     cells: dict[str, Cell] = field(default_factory=dict)
     kids: list[Kid] = field(default_factory=list)
@@ -142,7 +142,7 @@
         self.sent_before |= self.sent_shards
         self.sent_shards = set()
         self.stage = NEW
-        self.blueprint = self.route = None
+        self.configuration = self.route = None
         for cell in self.cells.values():
             self._spend(cell=cell)
         self.cells, self.kids = {}, []
@@ -247,14 +247,14 @@
     @property
     def order(self) -> Any:
         """How its records are sorted, merged and packed."""
-        if self.blueprint is None:
+        if self.configuration is None:
             return ValueOrder
-        return ORDERS[self.blueprint.collections[self.collection].codec]
+        return ORDERS[self.configuration.collections[self.collection].codec]
 
     def cut_of(self, *, shard: str) -> str:
-        if self.blueprint is None:
+        if self.configuration is None:
             return self.sent_cut
-        return self.blueprint.collections[self.collection].shards[shard].cut
+        return self.configuration.collections[self.collection].shards[shard].cut
 
     def waiting_shards(self) -> set[str]:
         """Shards that may still come in."""
--- a/kelpstage/edge/gather/table.py
+++ b/kelpstage/edge/gather/table.py
@@ -93,7 +93,7 @@
     if record.omit_us > now_us:
         times.append(record.omit_us)
     if record.kind != SINGLE:
-        if record.version != world.keeper.blueprint.version:
+        if record.version != world.keeper.configuration.version:
             times.append(max(now_us + 1_000, world.keeper.installed_us + RESTART_US))
         for cell in record.cells.values():
             if not cell.was_hedged:
--- a/kelpstage/edge/gather/task.py
+++ b/kelpstage/edge/gather/task.py
@@ -25,8 +25,8 @@
     AskBackend,
     AskKid,
     BackendSaid,
-    BlueprintMoved,
     ClockEvent,
+    ConfigurationMoved,
     KidReply,
     KidSaid,
     PartlySettled,
@@ -157,7 +157,7 @@
         return
 
     @_take.register
-    def _(self, event: BlueprintMoved) -> None:
+    def _(self, event: ConfigurationMoved) -> None:
         self.table.touch_all()
 
     @_take.register
@@ -319,8 +319,8 @@
             reply=reply,
             shard=ask.shard,
             cut=ask.cut,
-            order_by=record.blueprint.collections[record.collection].order_by
-            if record.blueprint
+            order_by=record.configuration.collections[record.collection].order_by
+            if record.configuration
             else "score",
         )
 
--- a/kelpstage/edge/gather/world.py
+++ b/kelpstage/edge/gather/world.py
@@ -140,7 +140,7 @@
             info = member.info
             if info.status != ALIVE or not info.is_ready or self.is_silent(name=name):
                 continue
-            if not self.keeper.blueprint.is_gatherer(
+            if not self.keeper.configuration.is_gatherer(
                 collection=collection, name=name, domain=info.domain
             ):
                 continue
@@ -151,7 +151,7 @@
         names = [rank[-1] for rank in sorted(ranked)]
         if not is_near_only:
             return names
-        route = self.keeper.blueprint.route(collection=collection)
+        route = self.keeper.configuration.route(collection=collection)
         window_us = route.window_us if route else 0
         near = [name for name in names if self.distances.get(name, 0) <= window_us]
         return near or names
--- a/kelpstage/edge/gossip/swim.py
+++ b/kelpstage/edge/gossip/swim.py
@@ -51,7 +51,7 @@
 class Member:
     info: MemberMsg
     since_us: int
-    served: int = 0  # its newest blueprint version, over all its lives
+    served: int = 0  # its newest configuration version, over all its lives
     packed: bytes = b""  # `info` as it travels; empty once it has changed
     seen_beat: int = 0  # the freshest beat that was heard, and when
     seen_us: int = 0
@@ -230,7 +230,7 @@
         return DEAD if member is None else member.info.status
 
     def served(self, *, name: str) -> int:
-        """The newest blueprint version that a partner was heard to serve, over all its
+        """The newest configuration version that a partner was heard to serve, over all its
         lives."""
         member = self.members.get(name)
         return 0 if member is None else max(member.served, member.info.version)
--- a/kelpstage/edge/grant/keeper.py
+++ b/kelpstage/edge/grant/keeper.py
@@ -1,4 +1,4 @@
-"""What this edge may serve under: its grant, its partners' word, its blueprint.
+"""What this edge may serve under: its grant, its partners' word, its configuration.
 
 Plain. An edge serves while it holds a grant, or while it hears from a majority
 of the roster and none of them has a newer epoch installed. One that has had no grant
@@ -11,7 +11,7 @@
 
 from dataclasses import dataclass, field
 
-from kelpstage.base.blueprint.types import EMPTY, Blueprint
+from kelpstage.base.configuration.types import EMPTY, Configuration
 from kelpstage.base.wire.messages import GrantReply, StateDoc, WitnessReply
 
 WITNESS_US = 1_000_000
@@ -30,7 +30,7 @@
 
     >>> keeper = Keeper(me="a")
     >>> keeper.install(doc=StateDoc(cluster="c", epoch=1, version=1, roster=["a", "b", "c"]),
-    ...     blueprint=Blueprint(version=1, document=b""), now_us=0)
+    ...     configuration=Configuration(version=1, document=b""), now_us=0)
     True
     >>> keeper.take_grant(reply=GrantReply(is_granted=True, cluster="c", epoch=1,
     ...     span_us=100), sent_us=10)
@@ -44,8 +44,8 @@
     cluster: str = ""
     epoch: int = 0
     roster: list[str] = field(default_factory=list)
-    blueprint: Blueprint = EMPTY
-    previous: Blueprint | None = None
+    configuration: Configuration = EMPTY
+    previous: Configuration | None = None
     installed_us: int = 0
     doc_bytes: bytes = b""
     newest_epoch: int = 0
@@ -56,7 +56,7 @@
     served_version: int = 0  # before a restart, as partners remember it
     heard: dict[str, Heard] = field(default_factory=dict)
 
-    def install(self, *, doc: StateDoc, blueprint: Blueprint, now_us: int) -> bool:
+    def install(self, *, doc: StateDoc, configuration: Configuration, now_us: int) -> bool:
         """Take a state; only upward, only within one cluster."""
         if self.cluster and doc.cluster != self.cluster:
             return False
@@ -67,9 +67,9 @@
         self.roster = list(doc.roster)
         self.doc_bytes = bytes(doc)
         self.newest_epoch = max(self.newest_epoch, doc.epoch)
-        if doc.version > self.blueprint.version:
-            self.previous = self.blueprint
-            self.blueprint = blueprint
+        if doc.version > self.configuration.version:
+            self.previous = self.configuration
+            self.configuration = configuration
             self.installed_us = now_us
         return True
 
@@ -143,7 +143,7 @@
         cores that spoke of it, and must not stop the fleet for good.
         """
         if self.has_forgotten:
-            if self.me not in self.roster or self.blueprint.version < self.served_version:
+            if self.me not in self.roster or self.configuration.version < self.served_version:
                 return False
         elif not self.vouches:
             return False
@@ -154,8 +154,8 @@
 
     def refusal(self, *, now_us: int) -> str:
         """Why this edge may not serve now; empty if it may."""
-        if not self.blueprint.version:
-            return "no blueprint"
+        if not self.configuration.version:
+            return "no configuration"
         if self.has_grant(now_us=now_us) or self.has_majority(now_us=now_us):
             return ""
         names = self.vouchers(now_us=now_us)
@@ -165,17 +165,17 @@
 
     def has_moved_on(self, *, version: int, now_us: int) -> bool:
         """Is this version one that must not be handled here any more?"""
-        if version == self.blueprint.version:
+        if version == self.configuration.version:
             return False
-        if version > self.blueprint.version:
+        if version > self.configuration.version:
             return False
         is_last = self.previous is not None and version == self.previous.version
         return not is_last or now_us - self.installed_us > MOVED_ON_US
 
-    def blueprint_for(self, *, version: int, now_us: int) -> Blueprint | None:
-        """The blueprint to run a query of this version under, if there is one."""
-        if version == self.blueprint.version:
-            return self.blueprint
+    def configuration_for(self, *, version: int, now_us: int) -> Configuration | None:
+        """The configuration to run a query of this version under, if there is one."""
+        if version == self.configuration.version:
+            return self.configuration
         is_previous = self.previous is not None and version == self.previous.version
         if is_previous and now_us - self.installed_us <= MOVED_ON_US:
             return self.previous
--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/grant/task.py
@@ -5,8 +5,8 @@
 import asyncio
 from typing import Any, Callable
 
-from kelpstage.base.blueprint.check import read_blueprint
-from kelpstage.base.blueprint.types import Blueprint
+from kelpstage.base.configuration.check import read_configuration
+from kelpstage.base.configuration.types import Configuration
 from kelpstage.base.defects import Defect
 from kelpstage.base.journal import Journal
 from kelpstage.base.log.ring import logger
@@ -72,7 +72,7 @@
 
 
 class GrantTask:
-    """Keeps this edge's right to serve, and its blueprint, fresh."""
+    """Keeps this edge's right to serve, and its configuration, fresh."""
 
     def __init__(
         self,
@@ -474,15 +474,17 @@
         except (ValueError, IndexError):
             self._journal.add(StateRefused(epoch=0, why="unreadable"))
             return False
-        blueprint: Any = self.keeper.blueprint
-        if doc.version and doc.version > blueprint.version:
-            blueprint = read_blueprint(data=doc.document, version=doc.version)
-        if not isinstance(blueprint, Blueprint):
+        configuration: Any = self.keeper.configuration
+        if doc.version and doc.version > configuration.version:
+            configuration = read_configuration(data=doc.document, version=doc.version)
+        if not isinstance(configuration, Configuration):
             log.error("epoch {} from {} can't be read here", doc.epoch, source)
-            self._journal.add(StateRefused(epoch=doc.epoch, why=blueprint.kind))
+            self._journal.add(StateRefused(epoch=doc.epoch, why=configuration.kind))
             return False
         self._ports.point("edge.before_install")
-        if not self.keeper.install(doc=doc, blueprint=blueprint, now_us=self._ports.clock.now_us()):
+        if not self.keeper.install(
+            doc=doc, configuration=configuration, now_us=self._ports.clock.now_us()
+        ):
             return False
         self._ports.point("edge.after_install")
         self._journal.add(Installed(epoch=doc.epoch, version=doc.version, source=source))
--- a/kelpstage/edge/rounds/budget.py
+++ b/kelpstage/edge/rounds/budget.py
@@ -4,7 +4,7 @@
 
 - *Own rule* (no ratio set): at most one in seven of the node's first sends to a
   service, and one in eight for each of its shards, plus a slack that the live edges
-  share. A search that begins again under a new blueprint may go a little further: it
+  share. A search that begins again under a new configuration may go a little further: it
   can't end under the old one.
 - *Stated bound* (a ratio is set): the deployment bounds what a service gets beyond
   the first arrival of each request, summed over all nodes. Here a shard *is* a service,
--- a/kelpstage/edge/web/callers.py
+++ b/kelpstage/edge/web/callers.py
@@ -182,7 +182,7 @@
         headers={
             **last,
             "Content-Type": JSON_TYPE,
-            "Kelp-Blueprint": str(outcome.version),
+            "Kelp-Configuration": str(outcome.version),
             "Kelp-Coverage": f"{outcome.coverage:.4f}",
         },
         body=outcome.body,
@@ -254,7 +254,7 @@
     refusal = edge.refusal()
     if refusal:
         return defect_reply(defect=NotReady(why=refusal))
-    return json_reply(body={"is_ready": True, "version": edge.keeper.blueprint.version})
+    return json_reply(body={"is_ready": True, "version": edge.keeper.configuration.version})
 
 
 def _health(edge: "Edge") -> HttpReply:
--- a/kelpstage/edge/web/explain.py
+++ b/kelpstage/edge/web/explain.py
@@ -24,8 +24,8 @@
     """The gathering plan as it would be chosen now, lots aside."""
     world = edge.world
     world.now_us = edge.ports.clock.now_us()
-    blueprint = edge.keeper.blueprint
-    route = blueprint.route(collection=collection)
+    configuration = edge.keeper.configuration
+    route = configuration.route(collection=collection)
     if route is None:
         return None
     helpers = world.helpers(collection=collection, rand=None)
@@ -33,7 +33,7 @@
     count = len(route.fan_out)
     return {
         "collection": collection,
-        "blueprint": blueprint.version,
+        "configuration": configuration.version,
         "root": edge.name,
         "shards": count,
         "quorum": route.quorum,
@@ -96,7 +96,7 @@
 
 def _shard_view(*, edge: "Edge", collection: str, shard: str, domain: str) -> dict[str, Any]:
     ranked = options(
-        blueprint=edge.keeper.blueprint,
+        configuration=edge.keeper.configuration,
         book=edge.book,
         paces=edge.world.paces,
         collection=collection,
@@ -125,7 +125,7 @@
     rows = []
     for name, member in sorted(edge.swim.members.items()):
         info = member.info
-        is_gatherer = edge.keeper.blueprint.is_gatherer(
+        is_gatherer = edge.keeper.configuration.is_gatherer(
             collection=collection, name=name, domain=info.domain
         )
         why_not = None
@@ -162,7 +162,7 @@
         "is_ready": not refusal,
         "why_not": refusal or None,
         "cluster": keeper.cluster or None,
-        "version": keeper.blueprint.version,
+        "version": keeper.configuration.version,
         "epoch": keeper.epoch,
         "newest_epoch": keeper.newest_epoch,
         "grant": {
--- a/kelpstage/edge/web/forward.py
+++ b/kelpstage/edge/web/forward.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from kelpstage.base.blueprint.types import ForwardRoute
+from kelpstage.base.configuration.types import ForwardRoute
 from kelpstage.base.defects import (
     Defect,
     MissingRequestId,
@@ -65,7 +65,7 @@
         return failure_reply(failure=NotReady(why=refusal), has_run=False, edge=edge)
     path = call.url.partition("?")[0]
     host = call.headers.get("host", "")
-    route = edge.keeper.blueprint.forward_for(host=host, path=path)
+    route = edge.keeper.configuration.forward_for(host=host, path=path)
     if route is None:
         failure = UnknownRoute(host=host[:200], path=path[:200])
         return failure_reply(failure=failure, has_run=False, edge=edge)
--- a/kelpstage/rep/run.py
+++ b/kelpstage/rep/run.py
@@ -39,7 +39,7 @@
     wait_us = row.get("time_left_us", 10_000_000)
     return HttpCall(
         method="PUT",
-        url=f"http://{address}/v1/blueprint",
+        url=f"http://{address}/v1/configuration",
         headers={
             "If-Match": f'"{replaces}"',
             "Kelp-Put-Id": row["put_id"],
@@ -62,7 +62,7 @@
         "what": "result",
         "at_us": row["at_us"],
         "number": number,
-        "path": row.get("path", "/v1/blueprint"),
+        "path": row.get("path", "/v1/configuration"),
         "took_us": took_us,
     }
     if isinstance(reply, Defect):
@@ -73,7 +73,7 @@
     out["end"] = "ok"
     if "kelp-coverage" in reply.headers:
         out["coverage"] = float(reply.headers["kelp-coverage"])
-        out["version"] = int(reply.headers["kelp-blueprint"])
+        out["version"] = int(reply.headers["kelp-configuration"])
     return out
 
 
@@ -147,7 +147,7 @@
         """Puts replace the version in force here, which is not the day's."""
         address = self.core_of(number)
         now = await self.ports.net.fetch(
-            call=HttpCall(method="GET", url=f"http://{address}/v1/blueprint", wait_us=5_000_000)
+            call=HttpCall(method="GET", url=f"http://{address}/v1/configuration", wait_us=5_000_000)
         )
         if isinstance(now, HttpReply) and now.status == 200:
             self.version = int(now.headers["etag"].strip('"'))
--- a/proof/check/blueprints.py
+++ b/proof/check/configurations.py
@@ -18,7 +18,7 @@
 SLIDE_US = 250_000
 REFUSED_ENDS = (
     "version_mismatch",
-    "blueprint_refused",
+    "configuration_refused",
     "no_edge_majority",
     "put_id_reused",
     "missing_if_match",
@@ -27,11 +27,11 @@
 )
 
 
-def old_blueprint(history: list[dict]) -> list[Violation]:
-    """A request handled by an old blueprint more than 3 s after the new one was
+def old_configuration(history: list[dict]) -> list[Violation]:
+    """A request handled by an old configuration more than 3 s after the new one was
     acknowledged: a verdict or a defect that names it, or a send to a backend under
     its cut. A single fetch ends under the version that it began with."""
-    line = "old blueprint"
+    line = "old configuration"
     puts, calls = acknowledged(history=history), good_calls(history=history)
     if not puts or not calls:
         return empty(line=line, what="acknowledged puts or good calls")
@@ -66,7 +66,7 @@
         if cuts and row["cut"] not in cuts:
             out.append(
                 Violation(
-                    line="old blueprint",
+                    line="old configuration",
                     why=f"{row['call']} sent to {row['backend']} under cut {row['cut']}",
                     at_us=at_us,
                 )
@@ -75,7 +75,7 @@
 
 
 def slide_back(history: list[dict]) -> list[Violation]:
-    """A node back at an older blueprint more than 250 ms after it moved on; a restart
+    """A node back at an older configuration more than 250 ms after it moved on; a restart
     in between changes nothing."""
     line = "slide back"
     calls = good_calls(history=history)
@@ -103,13 +103,13 @@
 
 
 def lost_or_undead(history: list[dict]) -> list[Violation]:
-    """An acknowledged blueprint that is lost, or a refused one that is in force: read
+    """An acknowledged configuration that is lost, or a refused one that is in force: read
     back, or served under a version that no put accounts for."""
-    line = "lost or undead blueprint"
+    line = "lost or undead configuration"
     reads = [row for row in rows_of(history=history, event="read_back") if row["status"] == 200]
     puts = acknowledged(history=history)
     if not reads or not puts:
-        return empty(line=line, what="acknowledged puts or blueprints read back")
+        return empty(line=line, what="acknowledged puts or configurations read back")
     out = []
     by_version: dict[int, str] = {}
     for put in puts:
--- a/proof/check/orders.py
+++ b/proof/check/orders.py
@@ -7,7 +7,7 @@
 
 LINE = "linearizable orders"
 CONFLICTS = frozenset(("version_mismatch", "version_not_above"))
-INVALIDS = frozenset(("blueprint_refused", "missing_if_match", "bad_request", "oversized_body"))
+INVALIDS = frozenset(("configuration_refused", "missing_if_match", "bad_request", "oversized_body"))
 
 
 def linearizable(history: list[dict]) -> list[Violation]:
--- a/proof/check/register.py
+++ b/proof/check/register.py
@@ -10,7 +10,7 @@
     wrong_body,
 )
 from proof.check.base import Checker, Violation
-from proof.check.blueprints import lost_or_undead, old_blueprint, slide_back
+from proof.check.configurations import lost_or_undead, old_configuration, slide_back
 from proof.check.orders import linearizable
 from proof.check.sends import after_known, extra_tries
 from proof.check.serving import dropped, held_back, own_refusal, slow_return
@@ -22,7 +22,7 @@
     "below_quorum": below_quorum,
     "garbled_part": garbled_part,
     "after_known": after_known,
-    "old_blueprint": old_blueprint,
+    "old_configuration": old_configuration,
     "slide_back": slide_back,
     "lost_or_undead": lost_or_undead,
     "linearizable": linearizable,
--- a/proof/fleet/day.py
+++ b/proof/fleet/day.py
@@ -1,4 +1,4 @@
-"""A day in the life of a deployment, shortened: traffic, a blueprint changed, a
+"""A day in the life of a deployment, shortened: traffic, a configuration changed, a
 backend and an edge killed, a rolling restart."""
 
 from __future__ import annotations
@@ -27,12 +27,12 @@
 
 
 async def bring_up(*, fleet: Fleet, say: Any) -> None:
-    """Start a fleet, put its blueprint, wait until every edge is ready."""
+    """Start a fleet, put its configuration, wait until every edge is ready."""
     await fleet.start()
     say("a leader is there")
     await fleet.wait_for(what="the whole roster", is_there=fleet.roster_is_whole)
     say("every edge is on the roster")
-    reply = await fleet.put(document=fleet.blueprint(), expected=0, put_id="first")
+    reply = await fleet.put(document=fleet.configuration(), expected=0, put_id="first")
     if getattr(reply, "status", 0) != 200:
         raise RuntimeError(f"the first put: {reply}")
     await fleet.wait_for(what="ready edges", is_there=fleet.all_ready)
@@ -115,7 +115,7 @@
     async def put(note: str) -> None:
         nonlocal version
         reply = await fleet.put(
-            document=fleet.blueprint(note=note),
+            document=fleet.configuration(note=note),
             expected=version,
             put_id=note,
             core=next(reversed(fleet.core_http)),
@@ -123,7 +123,7 @@
         )
         if getattr(reply, "status", 0) == 200:
             version += 1
-        say(f"blueprint changed: {getattr(reply, 'status', reply)}")
+        say(f"configuration changed: {getattr(reply, 'status', reply)}")
 
     await until(0.10)
     await put("second")
@@ -218,7 +218,7 @@
 
 
 async def _last_fault(*, fleet: Fleet, say: Any) -> None:
-    """One more fault at the close: the leader is killed; the blueprint is read back
+    """One more fault at the close: the leader is killed; the configuration is read back
     from those that are left."""
     leader = await fleet.leader()
     if leader is None:
--- a/proof/fleet/demo.py
+++ b/proof/fleet/demo.py
@@ -13,11 +13,12 @@
 from proof.standin.records import Cut
 
 
-def demo_blueprint(*, collection: str, cut: Cut, addresses: dict[str, str]) -> dict:
-    """A blueprint for the demo's backends.
+def demo_configuration(*, collection: str, cut: Cut, addresses: dict[str, str]) -> dict:
+    """A configuration for the demo's backends.
 
     >>> cut = Cut(name="c1", shards=("s1",))
-    >>> demo_blueprint(collection="d", cut=cut, addresses={"s1-a": "x"})["routes"]["d"]["Quorum"]
+    >>> document = demo_configuration(collection="d", cut=cut, addresses={"s1-a": "x"})
+    >>> document["routes"]["d"]["Quorum"]
     1
     """
     return {
@@ -44,8 +45,8 @@
     }
 
 
-async def serve_demo(*, collection: str, count: int, first_port: int, blueprint: str) -> None:
-    """Open the backends, write their blueprint, wait for the end."""
+async def serve_demo(*, collection: str, count: int, first_port: int, configuration: str) -> None:
+    """Open the backends, write their configuration, wait for the end."""
     cut = Cut(name="c1", shards=tuple(f"s{n + 1}" for n in range(count)))
     ports = live_ports(data_folder=None)
     ports.rand = random.Random(1)
@@ -61,11 +62,11 @@
             ports=ports,
         )
         await stand_in.open()
-    document = demo_blueprint(collection=collection, cut=cut, addresses=addresses)
-    pathlib.Path(blueprint).write_text(  # noqa: ASYNC240 -- once, before anything is served
+    document = demo_configuration(collection=collection, cut=cut, addresses=addresses)
+    pathlib.Path(configuration).write_text(  # noqa: ASYNC240 -- once, before anything is served
         json.dumps(document, indent=1), encoding="utf-8"
     )
-    print(f"{len(addresses)} backends; blueprint in {blueprint}", flush=True)
+    print(f"{len(addresses)} backends; configuration in {configuration}", flush=True)
     stop = asyncio.Event()
     for number in (signal.SIGTERM, signal.SIGINT):
         asyncio.get_running_loop().add_signal_handler(number, stop.set)
--- a/proof/fleet/deployment.py
+++ b/proof/fleet/deployment.py
@@ -1,4 +1,4 @@
-"""Deployments as data sets: nodes, domains, backends, callers; and the blueprints
+"""Deployments as data sets: nodes, domains, backends, callers; and the configurations
 that their operators would put."""
 
 from __future__ import annotations
@@ -97,7 +97,7 @@
     return sorted(path.stem for path in DATA.glob("*.json"))
 
 
-def blueprint_of(
+def configuration_of(
     *,
     deployment: Deployment,
     addresses: dict[str, str],
@@ -107,9 +107,9 @@
     left_out: tuple[str, ...] = (),
     padding: int = 0,
 ) -> bytes:
-    """The blueprint that the deployment's operators put.
+    """The configuration that the deployment's operators put.
 
-    >>> blueprint_of(deployment=load(name="senegal"), addresses={}).startswith(b"{")
+    >>> configuration_of(deployment=load(name="senegal"), addresses={}).startswith(b"{")
     True
     """
     cut = cut or deployment.cut
--- a/proof/fleet/fleet.py
+++ b/proof/fleet/fleet.py
@@ -17,7 +17,7 @@
 from kelpstage.base.ports.live import live_ports
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from proof.check.notes import Notes
-from proof.fleet.deployment import Deployment, blueprint_of, digest_of, facts_of
+from proof.fleet.deployment import Deployment, configuration_of, digest_of, facts_of
 from proof.fleet.machine import NOISY_LAG_US
 from proof.fleet.processes import Process, Processes
 from proof.standin.callers import Callers
@@ -229,13 +229,13 @@
         core: str | None = None,
         wait_us: int = 10_000_000,
     ) -> HttpReply | Defect:
-        """Put a blueprint and note what was said."""
+        """Put a configuration and note what was said."""
         address = self.core_http[core or next(iter(self.core_http))]
         sent_us = self.ports.clock.now_us()
         reply = await self.ports.net.fetch(
             call=HttpCall(
                 method="PUT",
-                url=f"http://{address}/v1/blueprint",
+                url=f"http://{address}/v1/configuration",
                 headers={
                     "If-Match": f'"{expected}"',
                     "Kelp-Put-Id": put_id,
@@ -350,11 +350,13 @@
         return fresh
 
     async def read_back(self) -> None:
-        """Read the blueprint back at the end of the day."""
+        """Read the configuration back at the end of the day."""
         sent_us = self.now_us()
         for address in self.core_http.values():
             reply = await self.ports.net.fetch(
-                call=HttpCall(method="GET", url=f"http://{address}/v1/blueprint", wait_us=5_000_000)
+                call=HttpCall(
+                    method="GET", url=f"http://{address}/v1/configuration", wait_us=5_000_000
+                )
             )
             if not isinstance(reply, Defect) and reply.status == 200:
                 self.note(
@@ -381,8 +383,8 @@
     async def _core_ready(self, *, name: str) -> bool:
         return await self.get(address=self.core_http[name], path="/ready") is not None
 
-    def blueprint(self, *, cut: Cut | None = None, note: str = "", **more: Any) -> bytes:
-        return blueprint_of(
+    def configuration(self, *, cut: Cut | None = None, note: str = "", **more: Any) -> bytes:
+        return configuration_of(
             deployment=self.deployment,
             addresses=self.backend_address,
             cut=cut,
--- a/proof/hollow/fleet.py
+++ b/proof/hollow/fleet.py
@@ -292,7 +292,7 @@
         reply = await self.outside.ports.net.fetch(
             call=HttpCall(
                 method="PUT",
-                url=f"http://{self.address(n=n, port=8100)}/v1/blueprint",
+                url=f"http://{self.address(n=n, port=8100)}/v1/configuration",
                 headers={
                     "If-Match": str(self.version),
                     "Kelp-Put-Id": f"put-{serial}",
@@ -645,7 +645,7 @@
         us=120 * SECOND,
         is_there=lambda: (
             fleet.ready_count() == options.nodes
-            and all(e.keeper.blueprint.version == fleet.version for e in fleet.edges.values())
+            and all(e.keeper.configuration.version == fleet.version for e in fleet.edges.values())
         ),
     )
     return {
--- a/proof/main.py
+++ b/proof/main.py
@@ -15,7 +15,7 @@
 from proof.bench_days import play_days
 from proof.fleet.day import run_day, show
 from proof.fleet.demo import serve_demo
-from proof.fleet.deployment import blueprint_of, load, names
+from proof.fleet.deployment import configuration_of, load, names
 from proof.fleet.record import write_day
 from proof.hollow import report
 from proof.hollow.fleet import run_hollow
@@ -118,14 +118,14 @@
 
 
 @app.command()
-def blueprint(
+def configuration(
     deployment: str = typer.Argument(help=f"One of: {', '.join(names())}."),
 ) -> None:
-    """Print the blueprint that a deployment's operators would put, with addresses
+    """Print the configuration that a deployment's operators would put, with addresses
     left to the platform's list."""
     if deployment not in names():
         _say_bad(f"no deployment {deployment!r}; there are: {', '.join(names())}")
-    print(blueprint_of(deployment=load(name=deployment), addresses={}).decode())
+    print(configuration_of(deployment=load(name=deployment), addresses={}).decode())
 
 
 @app.command()
@@ -133,11 +133,13 @@
     collection: str = typer.Option("demo", help="Name of the collection."),
     shards: int = typer.Option(4, min=1, max=64, help="Shards; each gets two backends."),
     first_port: int = typer.Option(7501, min=1024, max=60_000, help="First loopback port."),
-    blueprint: str = typer.Option(..., help="Write a fitting blueprint here."),
+    configuration: str = typer.Option(..., help="Write a fitting configuration here."),
 ) -> None:
     """Serve stand-in backends in this process until it is told to stop."""
     asyncio.run(
-        serve_demo(collection=collection, count=shards, first_port=first_port, blueprint=blueprint)
+        serve_demo(
+            collection=collection, count=shards, first_port=first_port, configuration=configuration
+        )
     )
 
 
--- a/proof/measure/choices.py
+++ b/proof/measure/choices.py
@@ -199,7 +199,7 @@
     def is_left_out(name: str) -> bool:
         return all(
             edge.book.refusal(
-                name=name, blueprint=edge.keeper.blueprint, now_us=fleet.world.now_us()
+                name=name, configuration=edge.keeper.configuration, now_us=fleet.world.now_us()
             )
             for edge in edges
         )
--- a/proof/model/adapter.py
+++ b/proof/model/adapter.py
@@ -12,7 +12,7 @@
 from typing import Any, Callable
 from unittest import mock
 
-from kelpstage.base.blueprint.types import EMPTY
+from kelpstage.base.configuration.types import EMPTY
 from kelpstage.base.defects import Defect, Unresolved
 from kelpstage.base.wire.messages import (
     AppendEntries,
@@ -41,7 +41,7 @@
     CoreState,
     Machine,
     PutApplied,
-    PutBlueprint,
+    PutConfiguration,
     PutLost,
     PutNotAbove,
     RefusePut,
@@ -204,7 +204,7 @@
     *, put_id: str, expected: int, version: int, document: bytes, state: CoreState
 ) -> bytes:
     """An operator's order as the command that a leader in this state proposes."""
-    put = PutBlueprint(put_id=put_id, expected=expected, version=version, document=document)
+    put = PutConfiguration(put_id=put_id, expected=expected, version=version, document=document)
     return bytes(put_command(put=put, state=state))
 
 
@@ -221,7 +221,7 @@
 
 def decided(*, machine: Machine, order: Any) -> Any:
     """What became of an order, as far as the state machine's records tell."""
-    put = PutBlueprint(put_id=order.put_id, expected=order.expected, version=order.version)
+    put = PutConfiguration(put_id=order.put_id, expected=order.expected, version=order.version)
     return machine.decided(put=put, digest=order.digest)
 
 
@@ -256,7 +256,7 @@
 
 def install(keeper: Keeper, *, doc: StateDoc, now_us: int) -> None:
     """An edge takes a state into use."""
-    keeper.install(doc=doc, blueprint=EMPTY, now_us=now_us)
+    keeper.install(doc=doc, configuration=EMPTY, now_us=now_us)
 
 
 def take_lease(keeper: Keeper, *, reply: GrantReply, sent_us: int) -> None:
--- a/proof/sim/faults.py
+++ b/proof/sim/faults.py
@@ -745,7 +745,7 @@
     number = fleet.fault(what="put_repeat", excuses=[])
     fleet.put_serial += 1
     name = f"put-{fleet.put_serial}"
-    document = fleet.blueprint(note=name, cut=fleet.cuts[fleet.cut_in_force])
+    document = fleet.configuration(note=name, cut=fleet.cuts[fleet.cut_in_force])
     expected = fleet.version
     for _ in range(3):
         await fleet.put(document=document, expected=expected, put_id=name)
@@ -754,7 +754,7 @@
 
 @fault
 async def put_large(fleet: SimFleet, rand: random.Random) -> None:
-    """A blueprint of over half a megabyte."""
+    """A configuration of over half a megabyte."""
     number = fleet.fault(what="put_large", excuses=[])
     await fleet.put_next(padding=3000)
     fleet.fault_end(fault=number)
--- a/proof/sim/fleet.py
+++ b/proof/sim/fleet.py
@@ -12,7 +12,7 @@
 from kelpstage.core.app import Core
 from kelpstage.edge.app import Edge
 from proof.check.notes import Notes
-from proof.fleet.deployment import Deployment, Node, blueprint_of, digest_of, facts_of
+from proof.fleet.deployment import Deployment, Node, configuration_of, digest_of, facts_of
 from proof.sim.world import Machine, SimProcess, World
 from proof.standin.backend import StandIn
 from proof.standin.callers import Callers, Kind
@@ -240,8 +240,8 @@
 
     # --- acting -------------------------------------------------------------------------
 
-    def blueprint(self, **more: Any) -> bytes:
-        return blueprint_of(deployment=self.deployment, addresses=self.backend_address, **more)
+    def configuration(self, **more: Any) -> bytes:
+        return configuration_of(deployment=self.deployment, addresses=self.backend_address, **more)
 
     async def put(
         self,
@@ -252,7 +252,7 @@
         core: str | None = None,
         wait_us: int = 10_000_000,
     ) -> dict:
-        """Put a blueprint through any core that is up, and note the verdict."""
+        """Put a configuration through any core that is up, and note the verdict."""
         name = core or self._some_core()
         row: dict[str, Any] = {
             "event": "put",
@@ -265,7 +265,7 @@
         reply = await self.outside.ports.net.fetch(
             call=HttpCall(
                 method="PUT",
-                url=f"http://{self.core_http(name=name)}/v1/blueprint",
+                url=f"http://{self.core_http(name=name)}/v1/configuration",
                 headers={
                     "If-Match": str(expected),
                     "Kelp-Put-Id": put_id,
@@ -292,12 +292,12 @@
             self.version = max(self.version, row["body"]["defect"]["current"])
 
     async def put_next(self, *, wait_us: int = 10_000_000, **more: Any) -> dict:
-        """Put a changed blueprint on what this operator knows to be the newest."""
+        """Put a changed configuration on what this operator knows to be the newest."""
         self.put_serial += 1
         name = f"put-{self.put_serial}"
         more.setdefault("cut", self.cuts[self.cut_in_force])
         return await self.put(
-            document=self.blueprint(note=name, **more),
+            document=self.configuration(note=name, **more),
             expected=self.version,
             put_id=name,
             wait_us=wait_us,
@@ -308,13 +308,13 @@
         return self.world.rand.choice(up or list(self.core_address))
 
     async def read_back(self, *, tries: int = 40) -> dict:
-        """Read the blueprint back, from any core that will answer."""
+        """Read the configuration back, from any core that will answer."""
         row: dict[str, Any] = {"event": "read_back", "status": 0, "sent_us": self.world.now_us()}
         for _ in range(tries):
             reply = await self.outside.ports.net.fetch(
                 call=HttpCall(
                     method="GET",
-                    url=f"http://{self.core_http(name=self._some_core())}/v1/blueprint",
+                    url=f"http://{self.core_http(name=self._some_core())}/v1/configuration",
                     wait_us=3_000_000,
                 )
             )
@@ -402,10 +402,10 @@
         process.kill()
 
     async def bring_up(self) -> None:
-        """Start all, put the first blueprint, wait until everybody serves."""
+        """Start all, put the first configuration, wait until everybody serves."""
         await self.start()
         await self.wait_for(what="a whole roster", is_there=self.is_roster_whole)
-        row = await self.put(document=self.blueprint(), expected=0, put_id="first")
+        row = await self.put(document=self.configuration(), expected=0, put_id="first")
         if row["status"] != 200:
             raise SimStuck(f"first put: {row}")
         await self.wait_for(
--- a/proof/sim/story.py
+++ b/proof/sim/story.py
@@ -1,4 +1,4 @@
-"""Stories: a quiet beginning, faults by a plan, a quiet end, the blueprint read back."""
+"""Stories: a quiet beginning, faults by a plan, a quiet end, the configuration read back."""
 
 from __future__ import annotations
 
--- a/proof/standin/callers.py
+++ b/proof/standin/callers.py
@@ -132,7 +132,7 @@
         head, raw = split_verdict(body=reply.body)
         row |= {
             "end": "ok",
-            "version": head["blueprint"],
+            "version": head["configuration"],
             "coverage": head["coverage"],
             "warning": head["warning"],
             "parts": [[p["shard"], p["backend"], p["cut"], p["count"]] for p in head["parts"]],
@@ -167,13 +167,13 @@
 
 
 def defect_version(*, body: bytes) -> int | None:
-    """The blueprint that a defect names, if it names one.
+    """The configuration that a defect names, if it names one.
 
-    >>> defect_version(body=b'{"defect":{"kind":"k","blueprint":3}}')
+    >>> defect_version(body=b'{"defect":{"kind":"k","configuration":3}}')
     3
     """
     try:
-        return json.loads(body)["defect"].get("blueprint")
+        return json.loads(body)["defect"].get("configuration")
     except (ValueError, KeyError, TypeError, AttributeError):
         return None
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -19,7 +19,7 @@
 from types import SimpleNamespace
 from typing import Any, Awaitable, Callable, Iterator
 
-from kelpstage.base.blueprint.check import read_blueprint
+from kelpstage.base.configuration.check import read_configuration
 from kelpstage.base.defects import ConnectRefused, LineLost, NotRun, WaitOver
 from kelpstage.base.http.client import HttpClient
 from kelpstage.base.http.server import HttpServer
@@ -209,18 +209,18 @@
         data = document(
             is_repeatable=self.is_repeatable, attempts=self.attempts, deadline_us=self.deadline_us
         )
-        configuration = read_blueprint(data=data, version=1)
+        configuration = read_configuration(data=data, version=1)
         keeper = Keeper(me="e")
         now_us = self.clock.now_us()
         keeper.install(
             doc=StateDoc(cluster="c", epoch=1, version=1, roster=["e"]),
-            blueprint=configuration,
+            configuration=configuration,
             now_us=now_us,
         )
         granted = GrantReply(is_granted=True, cluster="c", epoch=1, span_us=600_000_000)
         keeper.take_grant(reply=granted, sent_us=now_us)
         book = Book(me="e")
-        book.declare(blueprint=configuration, listed={})
+        book.declare(configuration=configuration, listed={})
         return World(
             me="e",
             domain="z",
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -15,7 +15,7 @@
 from types import SimpleNamespace
 from typing import Any
 
-from kelpstage.base.blueprint.check import read_blueprint
+from kelpstage.base.configuration.check import read_configuration
 from kelpstage.base.defects import ConnectRefused, LineLost, WaitOver
 from kelpstage.base.journal import Journal
 from kelpstage.base.ports.types import HttpCall, HttpReply, Ports
@@ -32,7 +32,7 @@
 from kelpstage.edge.forward.names import HeaderNames
 from kelpstage.edge.forward.request import ClientRequest
 from kelpstage.edge.forward.sealed import SealedCodec
-from kelpstage.edge.gather.messages import BlueprintMoved, Verdict
+from kelpstage.edge.gather.messages import ConfigurationMoved, Verdict
 from kelpstage.edge.gather.pace import Paces
 from kelpstage.edge.gather.record import ROOT, Gathering
 from kelpstage.edge.gather.task import GatherTask
@@ -116,18 +116,18 @@
     def install(self, *, data: bytes, version: int) -> None:
         """A configuration comes into force here."""
         now_us = self.fleet.loop.now_us()
-        configuration = read_blueprint(data=data, version=version)
+        configuration = read_configuration(data=data, version=version)
         self.keeper.install(
             doc=StateDoc(cluster="c", epoch=version, version=version, roster=[self.name]),
-            blueprint=configuration,
+            configuration=configuration,
             now_us=now_us,
         )
         granted = GrantReply(is_granted=True, cluster="c", epoch=version, span_us=SPAN_US)
         self.keeper.take_grant(reply=granted, sent_us=now_us)
-        self.world.book.declare(blueprint=configuration, listed={})
+        self.world.book.declare(configuration=configuration, listed={})
         self.world.book.set_lives(self.fleet.lives, now_us)
         self.world.book.set_live_edges(count=1, now_us=now_us)
-        self.gather.inbox.put_nowait(BlueprintMoved())
+        self.gather.inbox.put_nowait(ConfigurationMoved())
 
     def meet(self, *, others: list["Node"]) -> None:
         """Know the other nodes as members that may help."""
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -12,7 +12,7 @@
 from types import SimpleNamespace
 from typing import Any, Awaitable, Callable
 
-from kelpstage.base.blueprint.types import EMPTY
+from kelpstage.base.configuration.types import EMPTY
 from kelpstage.base.journal import Journal
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from kelpstage.base.wire.lines import Lines, LineServer
@@ -504,7 +504,7 @@
 
     def choose(self, book: Book, now_us: int, rand: Any = None) -> list[Option]:
         return options(
-            blueprint=EMPTY,
+            configuration=EMPTY,
             book=book,
             paces=Paces(),
             collection="c",
@@ -680,7 +680,7 @@
 
         book = self.book(life("i1"), life("i2"))
         book.set_live_edges(count=12, now_us=0)
-        book.declare(blueprint=Configuration(), listed={})  # type: ignore[arg-type]
+        book.declare(configuration=Configuration(), listed={})  # type: ignore[arg-type]
         self.assertEqual(2, book.entries["i1"].line_limit)
         book.entries["i1"].in_flight = 2
         refusals = {o.backend: o.refusal for o in self.choose(book, 1)}
@@ -808,7 +808,7 @@
     @staticmethod
     def as_chosen(*, book: Book, now_us: int, rand: random.Random) -> str:
         return options(
-            blueprint=EMPTY,
+            configuration=EMPTY,
             book=book,
             paces=Paces(),
             collection="c",
--- a/tests/test_bad_orders.py
+++ b/tests/test_bad_orders.py
@@ -518,7 +518,9 @@
                 "kelp-put-id": rand.choice(("p", "", "a/b", "x" * 65, "\u00e9")),
                 "kelp-time-left-us": rand.choice(("1000", "x", "-1", "0", "9" * 30)),
             }
-            call = HttpCall(method="PUT", url="/v1/blueprint", headers=headers, body=bytes(body))
+            call = HttpCall(
+                method="PUT", url="/v1/configuration", headers=headers, body=bytes(body)
+            )
             reply = asyncio.run(serve_operators(core=self.core, call=call))
             self.assertIn(reply.status, (400, 409, 413, 422, 428, 503), (seed, headers))
 
--- a/tests/test_catch_up.py
+++ b/tests/test_catch_up.py
@@ -26,7 +26,7 @@
     Command,
     CoreState,
     Machine,
-    PutBlueprint,
+    PutConfiguration,
     PutUnreadable,
     put_command,
 )
@@ -149,11 +149,11 @@
         for seed in range(12):
             rand = random.Random(seed)
             whole, small = Machine(cluster="c"), Machine(cluster="c")
-            puts: list[PutBlueprint] = []
+            puts: list[PutConfiguration] = []
             saved = 0
             for serial in range(60):
                 state = small.state
-                put = PutBlueprint(
+                put = PutConfiguration(
                     put_id=f"p{serial}",
                     expected=max(0, state.version - rand.choice([0, 0, 0, 1])),
                     document=edited(document=state.document or bytes(2_000), rand=rand),
@@ -176,7 +176,7 @@
         """It cannot be proposed, since a version has one document; planted, it is refused."""
         ours = CoreState(cluster="c", version=4, epoch=4, document=bytes(2_000))
         theirs = CoreState(cluster="c", version=4, epoch=4, document=b"x" * 2_000)
-        put = PutBlueprint(put_id="p", expected=4, document=b"x" * 2_000 + b"y")
+        put = PutConfiguration(put_id="p", expected=4, document=b"x" * 2_000 + b"y")
         machine = Machine(cluster="c", state=ours)
         before = bytes(machine.state)
         outcome = machine.apply(data=bytes(put_command(put=put, state=theirs)))
@@ -399,7 +399,7 @@
             took_us = await fleet.wait_for(
                 what="the edge to serve the newest",
                 is_there=lambda: (
-                    edge.keeper.blueprint.version == fleet.version and not edge.refusal()
+                    edge.keeper.configuration.version == fleet.version and not edge.refusal()
                 ),
             )
             self.assertLess(took_us, 5 * SECOND)
--- a/tests/test_checkers.py
+++ b/tests/test_checkers.py
@@ -405,7 +405,7 @@
         plant_label,
         plant_far_cut,
     ],
-    "old_blueprint": [plant_old, plant_old_send, plant_old_defect],
+    "old_configuration": [plant_old, plant_old_send, plant_old_defect],
     "slide_back": [plant_slide, plant_slide_over_restart],
     "lost_or_undead": [plant_lost, plant_undead, plant_nobodys],
     "linearizable": [
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -11,8 +11,8 @@
 
 from typer.testing import CliRunner
 
-from kelpstage.base.blueprint.check import read_blueprint
-from kelpstage.base.blueprint.types import EMPTY, Blueprint, CallerLimits, Service
+from kelpstage.base.configuration.check import read_configuration
+from kelpstage.base.configuration.types import EMPTY, CallerLimits, Configuration, Service
 from kelpstage.base.defects import EnvRefused
 from kelpstage.base.env.read import CORE_FORM, EDGE_FORM, judge_env
 from kelpstage.base.ports.types import HttpCall
@@ -24,7 +24,7 @@
     CoreState,
     Machine,
     PutApplied,
-    PutBlueprint,
+    PutConfiguration,
     PutLost,
 )
 from kelpstage.ctl.main import app
@@ -76,9 +76,9 @@
     }
 
 
-def judge(*, body: object) -> Blueprint | dict[str, str]:
-    outcome = read_blueprint(data=json.dumps(body).encode(), version=3)
-    if isinstance(outcome, Blueprint):
+def judge(*, body: object) -> Configuration | dict[str, str]:
+    outcome = read_configuration(data=json.dumps(body).encode(), version=3)
+    if isinstance(outcome, Configuration):
         return outcome
     return {fault.path: fault.why for fault in outcome.faults}
 
@@ -98,51 +98,51 @@
 
 class ForwardTest(unittest.TestCase):
     def test_a_whole_document_is_read(self) -> None:
-        blueprint = judge(body=document())
-        self.assertIsInstance(blueprint, Blueprint)
-        self.assertEqual((3, 7), (blueprint.version, blueprint.stated_version))
+        configuration = judge(body=document())
+        self.assertIsInstance(configuration, Configuration)
+        self.assertEqual((3, 7), (configuration.version, configuration.stated_version))
         self.assertEqual(
             Service(name="kafi81c", health_path="/up", max_connections=130),
-            blueprint.services["kafi81c"],
+            configuration.services["kafi81c"],
         )
         self.assertEqual(
             CallerLimits(
                 header_bytes=16384, body_bytes=262144, header_us=3_000_000, idle_us=15_000_000
             ),
-            blueprint.limits,
+            configuration.limits,
         )
-        self.assertEqual('{"as": "sent \u00e9"}'.encode(), blueprint.source)
-        gather = blueprint.forward["r-gather"]
+        self.assertEqual('{"as": "sent \u00e9"}'.encode(), configuration.source)
+        gather = configuration.forward["r-gather"]
         self.assertEqual(("mide43.example", 1, 5), (gather.host, gather.quorum, gather.limit))
-        plain = blueprint.forward["r-plain"]
+        plain = configuration.forward["r-plain"]
         self.assertEqual((("kafi81c", 0.25), ("huvo11a", 0.75)), plain.weights)
         self.assertEqual(("kafi81c", "huvo11a"), plain.services)
 
     def test_forward_routes_yield_collections_and_routes(self) -> None:
-        blueprint = judge(body=document())
-        collection = blueprint.collections["r-gather"]
+        configuration = judge(body=document())
+        collection = configuration.collections["r-gather"]
         self.assertEqual(("records16", ""), (collection.codec, collection.order_by))
         self.assertEqual(["huvo11a", "lohu93e"], list(collection.shards))
         shard = collection.shards["huvo11a"]
         self.assertEqual(("huvo11a", "", {}), (shard.name, shard.cut, shard.selector))
-        route = blueprint.route(collection="r-gather")
+        route = configuration.route(collection="r-gather")
         self.assertEqual(("huvo11a", "lohu93e"), route.fan_out)
         self.assertEqual(
             (1, 5, 10_000, 84_000),
             (route.quorum, route.tree_fan_out, route.window_us, route.aim_us),
         )
-        self.assertEqual(("kafi81c", "huvo11a"), blueprint.route(collection="r-plain").fan_out)
-        self.assertTrue(blueprint.is_gatherer(collection="r-gather", name="n", domain="d"))
+        self.assertEqual(("kafi81c", "huvo11a"), configuration.route(collection="r-plain").fan_out)
+        self.assertTrue(configuration.is_gatherer(collection="r-gather", name="n", domain="d"))
 
     def test_the_longest_prefix_of_the_host_wins(self) -> None:
         body = document()
         wide = dict(body["forward"]["r-plain"], host="mide43.example", prefix="/")
         deep = dict(wide, prefix="/leno121/")
         body["forward"] |= {"r-wide": wide, "r-deep": deep}
-        blueprint = judge(body=body)
+        configuration = judge(body=body)
 
         def name_of(host: str, path: str) -> str | None:
-            route = blueprint.forward_for(host=host, path=path)
+            route = configuration.forward_for(host=host, path=path)
             return route and route.name
 
         self.assertEqual("r-gather", name_of("MIDE43.example:8080", "/leno121/ny90/2f"))
@@ -229,7 +229,7 @@
         self.assertEqual({"forward.r-plain": "the name of a collection"}, judge(body=body))
         body["forward"]["other"] = body["forward"].pop("r-plain")
         both = judge(body=body)
-        self.assertIsInstance(both, Blueprint)
+        self.assertIsInstance(both, Configuration)
         self.assertEqual({"r-plain", "other", "r-gather"}, set(both.collections))
         self.assertEqual(("b",), both.backends_of(collection="r-plain", shard="s1"))
 
@@ -238,7 +238,7 @@
         body = document()
         body["services"][name] = {}
         body["forward"][name] = dict(body["forward"]["r-plain"], prefix="/new/", weights={name: 1})
-        self.assertIsInstance(judge(body=body), Blueprint)
+        self.assertIsInstance(judge(body=body), Configuration)
         for bad in ("", "a b", "x" * 129, "tab\t"):
             worse = copy.deepcopy(body)
             worse["services"][bad] = {}
@@ -262,7 +262,7 @@
         spans = []
         for _ in range(3):
             began = time.process_time()
-            self.assertIsInstance(read_blueprint(data=data, version=1), Blueprint)
+            self.assertIsInstance(read_configuration(data=data, version=1), Configuration)
             spans.append(time.process_time() - began)
         self.assertLess(min(spans), 0.3)
 
@@ -271,7 +271,7 @@
     """The replicated state under versions that the operator states."""
 
     def put(self, machine: Machine, **put: object) -> object:
-        return machine.apply(data=bytes(Command(put=PutBlueprint(**put))))
+        return machine.apply(data=bytes(Command(put=PutConfiguration(**put))))
 
     def test_a_put_is_known_again_by_its_content(self) -> None:
         machine = Machine(cluster="c")
@@ -380,7 +380,7 @@
         }
         if version:
             headers["Kelp-Version"] = str(version)
-        body = body or self.fleet.blueprint(note=note)
+        body = body or self.fleet.configuration(note=note)
         began_us = self.fleet.now_us()
         reply = await self.fetch(core, "PUT", headers=headers, body=body, wait_us=5_000_000)
         took_us = self.fleet.now_us() - began_us
@@ -394,7 +394,7 @@
     async def fetch(self, core: str, method: str, **more: object):
         address = self.fleet.core_http(name=core)
         return await self.fleet.outside.ports.net.fetch(
-            call=HttpCall(method=method, url=f"http://{address}/v1/blueprint", **more)
+            call=HttpCall(method=method, url=f"http://{address}/v1/configuration", **more)
         )
 
     async def until_taken(self, note: str, **more: object) -> tuple[int, dict, int]:
@@ -426,7 +426,7 @@
                 (dict(base=7, version=3), 409, "version_not_above"),
                 (dict(base=6, version=9), 412, "version_mismatch"),
                 (dict(base=1, version=8), 412, "version_mismatch"),
-                (dict(base=7, version=8, body=b'{"forward": {}}x'), 422, "blueprint_refused"),
+                (dict(base=7, version=8, body=b'{"forward": {}}x'), 422, "configuration_refused"),
             ]
             for more, wanted, kind in cases:
                 for core in ("node-01", "node-02", "node-03"):
@@ -441,7 +441,7 @@
             self.assertEqual((200, 7), (status, row["version"]), "remembered, not current")
             back = await operator.fetch("node-02", "GET")
             self.assertEqual(
-                (fleet.blueprint(note="next"), '"8"'), (back.body, back.headers["etag"])
+                (fleet.configuration(note="next"), '"8"'), (back.body, back.headers["etag"])
             )
             for name in ("0", "x", "9" * 25):
                 reply = await operator.fetch(
@@ -467,7 +467,7 @@
             self.assertEqual((200, 7), (status, row["version"]))
             self.assertEqual(body, (await operator.fetch("node-03", "GET")).body)
             for edge in fleet.ready_edges():
-                held = fleet.daemons[f"edge/{edge}"].keeper.blueprint
+                held = fleet.daemons[f"edge/{edge}"].keeper.configuration
                 self.assertEqual((7, {"r-gather", "r-plain"}), (held.version, set(held.forward)))
 
         run_story(story)
@@ -615,11 +615,11 @@
         self.assertEqual([], diff_of(old=old, new=judge(body=document())))
 
     def test_warnings(self) -> None:
-        self.assertEqual([], warnings_of(blueprint=judge(body=document())))
+        self.assertEqual([], warnings_of(configuration=judge(body=document())))
         body = bent("forward/r-gather/is_repeatable", False)
         body["forward"]["r-plain"] |= {"aim_us": 9_000_000, "weights": {"kafi81c": 1, "huvo11a": 0}}
         body["services"]["spare"] = {}
-        paths = [warning.path for warning in warnings_of(blueprint=judge(body=body))]
+        paths = [warning.path for warning in warnings_of(configuration=judge(body=body))]
         self.assertEqual(
             [
                 "forward.r-gather.is_repeatable",
--- a/tests/test_core_cuts.py
+++ b/tests/test_core_cuts.py
@@ -23,10 +23,10 @@
 from kelpstage.core.raft import elections
 from kelpstage.core.raft.state import RaftState
 from kelpstage.core.replica_task import ReplicaTask
-from kelpstage.core.state.machine import PutBlueprint
+from kelpstage.core.state.machine import PutConfiguration
 from kelpstage.core.web import operators as operators_module
 from kelpstage.core.web.operators import _answer as real_answer
-from kelpstage.core.web.operators import _get_blueprint
+from kelpstage.core.web.operators import _get_configuration
 from tests.test_cores import Cores, play
 
 CUT_US = 20_000_000
@@ -113,7 +113,7 @@
         return await cores.outside.ports.net.fetch(
             call=HttpCall(
                 method=method,
-                url=f"http://{cores.address(member, 8100)}/v1/blueprint",
+                url=f"http://{cores.address(member, 8100)}/v1/configuration",
                 wait_us=self._call_us,
                 **more,
             )
@@ -373,13 +373,13 @@
     return outcome
 
 
-async def looked_up_in_memory(self: Puts, *, put: PutBlueprint, digest: bytes) -> Any:
+async def looked_up_in_memory(self: Puts, *, put: PutConfiguration, digest: bytes) -> Any:
     """Planted fault: an order is judged by what this member happens to know."""
     outcome = self._task.machine.decided(put=put, digest=digest)
     return None if outcome is None else as_result(outcome=outcome, put_id=put.put_id)
 
 
-async def refused_in_memory(self: Puts, *, put: PutBlueprint, **_: Any) -> Any:
+async def refused_in_memory(self: Puts, *, put: PutConfiguration, **_: Any) -> Any:
     """Planted fault: a base version that this member has not got is refused by its word."""
     current = self._task.machine.state.version
     return VersionMismatch(expected=put.expected, current=current)
@@ -388,7 +388,7 @@
 async def read_from_memory(*, core: Core, ask: ProxyOperator) -> HttpReply:
     """Planted fault: a member that leads, or thinks so, reads without the read index."""
     if ask.method == "GET" and core.task.is_leader:
-        return _get_blueprint(task=core.task)
+        return _get_configuration(task=core.task)
     return await real_answer(core=core, ask=ask)
 
 
@@ -492,7 +492,7 @@
                     await cores.outside.ports.net.fetch(
                         call=HttpCall(
                             method="GET",
-                            url=f"http://{cores.address(name, 8100)}/v1/blueprint",
+                            url=f"http://{cores.address(name, 8100)}/v1/configuration",
                             headers={"Kelp-Time-Left-Us": str(ORDER_WAIT_US)},
                             wait_us=30_000_000,
                         )
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -119,7 +119,7 @@
         return await self.outside.ports.net.fetch(
             call=HttpCall(
                 method=method,
-                url=f"http://{self.address(name, 8100)}/v1/blueprint",
+                url=f"http://{self.address(name, 8100)}/v1/configuration",
                 wait_us=2_000_000,
                 **more,
             )
--- a/tests/test_ctl.py
+++ b/tests/test_ctl.py
@@ -12,7 +12,7 @@
 from kelpstage.core.main import app as core_app
 from kelpstage.ctl.main import app
 from kelpstage.edge.main import app as edge_app
-from proof.fleet.deployment import blueprint_of, load
+from proof.fleet.deployment import configuration_of, load
 
 OPENAPI = """
 openapi: 3.1.0
@@ -43,7 +43,7 @@
         self.addCleanup(folder.cleanup)
         self.folder = pathlib.Path(folder.name)
         self.good = self.write(
-            "good.json", blueprint_of(deployment=load(name="tiny"), addresses={})
+            "good.json", configuration_of(deployment=load(name="tiny"), addresses={})
         )
 
     def write(self, name: str, data: bytes) -> str:
--- a/tests/test_blueprint.py
+++ b/tests/test_document.py
@@ -1,4 +1,4 @@
-"""Blueprints: every fault is found with its path, the examples pass, tools judge alike."""
+"""Configurations: every fault is found with its path, the examples pass, tools judge alike."""
 
 from __future__ import annotations
 
@@ -7,42 +7,44 @@
 import pathlib
 import unittest
 
-from kelpstage.base.blueprint.check import DOCUMENT_LIMIT, read_blueprint
-from kelpstage.base.blueprint.types import Blueprint
-from kelpstage.base.defects import BlueprintRefused
+from kelpstage.base.configuration.check import DOCUMENT_LIMIT, read_configuration
+from kelpstage.base.configuration.types import Configuration
+from kelpstage.base.defects import ConfigurationRefused
 from kelpstage.ctl.offline.diff import diff_of
 from kelpstage.ctl.offline.plan import changes, offline_plan
 from kelpstage.ctl.offline.warnings import warnings_of
-from proof.fleet.deployment import blueprint_of, load, names
+from proof.fleet.deployment import configuration_of, load, names
 
-EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "docs" / "blueprints"
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "docs" / "configurations"
 
 
 def good() -> dict:
-    return json.loads(blueprint_of(deployment=load(name="tiny"), addresses={}))
+    return json.loads(configuration_of(deployment=load(name="tiny"), addresses={}))
 
 
 def faults(document: object) -> dict[str, str]:
-    outcome = read_blueprint(data=json.dumps(document).encode(), version=1)
-    if isinstance(outcome, Blueprint):
+    outcome = read_configuration(data=json.dumps(document).encode(), version=1)
+    if isinstance(outcome, Configuration):
         return {}
     return {fault.path: fault.why for fault in outcome.faults}
 
 
-def read(document: dict) -> Blueprint:
-    outcome = read_blueprint(data=json.dumps(document).encode(), version=1)
-    assert isinstance(outcome, Blueprint), outcome
+def read(document: dict) -> Configuration:
+    outcome = read_configuration(data=json.dumps(document).encode(), version=1)
+    assert isinstance(outcome, Configuration), outcome
     return outcome
 
 
-class BlueprintTest(unittest.TestCase):
+class ConfigurationTest(unittest.TestCase):
     def test_examples_and_data_sets_pass(self) -> None:
         self.assertEqual(3, len(list(EXAMPLES.glob("*.json"))))
         for path in EXAMPLES.glob("*.json"):
-            self.assertIsInstance(read_blueprint(data=path.read_bytes(), version=1), Blueprint)
+            self.assertIsInstance(
+                read_configuration(data=path.read_bytes(), version=1), Configuration
+            )
         for name in names():
-            data = blueprint_of(deployment=load(name=name), addresses={})
-            self.assertIsInstance(read_blueprint(data=data, version=1), Blueprint)
+            data = configuration_of(deployment=load(name=name), addresses={})
+            self.assertIsInstance(read_configuration(data=data, version=1), Configuration)
 
     def test_each_fault_is_named_with_its_path(self) -> None:
         def bend(path: str, value: object) -> dict:
@@ -102,7 +104,9 @@
             b" " * (DOCUMENT_LIMIT + 1),
         ):
             with self.subTest(data=data[:20]):
-                self.assertIsInstance(read_blueprint(data=data, version=1), BlueprintRefused)
+                self.assertIsInstance(
+                    read_configuration(data=data, version=1), ConfigurationRefused
+                )
 
     def test_quorum_true_is_no_number(self) -> None:
         document = good()
@@ -118,15 +122,15 @@
         document["routes"]["tiny"]["Quorum"] = 6
         for number in (2, 3, 4, 5, 6):
             document["nodes"][f"node-0{number}"]["labels"]["role"] = "other"
-        found = {w.path: w.why for w in warnings_of(blueprint=read(document))}
+        found = {w.path: w.why for w in warnings_of(configuration=read(document))}
         self.assertIn("one backend only", found["collections.tiny.shards.s1"])
         self.assertIn("all backends in one domain", found["collections.tiny.shards.s2"])
         self.assertIn("the loss of", found["routes.tiny.Quorum"])
         self.assertIn("1 nodes may gather", found["collections.tiny.gatherers"])
 
     def test_plan_without_some(self) -> None:
-        blueprint = read(good())
-        ask = {"blueprint": blueprint, "collection": "tiny", "root": "node-01"}
+        configuration = read(good())
+        ask = {"configuration": configuration, "collection": "tiny", "root": "node-01"}
         whole = offline_plan(gone=frozenset(), **ask)
         self.assertEqual((1.0, True), (whole["coverage"], whole["is_quorum_met"]))
         less = offline_plan(gone=frozenset({"b-01", "b-02", "b-03", "b-04"}), **ask)
--- a/tests/test_fleet_sim.py
+++ b/tests/test_fleet_sim.py
@@ -142,19 +142,19 @@
                 return await fetch(
                     fleet,
                     address,
-                    "/v1/blueprint",
+                    "/v1/configuration",
                     "PUT",
                     headers=names,
                     body=body,
                     wait_us=12_000_000,
                 )
 
-            good = fleet.blueprint(note="x")
+            good = fleet.configuration(note="x")
             cases = [
                 (await put(good, Kelp_Put_Id="p"), 428, "missing_if_match"),
                 (await put(good, If_Match="one", Kelp_Put_Id="p"), 400, "bad_request"),
                 (await put(good, If_Match="1"), 400, "bad_request"),
-                (await put(b"{}", If_Match="1", Kelp_Put_Id="p"), 422, "blueprint_refused"),
+                (await put(b"{}", If_Match="1", Kelp_Put_Id="p"), 422, "configuration_refused"),
                 (await put(good, If_Match="7", Kelp_Put_Id="p"), 412, "version_mismatch"),
                 (await put(b" " * (5 << 20), If_Match="1", Kelp_Put_Id="p"), 413, "oversized_body"),
             ]
@@ -164,15 +164,15 @@
             again = await put(good, If_Match="1", Kelp_Put_Id="p")
             self.assertEqual(200, first.status)
             self.assertEqual(json.loads(first.body), json.loads(again.body))
-            other = await put(fleet.blueprint(note="y"), If_Match="1", Kelp_Put_Id="p")
+            other = await put(fleet.configuration(note="y"), If_Match="1", Kelp_Put_Id="p")
             self.assertEqual((409, "put_id_reused"), (other.status, kind_of(other)))
-            lost = await put(fleet.blueprint(note="y"), If_Match="1", Kelp_Put_Id="q")
+            lost = await put(fleet.configuration(note="y"), If_Match="1", Kelp_Put_Id="q")
             self.assertEqual((412, "version_mismatch"), (lost.status, kind_of(lost)))
             state = await fetch(fleet, address, "/v1/puts/p")
             self.assertEqual("acknowledged", json.loads(state.body)["state"])
             unknown = await fetch(fleet, address, "/v1/puts/zzz")
             self.assertEqual((404, "unknown_put"), (unknown.status, kind_of(unknown)))
-            back = await fetch(fleet, address, "/v1/blueprint")
+            back = await fetch(fleet, address, "/v1/configuration")
             self.assertEqual((good, '"2"'), (back.body, back.headers["etag"]))
 
         run_story(story)
@@ -206,7 +206,7 @@
 
 
 class CutOff(unittest.TestCase):
-    """Two rules pull apart: serve on while cut off, never serve an old blueprint."""
+    """Two rules pull apart: serve on while cut off, never serve an old configuration."""
 
     def test_without_any_core_the_fleet_serves_on(self) -> None:
         async def story(fleet: SimFleet) -> None:
@@ -227,18 +227,18 @@
                     fleet.world.cut(a="node-05", b=other)
             row = await fleet.put_next()
             self.assertEqual(200, row["status"])
-            self.assertEqual(1, edge.keeper.blueprint.version)
+            self.assertEqual(1, edge.keeper.configuration.version)
             self.assertTrue(edge.refusal())
             self.assertNotIn("node-05", fleet.ready_edges())
             fleet.world.heal()
             await fleet.wait_for(
                 what="the edge to catch up", is_there=lambda: not edge.refusal(), us=5_000_000
             )
-            self.assertEqual(2, edge.keeper.blueprint.version)
+            self.assertEqual(2, edge.keeper.configuration.version)
 
         run_story(story)
 
-    def test_a_woken_edge_does_not_answer_under_its_old_blueprint(self) -> None:
+    def test_a_woken_edge_does_not_answer_under_its_old_configuration(self) -> None:
         async def story(fleet: SimFleet) -> None:
             await fleet.bring_up()
             for backend in fleet.backends:
@@ -262,7 +262,7 @@
             fleet.processes["edge/node-05"].thaw()
             reply = await call
             if reply.status == 200:
-                self.assertEqual(2, json.loads(reply.body)["blueprint"])
+                self.assertEqual(2, json.loads(reply.body)["configuration"])
             else:
                 self.assertEqual("not_ready", kind_of(reply))
 
@@ -274,7 +274,7 @@
     that a partner has installed does."""
 
     def test_heard_of_is_not_installed(self) -> None:
-        from kelpstage.base.blueprint.types import Blueprint
+        from kelpstage.base.configuration.types import Configuration
         from kelpstage.base.wire.messages import GrantReply, StateDoc, WitnessReply
         from kelpstage.edge.grant.keeper import Keeper
 
@@ -282,7 +282,7 @@
         roster = ["a", "b", "c"]
         keeper.install(
             doc=StateDoc(cluster="k", epoch=4, version=1, roster=roster),
-            blueprint=Blueprint(version=1, document=b""),
+            configuration=Configuration(version=1, document=b""),
             now_us=0,
         )
         keeper.take_grant(
--- a/tests/test_forward.py
+++ b/tests/test_forward.py
@@ -216,7 +216,7 @@
         self.assertEqual(self.status(failure)[0], 503)
         self.assertIsNotNone(self.status(failure)[1])
         self.assertEqual(self.status(failure, has_run=True), (502, None))
-        short = QuorumNotMet(collection="c", blueprint=1, shards_in=1, quorum=2)
+        short = QuorumNotMet(collection="c", configuration=1, shards_in=1, quorum=2)
         self.assertEqual(self.status(short, has_run=True), (502, None))
         self.assertEqual(self.status(UnknownRoute(host="h", path="/"))[0], 404)
 
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -344,7 +344,7 @@
                 is_there=lambda: min(len(e.swim.live()) for e in fleet.edges.values()) == 24,
             )
             self.assertEqual(24, fleet.ready_count())
-            versions = {edge.keeper.blueprint.version for edge in fleet.edges.values()}
+            versions = {edge.keeper.configuration.version for edge in fleet.edges.values()}
             self.assertEqual({fleet.version}, versions)
 
         with constants_set(constants={"kelpstage.edge.gossip.swim:FORGET_US": 15 * SECOND}):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -49,7 +49,7 @@
         return self.fleet.core_http(name=name)
 
     def document(self, note: str) -> bytes:
-        return self.fleet.blueprint(note=note)
+        return self.fleet.configuration(note=note)
 
     def up(self) -> list[str]:
         return [n for n in self.names if self.fleet.processes[f"core/{n}"].is_alive]
@@ -82,7 +82,7 @@
             process = self.fleet.processes[f"edge/{node.name}"]
             if not process.is_alive or process.is_frozen:
                 continue
-            version = edge.keeper.blueprint.version
+            version = edge.keeper.configuration.version
             own_us = edge.ports.clock.now_us()
             if version < newest and edge.keeper.has_grant(now_us=own_us):
                 self._note(name=node.name, what=f"a lease at {version}, acknowledged {newest}")
--- a/tests/test_live.py
+++ b/tests/test_live.py
@@ -27,7 +27,7 @@
 async def story(fleet: Fleet) -> None:
     await bring_up(fleet=fleet, say=lambda text: None)
     await call_until(fleet=fleet, count=CALLS)
-    reply = await fleet.put(document=fleet.blueprint(note="two"), expected=1, put_id="two")
+    reply = await fleet.put(document=fleet.configuration(note="two"), expected=1, put_id="two")
     assert reply.status == 200, reply
     edge = "node-05"
     number = fleet.fault(what="edge_kill", excuses=["edge"], nodes=[edge], after_us=2_000_000)
@@ -52,7 +52,7 @@
     fleet.signal_core(name=leader, number=signal.SIGCONT)
     await call_until(fleet=fleet, count=CALLS)
     reply = await fleet.put(
-        document=fleet.blueprint(note="three"),
+        document=fleet.configuration(note="three"),
         expected=2,
         put_id="three",
         core=others[0],
@@ -117,7 +117,7 @@
     listed = json.loads((await tool("ctl", "explain", "--json", *edge))[1])["searches"]
     search = next(row["search"] for row in listed if row["part"] == "root")
     got, out, err = await tool("ctl", "explain", search, *edge)
-    assert got == 0 and "planned under blueprint" in out and "first; window" in out, (out, err)
+    assert got == 0 and "planned under configuration" in out and "first; window" in out, (out, err)
     day, result = str(fleet.folder / "a.day"), str(fleet.folder / "a.result")
     write_day(path=day, history=[r for r in fleet.history if r["event"] == "call"][-60:])
     got, out, err = await tool("rep", "run", day, "--out", result, "--speed", "4", *edge)
@@ -148,7 +148,7 @@
     assert got == 1 and "cores answer" in err, (got, out, err)
     fleet.processes.all[f"core-{left}"].kill()
     got, out, err = await tool("ctl", *arguments)
-    assert got == 0 and "A NEW CLUSTER" in out and "blueprint 6" in out, (got, out, err)
+    assert got == 0 and "A NEW CLUSTER" in out and "configuration 6" in out, (got, out, err)
     for name in lost:
         del fleet.core_http[name]
     fleet.start_core(name=left)
@@ -174,7 +174,7 @@
             "mixed_configurations",
             "below_quorum",
             "garbled_part",
-            "old_blueprint",
+            "old_configuration",
             "slide_back",
             "held_back",
             "after_known",
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -24,7 +24,7 @@
     CoreState,
     Machine,
     PutApplied,
-    PutBlueprint,
+    PutConfiguration,
     PutLost,
     PutNotAbove,
     PutUnclear,
@@ -49,7 +49,7 @@
     def put(
         self, machine: Machine, *, base: int, version: int = 0, text: str = "", put_id=""
     ) -> object:
-        put = PutBlueprint(
+        put = PutConfiguration(
             put_id=put_id or f"{base}/{version}/{text}",
             expected=base,
             document=text.encode(),
@@ -419,7 +419,7 @@
         reply = await site.outside.ports.net.fetch(
             call=HttpCall(
                 method="PUT",
-                url=f"http://{site.address(member, 8100)}/v1/blueprint",
+                url=f"http://{site.address(member, 8100)}/v1/configuration",
                 headers={
                     "If-Match": str(write.base),
                     "Kelp-Version": str(version),
@@ -530,7 +530,7 @@
             left = next(name for name in fleet.core_address if name != fleet.leader())
             others = [name for name in fleet.core_address if name != left]
             orders = {
-                base: {"document": fleet.blueprint(note=f"on {base}"), "put_id": f"on-{base}"}
+                base: {"document": fleet.configuration(note=f"on {base}"), "put_id": f"on-{base}"}
                 for base in (1, 2, 3, 4)
             }
 
@@ -557,7 +557,7 @@
             self.assertEqual(
                 ["ok", "unresolved", "ok"], [row["end"] for row in known], "none is refused"
             )
-            rival = fleet.blueprint(note="rival")
+            rival = fleet.configuration(note="rival")
             late = await send(2, core=left, document=rival, put_id="rival")
             self.assertEqual("unresolved", late["end"], "it may have been the one taken")
             late = await send(3, core=left, document=rival, put_id="rival")
@@ -582,7 +582,11 @@
             await fleet.bring_up()
             edge = fleet.daemons["edge/node-05"]
             fleet.processes["edge/node-05"].freeze()
-            order_row = {"document": fleet.blueprint(note="two"), "expected": 1, "put_id": "two"}
+            order_row = {
+                "document": fleet.configuration(note="two"),
+                "expected": 1,
+                "put_id": "two",
+            }
             leader, cores = fleet.leader(), list(fleet.core_address)
             row = await fleet.put(core=leader, wait_us=200_000, **order_row)
             self.assertEqual("unresolved", row["end"])
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -15,8 +15,8 @@
 from pathlib import Path
 from unittest import mock
 
-from kelpstage.base.blueprint.check import read_blueprint
-from kelpstage.base.blueprint.types import Blueprint
+from kelpstage.base.configuration.check import read_configuration
+from kelpstage.base.configuration.types import Configuration
 from kelpstage.base.defects import Defect
 from kelpstage.base.env.read import CORE_FORM, EDGE_FORM, judge_env
 from kelpstage.base.ports.types import HttpCall, HttpReply
@@ -175,15 +175,15 @@
 
     def test_a_body_becomes_a_document_and_comes_back_byte_for_byte(self):
         document, version = self.configuration.to_document(body=BODY)
-        blueprint = read_blueprint(data=document, version=version)
-        self.assertIsInstance(blueprint, Blueprint)
-        self.assertEqual((version, blueprint.stated_version), (7, 7))
-        route = blueprint.forward_for(host="h.example", path="/a/x")
+        configuration = read_configuration(data=document, version=version)
+        self.assertIsInstance(configuration, Configuration)
+        self.assertEqual((version, configuration.stated_version), (7, 7))
+        route = configuration.forward_for(host="h.example", path="/a/x")
         self.assertEqual((route.fan_out, route.quorum, route.limit), (("s1", "s2", "s3"), 3, 10))
         self.assertEqual((route.deadline_us, route.aim_us, route.attempts), (1_200_000, 132_000, 2))
-        self.assertFalse(blueprint.forward["r-2"].is_repeatable)
-        self.assertEqual(blueprint.forward["r-3"].weights, (("s1", 1.0), ("s2", 3.0)))
-        self.assertEqual(blueprint.limits.header_us, 3_000_000)
+        self.assertFalse(configuration.forward["r-2"].is_repeatable)
+        self.assertEqual(configuration.forward["r-3"].weights, (("s1", 1.0), ("s2", 3.0)))
+        self.assertEqual(configuration.limits.header_us, 3_000_000)
         self.assertEqual(self.configuration.source_of(document=document), BODY)
 
     def test_what_is_invalid_is_refused_here_or_by_the_product(self):
@@ -212,7 +212,7 @@
                     document, version = self.configuration.to_document(body=body)
                 except self.configuration.Untranslatable:
                     continue
-                self.assertIsInstance(read_blueprint(data=document, version=version), Defect)
+                self.assertIsInstance(read_configuration(data=document, version=version), Defect)
 
 
 class OperatorCallsTest(unittest.TestCase):
@@ -234,7 +234,7 @@
         self.assertEqual(self.ask(headers={"x-base-version": "5"}, **ask).status, 200)
         self.ask(headers={"x-base-version": "5"}, **ask)
         first, again = self.calls
-        self.assertEqual((first.method, first.url), ("PUT", "/v1/blueprint"))
+        self.assertEqual((first.method, first.url), ("PUT", "/v1/configuration"))
         self.assertEqual((first.headers["if-match"], first.headers["kelp-version"]), ("5", "7"))
         self.assertEqual(first.headers, again.headers)
 
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -6,8 +6,8 @@
 import random
 import unittest
 
-from kelpstage.base.blueprint.check import read_blueprint
-from kelpstage.base.blueprint.types import Blueprint
+from kelpstage.base.configuration.check import read_configuration
+from kelpstage.base.configuration.types import Configuration
 from kelpstage.base.journal import Journal
 from kelpstage.base.wire.messages import (
     Gathered,
@@ -30,7 +30,7 @@
 from kelpstage.edge.gossip.swim import Swim
 from kelpstage.edge.grant.keeper import Keeper
 from kelpstage.edge.rounds.budget import Budget
-from proof.fleet.deployment import blueprint_of, load
+from proof.fleet.deployment import configuration_of, load
 from proof.sim.fleet import SimFleet, run_sim
 from tests.test_fleet_sim import fetch
 
@@ -42,15 +42,15 @@
         addresses = {
             b.name: f"10.0.0.1:{9000 + n}" for n, b in enumerate(load(name="tiny").backends)
         }
-        self.blueprint = read_blueprint(
-            data=blueprint_of(deployment=load(name="tiny"), addresses=addresses), version=1
+        self.configuration = read_configuration(
+            data=configuration_of(deployment=load(name="tiny"), addresses=addresses), version=1
         )
         self.book, self.paces = Book(me="n"), Paces()
-        self.book.declare(blueprint=self.blueprint, listed={})
+        self.book.declare(configuration=self.configuration, listed={})
 
     def order(self, now_us: int) -> list[str]:
         ranked = options(
-            blueprint=self.blueprint,
+            configuration=self.configuration,
             book=self.book,
             paces=self.paces,
             collection="tiny",
@@ -71,7 +71,7 @@
         self.book.lied(name="b-01", now_us=0)
         [rumor] = [r for r in self.book.rumors(now_us=1) if r.state == LYING]
         other = Book(me="m")
-        other.declare(blueprint=self.blueprint, listed={})
+        other.declare(configuration=self.configuration, listed={})
         self.assertTrue(other.take_rumor(rumor=rumor, now_us=5))
         self.assertTrue(other.is_distrusted(name="b-01", now_us=6))
 
@@ -113,8 +113,8 @@
     came with both. It used to be thrown away, and the other shard with it."""
 
     def test_a_late_kids_reply_is_taken_whole(self) -> None:
-        blueprint = read_blueprint(
-            data=blueprint_of(deployment=load(name="tiny"), addresses={}), version=1
+        configuration = read_configuration(
+            data=configuration_of(deployment=load(name="tiny"), addresses={}), version=1
         )
         world = World(
             me="r",
@@ -142,8 +142,8 @@
             due_us=10,
             version=1,
             stage=GATHERS,
-            blueprint=blueprint,
-            route=blueprint.route(collection="tiny"),
+            configuration=configuration,
+            route=configuration.route(collection="tiny"),
             kids=[kid],
             cells={"s1": Cell(shard="s1", is_extra=True)},
         )
@@ -180,7 +180,7 @@
                 what="a leader", is_there=lambda: fleet.leader() not in (None, old)
             )
             row = await fleet.put(
-                document=fleet.blueprint(note="x"), expected=1, put_id="x", core=fleet.leader()
+                document=fleet.configuration(note="x"), expected=1, put_id="x", core=fleet.leader()
             )
             self.assertEqual("ok", row["end"])
 
@@ -235,7 +235,7 @@
         self.assertEqual([n.name for n in fleet.deployment.nodes], ready)
         keeper = fleet.daemons["edge/node-02"].keeper
         self.assertFalse(keeper.vouches)
-        self.assertEqual(1, keeper.blueprint.version)
+        self.assertEqual(1, keeper.configuration.version)
 
     def test_half_of_six_forgot_and_nobody_serves(self) -> None:
         _, ready = self.run_story(["node-02", "node-04", "node-05"])
@@ -245,7 +245,7 @@
         keeper = Keeper(me="a")
         keeper.install(
             doc=StateDoc(cluster="k", epoch=4, version=3, roster=["a", "b", "c"]),
-            blueprint=Blueprint(version=3, document=b""),
+            configuration=Configuration(version=3, document=b""),
             now_us=0,
         )
         for edge in ("b", "c"):
@@ -295,22 +295,22 @@
     no backend for anybody for seconds."""
 
     def test_hearsay_of_silence_is_a_doubt_and_no_refusal(self) -> None:
-        blueprint = read_blueprint(
-            data=blueprint_of(
+        configuration = read_configuration(
+            data=configuration_of(
                 deployment=load(name="tiny"),
                 addresses={b.name: "10.0.0.1:9000" for b in load(name="tiny").backends},
             ),
             version=1,
         )
         book = Book(me="n")
-        book.declare(blueprint=blueprint, listed={})
+        book.declare(configuration=configuration, listed={})
         for partner in ("k", "l"):
-            for name in blueprint.backends:
+            for name in configuration.backends:
                 book.take_rumor(
                     rumor=RumorMsg(backend=name, state=DARK, seen_by=partner), now_us=1_000
                 )
         ranked = options(
-            blueprint=blueprint,
+            configuration=configuration,
             book=book,
             paces=Paces(),
             collection="tiny",
--- a/tests/test_salvage.py
+++ b/tests/test_salvage.py
@@ -6,7 +6,7 @@
 
 from kelpstage.base.defects import SalvageRefused
 from kelpstage.core.salvage import Salvaged, salvage
-from proof.check.blueprints import lost_or_undead, old_blueprint
+from proof.check.configurations import lost_or_undead, old_configuration
 from proof.fleet.deployment import load
 from proof.sim.fleet import SimFleet, run_sim
 from proof.sim.world import SimProcess
@@ -76,7 +76,7 @@
             await fleet.drain_callers()
             read = await fleet.read_back()
             self.assertEqual(3, read["version"])
-            self.assertEqual([], old_blueprint(fleet.history))
+            self.assertEqual([], old_configuration(fleet.history))
             self.assertEqual([], lost_or_undead(fleet.history))
 
         run_story(story)
