--- a/kelpstage/base/wire/http.py
+++ b/kelpstage/base/wire/http.py
@@ -28,7 +28,7 @@
     the id of the search that came to it.
 
     >>> from kelpstage.base.defects import NotReady
-    >>> reply = defect_reply(defect=NotReady(why="no grant"))
+    >>> reply = defect_reply(defect=NotReady(why="no lease"))
     >>> reply.status, reply.headers["Retry-After"]
     (503, '1')
     """
--- a/kelpstage/base/wire/messages.py
+++ b/kelpstage/base/wire/messages.py
@@ -261,7 +261,7 @@
 
 
 @dataclass
-class GrantReply(Message):
+class LeaseReply(Message):
     is_granted: bool = bp.bool_field(1)
     cluster: str = bp.string_field(2)
     epoch: int = bp.uint64_field(3)
@@ -506,7 +506,7 @@
     30: Meet,
     31: MeetReply,
     32: Renew,
-    33: GrantReply,
+    33: LeaseReply,
     34: RelayRenew,
     35: Announce,
     36: Witness,
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -34,8 +34,8 @@
     founding_snapshot,
     judge_seeds,
 )
-from kelpstage.core.grants.lease_service import LeaseService
 from kelpstage.core.handlers import handle
+from kelpstage.core.leases.lease_service import LeaseService
 from kelpstage.core.leaving import Leaving
 from kelpstage.core.raft import types as raft
 from kelpstage.core.replica_task import ReplicaTask
--- a/kelpstage/core/handlers.py
+++ b/kelpstage/core/handlers.py
@@ -16,9 +16,9 @@
     Done,
     FetchSnapshot,
     FetchState,
-    GrantReply,
     InstallSnapshot,
     JoinCore,
+    LeaseReply,
     LeaveCore,
     LeaveCoreReply,
     Meet,
@@ -122,14 +122,14 @@
 
 
 @handle.register
-async def _(message: Renew, core: Any, source: str) -> GrantReply:
+async def _(message: Renew, core: Any, source: str) -> LeaseReply:
     core.meet(contact=message.contact)
     task, lease_service = core.task, core.lease_service
     if task is None or lease_service is None:
-        return GrantReply(why="this core is not up", partners=core.some_partners())
+        return LeaseReply(why="this core is not up", partners=core.some_partners())
     if task.is_leader:
         return await lease_service.renew(ask=message)
-    hint = GrantReply(
+    hint = LeaseReply(
         cluster=task.cluster,
         why="no leader known",
         leader_address=task.leader_address,
--- a/kelpstage/core/grants/lease_service.py
+++ b/kelpstage/core/leases/lease_service.py
@@ -16,10 +16,10 @@
 from kelpstage.base.ports.types import Ports
 from kelpstage.base.wire.delta import pack_delta
 from kelpstage.base.wire.lines import Lines
-from kelpstage.base.wire.messages import Announce, EdgeContact, GrantReply, Renew, StateDoc
+from kelpstage.base.wire.messages import Announce, EdgeContact, LeaseReply, Renew, StateDoc
 from kelpstage.core.events import EpochSettled, RosterChanged
-from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
-from kelpstage.core.grants.puts import Puts
+from kelpstage.core.leases.ledger import LEASE_SPAN_US, Ledger
+from kelpstage.core.leases.puts import Puts
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import AddEdge, Command, RemoveEdge, RosterSet
 
@@ -35,7 +35,7 @@
 
 
 class LeaseService:
-    """Grants, puts and the roster, as the leader keeps them."""
+    """Leases, puts and the roster, as the leader keeps them."""
 
     def __init__(
         self,
@@ -145,19 +145,19 @@
             if holder is not None and holder.epoch < epoch:
                 self._announce_to(contact=contact, message=self._announce_whole())
 
-    # --- grants ---------------------------------------------------------------------------
+    # --- leases ---------------------------------------------------------------------------
 
-    async def renew(self, *, ask: Renew) -> GrantReply:
-        """Grant an edge the right to serve, if this leader is confirmed after its asking."""
+    async def renew(self, *, ask: Renew) -> LeaseReply:
+        """Give an edge a lease, if this leader is confirmed after its asking."""
         task = self._task
         if ask.cluster and ask.cluster != task.cluster:
-            return GrantReply(cluster=task.cluster, why="another cluster")
+            return LeaseReply(cluster=task.cluster, why="another cluster")
         ledger = self.ledger
         now_us = self._ports.clock.now_us()
         if ask.is_leaving:
             ledger.give_back(edge=ask.edge, incarnation=ask.incarnation)
             self._news.notify_all()
-            return GrantReply(cluster=task.cluster, why="leaving")
+            return LeaseReply(cluster=task.cluster, why="leaving")
         if ask.cluster:
             is_newest = ledger.heard(
                 edge=ask.edge,
@@ -172,7 +172,7 @@
             self._news.notify_all()
         defect = await self._confirm()
         if defect is not None or ledger is not self.ledger:
-            return GrantReply(cluster=task.cluster, why=defect.why if defect else "lead changed")
+            return LeaseReply(cluster=task.cluster, why=defect.why if defect else "lead changed")
         if not ask.cluster and not ledger.heard(
             edge=ask.edge,
             incarnation=ask.incarnation,
@@ -190,12 +190,12 @@
             now_us=now_us,
             limit=CONTACTS_TOLD if ledger.count() <= RELAYED_FROM else LARGE_CONTACTS_TOLD,
         )
-        reply = GrantReply(
+        reply = LeaseReply(
             is_granted=is_on_roster,
             cluster=task.cluster,
             epoch=state.epoch,
             version=state.version,
-            span_us=GRANT_SPAN_US,
+            span_us=LEASE_SPAN_US,
             leader_address=self._own,
             cores=cores,
             is_on_roster=is_on_roster,
@@ -206,15 +206,15 @@
             reply.why = "joining the roster"
             self._begin_join(edge=ask.edge)
             return reply
-        self._ports.point("core.before_grant")
-        ledger.grant(edge=ask.edge, epoch=state.epoch, now_us=self._ports.clock.now_us())
+        self._ports.point("core.before_lease")
+        ledger.record_lease(edge=ask.edge, epoch=state.epoch, now_us=self._ports.clock.now_us())
         return reply
 
-    def _superseded(self, *, ledger: Ledger, edge: str) -> GrantReply:
+    def _superseded(self, *, ledger: Ledger, edge: str) -> LeaseReply:
         """No lease for an incarnation below one that was heard. It may be the newer process
         all the same, on a clock that was stepped back: it takes a number above."""
         holder = ledger.holder(edge=edge)
-        return GrantReply(
+        return LeaseReply(
             cluster=self._task.cluster,
             why="superseded by a newer incarnation",
             leader_address=self._own,
@@ -349,6 +349,6 @@
         now_us = self._ports.clock.now_us()
         holder = self.ledger.holder(edge=edge)
         heard_us = self.ledger.since_us if holder is None else holder.heard_us
-        if now_us - heard_us < 2 * GRANT_SPAN_US:
+        if now_us - heard_us < 2 * LEASE_SPAN_US:
             return EdgeStillHere(edge=edge, heard_us_ago=now_us - heard_us)
         return None
--- a/kelpstage/core/grants/ledger.py
+++ b/kelpstage/core/leases/ledger.py
@@ -1,6 +1,6 @@
-"""The leader's ledger of grants: who may still be serving, and under what.
+"""The leader's ledger of leases: who may still be serving, and under what.
 
-Plain and in memory: a new leader knows of no grant, so it takes it that every
+Plain and in memory: a new leader knows of no lease, so it takes it that every
 edge of the roster got one the moment before it was elected.
 """
 
@@ -10,25 +10,25 @@
 
 from kelpstage.base.wire.messages import EdgeContact
 
-GRANT_SPAN_US = 2_000_000
-GRANT_MARGIN_US = 200_000
+LEASE_SPAN_US = 2_000_000
+LEASE_MARGIN_US = 200_000
 
 
 @dataclass(kw_only=True)
-class Holder:
+class LeaseHolder:
     """One edge as the leader knows it."""
 
     incarnation: int = 0
     epoch: int = 0
     heard_us: int = -(10**12)
-    grants: list[tuple[int, int]] = field(default_factory=list)  # epoch, when
+    leases: list[tuple[int, int]] = field(default_factory=list)  # epoch, when
     contact: EdgeContact | None = None
     relayed_by: str = ""  # address of the edge that carried its last renewal, if one did
     changed_at: int = 0  # count of changes when its contact changed last
 
 
 class Ledger:
-    """Grants given by this leader since it was elected.
+    """Leases given by this leader since it was elected.
 
     >>> ledger = Ledger(since_us=0)
     >>> ledger.heard(edge="a", incarnation=1, epoch=1, contact=None, now_us=10)
@@ -41,7 +41,7 @@
 
     def __init__(self, *, since_us: int) -> None:
         self.since_us = since_us
-        self._holders: dict[str, Holder] = {}
+        self._holders: dict[str, LeaseHolder] = {}
         self._changes = 1
         self._cores: list[str] = []
         self._cores_changed_at = 1
@@ -64,7 +64,7 @@
         ...     for n in (2, 1, 3)]
         [True, False, True]
         """
-        holder = self._holders.setdefault(edge, Holder())
+        holder = self._holders.setdefault(edge, LeaseHolder())
         if incarnation < holder.incarnation:
             return False
         if incarnation > holder.incarnation:
@@ -81,28 +81,28 @@
         holder.contact = contact
         return True
 
-    def grant(self, *, edge: str, epoch: int, now_us: int) -> None:
-        holder = self._holders.setdefault(edge, Holder())
-        oldest = now_us - GRANT_SPAN_US - GRANT_MARGIN_US
-        holder.grants = [grant for grant in holder.grants if grant[1] > oldest]
-        holder.grants.append((epoch, now_us))
+    def record_lease(self, *, edge: str, epoch: int, now_us: int) -> None:
+        holder = self._holders.setdefault(edge, LeaseHolder())
+        oldest = now_us - LEASE_SPAN_US - LEASE_MARGIN_US
+        holder.leases = [lease for lease in holder.leases if lease[1] > oldest]
+        holder.leases.append((epoch, now_us))
 
     def give_back(self, *, edge: str, incarnation: int) -> None:
         """A leaving edge has stopped serving."""
         holder = self._holders.get(edge)
         if holder is not None and holder.incarnation == incarnation:
-            holder.grants = []
+            holder.leases = []
             holder.heard_us = -(10**12)
             holder.contact = None
 
     def _is_lapsed(self, *, edge: str, epoch: int, now_us: int) -> bool:
-        span = GRANT_SPAN_US + GRANT_MARGIN_US
+        span = LEASE_SPAN_US + LEASE_MARGIN_US
         if now_us - self.since_us < span:
             return False
         holder = self._holders.get(edge)
         if holder is None:
             return True
-        return all(granted >= epoch or now_us - when >= span for granted, when in holder.grants)
+        return all(granted >= epoch or now_us - when >= span for granted, when in holder.leases)
 
     def _has_installed(self, *, edge: str, epoch: int) -> bool:
         holder = self._holders.get(edge)
@@ -132,7 +132,7 @@
         return [
             edge
             for edge in roster
-            if edge in self._holders and now_us - self._holders[edge].heard_us < GRANT_SPAN_US
+            if edge in self._holders and now_us - self._holders[edge].heard_us < LEASE_SPAN_US
         ]
 
     def has_majority(self, *, roster: list[str], now_us: int) -> bool:
@@ -141,7 +141,7 @@
             return True
         return len(self.heard_lately(roster=roster, now_us=now_us)) * 2 > len(roster)
 
-    def holder(self, *, edge: str) -> Holder | None:
+    def holder(self, *, edge: str) -> LeaseHolder | None:
         return self._holders.get(edge)
 
     def contacts(self, *, now_us: int) -> list[EdgeContact]:
@@ -150,7 +150,7 @@
         Another one holds no lease, so that nothing waits for it; it learns of the newest
         epoch from the answer to its next renewal, and fetches that state alone.
         """
-        oldest_us = now_us - GRANT_SPAN_US - GRANT_MARGIN_US
+        oldest_us = now_us - LEASE_SPAN_US - LEASE_MARGIN_US
         return [
             holder.contact
             for _, holder in sorted(self._holders.items())
@@ -210,5 +210,5 @@
         return [holder.contact for holder in newest[:limit]], list(cores)
 
     @staticmethod
-    def _is_here(*, holder: Holder, now_us: int) -> bool:
-        return holder.contact is not None and now_us - holder.heard_us < 15 * GRANT_SPAN_US
+    def _is_here(*, holder: LeaseHolder, now_us: int) -> bool:
+        return holder.contact is not None and now_us - holder.heard_us < 15 * LEASE_SPAN_US
--- a/kelpstage/core/grants/puts.py
+++ b/kelpstage/core/leases/puts.py
@@ -25,8 +25,8 @@
 from kelpstage.base.journal import Journal
 from kelpstage.base.ports.types import Ports
 from kelpstage.core.events import PutDecided
-from kelpstage.core.grants.judge import Judge
-from kelpstage.core.grants.ledger import GRANT_SPAN_US
+from kelpstage.core.leases.judge import Judge
+from kelpstage.core.leases.ledger import LEASE_SPAN_US
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import (
     Command,
@@ -44,7 +44,7 @@
 )
 
 if TYPE_CHECKING:
-    from kelpstage.core.grants.lease_service import LeaseService
+    from kelpstage.core.leases.lease_service import LeaseService
 
 CONFIRM_US = 1_000_000
 PATIENCE_US = 10_000_000
@@ -210,7 +210,7 @@
         """A leader that was elected a moment ago has not heard its edges yet; give
         them one span before it is said that most are missing."""
         clock = self._ports.clock
-        until_us = min(until_us, self._lease_service.ledger.since_us + GRANT_SPAN_US)
+        until_us = min(until_us, self._lease_service.ledger.since_us + LEASE_SPAN_US)
         while clock.now_us() < until_us:
             if self._lease_service.ledger.has_majority(roster=roster, now_us=clock.now_us()):
                 return
--- a/kelpstage/core/main.py
+++ b/kelpstage/core/main.py
@@ -24,7 +24,7 @@
     ),
     data: Optional[str] = typer.Option(None, help="Folder for the log, snapshots and identity."),
 ) -> None:
-    """Run a core: it keeps blueprints, the edge roster and grants in a replicated log."""
+    """Run a core: it keeps blueprints, the edge roster and leases in a replicated log."""
 
     def read_settings() -> dict:
         return env_or_exit(
--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -22,8 +22,8 @@
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from kelpstage.base.wire.http import JSON_TYPE, defect_reply, json_reply
 from kelpstage.base.wire.messages import ProxyOperator, ProxyOperatorReply
-from kelpstage.core.grants.judge import judge_document
 from kelpstage.core.handlers import proxy_to_leader
+from kelpstage.core.leases.judge import judge_document
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.machine import PutApplied
 
--- a/kelpstage/ctl/commands/views.py
+++ b/kelpstage/ctl/commands/views.py
@@ -96,15 +96,15 @@
 
 
 def _edge_text(*, view: dict[str, Any]) -> str:
-    grant = view["grant"]
+    lease = view["lease"]
     lines = [
         f"kelpd {view['name']} {view['address']} ({view['domain']}): "
         + ("ready" if view["is_ready"] else f"not ready: {view['why_not']}"),
         f"  blueprint {view['version']}, epoch {view['epoch']} (newest known "
-        f"{view['newest_epoch']}); grant "
-        + (f"held for {grant['left_us']} us" if grant["is_held"] else "not held")
-        + f", leader {grant['leader'] or 'unknown'}, {len(grant['vouchers'])} of "
-        f"{len(grant['roster'])} vouch",
+        f"{view['newest_epoch']}); lease "
+        + (f"held for {lease['left_us']} us" if lease["is_held"] else "not held")
+        + f", leader {lease['leader'] or 'unknown'}, {len(lease['vouchers'])} of "
+        f"{len(lease['roster'])} vouch",
     ]
     for row in view["partners"]:
         if row["status"] != "alive":
--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -26,9 +26,9 @@
 from kelpstage.edge.gather.world import World
 from kelpstage.edge.gossip.swim import LEAVING, Swim
 from kelpstage.edge.gossip.task import GossipTask
-from kelpstage.edge.grant.keeper import Keeper
-from kelpstage.edge.grant.task import GrantTask
 from kelpstage.edge.handlers import handle
+from kelpstage.edge.lease.keeper import Keeper
+from kelpstage.edge.lease.task import LeaseTask
 from kelpstage.edge.rounds.budget import SERVICE_SLACK, SPAN_US, Budget
 from kelpstage.edge.timelines import Timelines
 from kelpstage.edge.views import Searches
@@ -122,7 +122,7 @@
         self.day: DayWriter | None = None
 
     async def open(self) -> Defect | None:
-        """Open every line, then look for partners and a grant."""
+        """Open every line, then look for partners and a lease."""
         self.gossip = GossipTask(
             ports=self.ports,
             journal=self.journal,
@@ -165,7 +165,7 @@
         if self.env.get("record"):
             name = f"{self.name}-{self.incarnation}.day"
             self.day = DayWriter(ports=self.ports, path=name, counts=self.counts)
-        self.grants = GrantTask(
+        self.leases = LeaseTask(
             ports=self.ports,
             lines=self.lines,
             keeper=self.keeper,
@@ -241,7 +241,7 @@
     def reread(self, *, env: dict) -> None:
         """Take over what may change in the settings of a running edge: its seeds."""
         if list(env["seeds"]) != list(self.env["seeds"]):
-            self.grants.use_seeds(seeds=env["seeds"])
+            self.leases.use_seeds(seeds=env["seeds"])
         self.env = env
 
     # --- how the tasks hear of each other ------------------------------------------
@@ -276,7 +276,7 @@
 
     def _on_want_state(self, want: WantState) -> None:
         member = self.swim.members.get(want.source)
-        self.grants.fetch_soon(first=member.info.address if member else want.source)
+        self.leases.fetch_soon(first=member.info.address if member else want.source)
 
     def _on_silent(self, name: str) -> None:
         """A partner gave gossip no direct ack: it is not to be a helper for a while."""
@@ -348,7 +348,7 @@
             if listener is not None:
                 listener.close()
         await self._finish(until_us=started_us + GRACE_US)
-        await self.grants.leave()
+        await self.leases.leave()
         await self._finish(until_us=started_us + GRACE_US)
         if self.day is not None:
             await self.day.flush()
--- a/kelpstage/edge/backend/probe.py
+++ b/kelpstage/edge/backend/probe.py
@@ -14,7 +14,7 @@
 from kelpstage.base.defects import ConnectRefused, Defect
 from kelpstage.base.ports.types import HttpCall, HttpReply, Ports
 from kelpstage.edge.backend.book import DRAINING, GONE, KNOCK, LEAVE, UP, Book
-from kelpstage.edge.grant.keeper import Keeper
+from kelpstage.edge.lease.keeper import Keeper
 
 PROBE_US = 1_000_000
 PROBE_WAIT_US = 800_000
--- a/kelpstage/edge/gather/passes/settle.py
+++ b/kelpstage/edge/gather/passes/settle.py
@@ -166,7 +166,7 @@
 
 
 def _may_still_serve(*, record: Gathering, world: World) -> bool:
-    """A process that slept past its grant must not speak as if it had it."""
+    """A process that slept past its lease must not speak as if it had it."""
     refusal = world.keeper.refusal(now_us=world.now_us)
     if refusal:
         end(record=record, outcome=NotReady(why=refusal))
--- a/kelpstage/edge/gather/world.py
+++ b/kelpstage/edge/gather/world.py
@@ -10,7 +10,7 @@
 from kelpstage.edge.backend.book import Book
 from kelpstage.edge.gather.pace import Paces
 from kelpstage.edge.gossip.swim import ALIVE, Swim
-from kelpstage.edge.grant.keeper import Keeper
+from kelpstage.edge.lease.keeper import Keeper
 from kelpstage.edge.rounds.budget import Budget
 
 SHY_US = 1_000_000
--- a/kelpstage/edge/handlers.py
+++ b/kelpstage/edge/handlers.py
@@ -16,7 +16,7 @@
     FetchState,
     Gather,
     Gathered,
-    GrantReply,
+    LeaseReply,
     ListNews,
     Members,
     MissingMsg,
@@ -75,7 +75,7 @@
         member = edge.swim.members.get(message.edge)
         address = member.info.address if member else ""
         if keeper.note_epoch(epoch=message.epoch, source=address):
-            edge.grants.fetch_soon(first=address)
+            edge.leases.fetch_soon(first=address)
     return WitnessReply(
         edge=keeper.me,
         incarnation=edge.incarnation,
@@ -96,12 +96,12 @@
 
 @handle.register
 async def _(message: Announce, edge: Any, source: str) -> None:
-    edge.grants.take_announced(announce=message)
+    edge.leases.take_announced(announce=message)
 
 
 @handle.register
 async def _(message: FetchState, edge: Any, source: str) -> Chunk:
-    return edge.grants.state_chunk(ask=message)
+    return edge.leases.state_chunk(ask=message)
 
 
 @handle.register
@@ -118,12 +118,12 @@
 
 
 @handle.register
-async def _(message: RelayRenew, edge: Any, source: str) -> GrantReply:
+async def _(message: RelayRenew, edge: Any, source: str) -> LeaseReply:
     # This node may know a newer leader than the one that the asker could not reach.
     message.renew.relayed_by = edge.own
     reply = await edge.lines.call(
-        address=edge.grants.leader or message.target, message=message.renew, wait_us=RELAY_US
+        address=edge.leases.leader or message.target, message=message.renew, wait_us=RELAY_US
     )
     if isinstance(reply, Defect):
-        return GrantReply(why=f"relay: {reply.kind}")
+        return LeaseReply(why=f"relay: {reply.kind}")
     return reply
--- a/kelpstage/edge/grant/keeper.py
+++ b/kelpstage/edge/lease/keeper.py
@@ -1,9 +1,9 @@
-"""What this edge may serve under: its grant, its partners' word, its blueprint.
+"""What this edge may serve under: its lease, its partners' word, its blueprint.
 
-Plain. An edge serves while it holds a grant, or while it hears from a majority
-of the roster and none of them has a newer epoch installed. One that has had no grant
+Plain. An edge serves while it holds a lease, or while it hears from a majority
+of the roster and none of them has a newer epoch installed. One that has had no lease
 in this life has forgotten what it knew: it may hear a majority, but is none of it.
-Time is the edge's own, on a clock that runs through a freeze, and a grant counts from
+Time is the edge's own, on a clock that runs through a freeze, and a lease counts from
 when it was asked for.
 """
 
@@ -12,7 +12,7 @@
 from dataclasses import dataclass, field
 
 from kelpstage.base.blueprint.types import EMPTY, Blueprint
-from kelpstage.base.wire.messages import GrantReply, StateDoc, WitnessReply
+from kelpstage.base.wire.messages import LeaseReply, StateDoc, WitnessReply
 
 WITNESS_US = 1_000_000
 MOVED_ON_US = 250_000
@@ -32,12 +32,12 @@
     >>> keeper.install(doc=StateDoc(cluster="c", epoch=1, version=1, roster=["a", "b", "c"]),
     ...     blueprint=Blueprint(version=1, document=b""), now_us=0)
     True
-    >>> keeper.take_grant(reply=GrantReply(is_granted=True, cluster="c", epoch=1,
+    >>> keeper.take_lease(reply=LeaseReply(is_granted=True, cluster="c", epoch=1,
     ...     span_us=100), sent_us=10)
-    >>> keeper.take_grant(reply=GrantReply(is_granted=True, cluster="c", epoch=2,
+    >>> keeper.take_lease(reply=LeaseReply(is_granted=True, cluster="c", epoch=2,
     ...     span_us=100), sent_us=20)
     >>> keeper.refusal(now_us=50), keeper.refusal(now_us=2_000_000)
-    ('', 'no grant, and 1 of 3 partners vouch')
+    ('', 'no lease, and 1 of 3 partners vouch')
     """
 
     me: str
@@ -50,8 +50,8 @@
     doc_bytes: bytes = b""
     newest_epoch: int = 0
     newest_at: list[str] = field(default_factory=list)
-    grants: dict[int, int] = field(default_factory=dict)  # epoch -> until
-    granted_us: int = -(10**12)
+    leases: dict[int, int] = field(default_factory=dict)  # epoch -> until
+    lease_asked_us: int = -(10**12)
     vouched_epoch: int | None = None
     served_version: int = 0  # before a restart, as partners remember it
     heard: dict[str, Heard] = field(default_factory=dict)
@@ -82,14 +82,14 @@
             self.newest_at.append(source)
         return self.newest_epoch > self.epoch
 
-    def take_grant(self, *, reply: GrantReply, sent_us: int) -> None:
+    def take_lease(self, *, reply: LeaseReply, sent_us: int) -> None:
         if not reply.is_granted or self.cluster and reply.cluster != self.cluster:
             return
         until_us = sent_us + reply.span_us
-        self.granted_us = max(self.granted_us, sent_us)
-        self.grants[reply.epoch] = max(self.grants.get(reply.epoch, 0), until_us)
-        while len(self.grants) > 4:
-            del self.grants[min(self.grants)]
+        self.lease_asked_us = max(self.lease_asked_us, sent_us)
+        self.leases[reply.epoch] = max(self.leases.get(reply.epoch, 0), until_us)
+        while len(self.leases) > 4:
+            del self.leases[min(self.leases)]
         self.newest_epoch = max(self.newest_epoch, reply.epoch)
         if self.vouched_epoch is None:
             self.vouched_epoch = reply.epoch
@@ -98,13 +98,13 @@
     def vouches(self) -> bool:
         """May this edge tell others what the newest epoch is that it knows of?
 
-        Only after a grant in this life: before, it may have forgotten one.
+        Only after a lease in this life: before, it may have forgotten one.
         """
         return self.vouched_epoch is not None and self.epoch >= self.vouched_epoch
 
     @property
     def has_forgotten(self) -> bool:
-        """Has this edge had no grant since it started?"""
+        """Has this edge had no lease since it started?"""
         return self.vouched_epoch is None
 
     def take_witness(self, *, reply: WitnessReply, asked_us: int) -> None:
@@ -115,14 +115,14 @@
         if known is None or known.asked_us < asked_us:
             self.heard[reply.edge] = Heard(asked_us=asked_us, epoch=reply.epoch)
 
-    def grant_until_us(self) -> int:
-        """Until when this edge may serve what it has installed. A grant of an
+    def lease_until_us(self) -> int:
+        """Until when this edge may serve what it has installed. A lease of an
         older epoch holds to its end beside one for an epoch not yet installed:
         the leader waits for that end before it acknowledges."""
-        return max((u for epoch, u in self.grants.items() if epoch <= self.epoch), default=-1)
+        return max((u for epoch, u in self.leases.items() if epoch <= self.epoch), default=-1)
 
-    def has_grant(self, *, now_us: int) -> bool:
-        return now_us < self.grant_until_us()
+    def has_lease(self, *, now_us: int) -> bool:
+        return now_us < self.lease_until_us()
 
     def vouchers(self, *, now_us: int) -> list[str]:
         """Members of the roster whose word is fresh, this edge among them."""
@@ -156,12 +156,12 @@
         """Why this edge may not serve now; empty if it may."""
         if not self.blueprint.version:
             return "no blueprint"
-        if self.has_grant(now_us=now_us) or self.has_majority(now_us=now_us):
+        if self.has_lease(now_us=now_us) or self.has_majority(now_us=now_us):
             return ""
         names = self.vouchers(now_us=now_us)
         if any(self.heard[n].epoch > self.epoch for n in names if n != self.me):
             return f"a partner has a newer epoch than {self.epoch}"
-        return f"no grant, and {len(names)} of {len(self.roster)} partners vouch"
+        return f"no lease, and {len(names)} of {len(self.roster)} partners vouch"
 
     def has_moved_on(self, *, version: int, now_us: int) -> bool:
         """Is this version one that must not be handled here any more?"""
--- a/kelpstage/edge/grant/task.py
+++ b/kelpstage/edge/lease/task.py
@@ -1,4 +1,4 @@
-"""The grant task: renews, asks partners to witness, fetches and installs states."""
+"""The lease task: renews, asks partners to witness, fetches and installs states."""
 
 from __future__ import annotations
 
@@ -20,7 +20,7 @@
     Chunk,
     EdgeContact,
     FetchState,
-    GrantReply,
+    LeaseReply,
     Meet,
     MeetReply,
     Members,
@@ -32,7 +32,7 @@
 )
 from kelpstage.edge.events import Installed, StateRefused
 from kelpstage.edge.gossip.swim import ALIVE, SUSPECT, Swim
-from kelpstage.edge.grant.keeper import Keeper
+from kelpstage.edge.lease.keeper import Keeper
 
 RENEW_US = 500_000
 LARGE_RENEW_US = 900_000
@@ -58,12 +58,12 @@
 FIRST_WITNESSES = 6
 WITNESS_WAIT_US = 500_000
 WORRY_US = 800_000
-log = logger(name="grant")
+log = logger(name="lease")
 
 
 def renew_period_us(*, count: int) -> int:
     """From one renewal to the next, for a roster of this size. The longest leaves room
-    in a grant of 2 s for one renewal that got no answer and another after it.
+    in a lease of 2 s for one renewal that got no answer and another after it.
 
     >>> [renew_period_us(count=count) for count in (12, 40, 1400)]
     [500000, 700000, 900000]
@@ -71,7 +71,7 @@
     return min(LARGE_RENEW_US, RENEW_US + RENEW_STRETCH_US * max(0, count - SMALL_COUNT))
 
 
-class GrantTask:
+class LeaseTask:
     """Keeps this edge's right to serve, and its blueprint, fresh."""
 
     def __init__(
@@ -104,7 +104,7 @@
         self._silent_until: dict[str, int] = {}
         self._is_relaying = False
         self._relayed_us = 0
-        self._needs_relay = False  # the last grant came through a partner
+        self._needs_relay = False  # the last lease came through a partner
         self._fetching = False
         self._state_source = ChunkSource()
         self._wake = asyncio.Event()
@@ -168,7 +168,7 @@
 
     def _next_core(self) -> str:
         """The leader if it is known, else the cores and seeds by turns; one that gave no
-        answer a moment ago is passed over, since each wait for it costs grant."""
+        answer a moment ago is passed over, since each wait for it costs lease."""
         if self.leader:
             return self.leader
         known = list(dict.fromkeys(self.cores + self._seeds))
@@ -184,7 +184,7 @@
         self._ports.point("edge.before_renew")
         wait_us = RENEW_WAIT_US if self._is_small else LARGE_RENEW_WAIT_US
         reply = await self._lines.call(address=target, message=message, wait_us=wait_us)
-        if isinstance(reply, GrantReply):
+        if isinstance(reply, LeaseReply):
             is_granted = self._take(reply=reply, sent_us=sent_us, target=target)
             self._needs_relay = self._needs_relay and not is_granted
             if not is_granted and not self.leader:
@@ -197,9 +197,11 @@
         return False  # meanwhile the other cores are asked from here
 
     def _relay_soon(self, *, target: str) -> None:
-        """Ask through partners, one wave at a time, if the grant is not fresh."""
+        """Ask through partners, one wave at a time, if the lease is not fresh."""
         now_us = self._ports.clock.now_us()
-        is_fresh = now_us - self.keeper.granted_us < renew_period_us(count=len(self.keeper.roster))
+        is_fresh = now_us - self.keeper.lease_asked_us < renew_period_us(
+            count=len(self.keeper.roster)
+        )
         if is_fresh or now_us - self._relayed_us < RELAY_EVERY_US:
             return
         self._relay_now(target=target)
@@ -237,10 +239,10 @@
             )
             for partner in partners
         ]
-        refused: GrantReply | None = None
+        refused: LeaseReply | None = None
         for call in asyncio.as_completed(calls):
             reply = await call
-            if not isinstance(reply, GrantReply):
+            if not isinstance(reply, LeaseReply):
                 continue
             self._swim.outrank(incarnation=reply.newest_incarnation)
             refused = None if reply.is_granted else reply
@@ -250,7 +252,7 @@
             self._take(reply=refused, sent_us=sent_us, target=target)
         return False
 
-    def _take(self, *, reply: GrantReply, sent_us: int, target: str) -> bool:
+    def _take(self, *, reply: LeaseReply, sent_us: int, target: str) -> bool:
         keeper = self.keeper
         if reply.cluster and keeper.cluster and reply.cluster != keeper.cluster:
             self.last_why = f"{target} belongs to another cluster"
@@ -263,12 +265,12 @@
             self._introduced_us = -CONTACT_AGAIN_US  # another ledger: it may not know this edge
         self._known, self._known_by = reply.known, reply.leader_address if reply.known else ""
         self.last_why = reply.why
-        keeper.take_grant(reply=reply, sent_us=sent_us)
+        keeper.take_lease(reply=reply, sent_us=sent_us)
         if reply.epoch and keeper.note_epoch(epoch=reply.epoch, source=reply.leader_address):
             self.fetch_soon(first=reply.leader_address)
         return reply.is_granted
 
-    def _learn_cores(self, *, reply: GrantReply) -> None:
+    def _learn_cores(self, *, reply: LeaseReply) -> None:
         """The leader's list replaces what is known; that of a core which does not lead may
         be of any age, so that it only adds."""
         if not reply.cores:
@@ -290,9 +292,9 @@
             await self._ports.clock.sleep(us=self._meet_again_us())
 
     def _knows_enough(self) -> bool:
-        """Is there a fresh grant, and is most of the roster known?"""
+        """Is there a fresh lease, and is most of the roster known?"""
         known = len(self._swim.live()) * 2 > len(self.keeper.roster)
-        is_fresh = self._ports.clock.now_us() - self.keeper.granted_us < MEET_US
+        is_fresh = self._ports.clock.now_us() - self.keeper.lease_asked_us < MEET_US
         return known and is_fresh and bool(self._swim.members)
 
     def _meet_again_us(self) -> int:
@@ -359,14 +361,14 @@
     # --- witnesses ------------------------------------------------------------------------
 
     async def _witness_loop(self) -> None:
-        """When renewals fail, ask partners what they know, before the grant lapses."""
+        """When renewals fail, ask partners what they know, before the lease lapses."""
         while True:
             await self._ports.clock.sleep(
                 us=WITNESS_EVERY_US if self._is_small else LARGE_WITNESS_EVERY_US
             )
             keeper = self.keeper
             now_us = self._ports.clock.now_us()
-            if now_us - keeper.granted_us < self._worry_us():
+            if now_us - keeper.lease_asked_us < self._worry_us():
                 continue
             if not keeper.vouches and not keeper.has_forgotten:
                 continue
@@ -497,7 +499,7 @@
     # --- leaving ------------------------------------------------------------------------------
 
     async def leave(self) -> None:
-        """Give the grant back: this edge serves no more."""
+        """Give the lease back: this edge serves no more."""
         self.is_leaving = True
         target = self._next_core()
         message = self._renew_message(target=target)
--- a/kelpstage/edge/web/explain.py
+++ b/kelpstage/edge/web/explain.py
@@ -165,11 +165,11 @@
         "version": keeper.blueprint.version,
         "epoch": keeper.epoch,
         "newest_epoch": keeper.newest_epoch,
-        "grant": {
-            "is_held": keeper.has_grant(now_us=now_us),
-            "left_us": max(0, keeper.grant_until_us() - now_us),
-            "leader": edge.grants.leader or None,
-            "last_why": edge.grants.last_why or None,
+        "lease": {
+            "is_held": keeper.has_lease(now_us=now_us),
+            "left_us": max(0, keeper.lease_until_us() - now_us),
+            "leader": edge.leases.leader or None,
+            "last_why": edge.leases.last_why or None,
             "vouchers": keeper.vouchers(now_us=now_us),
             "roster": keeper.roster,
         },
--- a/proof/check/base.py
+++ b/proof/check/base.py
@@ -94,7 +94,7 @@
     return out
 
 
-GRANTED_US = 2_000_000
+LEASED_US = 2_000_000
 LED_US = 4_000_000
 
 
@@ -115,7 +115,7 @@
     if not any(row["event"] == "core" for row in rows):
         return []  # nobody said anything of cores: nothing to excuse
     cores: set = set()
-    knowing: dict[str, bool] = {}  # edges that are up: have they had time for a grant?
+    knowing: dict[str, bool] = {}  # edges that are up: have they had time for a lease?
     led_us: int | None = None
     started: dict[str, int] = {}
     spans: list[Excuse] = []
@@ -124,7 +124,7 @@
         at_us = row["at_us"]
         if led_us is not None:
             for edge, began_us in started.items():
-                knowing[edge] |= at_us - max(led_us, began_us) >= GRANTED_US
+                knowing[edge] |= at_us - max(led_us, began_us) >= LEASED_US
         if row["event"] == "core":
             (cores.add if row["is_up"] else cores.discard)(row["core"])
             led_us = (led_us or at_us) if len(cores) >= 2 else None
--- a/proof/fleet/day.py
+++ b/proof/fleet/day.py
@@ -243,7 +243,7 @@
 
 
 async def _freeze_edge(*, fleet: Fleet, name: str, say: Any) -> None:
-    """Longer than its grant, so that it wakes without the right to serve."""
+    """Longer than its lease, so that it wakes without the right to serve."""
     number = fleet.fault(
         what="edge frozen", excuses=["edge", "line"], nodes=[name], after_us=4_000_000
     )
--- a/proof/hollow/fleet.py
+++ b/proof/hollow/fleet.py
@@ -252,7 +252,7 @@
         if len(core.task.machine.state.roster) < self.options.nodes:
             return False
         now_us = self.world.now_us()
-        return all(edge.keeper.has_grant(now_us=now_us) for edge in self.edges.values())
+        return all(edge.keeper.has_lease(now_us=now_us) for edge in self.edges.values())
 
     def leader(self) -> str:
         for name, core in self.cores.items():
@@ -607,7 +607,7 @@
         await fleet._start_core(n=n)
     at_us = fleet.world.now_us()
     await fleet.wait_for(
-        what="grants again",
+        what="leases again",
         us=60 * SECOND,
         is_there=lambda: fleet.leader() != "" and fleet.ready_to_put(),
     )
--- a/proof/measure/choices.py
+++ b/proof/measure/choices.py
@@ -152,7 +152,7 @@
 
 
 async def dead_edge_put(fleet: SimFleet, numbers: Numbers) -> None:
-    """A put right after an edge went silent has to outlast its grant; then the
+    """A put right after an edge went silent has to outlast its lease; then the
     leader stands still for 1.5 s: how long are edges without the right to serve?"""
     await fleet.bring_up()
     fleet.processes["edge/node-05"].freeze()
@@ -262,14 +262,14 @@
         story=bad_day,
         rate=0.3,
     ),
-    "grant": Choice(
-        why="how long a grant lasts",
+    "lease": Choice(
+        why="how long a lease lasts",
         variants=tuple(
             Variant(
                 name=f"{n} s",
                 constants={
-                    "kelpstage.core.grants.ledger:GRANT_SPAN_US": n * SECOND,
-                    "kelpstage.core.grants.lease_service:GRANT_SPAN_US": n * SECOND,
+                    "kelpstage.core.leases.ledger:LEASE_SPAN_US": n * SECOND,
+                    "kelpstage.core.leases.lease_service:LEASE_SPAN_US": n * SECOND,
                 },
             )
             for n in (1, 2, 4)
--- a/proof/model/adapter.py
+++ b/proof/model/adapter.py
@@ -18,8 +18,8 @@
     AppendEntries,
     AppendEntriesReply,
     CoreMember,
-    GrantReply,
     InstallSnapshot,
+    LeaseReply,
     LogEntry,
     RequestVote,
     RequestVoteReply,
@@ -27,8 +27,8 @@
     TimeoutNow,
 )
 from kelpstage.core.founding import FOUNDING_INDEX, FOUNDING_TERM
-from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
-from kelpstage.core.grants.puts import as_result
+from kelpstage.core.leases.ledger import LEASE_SPAN_US, Ledger
+from kelpstage.core.leases.puts import as_result
 from kelpstage.core.raft import leadership, membership
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.log import MemoryLog
@@ -49,7 +49,7 @@
     put_digest,
 )
 from kelpstage.core.store.records import DiskSnapshot
-from kelpstage.edge.grant.keeper import Keeper
+from kelpstage.edge.lease.keeper import Keeper
 
 CLUSTER = "k"
 
@@ -67,7 +67,7 @@
 JoinRequest, LeaveRequest = raft.JoinRequested, raft.LeaveRequested
 
 LEADER, COMMAND, MEMBERSHIP, NOOP = raft.LEADER, raft.COMMAND, raft.MEMBERSHIP, raft.NOOP
-LEASE_US = GRANT_SPAN_US
+LEASE_US = LEASE_SPAN_US
 
 __all__ = [
     "CLUSTER",
@@ -249,9 +249,9 @@
     return CoreState(cluster=CLUSTER, epoch=1, roster=sorted(edges))
 
 
-def lease_reply(*, epoch: int) -> GrantReply:
+def lease_reply(*, epoch: int) -> LeaseReply:
     """A lease for this epoch."""
-    return GrantReply(is_granted=True, cluster=CLUSTER, epoch=epoch, span_us=LEASE_US)
+    return LeaseReply(is_granted=True, cluster=CLUSTER, epoch=epoch, span_us=LEASE_US)
 
 
 def install(keeper: Keeper, *, doc: StateDoc, now_us: int) -> None:
@@ -259,14 +259,14 @@
     keeper.install(doc=doc, blueprint=EMPTY, now_us=now_us)
 
 
-def take_lease(keeper: Keeper, *, reply: GrantReply, sent_us: int) -> None:
+def take_lease(keeper: Keeper, *, reply: LeaseReply, sent_us: int) -> None:
     """An edge takes a lease that it asked for at `sent_us`."""
-    keeper.take_grant(reply=reply, sent_us=sent_us)
+    keeper.take_lease(reply=reply, sent_us=sent_us)
 
 
 def has_lease(keeper: Keeper, *, now_us: int) -> bool:
     """May the edge serve what it has installed, by its lease alone?"""
-    return keeper.has_grant(now_us=now_us)
+    return keeper.has_lease(now_us=now_us)
 
 
 def ledger_hears(ledger: Ledger, *, edge: str, incarnation: int, epoch: int, now_us: int) -> None:
@@ -276,7 +276,7 @@
 
 def ledger_gives(ledger: Ledger, *, edge: str, epoch: int, now_us: int) -> None:
     """The leader notes a lease that it gives."""
-    ledger.grant(edge=edge, epoch=epoch, now_us=now_us)
+    ledger.record_lease(edge=edge, epoch=epoch, now_us=now_us)
 
 
 def ledger_settled(ledger: Ledger, *, state: CoreState, epoch: int, now_us: int) -> bool:
--- a/proof/sim/faults.py
+++ b/proof/sim/faults.py
@@ -278,7 +278,7 @@
 
 @fault
 async def edge_freeze(fleet: SimFleet, rand: random.Random) -> None:
-    """An edge stands still, past its grant half of the time, and wakes."""
+    """An edge stands still, past its lease half of the time, and wakes."""
     up = _edges(fleet=fleet)
     if len(up) < 6:
         return
--- a/proof/sim/points.py
+++ b/proof/sim/points.py
@@ -18,7 +18,7 @@
     9: "raft.before_send",
     10: "core.before_propose",
     11: "core.before_announce",
-    12: "core.before_grant",
+    12: "core.before_lease",
     13: "core.before_put_result",
     14: "edge.before_renew",
     15: "edge.before_install",
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -26,7 +26,7 @@
 from kelpstage.base.journal import Journal
 from kelpstage.base.ports.live import BootClock
 from kelpstage.base.ports.types import HttpCall, HttpLimits, HttpReply, Ports
-from kelpstage.base.wire.messages import GrantReply, MemberMsg, StateDoc
+from kelpstage.base.wire.messages import LeaseReply, MemberMsg, StateDoc
 from kelpstage.edge.backend.book import Book
 from kelpstage.edge.backend.life import Life
 from kelpstage.edge.forward.names import HeaderNames
@@ -35,7 +35,7 @@
 from kelpstage.edge.gather.task import GatherTask
 from kelpstage.edge.gather.world import World
 from kelpstage.edge.gossip.swim import Swim
-from kelpstage.edge.grant.keeper import Keeper
+from kelpstage.edge.lease.keeper import Keeper
 from kelpstage.edge.rounds.budget import Budget
 from kelpstage.edge.web.forward import serve_forwarded
 from tests.test_http import Raw, free_address, until
@@ -217,8 +217,8 @@
             blueprint=configuration,
             now_us=now_us,
         )
-        granted = GrantReply(is_granted=True, cluster="c", epoch=1, span_us=600_000_000)
-        keeper.take_grant(reply=granted, sent_us=now_us)
+        granted = LeaseReply(is_granted=True, cluster="c", epoch=1, span_us=600_000_000)
+        keeper.take_lease(reply=granted, sent_us=now_us)
         book = Book(me="e")
         book.declare(blueprint=configuration, listed={})
         return World(
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -23,7 +23,7 @@
     BranchMsg,
     Gather,
     Gathered,
-    GrantReply,
+    LeaseReply,
     MemberMsg,
     StateDoc,
 )
@@ -38,8 +38,8 @@
 from kelpstage.edge.gather.task import GatherTask
 from kelpstage.edge.gather.world import World
 from kelpstage.edge.gossip.swim import ALIVE, Member, Swim
-from kelpstage.edge.grant.keeper import Keeper
 from kelpstage.edge.handlers import handle
+from kelpstage.edge.lease.keeper import Keeper
 from kelpstage.edge.rounds.budget import Budget
 from proof.sim.loop import VirtualLoop
 from tests.test_wire import made_up
@@ -122,8 +122,8 @@
             blueprint=configuration,
             now_us=now_us,
         )
-        granted = GrantReply(is_granted=True, cluster="c", epoch=version, span_us=SPAN_US)
-        self.keeper.take_grant(reply=granted, sent_us=now_us)
+        granted = LeaseReply(is_granted=True, cluster="c", epoch=version, span_us=SPAN_US)
+        self.keeper.take_lease(reply=granted, sent_us=now_us)
         self.world.book.declare(blueprint=configuration, listed={})
         self.world.book.set_lives(self.fleet.lives, now_us)
         self.world.book.set_live_edges(count=1, now_us=now_us)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -16,7 +16,7 @@
 from kelpstage.base.defects import EnvRefused
 from kelpstage.base.env.read import CORE_FORM, EDGE_FORM, judge_env
 from kelpstage.base.ports.types import HttpCall
-from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
+from kelpstage.core.leases.ledger import LEASE_SPAN_US, Ledger
 from kelpstage.core.state.machine import (
     REFUSALS_KEPT,
     AddEdge,
@@ -325,7 +325,7 @@
     def test_a_settled_batch_leaves_no_majority_behind(self) -> None:
         """Every way to install a batch on some: once it counts as settled, neither the
         roster before nor the new one has a majority without it."""
-        late_us = 10 * GRANT_SPAN_US
+        late_us = 10 * LEASE_SPAN_US
         settled = 0
         for olds in range(6):
             for joined in range(2, 6):
@@ -497,14 +497,16 @@
             await fleet.bring_up()
             operator = Operator(fleet)
             edge = fleet.daemons["edge/node-05"]
-            fleet.processes["edge/node-05"].freeze()  # it holds a grant of the version before
+            fleet.processes["edge/node-05"].freeze()  # it holds a lease of the version before
             status, row, took_us = await operator.put("two", base=1, version=5)
             self.assertEqual((503, "unresolved"), (status, row["kind"]))
             self.assertLess(took_us, 950_000)
-            granted_us = edge.keeper.grant_until_us()
+            lease_asked_us = edge.keeper.lease_until_us()
             status, row, took_us = await operator.until_taken("two", base=1, version=5)
             self.assertEqual((200, 5), (status, row["version"]))
-            self.assertGreaterEqual(fleet.now_us(), granted_us, "it could still serve the old one")
+            self.assertGreaterEqual(
+                fleet.now_us(), lease_asked_us, "it could still serve the old one"
+            )
             fleet.processes["edge/node-05"].thaw()
 
         run_story(story)
--- a/tests/test_core_cuts.py
+++ b/tests/test_core_cuts.py
@@ -19,7 +19,7 @@
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from kelpstage.base.wire.messages import ProxyOperator
 from kelpstage.core.app import Core
-from kelpstage.core.grants.puts import Puts, as_result
+from kelpstage.core.leases.puts import Puts, as_result
 from kelpstage.core.raft import elections
 from kelpstage.core.raft.state import RaftState
 from kelpstage.core.replica_task import ReplicaTask
--- a/tests/test_fleet_sim.py
+++ b/tests/test_fleet_sim.py
@@ -275,8 +275,8 @@
 
     def test_heard_of_is_not_installed(self) -> None:
         from kelpstage.base.blueprint.types import Blueprint
-        from kelpstage.base.wire.messages import GrantReply, StateDoc, WitnessReply
-        from kelpstage.edge.grant.keeper import Keeper
+        from kelpstage.base.wire.messages import LeaseReply, StateDoc, WitnessReply
+        from kelpstage.edge.lease.keeper import Keeper
 
         keeper = Keeper(me="a")
         roster = ["a", "b", "c"]
@@ -285,8 +285,8 @@
             blueprint=Blueprint(version=1, document=b""),
             now_us=0,
         )
-        keeper.take_grant(
-            reply=GrantReply(is_granted=True, cluster="k", epoch=4, span_us=10), sent_us=0
+        keeper.take_lease(
+            reply=LeaseReply(is_granted=True, cluster="k", epoch=4, span_us=10), sent_us=0
         )
 
         def hear(edge: str, epoch: int, vouches: bool = True) -> None:
--- a/tests/test_hollow.py
+++ b/tests/test_hollow.py
@@ -1,4 +1,4 @@
-"""What the control work costs as a fleet grows: gossip and grants on their own, hollow
+"""What the control work costs as a fleet grows: gossip and leases on their own, hollow
 fleets of whole daemons, and the refusals of `kelprig hollow`."""
 
 from __future__ import annotations
@@ -15,9 +15,9 @@
 from kelpstage.base.wire.delta import apply_delta, pack_delta
 from kelpstage.base.wire.lines import IDLE_LOOK_US, IDLE_US
 from kelpstage.base.wire.messages import EdgeContact, MemberMsg
-from kelpstage.core.grants.ledger import Ledger
+from kelpstage.core.leases.ledger import Ledger
 from kelpstage.edge.gossip.swim import ALIVE, DEAD, PING, SUSPECT, TICK_US, Swim
-from kelpstage.edge.grant.task import LARGE_RENEW_WAIT_US, renew_period_us
+from kelpstage.edge.lease.task import LARGE_RENEW_WAIT_US, renew_period_us
 from proof.hollow.fleet import SECOND, HollowFleet, HollowStuck, document
 from proof.hollow.options import Options, check
 from proof.hollow.report import write_csv
@@ -194,7 +194,7 @@
             self.assertEqual(status, swim.status(name="node-0005"))
 
 
-class GrantReplies(unittest.TestCase):
+class LeaseReplies(unittest.TestCase):
     def contact(self, name: str, incarnation: int = 1) -> EdgeContact:
         return EdgeContact(name=name, address=f"{name}:1", incarnation=incarnation)
 
@@ -222,7 +222,7 @@
         contacts, cores = new.news_for(known=old.mark(), now_us=10, limit=32)
         self.assertEqual((1, ["a:1"]), (len(contacts), cores))
 
-    def test_a_grant_bears_one_renewal_without_an_answer(self) -> None:
+    def test_a_lease_bears_one_renewal_without_an_answer(self) -> None:
         """Asked again after the wait and the pause, there is time left for the answer."""
         lease_us, pause_us = 2_000_000, 60_000
         for count in (21, 60, 1400):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -14,14 +14,14 @@
 from typing import Awaitable, Callable
 from unittest import mock
 
-from kelpstage.base.wire.messages import GrantReply
-from kelpstage.core.grants.lease_service import LeaseService
-from kelpstage.core.grants.ledger import GRANT_SPAN_US, Ledger
+from kelpstage.base.wire.messages import LeaseReply
+from kelpstage.core.leases.lease_service import LeaseService
+from kelpstage.core.leases.ledger import LEASE_SPAN_US, Ledger
 from kelpstage.core.raft.state import RaftState
 from kelpstage.core.raft.types import TransferLeadership
 from kelpstage.edge.backend.life import Life
 from kelpstage.edge.backend.roll import Roll
-from kelpstage.edge.grant.keeper import WITNESS_US, Keeper
+from kelpstage.edge.lease.keeper import WITNESS_US, Keeper
 from proof.fleet.deployment import load
 from proof.sim.fleet import SimFleet, run_sim
 from proof.sim.world import SimClock
@@ -84,7 +84,7 @@
                 continue
             version = edge.keeper.blueprint.version
             own_us = edge.ports.clock.now_us()
-            if version < newest and edge.keeper.has_grant(now_us=own_us):
+            if version < newest and edge.keeper.has_lease(now_us=own_us):
                 self._note(name=node.name, what=f"a lease at {version}, acknowledged {newest}")
             if edge.refusal():
                 self.unready_us[node.name] = self.unready_us.get(node.name, 0) + LOOK_US
@@ -228,7 +228,7 @@
 
     def test_the_leader_with_an_edge(self) -> None:
         for day in self.judge(leader_with_an_edge, cut_off=2):
-            least_us = CUT_US - GRANT_SPAN_US - LOOK_US
+            least_us = CUT_US - LEASE_SPAN_US - LOOK_US
             self.assertGreaterEqual(min(day.unready_us.values()), least_us)
 
     def test_the_leader_from_the_cores_alone(self) -> None:
@@ -260,13 +260,13 @@
         async def story(fleet: SimFleet) -> None:
             await fleet.bring_up()
             edge = fleet.daemons["edge/node-05"]
-            known = set(edge.grants.cores)
+            known = set(edge.leases.cores)
             self.assertEqual(known, set(fleet.core_address.values()))
-            hint = GrantReply(cluster=edge.keeper.cluster, cores=["10.9.9.9:7100"], why="no leader")
-            edge.grants._take(reply=hint, sent_us=fleet.now_us(), target="10.9.9.9:7100")
-            self.assertLessEqual(known, set(edge.grants.cores))
+            hint = LeaseReply(cluster=edge.keeper.cluster, cores=["10.9.9.9:7100"], why="no leader")
+            edge.leases._take(reply=hint, sent_us=fleet.now_us(), target="10.9.9.9:7100")
+            self.assertLessEqual(known, set(edge.leases.cores))
             await fleet.sleep(us=2_000_000)
-            self.assertEqual(known, set(edge.grants.cores))  # the leader's word replaces
+            self.assertEqual(known, set(edge.leases.cores))  # the leader's word replaces
 
         run_sim(seed=1, deployment=load(name="tiny"), story=story)
 
@@ -275,7 +275,7 @@
     def test_a_wave_that_breaks_off_does_not_end_them_for_good(self) -> None:
         async def story(fleet: SimFleet) -> None:
             await fleet.bring_up()
-            leases = fleet.daemons["edge/node-05"].grants
+            leases = fleet.daemons["edge/node-05"].leases
             broken = mock.AsyncMock(side_effect=RuntimeError("planted"))
             with mock.patch.object(leases, "_renew_through_partner", broken):
                 leases._relay_now(target="10.9.9.9:7100")
@@ -422,7 +422,7 @@
 def lapsed_at_once(self: Ledger, *, edge: str, epoch: int, now_us: int) -> bool:
     """Planted fault: a new leader holds unknown leases for lapsed."""
     holder = self._holders.get(edge)
-    return holder is None or not holder.grants
+    return holder is None or not holder.leases
 
 
 class PlantedFaults(unittest.TestCase):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -14,7 +14,7 @@
 
 from kelpstage.base.ports.types import HttpCall, HttpReply
 from kelpstage.core import snapshots
-from kelpstage.core.grants.puts import Puts
+from kelpstage.core.leases.puts import Puts
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state import machine as state_machine
 from kelpstage.core.state.machine import (
@@ -586,7 +586,7 @@
             leader, cores = fleet.leader(), list(fleet.core_address)
             row = await fleet.put(core=leader, wait_us=200_000, **order_row)
             self.assertEqual("unresolved", row["end"])
-            lease_ends_us = edge.keeper.grant_until_us()
+            lease_ends_us = edge.keeper.lease_until_us()
             if is_lead_lost:
                 fleet.kill_core(name=leader)
                 cores.remove(leader)
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -28,7 +28,7 @@
 from kelpstage.edge.gather.tree import Branch
 from kelpstage.edge.gather.world import World
 from kelpstage.edge.gossip.swim import Swim
-from kelpstage.edge.grant.keeper import Keeper
+from kelpstage.edge.lease.keeper import Keeper
 from kelpstage.edge.rounds.budget import Budget
 from proof.fleet.deployment import blueprint_of, load
 from proof.sim.fleet import SimFleet, run_sim
