--- a/tests/test_worst_days.py
+++ b/tests/test_worst_days.py
@@ -5,8 +5,11 @@
 
 import random
 import unittest
-from typing import Awaitable, Callable
+from typing import Any, Awaitable, Callable
 
+from kelpstage.base.wire.messages import AppendEntries, AppendEntriesReply, CoreMember
+from kelpstage.core.raft.replica import Replica
+from kelpstage.core.raft.types import COMMAND, Persist, Propose, Received, Send, Synced, Tick
 from tests.test_cores import CATCH_UP_US, Cores, Register, play
 
 CHANGE_GAP_US = 470_000
@@ -162,6 +165,109 @@
                 )
 
 
+def losses_of(*, seed: int, turns: int) -> Callable[[Cores], Awaitable[None]]:
+    """A loss each time that the one before counts as made good."""
+
+    async def story(cores: Cores) -> None:
+        rand = random.Random(f"{seed}/wipes")
+        await cores.start(is_first=True)
+        await cores.wait_for(lambda: len(cores.voters()) == 3)
+        changes = Changes(cores, seed=seed)
+        await cores.sleep(6_000_000)
+        for turn in range(turns):
+            kind = rand.choice(("wipe", "wipe", "replace", "power"))
+            await changes.go_on(after=f"turn {turn}")
+            name = rand.choice([cores.leader() or cores.names[0], *cores.names])
+            if kind == "replace":
+                await replace(cores, gone=name, fresh=f"c{turn + 3}")
+            else:
+                away_us = rand.choice((300_000, 1_500_000, 3_000_000))
+                await lose_and_return(cores, name=name, away_us=away_us, is_disk=kind == "wipe")
+            await cores.sleep(CATCH_UP_US)
+            expect_all_voters(cores, after=f"turn {turn}: {kind} of {name}")
+        await changes.go_on(after="the last loss")
+        await changes.end()
+        cores.kill(rand.choice(cores.names), is_disk=True)
+        cores.kill(*cores.up(), is_power=True)
+        await cores.sleep(1_000_000)
+        await cores.start()
+        await changes.register.read(rand)
+
+    return story
+
+
+class OneLossAfterTheOther(unittest.TestCase):
+    def test_each_is_made_good_in_time(self) -> None:
+        for seed in (9, 11):
+            with self.subTest(seed=seed):
+                play(
+                    losses_of(seed=seed, turns=8),
+                    seed=seed,
+                    count=3,
+                    tolerance=1,
+                    far_bytes_per_us=2.5,
+                )
+
+
+class LargeMessage(unittest.TestCase):
+    """A leader, and a member to which a large message is under way."""
+
+    def setUp(self) -> None:
+        members = [
+            CoreMember(replica="a", address="10.0.0.1:1", is_voter=True),
+            CoreMember(replica="b", address="10.0.0.2:1", is_voter=False),
+        ]
+        self.leader = Replica(me="a", cluster="c", members=members, rand=random.Random(1), now_us=0)
+        self.now_us = 10_000_000
+        self.step(Tick())
+        self.answer(is_ok=True, match_index=self.leader.log.last_index)
+        self.step(Propose(kind=COMMAND, data=bytes(range(256)) * 300, token=1))
+        self.large_index = self.leader.log.last_index
+
+    def step(self, event: Any) -> list[AppendEntries]:
+        """Take the event, sync what is written; what goes to the member."""
+        effects = self.leader.step(now_us=self.now_us, event=event)
+        writes = [e.number for e in effects if isinstance(e, Persist)]
+        for number in writes:
+            effects += self.leader.step(now_us=self.now_us, event=Synced(number=number))
+        sent = [e.message for e in effects if isinstance(e, Send)]
+        return [message for message in sent if isinstance(message, AppendEntries)]
+
+    def answer(self, **more: Any) -> list[AppendEntries]:
+        reply = AppendEntriesReply(cluster="c", sender="b", to="a", term=self.leader.term, **more)
+        return self.step(Received(message=reply))
+
+    def heartbeats(self, *, span_us: int) -> list[AppendEntries]:
+        """What is sent in so long without an answer."""
+        sent = []
+        until_us = self.now_us + span_us
+        while self.now_us < until_us:
+            self.now_us += 20_000
+            sent += self.step(Tick())
+        return sent
+
+    def test_a_heartbeat_names_what_is_known_to_match(self) -> None:
+        for message in self.heartbeats(span_us=300_000):
+            self.assertEqual(self.large_index - 1, message.prev_log_index)
+            self.assertEqual([], message.entries)
+
+    def test_a_mismatch_from_before_sends_nothing_again(self) -> None:
+        sent = self.answer(is_ok=False, conflict_index=self.large_index - 1)
+        self.assertEqual([], [message for message in sent if message.entries])
+
+    def test_a_mismatch_further_back_sends_what_is_missing(self) -> None:
+        progress = self.leader.state.progress["b"]
+        progress.match_index = 0
+        (message,) = self.answer(is_ok=False, conflict_index=self.large_index - 2)
+        self.assertEqual(self.large_index - 1, message.entries[0].index)
+
+    def test_what_is_lost_is_sent_again_soon(self) -> None:
+        """The connection it was written to is gone: nobody says so."""
+        self.heartbeats(span_us=500_000)
+        again = self.answer(is_ok=False, conflict_index=self.large_index - 1)
+        self.assertEqual(self.large_index, again[0].entries[0].index)
+
+
 class Return(unittest.TestCase):
     """A member that was away for long is heard and told again as soon as it is back: no
     connection from before is waited for."""
