--- /dev/null
+++ b/proof/bench_days.py
@@ -0,0 +1,101 @@
+"""Plays the days of `proof/days` on the users' bench and collects its verdicts.
+
+The bench is a program outside this repository; its path is an argument. It runs in the
+working directory, builds what is there, and leaves its own journal entries.
+"""
+
+from __future__ import annotations
+
+import subprocess
+from dataclasses import dataclass, field
+from pathlib import Path
+
+DAYS = Path(__file__).parent / "days"
+PLAY_LIMIT_S = 600
+BROKEN = "rules broken:"
+NO_GATE = "short of the gate:"
+NONE_BROKEN = "none"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """What the bench said of one day on one site."""
+
+    site: str
+    day: str
+    row: str = ""
+    faults: tuple[str, ...] = field(default=())
+
+    @property
+    def is_kept(self) -> bool:
+        """Was the day played to its end, with no rule broken and no fault?"""
+        return bool(self.row) and not self.faults
+
+
+def day_files(*, names: list[str]) -> list[Path]:
+    """The files of the named days, or of all.
+
+    >>> [path.name for path in day_files(names=["wipes"])]
+    ['wipes.toml']
+    """
+    found = sorted(DAYS.glob("*.toml"))
+    return [path for path in found if not names or path.stem in names]
+
+
+def read_verdict(*, site: str, day: str, output: str) -> Verdict:
+    """Find the day's row and all that speaks against it in what the bench printed.
+
+    >>> output = '''day          own/srv  score
+    ... wipes          12/11   0.00
+    ... short of the gate: a valid config had no ack
+    ... rules broken: CONFIG 1
+    ... CONFIG at 101.103 s: no config in time'''
+    >>> verdict = read_verdict(site="s", day="wipes", output=output)
+    >>> verdict.is_kept, verdict.faults
+    (False, ('short of the gate: a valid config had no ack', 'rules broken: CONFIG 1'))
+    >>> kept = "wipes  12/11  0.90\\nrules broken: none"
+    >>> read_verdict(site="s", day="wipes", output=kept).is_kept
+    True
+    """
+    lines = output.splitlines()
+    rows = [line for line in lines if line.split(maxsplit=1)[:1] == [day]]
+    faults = [line for line in lines if _is_fault(line=line)]
+    if not rows:
+        faults += lines[-1:] or ["no output"]
+    return Verdict(site=site, day=day, row=rows[0] if rows else "", faults=tuple(faults))
+
+
+def _is_fault(*, line: str) -> bool:
+    if line.startswith(BROKEN):
+        return line.removeprefix(BROKEN).strip() != NONE_BROKEN
+    return line.startswith(NO_GATE)
+
+
+def play_day(*, bench: str, site: Path, day: Path, why: str, options: list[str]) -> Verdict:
+    """Run the bench on one day of one site."""
+    command = [bench, "run", str(site), str(day), "--why", why, *options]
+    try:
+        played = subprocess.run(
+            command, capture_output=True, text=True, timeout=PLAY_LIMIT_S, check=False
+        )
+    except subprocess.TimeoutExpired:
+        return Verdict(site=site.stem, day=day.stem, faults=(f"not done in {PLAY_LIMIT_S} s",))
+    return read_verdict(site=site.stem, day=day.stem, output=played.stdout + played.stderr)
+
+
+def play_days(
+    *, bench: str, sites: list[Path], names: list[str], why: str, options: list[str]
+) -> list[Verdict]:
+    """Play each day on each site, one after the other, and print each verdict."""
+    verdicts = []
+    for site in sites:
+        for day in day_files(names=names):
+            verdict = play_day(bench=bench, site=site, day=day, why=why, options=options)
+            verdicts.append(verdict)
+            print(_as_text(verdict=verdict), flush=True)
+    return verdicts
+
+
+def _as_text(*, verdict: Verdict) -> str:
+    head = f"{'kept' if verdict.is_kept else 'NOT KEPT':9}{verdict.site:12} {verdict.row}"
+    return "\n  ".join([head.rstrip(), *verdict.faults])
--- a/proof/main.py
+++ b/proof/main.py
@@ -7,10 +7,12 @@
 import sys
 import time
 from concurrent.futures import ProcessPoolExecutor
+from pathlib import Path
 from typing import Optional
 
 import typer
 
+from proof.bench_days import play_days
 from proof.fleet.day import run_day, show
 from proof.fleet.demo import serve_demo
 from proof.fleet.deployment import blueprint_of, load, names
@@ -35,6 +37,27 @@
     """Runs fleets of real processes on loopback, and simulated ones."""
 
 
+@app.command()
+def days(
+    bench: str = typer.Option(help="The bench's program."),
+    site: list[Path] = typer.Option(help="A site file; may be given more than once."),
+    day: list[str] = typer.Option([], help="Only these days of proof/days."),
+    why: str = typer.Option("Days of our own", help="A line for the bench's journal."),
+    jobs: int = typer.Option(6, min=1, help="Cores that the bench may use."),
+    cpu: bool = typer.Option(True, help="Charge processor time; without, days mostly repeat."),
+    seed: Optional[int] = typer.Option(None, help="Another seed than the days' own."),
+) -> None:
+    """Play the days of proof/days on the users' bench; fails if one is not kept."""
+    options = ["--jobs", str(jobs)]
+    options += [] if cpu else ["--no-cpu"]
+    options += [] if seed is None else ["--seed", str(seed)]
+    verdicts = play_days(bench=bench, sites=site, names=day, why=why, options=options)
+    kept = sum(verdict.is_kept for verdict in verdicts)
+    print(f"{kept} of {len(verdicts)} kept")
+    if kept < len(verdicts):
+        raise typer.Exit(code=1)
+
+
 @app.command()
 def fleet(
     deployment: str = typer.Argument(help=f"One of: {', '.join(names())}."),
