Waits with a limit cancel their coroutine; no test passes over reports of the loop

Cause: `clock.within(asyncio.ensure_future(event.wait()), ...)` in the lease loops of edge and core left a task at each wait that timed out, until the event was next set.

Change: `within` owns a coroutine and cancels it when its time is over (`common/clock.py`, no task is made at all); a future or task goes on, since it is somebody else's. The core's wait for edge reports is an event that is replaced, not tornado's condition, whose abandoned waiters stay. The handlers in the simulator, the platform model, the change measurement and the core tests are gone; the hollow fleet's go with it. `test_at_most_once` holds the loop's time still while its sockets go on, so its deadlines of 40 to 80 ms no longer depend on the machine: the statuses and arrivals asserted are the same.

Ruled out: cancelling futures too; proposals and read-index waits are shared with the log.

--- a/kelpstage/common/ports/interfaces.py
+++ b/kelpstage/common/ports/interfaces.py
@@ -102,7 +102,11 @@
         """Call `callback` after so long; it cannot be cancelled."""
 
     async def within(self, awaitable: Awaitable[Any], *, us: int) -> Any:
-        """The awaitable's result, or `None` when the time is over."""
+        """The awaitable's result, or `None` when the time is over.
+
+        A coroutine belongs to this call and is cancelled when its time is over. A future or
+        task belongs to whoever made it and goes on.
+        """
 
 
 class Stream(Protocol):
--- a/kelpstage/common/ports/live.py
+++ b/kelpstage/common/ports/live.py
@@ -14,6 +14,7 @@
 
 from tornado import gen, ioloop, iostream, netutil, tcpclient, tcpserver
 
+from kelpstage.common.clock import run_within
 from kelpstage.common.errors.base import KelpstageError
 from kelpstage.common.errors.storage import DiskError
 from kelpstage.common.errors.transport import (
@@ -53,7 +54,10 @@
         ioloop.IOLoop.current().call_later(max(0, us) / 1_000_000, callback)
 
     async def within(self, awaitable: Awaitable, *, us: int) -> Any:
-        """The awaitable's result, or `None` when the time is over."""
+        """The awaitable's result, or `None` when the time is over; a coroutine is then
+        cancelled, a future goes on."""
+        if asyncio.iscoroutine(awaitable):
+            return await run_within(awaitable, us=us)
         try:
             return await gen.with_timeout(
                 datetime.timedelta(microseconds=max(0, us)), awaitable, quiet_exceptions=Exception
--- a/kelpstage/core/leases/epoch_settlement.py
+++ b/kelpstage/core/leases/epoch_settlement.py
@@ -8,7 +8,7 @@
 
 import asyncio
 
-from tornado.locks import Condition, Lock
+from tornado.locks import Lock
 
 from kelpstage.common.event_journal import Journal
 from kelpstage.common.ports.interfaces import Ports
@@ -30,7 +30,7 @@
         self._ports = ports
         self._journal = journal
         self._task = task
-        self._edge_reports = Condition()
+        self._edge_report = asyncio.Event()  # the next one
         self.change = Lock()
         self.gone: frozenset[str] = frozenset()
         self.lease_table = LeaseTable(since_us=ports.clock.now_us())
@@ -41,12 +41,12 @@
 
     def notify_edge_report(self) -> None:
         """Wake whoever waits: an edge has reported the epoch that it has installed."""
-        self._edge_reports.notify_all()
+        self._edge_report.set()
+        self._edge_report = asyncio.Event()
 
     async def wait_for_edge_report(self, *, wait_us: int) -> None:
         """Wait until an edge has reported, at most `wait_us` microseconds."""
-        report = asyncio.ensure_future(self._edge_reports.wait())
-        await self._ports.clock.within(report, us=wait_us)
+        await self._ports.clock.within(self._edge_report.wait(), us=wait_us)
 
     async def wait_settled(self, *, epoch: int, wait_us: int) -> bool:
         """Wait until no edge can serve an epoch older than this one.
--- a/kelpstage/edge/lease/renewal.py
+++ b/kelpstage/edge/lease/renewal.py
@@ -82,7 +82,7 @@
             self._wake.clear()  # before: who is to renew soon may be renewing just now
             is_granted = await self._renew()
             wait_us = self._period_us() if is_granted else RETRY_US
-            await self._ports.clock.within(asyncio.ensure_future(self._wake.wait()), us=wait_us)
+            await self._ports.clock.within(self._wake.wait(), us=wait_us)
 
     def _period_us(self) -> int:
         count = len(self._lease_holder.membership)
--- a/kelpstage/testbed/measure/changes.py
+++ b/kelpstage/testbed/measure/changes.py
@@ -100,7 +100,6 @@
     """
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
-    loop.set_exception_handler(lambda _, context: None)
     world = HollowWorld(seed=options.seed, loop=loop)
     hollow = Options(
         nodes=options.edges,
--- a/kelpstage/testbed/platform_model/scenario.py
+++ b/kelpstage/testbed/platform_model/scenario.py
@@ -392,7 +392,6 @@
         shape = with_orders(shape=shape)
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
-    loop.set_exception_handler(lambda _, context: None)
     world = PlatformWorld(
         seed=plan.seed,
         loop=loop,
--- a/kelpstage/testbed/simulation/fleet.py
+++ b/kelpstage/testbed/simulation/fleet.py
@@ -485,7 +485,6 @@
 
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
-    loop.set_exception_handler(lambda _, context: None)
     world = World(seed=seed, loop=loop)
     if far_us:
         world.far_us, world.loss = (far_us, far_us * 13 // 10), 0.01
--- a/kelpstage/testbed/simulation/world.py
+++ b/kelpstage/testbed/simulation/world.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from typing import Any, Awaitable, Callable
 
+from kelpstage.common.clock import run_within
 from kelpstage.common.errors.base import KelpstageError
 from kelpstage.common.errors.requests import BodyTooLargeError
 from kelpstage.common.errors.transport import (
@@ -61,7 +62,12 @@
         )
 
     async def within(self, awaitable: Awaitable, *, us: int) -> Any:
-        """The result of an awaitable, or nothing if it takes longer."""
+        """The result of an awaitable, or nothing if it takes longer; a coroutine is then
+        cancelled, a future goes on."""
+        if asyncio.iscoroutine(awaitable):
+            outcome = await run_within(awaitable, us=us)
+            await self._process.thawed()
+            return outcome
         future = asyncio.ensure_future(awaitable)
         await asyncio.wait({future}, timeout=max(0, us) / 1_000_000)
         await self._process.thawed()
--- a/tests/async_case.py
+++ b/tests/async_case.py
@@ -22,6 +22,35 @@
         asyncio.get_running_loop().slow_callback_duration = math.inf
 
 
+class LoopClock:
+    """The clock port on the running loop's time, so that a test can hold both still."""
+
+    def now_us(self) -> int:
+        """The loop's time in whole microseconds."""
+        return round(asyncio.get_running_loop().time() * 1_000_000)
+
+    def later(self, *, us: int, callback: Callable[[], None]) -> None:
+        """Call `callback` after so long."""
+        asyncio.get_running_loop().call_later(max(0, us) / 1_000_000, callback)
+
+
+class HeldTime:
+    """Holds a loop's time still from its making on; it passes only in `advance`.
+
+    Sockets go on as they are, so a test waits for what they bring and then lets a deadline
+    pass, however busy the machine is.
+    """
+
+    def __init__(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._now_s = loop.time()
+        loop.time = lambda: self._now_s  # type: ignore[method-assign]
+
+    def advance(self, *, ms: int) -> None:
+        """Let so many milliseconds pass at once; timers that are due then fire."""
+        self._now_s += ms / 1_000
+
+
 class RawServer:
     """A server of raw connections that owns the tasks of its handlers.
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -25,7 +25,6 @@
 from kelpstage.common.http.client import HttpClient
 from kelpstage.common.http.server import HttpServer
 from kelpstage.common.ports.interfaces import HttpCall, HttpLimits, HttpReply, Ports
-from kelpstage.common.ports.live import BootClock
 from kelpstage.common.transport.messages import LeaseReply, MemberMsg, StateDoc
 from kelpstage.edge.backend.instance import Instance
 from kelpstage.edge.backend.registry import BackendRegistry
@@ -38,7 +37,7 @@
 from kelpstage.edge.lease.lease_holder import LeaseHolder
 from kelpstage.edge.retries.budget import Budget
 from kelpstage.edge.web.forward import serve_forwarded
-from tests.async_case import AsyncCase, RawServer
+from tests.async_case import AsyncCase, HeldTime, LoopClock, RawServer
 from tests.test_http import Raw, free_address, until
 
 SERVICE = "once"
@@ -150,7 +149,7 @@
 
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.clock = BootClock()
+        self.clock = LoopClock()
         self.client = HttpClient()
         self.sends: list[HttpCall] = []
         self.backends: list[RawBackend] = []
@@ -433,7 +432,11 @@
             await reader.read()
 
         first, second = await self.start(silent, GOOD)
-        status, headers, _ = await self.ask("r", deadline_ms=60)
+        time = HeldTime()
+        asking = asyncio.create_task(self.ask("r", deadline_ms=60))
+        await until(lambda: first.arrivals == ["r"])
+        time.advance(ms=60)
+        status, headers, _ = await asking
         self.assertEqual(504, status)
         self.assertNotIn("retry-after", headers)
         self.assertEqual((1, 0), (len(first.arrivals), len(second.arrivals)))
@@ -452,7 +455,11 @@
 
         [backend] = await self.start(script)
         raw = await self.connect()
-        self.assertEqual(504, (await self.ask("a", deadline_ms=60, raw=raw))[0])
+        time = HeldTime()
+        asking = asyncio.create_task(self.ask("a", deadline_ms=60, raw=raw))
+        await until(lambda: backend.arrivals == ["a"])
+        time.advance(ms=60)
+        self.assertEqual(504, (await asking)[0])
         late.set()
         self.assertEqual((200, b"b"), (await self.ask("b", raw=raw))[::2])
         self.assertEqual(["a", "b"], backend.arrivals)
@@ -519,6 +526,7 @@
     async def test_an_id_that_stands_twice_is_one_id(self) -> None:
         [backend] = await self.start(GOOD)
         raw = await self.connect()
+        HeldTime()
         raw.send(
             self.request("a", deadline_ms=500).replace(b": a\r\n", b": a\r\nKelp-Request-Id: b\r\n")
         )
@@ -582,7 +590,10 @@
 
         [backend] = await self.start(silent)
         raw = await self.connect()
+        time = HeldTime()
         raw.send(self.request("a", deadline_ms=80) + self.request("b", deadline_ms=40))
+        await until(lambda: backend.arrivals == ["a"])
+        time.advance(ms=80)
         self.assertEqual(504, (await raw.reply())[0])
         status, headers, _ = await raw.reply()
         self.assertEqual((503, True), (status, "retry-after" in headers))
--- a/tests/test_cores.py
+++ b/tests/test_cores.py
@@ -178,7 +178,6 @@
     zones carries so many bytes in a microsecond, without a bound if 0."""
     loop = VirtualLoop()
     asyncio.set_event_loop(loop)
-    loop.set_exception_handler(lambda _, context: None)
     world = World(seed=seed, loop=loop)
     world.far_us = (8_000, 9_000)
     world.far_bytes_per_us = far_bytes_per_us
