A caller that leaves takes its request back: sends cancelled at every node of the tree

When a client closed its connection, the request went on: attempts at backends ran to their end, retries and hedges were still sent, and children gathered for nobody. A handler in work went on by design.

Change: an edge's HTTP server cancels the handler of a caller that has left (a reset, a close, or the end of its side; `is_cancelling`, cores keep the old way). The gathering task takes `CallerGone`: nothing more is sent, open attempts are cancelled, children are told by a `Gather` with `is_cancelled` (with `is_resumed`, so that an older node begins nothing), and do the same. An attempt that may run at most once goes on to its end. What is cancelled is no evidence against the backend.

Ruled out: a message type of its own; an older node ends the whole connection on a type that it doesn't know, and with it other searches during a rolling upgrade.

Before: not measured; the code says it (`lost`: "what is in work goes on"). After: test_cancellation passes, with test_at_most_once on the same server, test_attempts, test_http, test_gather, test_wire, test_forward.

--- a/kelpstage/common/errors/serving.py
+++ b/kelpstage/common/errors/serving.py
@@ -24,6 +24,14 @@
     in_flight: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class CallerGoneError(KelpstageError):
+    """Nobody waits for the answer any more: the caller closed its connection, or the node
+    above dropped its query. It is noted in timelines and never sent."""
+
+    kind: ClassVar[str] = "caller_gone"
+
+
 @dataclass(frozen=True, kw_only=True)
 class QuorumNotMetError(KelpstageError):
     """Fewer shards answered than the route demands."""
--- a/kelpstage/common/http/error_status.py
+++ b/kelpstage/common/http/error_status.py
@@ -44,6 +44,7 @@
     UnknownShardError,
 )
 from kelpstage.common.errors.serving import (
+    CallerGoneError,
     DeadlineExceededError,
     NoBackendError,
     NotReadyError,
@@ -85,6 +86,7 @@
     UnknownRouteError: HttpStatus(code=404),
     MissingRequestIdError: HttpStatus(code=400),
     NotReadyError: HttpStatus(code=503, retry_after_s=1),
+    CallerGoneError: HttpStatus(code=503),
     OverloadedError: HttpStatus(code=503, retry_after_s=1),
     QuorumNotMetError: HttpStatus(code=503, retry_after_s=1),
     DeadlineExceededError: HttpStatus(code=504, retry_after_s=1),
--- a/kelpstage/common/http/server.py
+++ b/kelpstage/common/http/server.py
@@ -29,9 +29,13 @@
 class HttpServer:
     """Takes calls at one address until it is closed; open requests are still answered."""
 
-    def __init__(self, *, on_call: OnCall, limits: Callable[[], HttpLimits]) -> None:
+    def __init__(
+        self, *, on_call: OnCall, limits: Callable[[], HttpLimits], is_cancelling: bool = False
+    ) -> None:
+        """`is_cancelling`: a request whose caller has left is cancelled (`Net.serve_http`)."""
         self.on_call = on_call
         self.limits = limits
+        self.is_cancelling = is_cancelling
         self.is_closing = False
         self._connections: set[ServerConnection] = set()
         self._sweep: asyncio.TimerHandle | None = None
--- a/kelpstage/common/http/server_connection.py
+++ b/kelpstage/common/http/server_connection.py
@@ -59,6 +59,7 @@
     on_call: OnCall
     limits: Callable[[], HttpLimits]
     is_closing: bool
+    is_cancelling: bool
 
     def forget(self, *, connection: "ServerConnection") -> None:
         """The connection has ended, and nothing of it is in work."""
@@ -117,15 +118,21 @@
     # --- the connection ----------------------------------------------------------------
 
     def lost(self, error: OSError | None) -> None:
-        """The socket's end: what waits is dropped, what is in work goes on."""
+        """The socket's end: what waits is dropped; what is in work is cancelled where the
+        server says so, and goes on otherwise."""
         self._connection = self._parser = None
         self._queue.clear()
         if self._task is None:
             self._server.forget(connection=self)
+        elif self._server.is_cancelling:
+            self._task.cancel()
 
     def eof(self) -> bool:
-        """A caller may end its side and still wait for what it has asked."""
+        """A caller may end its side and still wait for what it has asked, unless the server
+        takes that for its leaving."""
         self._is_half_closed = True
+        if self._server.is_cancelling and not self.is_idle():
+            return False
         return self._task is not None or bool(self._queue)
 
     def is_drained(self) -> None:
@@ -317,6 +324,10 @@
                 {"message": f"the answer to {call.method} {call.url} broke", "exception": error}
             )
             reply = error_reply(error=InternalError(why=type(error).__name__))
+        except asyncio.CancelledError:
+            self._task = None
+            self._server.forget(connection=self)
+            raise
         self._task = None
         if self._connection is None:  # the caller has left before its answer
             self._server.forget(connection=self)
--- a/kelpstage/common/ports/interfaces.py
+++ b/kelpstage/common/ports/interfaces.py
@@ -171,8 +171,14 @@
         on_call: Callable[..., Any],
         body_limit: int,
         limits: Callable[[], HttpLimits] | None = None,
+        is_cancelling: bool = False,
     ) -> Listener | KelpstageError:
-        """Serve HTTP until the listener is closed; `on_call` gets each request."""
+        """Serve HTTP until the listener is closed; `on_call` gets each request.
+
+        With `is_cancelling`, a caller that ends its side or resets the connection has left,
+        and the handler of its request is cancelled. Without it, a caller may end its side
+        and still wait, and a handler always runs to its end.
+        """
 
 
 class Disk(Protocol):
--- a/kelpstage/common/ports/live.py
+++ b/kelpstage/common/ports/live.py
@@ -211,11 +211,14 @@
         on_call: Callable,
         body_limit: int,
         limits: Callable[[], HttpLimits] | None = None,
+        is_cancelling: bool = False,
     ) -> HttpServer | KelpstageError:
         """Serve until `close()`; `limits` is asked at each request and goes before
         `body_limit`."""
         fixed = HttpLimits(body_bytes=body_limit)
-        server = HttpServer(on_call=on_call, limits=limits or (lambda: fixed))
+        server = HttpServer(
+            on_call=on_call, limits=limits or (lambda: fixed), is_cancelling=is_cancelling
+        )
         return await server.open(address=address) or server
 
 
--- a/kelpstage/common/transport/connections.py
+++ b/kelpstage/common/transport/connections.py
@@ -197,7 +197,13 @@
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         correlation_id = connection.put(message=message, flag=ASK)
         connection.waiting[correlation_id] = future
-        outcome = await self._ports.clock.within(future, us=wait_us)
+        try:
+            outcome = await self._ports.clock.within(future, us=wait_us)
+        except asyncio.CancelledError:
+            connection.waiting.pop(correlation_id, None)
+            connection.outbox.pop(correlation_id, None)
+            connection.end_if_unused()
+            raise
         if outcome is not None:
             return outcome
         connection.waiting.pop(correlation_id, None)
--- a/kelpstage/common/transport/messages/gather.py
+++ b/kelpstage/common/transport/messages/gather.py
@@ -27,7 +27,9 @@
     All times count from when it is sent: `due_us` until the child has to settle, `wait_us`
     until the parent no longer waits. `is_extra` tells that one of the shards was asked before.
     `is_resumed` asks for the rest of an answer that was `is_open`; `query_id` names it.
-    Answered by `Gathered`.
+    `is_cancelled` says that nobody waits for the answer that `query_id` names: the child drops
+    it and all that it has asked for it. It is sent with `is_resumed`, so that an older node,
+    which does not know it, begins nothing new. Otherwise answered by `Gathered`.
     """
 
     root: str = bp.string_field(1)
@@ -52,6 +54,7 @@
     attempts: int = bp.uint32_field(20)
     aim_us: int = bp.uint64_field(21)  # what is left of it
     is_far: bool = bp.bool_field(22)  # the answer crosses regions: no more than the limit
+    is_cancelled: bool = bp.bool_field(23)
 
 
 @dataclass
--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -165,6 +165,7 @@
             address=self.http,
             on_call=lambda call: self._serve(edge=self, call=call),
             body_limit=BODY_LIMIT,
+            is_cancelling=True,
         )
         if isinstance(outcome, KelpstageError):
             return outcome
@@ -176,6 +177,7 @@
             on_call=lambda call: serve_forwarded(edge=self, call=call),
             body_limit=BODY_LIMIT,
             limits=self._caller_limits,
+            is_cancelling=True,
         )
         if isinstance(outcome, KelpstageError):
             return outcome
--- a/kelpstage/edge/gather/backend_queries.py
+++ b/kelpstage/edge/gather/backend_queries.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 from typing import Any, Callable
 
+from kelpstage.common.errors.serving import CallerGoneError
 from kelpstage.common.errors.transport import ReplyTimeoutError
 from kelpstage.common.ports.interfaces import HttpCall, HttpReply, Ports
 from kelpstage.edge.backend.reply import read_reply
@@ -33,19 +35,29 @@
         self._on_reply = on_reply
 
     async def query(self, *, ask: QueryBackend) -> None:
-        """Send an attempt; its outcome goes to the gathering task as an event."""
+        """Send an attempt; its outcome goes to the gathering task as an event.
+
+        Cancelled, it closes its connection, and the outcome is `CallerGoneError`.
+        """
         record = ask.record
         sent_us = self._ports.clock.now_us()
         self._ports.failpoint("edge.before_backend_send")
-        reply = await self._fetch(ask=ask, left_us=record.due_us - self._ports.clock.now_us())
+        try:
+            reply = await self._fetch(ask=ask, left_us=record.due_us - self._ports.clock.now_us())
+        except asyncio.CancelledError:
+            self._report(ask=ask, sent_us=sent_us, outcome=CallerGoneError())
+            raise
         outcome: Any = reply
         if isinstance(reply, HttpReply):
             self._observer.note_draining(reply=reply, backend=ask.backend)
             outcome = self._read(reply=reply, ask=ask)
         self._ports.failpoint("edge.after_backend_reply")
+        self._report(ask=ask, sent_us=sent_us, outcome=outcome)
+
+    def _report(self, *, ask: QueryBackend, sent_us: int, outcome: Any) -> None:
         self._on_reply(
             BackendReplied(
-                key=record.key,
+                key=ask.record.key,
                 generation=ask.generation,
                 shard=ask.shard,
                 number=ask.number,
--- a/kelpstage/edge/gather/child_queries.py
+++ b/kelpstage/edge/gather/child_queries.py
@@ -14,7 +14,7 @@
 from kelpstage.edge.gather.context import GatherContext
 from kelpstage.edge.gather.conversion import subtree_message
 from kelpstage.edge.gather.messages import ChildReplied, QueryChild
-from kelpstage.edge.gather.request_state import Child
+from kelpstage.edge.gather.request_state import WAITING, Child, RequestState
 
 LEAST_WAIT_US = 1_000
 
@@ -52,6 +52,21 @@
             )
         )
 
+    def cancel(self, *, record: RequestState) -> None:
+        """Tell the children that still work for a request that nobody waits for them."""
+        for child in record.children:
+            address = record.addresses.get(child.subtree.node, "")
+            is_at_work = child.is_sent and (child.state is WAITING or child.is_open)
+            if is_at_work and address:
+                message = Gather(
+                    root=self._context.me,
+                    query_id=child.ask_id,
+                    cluster=self._context.lease_holder.cluster,
+                    is_resumed=True,
+                    is_cancelled=True,
+                )
+                self._transport.send(address=address, message=message, channel=frames.GATHER)
+
     async def _call(self, *, ask: QueryChild, message: Gather, sent_us: int) -> Any:
         if not ask.address:
             return ConnectError(address="unknown")
--- a/kelpstage/edge/gather/messages.py
+++ b/kelpstage/edge/gather/messages.py
@@ -25,6 +25,17 @@
     key: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class CallerGone:
+    """Nobody waits for a request's outcome any more.
+
+    Nothing more is sent for it. What is on its way is cancelled, but for an attempt that
+    may run at most once: that one goes on to its end.
+    """
+
+    key: int
+
+
 @dataclass(frozen=True, kw_only=True)
 class BackendReplied:
     """A backend's reply to one attempt, or the error that ended it."""
--- a/kelpstage/edge/gather/observation.py
+++ b/kelpstage/edge/gather/observation.py
@@ -5,6 +5,7 @@
 from typing import Any, Callable
 
 from kelpstage.common.errors.backends import InvalidReplyError, RequestNotRunError
+from kelpstage.common.errors.serving import CallerGoneError
 from kelpstage.common.errors.transport import ConnectError, ConnectionLostError, ReplyTimeoutError
 from kelpstage.common.ports.interfaces import HttpReply, Ports
 from kelpstage.common.transport.messages import Gathered
@@ -41,9 +42,11 @@
         entry = context.registry.entries.get(event.backend)
         if entry is not None:
             entry.in_flight = max(0, entry.in_flight - 1)
-            if entry.is_discovered:
-                self._observe_instance(event=event, now_us=now_us)
-                return
+        if isinstance(event.outcome, CallerGoneError):
+            return  # it was cancelled from here
+        if entry is not None and entry.is_discovered:
+            self._observe_instance(event=event, now_us=now_us)
+            return
         outcome = event.outcome
         if isinstance(outcome, ConnectError):
             if context.registry.observe(
--- a/kelpstage/edge/gather/request_state.py
+++ b/kelpstage/edge/gather/request_state.py
@@ -136,6 +136,7 @@
     handed: frozenset[str] = frozenset()
     is_partly_settled: bool = False
     is_resumed: bool = False
+    is_abandoned: bool = False  # nobody waits for the outcome any more
     shard: str = ""
     record_name: str = ""
 
@@ -240,6 +241,23 @@
             left = self.left_of(shard=shard_state.shard) - len(shard_state.attempts)
             self.attempts_left[shard_state.shard] = max(0, left)
 
+    def is_over_for_caller(self) -> bool:
+        """Is its work in vain, and may it be dropped?
+
+        An attempt that may run at most once is not broken off.
+
+        >>> g = RequestState(key=1, kind=ROOT, collection="c", arrived_us=0, due_us=9)
+        >>> g.is_over_for_caller()
+        False
+        >>> g.is_abandoned = True; g.is_over_for_caller()
+        True
+        """
+        if not self.is_abandoned:
+            return False
+        return self.is_repeatable or not any(
+            shard_state.has_open_attempt() for shard_state in self.shard_states.values()
+        )
+
     # --- what it has come to ------------------------------------------------------------
 
     def may_have_run(self) -> bool:
--- a/kelpstage/edge/gather/stages/send.py
+++ b/kelpstage/edge/gather/stages/send.py
@@ -27,7 +27,7 @@
 
 def send(*, record: RequestState, context: GatherContext) -> None:
     """Send what is wanted and not yet on its way."""
-    if record.phase is not GATHERING:
+    if record.phase is not GATHERING or record.is_abandoned:
         return
     unsent = [child for child in record.children if not child.is_sent]
     send_wanted(record=record, context=context)
--- a/kelpstage/edge/gather/stages/settle.py
+++ b/kelpstage/edge/gather/stages/settle.py
@@ -7,6 +7,7 @@
 from kelpstage.common.errors.backends import BackendConnectionError, InvalidReplyError
 from kelpstage.common.errors.requests import RecordNotFoundError
 from kelpstage.common.errors.serving import (
+    CallerGoneError,
     DeadlineExceededError,
     NoBackendError,
     NotReadyError,
@@ -17,6 +18,7 @@
 from kelpstage.edge.gather.messages import ChildReply, GatherResult, PartlySettled
 from kelpstage.edge.gather.request_state import (
     CHILD,
+    DONE,
     GATHERING,
     RECEIVED,
     SINGLE,
@@ -31,6 +33,9 @@
 
 def settle(*, record: RequestState, context: GatherContext) -> None:
     """Give the outcome as soon as it is certain, and never later than due."""
+    if record.phase is not DONE and record.is_over_for_caller():
+        settle_record(record=record, outcome=CallerGoneError())
+        return
     if record.phase is not GATHERING:
         return
     if record.kind is SINGLE:
--- a/kelpstage/edge/gather/task.py
+++ b/kelpstage/edge/gather/task.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from functools import singledispatchmethod
-from typing import Any, Callable
+from typing import Any, Callable, Coroutine
 
 from tornado.queues import Queue
 
@@ -19,6 +19,7 @@
 from kelpstage.edge.gather.messages import (
     Arrived,
     BackendReplied,
+    CallerGone,
     ChildReplied,
     ConfigurationMoved,
     PartlySettled,
@@ -63,6 +64,7 @@
         self._on_want_state = on_want_state
         self._waiting: dict[int, asyncio.Future[Any]] = {}
         self._children: dict[tuple[str, int], int] = {}
+        self._queries: dict[int, list[Any]] = {}  # tasks that were started for each request
         self._next_key = 0
         self._timer_us: int | None = None
         self._task = ports.keep(self._run())
@@ -75,13 +77,26 @@
         return self._next_key
 
     async def settle(self, *, record: RequestState) -> Any:
-        """Put a request into the table and wait for its outcome."""
+        """Put a request into the table and wait for its outcome.
+
+        Cancelled, it drops the request; `CallerGone` says what becomes of its sends.
+        """
         if record.kind is CHILD:
             self._children[(record.root, record.ask_id)] = record.key
         future: asyncio.Future[Any] = asyncio.get_running_loop().create_future()
         self._waiting[record.key] = future
         self.inbox.put_nowait(Arrived(record=record))
-        return await future
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.inbox.put_nowait(CallerGone(key=record.key))
+            raise
+
+    def cancel(self, *, root: str, ask_id: int) -> None:
+        """Drop a child of this node whose parent no longer waits for it."""
+        key = self._children.get((root, ask_id))
+        if key is not None:
+            self.inbox.put_nowait(CallerGone(key=key))
 
     async def resume(self, *, root: str, ask_id: int) -> Any:
         """Wait for what a child of this node left out, or `None` if it is gone."""
@@ -148,6 +163,13 @@
             record.is_resumed = True
             self.table.touch(key=event.key)
 
+    @_take.register
+    def _take_caller_gone(self, event: CallerGone) -> None:
+        record = self.table.records.get(event.key)
+        if record is not None:
+            record.is_abandoned = True
+            self.table.touch(key=event.key)
+
     @_take.register
     def _take_timer_fired(self, event: TimerFired) -> None:
         return
@@ -183,6 +205,11 @@
         self.context.trace.add(ended_event(record=effect.record))
         self._resolve(key=effect.record.key, outcome=effect.record.outcome)
         self._children.pop((effect.record.root, effect.record.ask_id), None)
+        queries = self._queries.pop(effect.record.key, ())
+        if effect.record.is_abandoned:
+            self._child_queries.cancel(record=effect.record)
+            for query in queries:
+                query.cancel()
 
     @_perform.register
     def _perform_partly_settled(self, effect: PartlySettled) -> None:
@@ -199,8 +226,11 @@
 
     @_perform.register
     def _perform_query_backend(self, effect: QueryBackend) -> None:
-        self._ports.spawn(self._backend_queries.query(ask=effect))
+        self._start(key=effect.record.key, query=self._backend_queries.query(ask=effect))
 
     @_perform.register
     def _perform_query_child(self, effect: QueryChild) -> None:
-        self._ports.spawn(self._child_queries.query(ask=effect))
+        self._start(key=effect.record.key, query=self._child_queries.query(ask=effect))
+
+    def _start(self, *, key: int, query: Coroutine[Any, Any, None]) -> None:
+        self._queries.setdefault(key, []).append(self._ports.spawn(query))
--- a/kelpstage/edge/handlers.py
+++ b/kelpstage/edge/handlers.py
@@ -65,7 +65,10 @@
 
 @handle.register
 async def handle_gather(message: Gather, edge: HandlingEdge, source: str) -> Gathered:
-    """Gather a subtree for the node above, or hand up what was left out before."""
+    """Gather a subtree for the node above, hand up what was left out before, or drop it."""
+    if message.is_resumed and message.is_cancelled:
+        edge.gather.cancel(root=message.root, ask_id=message.query_id)
+        return _nothing_more(message=message)
     lease_holder = edge.lease_holder
     if lease_holder.cluster and message.cluster != lease_holder.cluster:
         return Gathered(is_stale=True, version=0)
--- a/kelpstage/testbed/platform_model/net.py
+++ b/kelpstage/testbed/platform_model/net.py
@@ -132,6 +132,7 @@
         self.on_unasked: Callable[[HttpReply], None] | None = None
         self._future: asyncio.Future | None = None
         self._asked: HttpCall | None = None
+        self._task: asyncio.Future | None = None  # the handler of the request in work
         self._out, self._back = Order(), Order()
         listener.process.served[self.serial] = self
 
@@ -198,6 +199,8 @@
             return
         self.is_served = False
         self.listener.process.served.pop(self.serial, None)
+        if self.listener.is_cancelling and self._task is not None:
+            self._task.cancel()
         gone = getattr(self.listener.on_event, "line_gone", None)
         if gone is not None:
             gone(line=self)
@@ -256,7 +259,7 @@
         if handler is not None:
             handler(line=self, call=call)
             return
-        self.listener.process.spawn(self._serve(call=call))
+        self._task = self.listener.process.spawn(self._serve(call=call))
 
     async def _serve(self, *, call: HttpCall) -> None:
         reply = await self.listener.on_event(call)
@@ -369,6 +372,7 @@
         on_call: Any,
         body_limit: int,
         limits: Callable[[], HttpLimits] | None = None,
+        is_cancelling: bool = False,
     ) -> Any:
         """Listen for HTTP at an address; `body_limit` and `limits` are not modelled.
 
@@ -378,6 +382,7 @@
         if isinstance(outcome, KelpstageError):
             return outcome
         listener = self.process.world.listeners[f"http/{address}"]
+        listener.is_cancelling = is_cancelling
 
         def close() -> None:
             outcome.close()
--- a/kelpstage/testbed/simulation/world.py
+++ b/kelpstage/testbed/simulation/world.py
@@ -164,6 +164,7 @@
     on_event: Callable
     body_limit: int = 0
     lost_after_us: int = 0
+    is_cancelling: bool = False  # are requests of callers that have left cancelled?
 
 
 class _Closer:
@@ -379,8 +380,9 @@
         on_call: Callable,
         body_limit: int,
         limits: Callable[[], HttpLimits] | None = None,
+        is_cancelling: bool = False,
     ) -> Any:
-        """Answer HTTP calls at an address."""
+        """Answer HTTP calls at an address; callers that leave are not modelled."""
         if limits is not None:
             body_limit = limits().body_bytes
         return self._listen(
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -185,7 +185,7 @@
             is_leaving=False,
         )
         self.address = free_address()
-        self.server = HttpServer(on_call=self._on_call, limits=HttpLimits)
+        self.server = HttpServer(on_call=self._on_call, limits=HttpLimits, is_cancelling=True)
         self.assertIsNone(await self.server.open(address=self.address))
 
     def _spawn(self, work: Awaitable) -> asyncio.Task:
