--- a/tests/async_case.py
+++ b/tests/async_case.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import math
+import socket
+import struct
 import unittest
 from contextlib import suppress
 from typing import Awaitable, Callable
@@ -51,6 +53,13 @@
         self._now_s += ms / 1_000
 
 
+def reset(writer: asyncio.StreamWriter) -> None:
+    """End a connection by a reset."""
+    linger = struct.pack("ii", 1, 0)
+    writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    writer.transport.abort()
+
+
 class RawServer:
     """A server of raw connections that owns the tasks of its handlers.
 
--- a/tests/test_cancellation.py
+++ b/tests/test_cancellation.py
@@ -24,8 +24,8 @@
 )
 from kelpstage.edge.gather.tree import Subtree
 from kelpstage.edge.handlers import handle
-from tests.async_case import AsyncCase
-from tests.test_at_most_once import GOOD, EdgeCase, Raw, RawBackend, reset
+from tests.async_case import AsyncCase, reset
+from tests.test_at_most_once import GOOD, EdgeCase, Raw, RawBackend
 from tests.test_http import free_address, get, until
 
 
