Metrics: each process tells its own figures as Prometheus text, read only when asked

On the way of a request only plain numbers are counted (`GatherStatistics`, durations in fixed buckets; the disk task's writes); all else is read from its owners when a call asks. Raft roles are an enum.

--- a/kelpstage/common/ports/live.py
+++ b/kelpstage/common/ports/live.py
@@ -14,7 +14,6 @@
 
 from tornado import gen, ioloop, iostream, netutil, tcpclient, tcpserver
 
-from kelpstage.common.clock import run_within
 from kelpstage.common.errors.base import KelpstageError
 from kelpstage.common.errors.storage import DiskError
 from kelpstage.common.errors.transport import (
@@ -27,6 +26,7 @@
 from kelpstage.common.http.server import HttpServer
 from kelpstage.common.http.socket_options import notice_loss
 from kelpstage.common.ports.interfaces import HttpCall, HttpLimits, HttpReply, Ports
+from kelpstage.common.ports.waiting import run_within
 from kelpstage.common.transport.address import split_address
 
 
--- a/kelpstage/common/settings/loading.py
+++ b/kelpstage/common/settings/loading.py
@@ -71,6 +71,7 @@
         t.Key("front", optional=True): ADDRESS,
         t.Key("header_names", optional=True): t.Mapping(t.String(), t.String(allow_blank=False)),
         t.Key("list", optional=True): LIST,
+        t.Key("metrics", optional=True): ADDRESS,
         t.Key("bounds", optional=True): BOUNDS,
     }
 )
@@ -82,6 +83,7 @@
         t.Key("seeds"): SEEDS,
         t.Key("data"): t.String(allow_blank=False),
         t.Key("voters", optional=True): t.Int(gte=1, lte=9),
+        t.Key("metrics", optional=True): ADDRESS,
         t.Key("bounds", optional=True): BOUNDS,
     }
 )
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -14,7 +14,8 @@
 from kelpstage.common.errors.storage import LogDamagedError
 from kelpstage.common.event_journal import Journal
 from kelpstage.common.log.ring import logger
-from kelpstage.common.ports.interfaces import HttpReply, Ports
+from kelpstage.common.metrics.web import open_metrics_listener
+from kelpstage.common.ports.interfaces import HttpReply, Listener, Ports
 from kelpstage.common.settings.bounds import bounds_of, voters_of
 from kelpstage.common.transport.connections import Transport
 from kelpstage.common.transport.messages import (
@@ -49,6 +50,7 @@
 from kelpstage.core.store.records import DiskIdentity, DiskSnapshot
 from kelpstage.core.store.recovery import Recovered
 from kelpstage.core.store.store import Store
+from kelpstage.core.web.metrics import core_families
 from kelpstage.core.web.operators import serve_operators
 
 RESTART_US = 300_000  # after an error of the disk
@@ -96,6 +98,7 @@
         self._edge_contacts = EdgeContacts(ports=ports)
         self._broken: asyncio.Event = asyncio.Event()
         self._http_listener: Any = None
+        self._metrics_listener: Listener | None = None
 
     async def open(self) -> KelpstageError | None:
         """Listen on both addresses, then run the replica in the background."""
@@ -110,6 +113,12 @@
         if isinstance(outcome, KelpstageError):
             return outcome
         self._http_listener = outcome
+        if self.settings.get("metrics"):
+            self._metrics_listener = await open_metrics_listener(
+                ports=self.ports,
+                address=self.settings["metrics"],
+                collect=lambda: core_families(core=self),
+            )
         self.ports.keep(self._run_replicas())
         self.ports.keep(keep_membership(core=self))
         return None
@@ -311,6 +320,7 @@
                 )
             )
         self.server.close()
-        if self._http_listener is not None:
-            self._http_listener.close()
+        for listener in (self._http_listener, self._metrics_listener):
+            if listener is not None:
+                listener.close()
         self.transport.close()
--- a/kelpstage/core/leases/configuration_writes.py
+++ b/kelpstage/core/leases/configuration_writes.py
@@ -72,6 +72,11 @@
         self._running: dict[bytes, asyncio.Future[PutApplied | KelpstageError]] = {}
         self.validate = DocumentValidator().validate
 
+    @property
+    def in_progress(self) -> int:
+        """How many writes this core works on."""
+        return len(self._running)
+
     async def put(
         self, *, document: bytes, expected: int, put_id: str, wait_us: int, version: int = 0
     ) -> PutApplied | KelpstageError:
--- a/kelpstage/core/main.py
+++ b/kelpstage/core/main.py
@@ -26,6 +26,9 @@
     seed: Optional[List[str]] = typer.Option(
         None, help="IP:port of a core; give it three times. Founding needs all three."
     ),
+    metrics: Optional[str] = typer.Option(
+        None, help="IP:port for metrics alone, beside /metrics at --http."
+    ),
     data: Optional[str] = typer.Option(None, help="Folder for the log, snapshots and identity."),
 ) -> None:
     """Run a core: it keeps configurations, the edge membership and leases in a replicated log."""
@@ -34,7 +37,14 @@
         return settings_or_exit(
             outcome=read_settings_file(
                 file=settings,
-                flags={"own": own, "http": http, "domain": zone, "seeds": seed, "data": data},
+                flags={
+                    "own": own,
+                    "http": http,
+                    "domain": zone,
+                    "seeds": seed,
+                    "data": data,
+                    "metrics": metrics,
+                },
                 form=CORE_FORM,
             )
         )
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -58,6 +58,7 @@
     Propose,
     ReadIndex,
     Received,
+    Role,
     SnapshotFetched,
     SnapshotTaken,
     Synced,
@@ -176,7 +177,7 @@
         return self.state.me
 
     @property
-    def role(self) -> str:
+    def role(self) -> Role:
         """Follower, pre-candidate, candidate or leader."""
         return self.state.role
 
--- a/kelpstage/core/raft/roles.py
+++ b/kelpstage/core/raft/roles.py
@@ -8,10 +8,10 @@
 from __future__ import annotations
 
 from kelpstage.core.raft.state import RaftState
-from kelpstage.core.raft.types import FOLLOWER, LEADER, ReadLost, RoleChanged
+from kelpstage.core.raft.types import FOLLOWER, LEADER, ReadLost, Role, RoleChanged
 
 
-def become(state: RaftState, *, role: str) -> None:
+def become(state: RaftState, *, role: Role) -> None:
     """Take a role on."""
     if state.role == role:
         return
--- a/kelpstage/core/raft/state.py
+++ b/kelpstage/core/raft/state.py
@@ -16,7 +16,16 @@
 from kelpstage.core.raft.log import MemoryLog
 from kelpstage.core.raft.members import MemberList
 from kelpstage.core.raft.pending_writes import PendingWrites
-from kelpstage.core.raft.types import FOLLOWER, LEADER, Effect, Message, Persist, Send, Timing
+from kelpstage.core.raft.types import (
+    FOLLOWER,
+    LEADER,
+    Effect,
+    Message,
+    Persist,
+    Role,
+    Send,
+    Timing,
+)
 
 LONG_AGO_US = -(10**12)
 
@@ -74,7 +83,7 @@
 
     # Volatile, of every replica.
     commit_index: int
-    role: str = FOLLOWER
+    role: Role = FOLLOWER
     leader: str = ""
     leader_address: str = ""
     heard_leader: str = ""  # the last that was, and when
--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -30,7 +30,17 @@
 # Messages whose entries are larger go by another connection, which smaller ones overtake.
 LARGE_BYTES = 64 * 1024
 
-FOLLOWER, PRE_CANDIDATE, CANDIDATE, LEADER = "follower", "pre_candidate", "candidate", "leader"
+
+class Role(enum.StrEnum):
+    """What a replica is in its term; the values stand in status views and metrics."""
+
+    FOLLOWER = "follower"
+    PRE_CANDIDATE = "pre_candidate"  # asks whether it could win, without a new term
+    CANDIDATE = "candidate"
+    LEADER = "leader"
+
+
+FOLLOWER, PRE_CANDIDATE, CANDIDATE, LEADER = Role
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/kelpstage/core/replica_task.py
+++ b/kelpstage/core/replica_task.py
@@ -113,8 +113,10 @@
             log=recovered.log,
             voters=voters,
         )
-        self._disk = DiskTask(
+        self.snapshot_us = ports.clock.now_us()  # when the newest was written, or the start
+        self.disk = DiskTask(
             store=store,
+            now_us=ports.clock.now_us,
             on_synced=lambda number: self.inbox.put_nowait(raft.Synced(number=number)),
             on_kept=lambda index: self.inbox.put_nowait(raft.SnapshotTaken(index=index)),
             on_error=on_error,
@@ -124,10 +126,10 @@
             cluster=self.cluster,
             chunks=self._chunks,
             journal=journal,
-            write=self._disk.inbox.put_nowait,
+            write=self.disk.inbox.put_nowait,
         )
         self._tasks = [
-            ports.keep(self._disk.run()),
+            ports.keep(self.disk.run()),
             ports.keep(self._run()),
             ports.keep(self._tick()),
         ]
@@ -216,6 +218,7 @@
         if isinstance(event, raft.Synced):
             self._outgoing.release(synced=event.number)
         if isinstance(event, raft.SnapshotTaken):
+            self.snapshot_us = self._ports.clock.now_us()
             self._snapshot_writer.on_written(index=event.index)
         self._snapshot_writer.take_if_due(
             machine=self.machine, applied=self.applied, now_us=self._ports.clock.now_us()
@@ -234,7 +237,7 @@
         if effect.cut_from is not None:
             self._proposals.lose(start=effect.cut_from)
         self._snapshot_writer.add_entries(entries=effect.entries)
-        self._disk.inbox.put_nowait(effect)
+        self.disk.inbox.put_nowait(effect)
 
     @_perform.register
     def _perform_commit(self, effect: raft.Commit) -> None:
--- a/kelpstage/core/store/task.py
+++ b/kelpstage/core/store/task.py
@@ -9,6 +9,7 @@
 from tornado.queues import Queue
 
 from kelpstage.common.errors.base import KelpstageError
+from kelpstage.common.metrics.histogram import DurationHistogram
 from kelpstage.common.transport.messages import LogEntry
 from kelpstage.core.raft.types import Persist
 from kelpstage.core.store.records import DiskSnapshot, DiskStep
@@ -40,11 +41,14 @@
         self,
         *,
         store: Store,
+        now_us: Callable[[], int],
         on_synced: Callable[[int], None],
         on_kept: Callable[[int], None],
         on_error: Callable[[KelpstageError], None],
     ) -> None:
-        """The store must have been recovered."""
+        """The store must have been recovered. `now_us` reads a clock, for the durations."""
+        self.durations = {"log": DurationHistogram(), "snapshot": DurationHistogram()}
+        self._now_us = now_us
         self.inbox: Queue[Persist | PersistRequest] = Queue()
         self._store = store
         self._on_synced = on_synced
@@ -57,7 +61,10 @@
         while True:
             item = self._next or await self.inbox.get()
             self._next = None
+            began_us = self._now_us()
             outcome = await self._write(item)
+            name = "log" if isinstance(item, Persist) else "snapshot"
+            self.durations[name].observe(us=self._now_us() - began_us)
             if isinstance(outcome, KelpstageError):
                 self._on_error(outcome)
                 return
--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -15,6 +15,7 @@
     MethodNotAllowedError,
 )
 from kelpstage.common.http.replies import JSON_TYPE, error_reply, json_reply
+from kelpstage.common.metrics.web import METRICS_PATH, metrics_reply
 from kelpstage.common.ports.interfaces import HttpCall, HttpReply
 from kelpstage.common.transport.messages import ForwardOperatorCall, ForwardOperatorCallReply
 from kelpstage.core.context import OperatorContext
@@ -24,6 +25,7 @@
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.outcomes import PutApplied
 from kelpstage.core.web.call_validation import read_request
+from kelpstage.core.web.metrics import core_families
 from kelpstage.core.web.views import LOCAL_VIEWS, membership_view
 
 READ_WAIT_US = 2_000_000
@@ -34,6 +36,8 @@
 async def serve_operators(*, core: OperatorContext, call: HttpCall) -> HttpReply:
     """Answer one operator's call."""
     path = urlsplit(call.url).path
+    if path == METRICS_PATH and call.method == "GET":
+        return await metrics_reply(clock=core.ports.clock, collect=lambda: core_families(core=core))
     local_view = LOCAL_VIEWS.get(path)
     if local_view is not None:
         if call.method != "GET":
--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -7,6 +7,7 @@
 
 from kelpstage.common.errors.base import KelpstageError
 from kelpstage.common.event_journal import Journal
+from kelpstage.common.metrics.web import open_metrics_listener
 from kelpstage.common.ports.interfaces import HttpLimits, Listener, Ports
 from kelpstage.common.recording.writer import DayWriter
 from kelpstage.common.transport.connections import Transport
@@ -33,6 +34,7 @@
 from kelpstage.edge.handlers import handle
 from kelpstage.edge.lease.lease_holder import LeaseHolder
 from kelpstage.edge.lease.task import LeaseTask
+from kelpstage.edge.metrics import edge_families
 from kelpstage.edge.timelines import Timelines
 from kelpstage.edge.views import Searches
 from kelpstage.edge.web.callers import serve_callers
@@ -131,6 +133,7 @@
         if error is not None:
             return error
         self._start_recording()
+        await self._start_metrics()
         self._start_leases()
         self._start_health_checks()
         self._start_platform()
@@ -189,6 +192,16 @@
             name = f"{self.name}-{self.incarnation}.day"
             self.day = DayWriter(ports=self.ports, path=name, counts=self.counts)
 
+    async def _start_metrics(self) -> None:
+        """Tell the own figures at an address of their own, where one is set."""
+        if self.settings.get("metrics"):
+            listener = await open_metrics_listener(
+                ports=self.ports,
+                address=self.settings["metrics"],
+                collect=lambda: edge_families(edge=self),
+            )
+            self._listeners += [listener] if listener is not None else []
+
     def _start_leases(self) -> None:
         self.leases = LeaseTask(
             ports=self.ports,
--- a/kelpstage/edge/gather/context.py
+++ b/kelpstage/edge/gather/context.py
@@ -9,6 +9,7 @@
 from kelpstage.common.event_journal import Journal
 from kelpstage.edge.backend.registry import BackendRegistry
 from kelpstage.edge.gather.latency import LatencyEstimates
+from kelpstage.edge.gather.statistics import GatherStatistics
 from kelpstage.edge.gossip.members import ALIVE
 from kelpstage.edge.gossip.swim import Swim
 from kelpstage.edge.lease.lease_holder import LeaseHolder
@@ -52,6 +53,7 @@
     next_attempt: int = 0
     distances: dict[str, int] = field(default_factory=dict)
     regions: dict[str, str] = field(default_factory=dict)  # of zones
+    statistics: GatherStatistics = field(default_factory=GatherStatistics)
 
     def emit(self, effect: Any) -> None:
         """Have an effect performed after this run of the stages."""
--- a/kelpstage/edge/gather/observation.py
+++ b/kelpstage/edge/gather/observation.py
@@ -39,6 +39,7 @@
         """Note what a reply, or its absence, shows of the backend."""
         context = self._context
         now_us = self._ports.clock.now_us()
+        context.statistics.note_backend_reply(outcome=event.outcome, took_us=now_us - event.sent_us)
         entry = context.registry.entries.get(event.backend)
         if entry is not None:
             entry.in_flight = max(0, entry.in_flight - 1)
@@ -97,6 +98,7 @@
         """Note what a reply, or its absence, shows of the peer."""
         context = self._context
         now_us = self._ports.clock.now_us()
+        context.statistics.note_child_reply(outcome=event.outcome, took_us=now_us - event.sent_us)
         if isinstance(event.outcome, Gathered):
             context.note_reply(name=event.node)
         if isinstance(event.outcome, Gathered) and not event.outcome.is_stale:
--- a/kelpstage/edge/gather/stages/attempts.py
+++ b/kelpstage/edge/gather/stages/attempts.py
@@ -54,6 +54,8 @@
             detail = _spent(detail=shard_state.detail)
             shard_state.miss(cause=shard_state.cause or "budget", detail=detail)
         return True
+    reason = "hedge" if is_hedge else "retry" if is_again else "first"
+    context.statistics.note_attempt(reason=reason)
     _begin_attempt(
         backend=choices[0].backend,
         shard_state=shard_state,
--- /dev/null
+++ b/kelpstage/edge/gather/statistics.py
@@ -0,0 +1,85 @@
+"""What the gathering counts for the metrics: plain numbers, read only when asked for."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from typing import Any, NamedTuple
+
+from kelpstage.common.errors.base import KelpstageError
+from kelpstage.common.metrics.histogram import DurationHistogram
+from kelpstage.edge.gather.messages import GatherResult
+from kelpstage.edge.gather.request_state import MISSING, ROOT, RequestKind, RequestState
+
+MOST_KEYS = 2_000  # of requests; routes come and go over the life of a process
+OTHER_ROUTES = "other"
+ANSWERED = "answered"
+
+
+class RequestKey(NamedTuple):
+    """By what requests are counted."""
+
+    kind: str
+    route: str
+    outcome: str
+
+
+def outcome_name(*, outcome: Any) -> str:
+    """The outcome of a request, attempt or query as a label.
+
+    >>> from kelpstage.common.errors.serving import CallerGoneError
+    >>> outcome_name(outcome=CallerGoneError()), outcome_name(outcome=object())
+    ('caller_gone', 'answered')
+    """
+    if isinstance(outcome, KelpstageError):
+        return outcome.kind
+    if isinstance(outcome, GatherResult):
+        return "partial" if outcome.missing or outcome.coverage < 1 else "complete"
+    return ANSWERED
+
+
+class GatherStatistics:
+    """Counters of one node's gathering, since its process began."""
+
+    def __init__(self) -> None:
+        self.requests: Counter[RequestKey] = Counter()
+        self.attempts: Counter[str] = Counter()  # by why they were sent
+        self.backend_outcomes: Counter[str] = Counter()
+        self.child_outcomes: Counter[str] = Counter()
+        self.missing: Counter[str] = Counter()  # shards left out of a root's answer, by cause
+        self.durations: defaultdict[str, DurationHistogram] = defaultdict(DurationHistogram)
+
+    def note_settled(self, *, record: RequestState, now_us: int) -> None:
+        """Count a request that has its outcome."""
+        key = RequestKey(record.kind, record.collection, outcome_name(outcome=record.outcome))
+        if len(self.requests) >= MOST_KEYS and key not in self.requests:
+            key = key._replace(route=OTHER_ROUTES)
+        self.requests[key] += 1
+        self.durations[record.kind].observe(us=now_us - record.arrived_us)
+        if record.kind is ROOT:
+            for cause, _ in record.missing.values():
+                self.missing[cause] += 1
+            for shard_state in record.shard_states.values():
+                if shard_state.state is MISSING:
+                    self.missing[shard_state.cause] += 1
+
+    def note_attempt(self, *, reason: str) -> None:
+        """Count an attempt that is sent to a backend."""
+        self.attempts[reason] += 1
+
+    def note_backend_reply(self, *, outcome: Any, took_us: int) -> None:
+        """Count an attempt that has ended."""
+        self.backend_outcomes[outcome_name(outcome=outcome)] += 1
+        self.durations["backend"].observe(us=took_us)
+
+    def note_child_reply(self, *, outcome: Any, took_us: int) -> None:
+        """Count a query to a child that has ended."""
+        self.child_outcomes[outcome_name(outcome=outcome)] += 1
+        self.durations["child_query"].observe(us=took_us)
+
+    def count_of(self, *, kind: RequestKind) -> int:
+        """Requests of a kind.
+
+        >>> GatherStatistics().count_of(kind=ROOT)
+        0
+        """
+        return sum(count for key, count in self.requests.items() if key.kind == kind)
--- a/kelpstage/edge/gather/task.py
+++ b/kelpstage/edge/gather/task.py
@@ -203,6 +203,7 @@
     @_perform.register
     def _perform_settled(self, effect: Settled) -> None:
         self.context.trace.add(ended_event(record=effect.record))
+        self.context.statistics.note_settled(record=effect.record, now_us=self.context.now_us)
         self._resolve(key=effect.record.key, outcome=effect.record.outcome)
         self._children.pop((effect.record.root, effect.record.ask_id), None)
         queries = self._queries.pop(effect.record.key, ())
--- a/kelpstage/edge/main.py
+++ b/kelpstage/edge/main.py
@@ -30,6 +30,9 @@
     platform: Optional[str] = typer.Option(
         None, help="http:// address of the platform's list of backends."
     ),
+    metrics: Optional[str] = typer.Option(
+        None, help="IP:port for metrics alone, beside /metrics at --http."
+    ),
     record: Optional[str] = typer.Option(
         None, help="Folder for a record of the day (calls as they come), for kelpstage-replay."
     ),
@@ -47,6 +50,7 @@
                     "http": http,
                     "seeds": seed,
                     "platform": platform,
+                    "metrics": metrics,
                     "record": record,
                 },
                 form=EDGE_FORM,
--- a/kelpstage/edge/web/callers.py
+++ b/kelpstage/edge/web/callers.py
@@ -20,9 +20,11 @@
 )
 from kelpstage.common.errors.serving import NotReadyError, OverloadedError
 from kelpstage.common.http.replies import JSON_TYPE, error_reply, json_reply
+from kelpstage.common.metrics.web import METRICS_PATH, metrics_reply
 from kelpstage.common.ports.interfaces import HttpCall, HttpReply
 from kelpstage.edge.gather.messages import GatherResult
 from kelpstage.edge.gather.request_state import ROOT, SINGLE, RequestState
+from kelpstage.edge.metrics import edge_families
 from kelpstage.edge.web.explain import plan_view, search_view, status_view
 from kelpstage.edge.web.interfaces import CallerEdge
 
@@ -104,6 +106,8 @@
         if call.method != "GET":
             return error_reply(error=MethodNotAllowedError(method=call.method, allowed="GET"))
         return simple(edge)
+    if url.path == METRICS_PATH and call.method == "GET":
+        return await metrics_reply(clock=edge.ports.clock, collect=lambda: edge_families(edge=edge))
     for pattern, method, work in (
         (SEARCH, "POST", _search),
         (RECORD, "GET", _record),
--- a/kelpstage/testbed/simulation/world.py
+++ b/kelpstage/testbed/simulation/world.py
@@ -7,7 +7,6 @@
 from dataclasses import dataclass, field
 from typing import Any, Awaitable, Callable
 
-from kelpstage.common.clock import run_within
 from kelpstage.common.errors.base import KelpstageError
 from kelpstage.common.errors.requests import BodyTooLargeError
 from kelpstage.common.errors.transport import (
@@ -18,6 +17,7 @@
 )
 from kelpstage.common.http.replies import error_reply
 from kelpstage.common.ports.interfaces import HttpCall, HttpLimits, HttpReply, Ports
+from kelpstage.common.ports.waiting import run_within
 from kelpstage.testbed.simulation.disk import Platter, SimDisk
 from kelpstage.testbed.simulation.loop import VirtualLoop
 from kelpstage.testbed.stand_ins.backend import SENDER_HEADER
--- a/tests/test_store_power_loss.py
+++ b/tests/test_store_power_loss.py
@@ -452,6 +452,7 @@
         writer, reported = founded(), [0]
         task = DiskTask(
             store=writer.store,
+            now_us=lambda: 0,
             on_synced=reported.append,
             on_kept=lambda index: None,
             on_error=self.fail,
