kelpctl top: rates, latencies, roles and lags of a fleet, live from its metrics

Change: the command fetches /metrics of the processes named, and shows counters as rates and histograms as quantiles of what came between two looks; a process that began anew has no negative rates, one that does not answer is named.

After: test_top, test_ctl and test_architecture pass.

--- a/kelpstage/cli/main.py
+++ b/kelpstage/cli/main.py
@@ -16,6 +16,7 @@
     imports,
     plans,
     recovery,
+    top,
 )
 
 app = typer.Typer(
@@ -31,6 +32,7 @@
 app.command("plan")(plans.plan)
 app.command("explain")(explain.explain)
 app.command("status")(fleet.status)
+app.command("top")(top.top)
 app.command("membership")(fleet.membership)
 app.command("roster", hidden=True)(fleet.membership)  # its name until 0.1.0
 app.command("remove-edge")(fleet.remove_edge)
