--- a/tests/test_core_cuts.py
+++ b/tests/test_core_cuts.py
@@ -258,6 +258,7 @@
     *,
     seed: int,
     count: int = 3,
+    tolerance: int = 1,
     call_us: int = CALL_US,
 ) -> Day:
     """Operators at work over a story of cuts."""
@@ -265,7 +266,7 @@
 
     async def tell(cores: Cores) -> None:
         await cores.start(is_first=True)
-        await cores.wait_for(lambda: len(cores.voters()) == 3)
+        await cores.wait_for(lambda: len(cores.voters()) == 2 * tolerance + 1)
         operators = Operators(cores=cores, call_us=call_us)
         await operators.order()
         day = Day(history=operators.history)
@@ -278,7 +279,7 @@
         for task in tasks:
             await task
 
-    play(tell, seed=seed, count=count, tolerance=1)
+    play(tell, seed=seed, count=count, tolerance=tolerance)
     return days[0]
 
 
