Log entries and gossip messages: their kinds are enums

Kinds were bare numbers beside each other; as IntEnum they print by name, and the numbers on disk and on the wire stay.

--- a/kelpstage/core/raft/replication.py
+++ b/kelpstage/core/raft/replication.py
@@ -21,6 +21,7 @@
     LEADER,
     MEMBERSHIP,
     Commit,
+    EntryKind,
     Removed,
     is_large,
     size_of,
@@ -33,7 +34,7 @@
 # --- the leader's side ---------------------------------------------------------------
 
 
-def append_own(state: RaftState, *, kind: int, data: bytes) -> int:
+def append_own(state: RaftState, *, kind: EntryKind, data: bytes) -> int:
     """Append an entry of the leader's own; its index."""
     entry = LogEntry(index=state.log.last_index + 1, term=state.term, kind=kind, data=data)
     state.append(entries=[entry])
--- a/kelpstage/core/raft/types.py
+++ b/kelpstage/core/raft/types.py
@@ -25,7 +25,16 @@
     | TimeoutNow
 )
 
-NOOP, MEMBERSHIP, COMMAND = 0, 1, 2
+
+class EntryKind(enum.IntEnum):
+    """What an entry of the log holds; the numbers stand on disk and never change."""
+
+    NOOP = 0  # the first of a leader's term
+    MEMBERSHIP = 1  # the members from here on
+    COMMAND = 2  # for the state machine
+
+
+NOOP, MEMBERSHIP, COMMAND = EntryKind
 
 # Messages whose entries are larger go by another connection, which smaller ones overtake.
 LARGE_BYTES = 64 * 1024
@@ -77,7 +86,7 @@
 class Propose:
     """Append an entry; `Proposed` or `NotLeader` answers with the token."""
 
-    kind: int
+    kind: EntryKind
     data: bytes
     token: int
 
--- a/kelpstage/edge/gossip/swim.py
+++ b/kelpstage/edge/gossip/swim.py
@@ -14,6 +14,7 @@
 
 import random
 from dataclasses import dataclass, field
+from enum import IntEnum
 from typing import Callable
 
 from kelpstage.common.transport.messages import BackendStateMsg, GossipMsg, MemberMsg
@@ -27,7 +28,16 @@
 from kelpstage.edge.gossip.membership import Membership
 from kelpstage.edge.gossip.probing import Probe, ProbeTargets, probe_ticks
 
-PING, ACK, PING_REQ = 1, 2, 3  # kinds of messages; the numbers travel and never change
+
+class MessageKind(IntEnum):
+    """Kinds of messages, as in the SWIM paper; the numbers travel and never change."""
+
+    PING = 1
+    ACK = 2
+    PING_REQ = 3  # ask another member to ping on one's behalf
+
+
+PING, ACK, PING_REQ = MessageKind
 
 TICK_US = 200_000  # the protocol period
 ACK_TIMEOUT_US = 250_000  # after a ping; then it is probed through others
@@ -200,7 +210,7 @@
         return self._message(to=name, kind=PING, number=self._number)
 
     def _message(
-        self, *, to: str, kind: int, number: int, target: str = "", target_address: str = ""
+        self, *, to: str, kind: MessageKind, number: int, target: str = "", target_address: str = ""
     ) -> tuple[str, GossipMsg]:
         packed = self._membership.packed
         message = GossipMsg(
@@ -216,7 +226,7 @@
         member = self.members.get(to)
         return (member.info.address if member else to), message
 
-    def _members_to_send(self, *, to: str, kind: int) -> list[str]:
+    def _members_to_send(self, *, to: str, kind: MessageKind) -> list[str]:
         """Members with an update to send, and a random sample of the others; a receiver
         that others hold for lost gets what is said of it, so that it can refute it."""
         updates = self._membership.updates.next(member_count=len(self.members))
