--- a/kelpstage/testbed/main.py
+++ b/kelpstage/testbed/main.py
@@ -17,13 +17,10 @@
 from kelpstage.testbed.fleet.deployment import configuration_of, load, names
 from kelpstage.testbed.fleet.record import write_recording
 from kelpstage.testbed.fleet.scenario import run_day, show
-from kelpstage.testbed.hollow import report
-from kelpstage.testbed.hollow.options import Options, check, memory_of_machine
-from kelpstage.testbed.hollow.runner import run_hollow
 from kelpstage.testbed.measure.choices import CHOICES, run_variant, summarize
 from kelpstage.testbed.measure.http import measure_http
 from kelpstage.testbed.model.main import app as model_app
-from kelpstage.testbed.number_lists import read_counts, read_seeds
+from kelpstage.testbed.number_lists import read_seeds
 from kelpstage.testbed.platform_model.main import app as platform_app
 from kelpstage.testbed.simulation.faults import FAULTS
 from kelpstage.testbed.simulation.figures import figures, summary
@@ -244,73 +241,6 @@
         print(f"{variant}: {json.dumps(row)}")
 
 
-@app.command()
-def hollow(
-    nodes: str = typer.Option("50", help="Nodes; several runs as 50,100,200, one at a time."),
-    cores: int = typer.Option(6, help="Of them, nodes with a core beside the edge."),
-    zones: int = typer.Option(6, help="Zones; nodes are dealt out to them in turn."),
-    regions: int = typer.Option(3, help="Regions; zones are dealt out to them in turn."),
-    backends: int = typer.Option(0, help="Backends in the list that one node reads for all."),
-    routes: int = typer.Option(40, help="Routes of the configuration."),
-    seconds: int = typer.Option(20, help="Virtual seconds of quiet, then as many of trouble."),
-    changes: int = typer.Option(900, help="Changes of configuration an hour."),
-    failures: int = typer.Option(720, help="Nodes killed an hour, each for 8 s."),
-    zone_loss: bool = typer.Option(False, help="Then kill one whole zone for 19 s."),
-    core_loss: bool = typer.Option(False, help="Then kill all cores, for as long."),
-    cut: int = typer.Option(0, help="Then cut one region off for so many seconds."),
-    shards: int = typer.Option(0, help="Shards of a search, with two backends each."),
-    queries: int = typer.Option(0, help="Searches a second over all shards, after the quiet."),
-    seed: int = typer.Option(1, help="Seed of the run."),
-    csv: Optional[str] = typer.Option(None, help="Write the figures here."),
-    plot: Optional[str] = typer.Option(None, help="Draw them here (needs the extra `plot`)."),
-) -> None:
-    """Run the control code of many nodes on virtual time, with a made-up load or none.
-
-    Measures bytes, processor time and memory a node, and how soon changes and losses are known.
-    """
-    try:
-        counts = read_counts(text=nodes)
-    except ValueError:
-        _say_bad(f"nodes {nodes!r}: give 50 or 50,100,200")
-    wanted = [
-        Options(
-            nodes=count,
-            cores=cores,
-            zones=zones,
-            regions=regions,
-            backends=backends,
-            routes=routes,
-            seconds=seconds,
-            changes=changes,
-            failures=failures,
-            seed=seed,
-            zone_loss=zone_loss,
-            core_loss=core_loss,
-            cut_s=cut,
-            shards=shards,
-            queries=queries,
-        )
-        for count in counts
-    ]
-    for options in wanted:
-        refused = check(options=options, memory=memory_of_machine())
-        if refused is not None:
-            _say_bad(refused.why)
-    if plot and not report.can_plot():
-        _say_bad("plot: matplotlib is not installed; pip install 'kelpstage[plot]'")
-    rows = []
-    for options in wanted:
-        with ProcessPoolExecutor(max_workers=1) as pool:  # its memory ends with it
-            rows.append(pool.submit(run_hollow, options=options).result())
-        print(json.dumps(rows[-1]), flush=True)
-        if csv:
-            report.write_csv(path=csv, rows=rows)
-    if plot:
-        report.write_plot(path=plot, rows=rows)
-    for line in report.as_text(rows=rows).splitlines()[len(rows) :]:
-        print(line)
-
-
 def write_history(*, path: str, rows: list[dict]) -> None:
     """Write a history as JSON lines."""
     with open(path, "w", encoding="utf-8") as file:
--- a/kelpstage/testbed/number_lists.py
+++ b/kelpstage/testbed/number_lists.py
@@ -14,12 +14,3 @@
         low, _, high = piece.partition("-")
         out += range(int(low), int(high or low) + 1)
     return out
-
-
-def read_counts(*, text: str) -> list[int]:
-    """Counts of nodes as `50,100,200`.
-
-    >>> read_counts(text="50,100")
-    [50, 100]
-    """
-    return [int(piece) for piece in text.split(",")]
