Live testbed: ends when it says, one table at the close, a report folder

Change: events say what they need; as many as fit, by rank, are spread over the span, one for which too little time is left is not begun, and what is left out is named. One table, `--json`, `--report DIR` with the edges' metrics of each second, logs and plots. Reading of metrics is shared with kelpctl top.

--- a/kelpstage/cli/commands/top.py
+++ b/kelpstage/cli/commands/top.py
@@ -7,13 +7,13 @@
 from typing import List, Optional
 
 import typer
-from prometheus_client.parser import text_string_to_metric_families
 
 from kelpstage.cli.client import need_addresses
 from kelpstage.cli.options import CORES, EDGES
 from kelpstage.cli.output import UNREACHED
-from kelpstage.cli.views.top import Between, Look, core_row, edge_row, top_text
+from kelpstage.cli.views.top import core_row, edge_row, top_text
 from kelpstage.common.errors.base import KelpstageError
+from kelpstage.common.metrics.reading import Between, Look, read_look
 from kelpstage.common.ports.interfaces import HttpCall
 from kelpstage.common.ports.live import LiveNet
 
@@ -72,17 +72,3 @@
 
     found = await asyncio.gather(*(look(address) for address in addresses))
     return {address: one for address, one in found if one is not None}
-
-
-def read_look(*, text: str, at_s: float) -> Look:
-    """The samples of a text in the Prometheus format.
-
-    >>> read_look(text='a{b="1"} 2\\n', at_s=0.0).total("a", b="1")
-    2.0
-    """
-    look = Look(at_s=at_s)
-    for family in text_string_to_metric_families(text):
-        for sample in family.samples:
-            labels = tuple(sorted(sample.labels.items()))
-            look.samples.setdefault(sample.name, {})[labels] = sample.value
-    return look
--- a/kelpstage/testbed/fleet/fleet.py
+++ b/kelpstage/testbed/fleet/fleet.py
@@ -8,7 +8,6 @@
 import pathlib
 import shutil
 import signal
-import sys
 import tempfile
 from dataclasses import dataclass, field
 from typing import Any, Awaitable, Callable
@@ -430,15 +429,17 @@
 
         await self.wait_for(what="open calls", is_there=is_quiet, us=10_000_000)
 
-    def stop(self) -> None:
-        """End every process; say what they wrote, then remove the folder."""
+    def stop(self) -> dict[str, str]:
+        """End every process and remove the folder; the logs that they wrote, by file."""
         self.platform.close()
         self.processes.stop_all()
-        for path in sorted(self.folder.glob("*.log")):
-            text = path.read_text(encoding="utf-8", errors="replace").strip()
-            if text and path.name.startswith(("edge-", "core-")):
-                print(f"--- {path.name}\n{text[-3000:]}", file=sys.stderr)
+        logs = {
+            path.name: path.read_text(encoding="utf-8", errors="replace").strip()
+            for path in sorted(self.folder.glob("*.log"))
+            if path.name.startswith(("edge-", "core-"))
+        }
         shutil.rmtree(self.folder, ignore_errors=True)
+        return {name: text for name, text in logs.items() if text}
 
 
 async def _is_ended(process: Process) -> bool:
--- a/kelpstage/testbed/main.py
+++ b/kelpstage/testbed/main.py
@@ -16,7 +16,8 @@
 from kelpstage.testbed.fleet.demo import serve_demo
 from kelpstage.testbed.fleet.deployment import configuration_of, load, names
 from kelpstage.testbed.fleet.record import write_recording
-from kelpstage.testbed.fleet.scenario import run_day, show
+from kelpstage.testbed.fleet.scenario import run_scenario
+from kelpstage.testbed.fleet.summary import summary_text, write_report
 from kelpstage.testbed.measure.choices import CHOICES, run_variant, summarize
 from kelpstage.testbed.measure.http import measure_http
 from kelpstage.testbed.model.main import app as model_app
@@ -66,8 +67,16 @@
     faults: bool = typer.Option(True, help="Change, kill and restart things on the way."),
     history: Optional[str] = typer.Option(None, help="Write the history here (JSON lines)."),
     record: Optional[str] = typer.Option(None, help="Write the day here, for kelpstage-replay."),
+    is_json: bool = typer.Option(False, "--json", help="Print JSON instead of the table."),
+    folder: Optional[Path] = typer.Option(
+        None, "--report", help="Write summary, result, metrics by second and plots here."
+    ),
 ) -> None:
-    """Run a deployment at its full size and rates, and report by kind of call."""
+    """Run a deployment at its full size and rates, and report by kind of call.
+
+    Events that do not fit into the time are left out, and named. Starting takes some 10 s
+    before it, closing some 10 s behind it.
+    """
     if deployment not in names():
         _say_bad(f"no deployment {deployment!r}; there are: {', '.join(names())}")
     started = time.monotonic()
@@ -75,14 +84,19 @@
     def say(text: str) -> None:
         print(f"[{time.monotonic() - started:6.1f} s] {text}", file=sys.stderr, flush=True)
 
-    result, rows = asyncio.run(
-        run_day(name=deployment, seconds=seconds, seed=seed, has_faults=faults, say=say)
+    outcome = asyncio.run(
+        run_scenario(name=deployment, seconds=seconds, seed=seed, has_faults=faults, say=say)
     )
+    result = outcome.result
     if history:
-        write_history(path=history, rows=rows)
+        write_history(path=history, rows=outcome.history)
     if record:
-        write_recording(path=record, history=rows)
-    print(show(result=result))
+        write_recording(path=record, history=outcome.history)
+    if folder is not None:
+        files = write_report(folder=folder, result=result, rows=outcome.metrics, logs=outcome.logs)
+        say(f"written to {folder}: {', '.join(files)}")
+    text = json.dumps(result, indent=1, ensure_ascii=False, default=str)
+    print(text if is_json else summary_text(result=result))
     is_good = (
         not result["violations"]
         and not result["wrong"]
--- a/tests/test_top.py
+++ b/tests/test_top.py
@@ -6,9 +6,10 @@
 
 from typer.testing import CliRunner
 
-from kelpstage.cli.commands.top import _page, read_look
+from kelpstage.cli.commands.top import _page
 from kelpstage.cli.main import app
-from kelpstage.cli.views.top import EDGE_HEADS, Between, edge_row
+from kelpstage.cli.views.top import EDGE_HEADS, edge_row
+from kelpstage.common.metrics.reading import Between, read_look
 
 
 def edge_text(*, requests: int, slow: int, retries: int) -> str:
