--- a/kelpstage/testbed/fleet/summary.py
+++ b/kelpstage/testbed/fleet/summary.py
@@ -59,7 +59,11 @@
 
 
 def write_report(
-    *, folder: pathlib.Path, result: dict[str, Any], rows: list[dict], logs: dict[str, str]
+    *,
+    folder: pathlib.Path,
+    result: dict[str, Any],
+    rows: list[dict[str, float]],
+    logs: dict[str, str],
 ) -> list[str]:
     """Write the summary, the result, the metrics of each second, the processes' logs and,
     where matplotlib is installed, plots of the metrics; the names of the files."""
@@ -77,7 +81,7 @@
     return names + (["metrics.png"] if _plot(path=folder / "metrics.png", rows=rows) else [])
 
 
-def _plot(*, path: pathlib.Path, rows: list[dict]) -> bool:
+def _plot(*, path: pathlib.Path, rows: list[dict[str, float]]) -> bool:
     """Draw the seconds; false where matplotlib is not installed."""
     try:
         import matplotlib
--- a/kelpstage/testbed/platform_model/rules/answers.py
+++ b/kelpstage/testbed/platform_model/rules/answers.py
@@ -5,7 +5,7 @@
 import math
 
 from kelpstage.testbed.checkers.base import Violation
-from kelpstage.testbed.platform_model.history import History, Order, Request, Stamped
+from kelpstage.testbed.platform_model.history import History, Order, Request, RouteSpec, Stamped
 
 RECORD = 16
 
@@ -62,7 +62,7 @@
     return ""
 
 
-def _routes_of(*, history: History, request: Request) -> list[tuple[Order, object]]:
+def _routes_of(*, history: History, request: Request) -> list[tuple[Order, RouteSpec]]:
     found = (
         (o, o.route_for(host=request.host, target=request.target))
         for o in history.orders
@@ -104,7 +104,7 @@
     return faults[-1]
 
 
-def _unfit(*, route, services: set[str], parts: list[Stamped], request: Request) -> str:
+def _unfit(*, route: RouteSpec, services: set[str], parts: list[Stamped], request: Request) -> str:
     named = set(route.fan_out)
     if not services <= named or len(parts) + request.missing != len(named):
         return f"{len(parts)} parts and {request.missing} missing are no set of a configuration"
--- a/kelpstage/testbed/platform_model/rules/attempts.py
+++ b/kelpstage/testbed/platform_model/rules/attempts.py
@@ -6,7 +6,7 @@
 from collections import defaultdict
 
 from kelpstage.testbed.checkers.base import Violation
-from kelpstage.testbed.platform_model.history import Arrival, History, Request
+from kelpstage.testbed.platform_model.history import Arrival, Bounds, History, Request
 from kelpstage.testbed.platform_model.rules.writes import Orders
 
 MOST_BEYOND_TRIES = 3
@@ -63,7 +63,7 @@
     bounds = history.bounds
     wanted: dict[str, list[int]] = defaultdict(list)
     orders = Orders(history=history)
-    routes: dict[tuple, frozenset[str]] = {}
+    routes: dict[tuple[str, str, tuple[str, ...]], frozenset[str]] = {}
     for request in sorted(history.requests, key=lambda row: row.sent_us):
         floor = orders.floor(at_us=request.sent_us - history.bounds.apply_us)
         maybe = orders.may_be_in_force(floor=floor, until_us=request.sent_us)
@@ -81,10 +81,10 @@
     for arrival in sorted(history.arrivals, key=lambda row: row.at_us):
         if arrival.is_health:
             continue
-        key = (arrival.service, arrival.attempt)
-        if key in seen:
+        sent = (arrival.service, arrival.attempt)
+        if sent in seen:
             extras[arrival.service].append(arrival.at_us)
-        seen.add(key)
+        seen.add(sent)
     out = []
     for service, times in sorted(extras.items()):
         worst = _worst(times=times, asked=wanted[service], bounds=bounds)
@@ -93,7 +93,7 @@
     return out
 
 
-def _worst(*, times: list[int], asked: list[int], bounds) -> tuple[int, str] | None:
+def _worst(*, times: list[int], asked: list[int], bounds: Bounds) -> tuple[int, str] | None:
     span_us = bounds.retry_window_us
     first, worst, over = 0, None, 0.0
     for place, at_us in enumerate(times):
--- a/kelpstage/testbed/platform_model/rules/draining.py
+++ b/kelpstage/testbed/platform_model/rules/draining.py
@@ -107,8 +107,11 @@
 def lost(history: History) -> list[Violation]:
     """A request that was read whole ends without an answer around planned work."""
     touch, arrivals, orders = Touch(history=history), history.arrivals_of(), Orders(history=history)
-    out, in_times, at_others = [], Counter(), Counter()
-    asked_in, asked_at_others = Counter(), Counter()
+    out = []
+    in_times: Counter[str] = Counter()
+    at_others: Counter[str] = Counter()
+    asked_in: Counter[str] = Counter()
+    asked_at_others: Counter[str] = Counter()
     first: dict[str, Request] = {}
     for request in history.requests:
         is_in_change = _is_in_change(history=history, request=request)
--- a/kelpstage/testbed/platform_model/rules/writes.py
+++ b/kelpstage/testbed/platform_model/rules/writes.py
@@ -17,8 +17,8 @@
     def __init__(self, *, history: History) -> None:
         self.all = sorted(history.orders, key=lambda order: (order.revision, order.sent_us))
         self.possible = [o for o in self.all if o.is_valid and not o.refused_us]
-        self._allowed: dict[tuple, tuple[int, ...]] = {}
-        self._missing: dict[tuple, tuple[int, ...]] = {}
+        self._allowed: dict[tuple[str, str, str], tuple[int, ...]] = {}
+        self._missing: dict[tuple[str, str], tuple[int, ...]] = {}
 
     def floor(self, *, at_us: int) -> int:
         """The newest version that was acknowledged by then; 0 for none."""
