--- a/kelpstage/edge/metrics.py
+++ b/kelpstage/edge/metrics.py
@@ -20,6 +20,7 @@
 def edge_families(*, edge: ReportingEdge) -> Iterator[MetricFamily]:
     """All figures of an edge."""
     yield from _request_families(edge=edge)
+    yield from _stage_families(edge=edge)
     yield from _retry_families(edge=edge)
     yield from _backend_families(edge=edge)
     yield from _configuration_families(edge=edge)
@@ -46,6 +47,10 @@
             if name.startswith("refused_")
         },
     )
+
+
+def _stage_families(*, edge: ReportingEdge) -> Iterator[MetricFamily]:
+    statistics = edge.gather_context.statistics
     yield MetricFamily.gauge(
         "kelpstage_requests_in_flight",
         "Requests in the gathering table.",
