Model checker: the members fall into halves, with disks lost meanwhile

Change: an action that cuts all machines into halves, counted as no loss, and a walk profile with it. Seeds of the other profiles draw as before.

--- a/kelpstage/testbed/model/actions.py
+++ b/kelpstage/testbed/model/actions.py
@@ -155,6 +155,20 @@
             cluster.cuts.add((other, one))
 
 
+@action
+def halves(cluster: Cluster, a: int, b: int) -> None:
+    """All machines fall into two halves, the first of them from the machine of number `a` on.
+
+    Nobody counts as lost by it: as many disks may be lost meanwhile as at any other time.
+    """
+    names = list(cluster.nodes)
+    turned = names[a % len(names) :] + names[: a % len(names)]
+    left, right = turned[: len(names) // 2], turned[len(names) // 2 :]
+    for one in left:
+        for other in right:
+            cluster.cuts |= {(one, other), (other, one)}
+
+
 @action
 def heal(cluster: Cluster, a: int, b: int) -> None:
     """All cuts of the network end."""
--- a/kelpstage/testbed/model/walk.py
+++ b/kelpstage/testbed/model/walk.py
@@ -64,7 +64,14 @@
     "renew": 40,
     "order": 50,
 }
-PROFILES = {"chaos": CHAOS, "long": LONG, "elections": ELECTIONS, "cuts": CUTS}
+HALVES = CUTS | {"halves": 15, "heal": 20, "wipe": 5, "isolate": 1}
+PROFILES = {
+    "chaos": CHAOS,
+    "long": LONG,
+    "elections": ELECTIONS,
+    "cuts": CUTS,
+    "halves": HALVES,
+}
 
 
 @dataclass(kw_only=True)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -75,6 +75,12 @@
             outcomes.append(outcome)
         return outcomes
 
+    def test_halves(self) -> None:
+        """The members fall into halves again and again; disks are lost meanwhile."""
+        for scope, seeds in ((THREE_EDGES, range(8)), (FIVE, range(6)), (WITH_SPARE, range(6))):
+            outcomes = self.walk(scope=scope, seeds=seeds, steps=2_000, profile="halves")
+            self.assertGreater(sum(o.acknowledged for o in outcomes), len(seeds))
+
     def test_three_voters(self) -> None:
         outcomes = self.walk(scope=THREE, seeds=range(30), steps=2_000, profile="chaos")
         self.assertGreater(sum(o.acknowledged for o in outcomes), 90)
