--- a/kelpstage/common/metrics/web.py
+++ b/kelpstage/common/metrics/web.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import importlib
 import resource
 import sys
@@ -41,8 +42,6 @@
     module = sys.modules.get(EXPOSITION)
     if module is not None:
         return module
-    import asyncio
-
     loop = asyncio.get_running_loop()
     return await loop.run_in_executor(None, importlib.import_module, EXPOSITION)
 
