--- a/kelpstage/common/metrics/reading.py
+++ b/kelpstage/common/metrics/reading.py
@@ -75,7 +75,7 @@
     """The samples of a text in the Prometheus format.
 
     >>> read_look(text='a{b="1"} 2\\n', at_s=0.0).total("a", b="1")
-    2.0
+    2
     """
     look = Look(at_s=at_s)
     for family in text_string_to_metric_families(text):
--- a/kelpstage/core/raft/replica.py
+++ b/kelpstage/core/raft/replica.py
@@ -118,10 +118,10 @@
     >>> me = CoreMember(replica="a", address="127.0.0.1:1", is_voter=True)
     >>> one = Replica(me="a", cluster="c", members=[me], rand=random.Random(1), now_us=0)
     >>> effects = one.step(now_us=10_000_000, event=Tick())
-    >>> one.role, [type(effect).__name__ for effect in effects][-1]
+    >>> one.role.value, [type(effect).__name__ for effect in effects][-1]
     ('candidate', 'Persist')
     >>> effects = one.step(now_us=10_000_001, event=Synced(number=1))
-    >>> one.role
+    >>> one.role.value
     'leader'
     """
 
--- a/kelpstage/testbed/fleet/events.py
+++ b/kelpstage/testbed/fleet/events.py
@@ -61,7 +61,7 @@
 
     >>> async def nothing(scene): pass
     >>> events = [Event(name=n, rank=r, needs_s=4, run=nothing) for n, r in (("a", 2), ("b", 1))]
-    >>> plan = schedule(events=events, seconds=7)
+    >>> plan = schedule(events=events, seconds=8.5)
     >>> [e.name for e in plan.events], [e.name for e in plan.left_out], plan.pause_s
     (['b'], ['a'], 0.5)
     """
--- a/tests/test_rules_upheld.py
+++ b/tests/test_rules_upheld.py
@@ -80,6 +80,7 @@
         first, _ = await self.start(silent, silent)
         time = HeldTime()
         asking = asyncio.create_task(self.ask("r", deadline_ms=3_000))
+        self.addAsyncCleanup(self.drop, asking)
         await until(lambda: bool(first.arrivals))
         time.advance(ms=self.deadline_us // 1_000)
         for _ in range(2_000):
@@ -87,6 +88,11 @@
         self.assertTrue(asking.done(), "held past the route's deadline")
         self.assertEqual(504, (await asking)[0])
 
+    async def drop(self, asking: asyncio.Task[Any]) -> None:
+        """A client that was not answered is of no more use."""
+        asking.cancel()
+        await asyncio.gather(asking, return_exceptions=True)
+
 
 class Upward(unittest.TestCase):
     def test_an_older_state_is_not_installed(self) -> None:
