--- a/kelpstage/common/metrics/families.py
+++ b/kelpstage/common/metrics/families.py
@@ -4,7 +4,7 @@
 
 import enum
 from dataclasses import dataclass, field
-from typing import Iterable, Mapping, Self
+from typing import Mapping, Self
 
 from kelpstage.common.metrics.histogram import DurationHistogram
 
@@ -71,12 +71,3 @@
             labels=(label,),
             histograms={(key,): histogram for key, histogram in histograms.items()},
         )
-
-
-def names_of(families: Iterable[MetricFamily]) -> list[str]:
-    """The names, sorted.
-
-    >>> names_of([MetricFamily.gauge("b", "", 0), MetricFamily.gauge("a", "", 0)])
-    ['a', 'b']
-    """
-    return sorted(family.name for family in families)
--- a/kelpstage/edge/gather/statistics.py
+++ b/kelpstage/edge/gather/statistics.py
@@ -8,7 +8,7 @@
 from kelpstage.common.errors.base import KelpstageError
 from kelpstage.common.metrics.histogram import DurationHistogram
 from kelpstage.edge.gather.messages import GatherResult
-from kelpstage.edge.gather.request_state import MISSING, ROOT, RequestKind, RequestState
+from kelpstage.edge.gather.request_state import MISSING, ROOT, RequestState
 
 MOST_KEYS = 2_000  # of requests; routes come and go over the life of a process
 OTHER_ROUTES = "other"
@@ -75,11 +75,3 @@
         """Count a query to a child that has ended."""
         self.child_outcomes[outcome_name(outcome=outcome)] += 1
         self.durations["child_query"].observe(us=took_us)
-
-    def count_of(self, *, kind: RequestKind) -> int:
-        """Requests of a kind.
-
-        >>> GatherStatistics().count_of(kind=ROOT)
-        0
-        """
-        return sum(count for key, count in self.requests.items() if key.kind == kind)
