--- a/review/stand_ins/case.py
+++ b/review/stand_ins/case.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import sys
 import traceback
 from pathlib import Path
@@ -26,6 +27,7 @@
     record.say(f"case {folder.name}, {'with' if has_trouble else 'without'} the disruption")
     code = COULD_NOT_RUN
     deployment = None
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(COULD_NOT_RUN))
     try:
         deployment = Deployment(record=record, edges=edges)
         code = asyncio.run(_play(play=play, deployment=deployment, has_trouble=has_trouble))
--- a/review/stand_ins/deployment.py
+++ b/review/stand_ins/deployment.py
@@ -39,8 +39,7 @@
     "RetrySlack": 57,
     "RecoveryS": 12,
 }
-FRONT, READINESS, CONTROL, PORTS = 8229, 8223, 8225, [7280, 7295]
-METRICS = (9464, 9465)
+TRIES = 200  # to find addresses and ports that are free
 
 
 class Record:
@@ -60,12 +59,37 @@
         self._file.flush()
 
 
+@dataclass(frozen=True, kw_only=True)
+class Ports:
+    """The ports of a deployment, alike on all machines; `own` is the range for its nodes."""
+
+    front: int
+    readiness: int
+    control: int
+    listing: int
+    backend: int
+    own: tuple[int, int]
+
+    @classmethod
+    def starting(cls, *, at: int) -> Ports:
+        """Ports in a row."""
+        return cls(
+            front=at,
+            readiness=at + 1,
+            control=at + 2,
+            listing=at + 3,
+            backend=at + 4,
+            own=(at + 5, at + 20),
+        )
+
+
 @dataclass(kw_only=True)
 class Machine:
     """One machine; `has_disk`: it counts, and runs a core beside its edge."""
 
     name: str
     ip: str
+    ports: Ports
     zone: str
     has_disk: bool
     processes: dict[str, subprocess.Popen[bytes]] = field(default_factory=dict)
@@ -73,17 +97,17 @@
     @property
     def front(self) -> str:
         """Where clients' connections are passed to."""
-        return f"{self.ip}:{FRONT}"
+        return f"{self.ip}:{self.ports.front}"
 
     @property
     def readiness(self) -> str:
         """Where the platform asks whether it is ready."""
-        return f"{self.ip}:{READINESS}"
+        return f"{self.ip}:{self.ports.readiness}"
 
     @property
     def control(self) -> str:
         """Where the operator calls it."""
-        return f"{self.ip}:{CONTROL}"
+        return f"{self.ip}:{self.ports.control}"
 
 
 class Deployment:
@@ -93,17 +117,17 @@
         """`edges` is the number of machines without a disk."""
         self.record = record
         self.folder = Path(tempfile.mkdtemp(prefix="kelpstage-review-"))
-        self.net = _free_net()
+        self.net, self.ports = _free_place()
         self.is_first_start = True
-        self.list_address = f"{self.net}.200:8224"
+        self.list_address = f"{self.net}.200:{self.ports.listing}"
         zones = list(ZONES)
         self.machines = [
-            Machine(name=f"edge-{zone}-1", ip=f"{self.net}.{place + 1}", zone=zone, has_disk=True)
+            self.machine(name=f"edge-{zone}-1", place=place + 1, zone=zone, has_disk=True)
             for place, zone in enumerate(zones)
         ] + [
-            Machine(
+            self.machine(
                 name=f"edge-{zones[place % 3]}-{place // 3 + 2}",
-                ip=f"{self.net}.{place + 11}",
+                place=place + 11,
                 zone=zones[place % 3],
                 has_disk=False,
             )
@@ -114,6 +138,11 @@
             roles = tomllib.load(file)["roles"]
         self._run = {name: role["run"].split() for name, role in roles.items()}
 
+    def machine(self, *, name: str, place: int, zone: str, has_disk: bool) -> Machine:
+        """A machine at the address of this place; nothing runs on it yet."""
+        ip = f"{self.net}.{place}"
+        return Machine(name=name, ip=ip, ports=self.ports, zone=zone, has_disk=has_disk)
+
     @property
     def cores(self) -> list[Machine]:
         """The machines with a disk."""
@@ -136,7 +165,7 @@
                 "Readiness": machine.readiness,
                 "ControlAddr": machine.control,
             },
-            "PortRange": PORTS,
+            "PortRange": list(self.ports.own),
             "SeedAddrs": self.seeds,
             "IsFirstStart": self.is_first_start,
             "LossCounts": machine.has_disk,
@@ -214,17 +243,19 @@
                 process.wait()
 
 
-def _free_net() -> str:
-    """The first three numbers of loopback addresses on which all ports that are used are free."""
+def _free_place() -> tuple[str, Ports]:
+    """The first three numbers of loopback addresses, and ports that are free there."""
     rand = random.Random()
-    while True:
+    for _ in range(TRIES):
         net = f"127.{rand.randrange(16, 250)}.{rand.randrange(1, 250)}"
+        ports = Ports.starting(at=rand.randrange(10_000, 30_000))
         if all(
             _is_free(address=(f"{net}.{last}", port))
-            for last in (1, 2, 3, 11, 12, 13)
-            for port in (FRONT, READINESS, CONTROL, *PORTS, *METRICS)
+            for last in (1, 2, 3, 11, 200)
+            for port in range(ports.front, ports.own[1] + 1)
         ):
-            return net
+            return net, ports
+    raise RuntimeError("no free ports")
 
 
 def _is_free(*, address: tuple[str, int]) -> bool:
--- a/review/stand_ins/parties.py
+++ b/review/stand_ins/parties.py
@@ -93,7 +93,7 @@
             record=deployment.record,
             service=service,
             instance=f"i-{service}-{copy}",
-            address=f"{deployment.net}.{100 + 2 * place + copy}:8080",
+            address=f"{deployment.net}.{100 + 2 * place + copy}:{deployment.ports.backend}",
             zone=zones[copy % len(zones)],
         )
         for place, service in enumerate(services)
