--- a/kelpstage/common/errors/control.py
+++ b/kelpstage/common/errors/control.py
@@ -62,7 +62,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class NoEdgeMajorityError(KelpstageError):
-    """Too few edges are alive for a new configuration to be installed by a majority."""
+    """Too few voting edges are alive for a new configuration to settle.
+
+    `heard` is how many of the voting members have reported, `membership` how many there are.
+    """
 
     kind: ClassVar[str] = "no_edge_majority"
     heard: int
--- a/kelpstage/common/settings/loading.py
+++ b/kelpstage/common/settings/loading.py
@@ -72,6 +72,7 @@
         t.Key("header_names", optional=True): t.Mapping(t.String(), t.String(allow_blank=False)),
         t.Key("list", optional=True): LIST,
         t.Key("metrics", optional=True): ADDRESS,
+        t.Key("observer", optional=True): t.Bool(),
         t.Key("bounds", optional=True): BOUNDS,
     }
 )
--- a/kelpstage/common/transport/messages/cluster.py
+++ b/kelpstage/common/transport/messages/cluster.py
@@ -39,7 +39,7 @@
     """What an edge installs: one configuration and one membership under one epoch.
 
     `version` is the configuration's, `document` its JSON text, and `membership` the names of
-    the edges that may hold a lease in this epoch.
+    the edges that may hold a lease in this epoch; `observers` are those that do not vote.
     """
 
     cluster: str = bp.string_field(1)
@@ -47,6 +47,7 @@
     version: int = bp.uint64_field(3)
     document: bytes = bp.bytes_field(4)
     membership: List[str] = bp.string_field(5)
+    observers: List[str] = bp.string_field(6)
 
 
 @dataclass
--- a/kelpstage/common/transport/messages/leases.py
+++ b/kelpstage/common/transport/messages/leases.py
@@ -48,6 +48,7 @@
     is_leaving: bool = bp.bool_field(7)
     known: int = bp.uint64_field(8)  # mark of the contacts and cores that it knows
     relayed_by: str = bp.string_field(9)  # address of the edge that carried this for it
+    is_observer: bool = bp.bool_field(10)  # its machine is one of which any number may go
 
 
 @dataclass
@@ -117,7 +118,7 @@
     """What a peer knows of the epoch that it was asked about.
 
     `vouches` tells that it has had a lease since it started, so that it cannot have forgotten
-    an epoch; `epoch` is the one that it has installed.
+    an epoch, and that it may still confirm; `epoch` is the one that it has installed.
     """
 
     edge: str = bp.string_field(1)
--- a/kelpstage/core/cluster_recovery.py
+++ b/kelpstage/core/cluster_recovery.py
@@ -29,7 +29,7 @@
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.members import read_members
 from kelpstage.core.state.machine import Machine
-from kelpstage.core.state.replicated_state import CoreState, adopt
+from kelpstage.core.state.replicated_state import CoreState, adopt, edge_membership
 from kelpstage.core.store.records import DiskIdentity, DiskSnapshot
 from kelpstage.core.store.recovery import Recovered
 from kelpstage.core.store.store import Store
@@ -93,8 +93,8 @@
 ) -> RecoveredCluster | KelpstageError:
     """Make the survivor in this data folder the one voter of a new cluster.
 
-    `edges` are own-line addresses. Most of the membership must answer: an
-    acknowledged put is installed on a majority of it, so the newest epoch known
+    `edges` are own-line addresses. More than half of the voting members must answer: an
+    acknowledged put is installed on at least half of them, so the newest epoch known
     to that many edges is at least the newest that was acknowledged.
     """
     store = Store(ports=ports)
@@ -136,12 +136,10 @@
         return RecoveryRefusedError(why=f"cores answer at {', '.join(alive)}: stop or use those")
     state = newest_state(recovered=recovered)
     answers = await _ask_edges(transport=transport, edges=edges, cluster=recovered.identity.cluster)
-    count = _count_answering(answers=answers, membership=state.membership)
-    if count * 2 <= len(state.membership):
+    missing = _why_too_few(answers=answers, state=state)
+    if missing:
         return RecoveryRefusedError(
-            why=f"{count} of {len(state.membership)} edges of the membership answer; "
-            "most are needed, "
-            "to be sure of the newest configuration that was acknowledged"
+            why=f"{missing}, to be sure of the newest configuration that was acknowledged"
         )
     source = await _adopt_newest(
         transport=transport, clock=ports.clock, state=state, answers=answers
@@ -159,8 +157,20 @@
     )
 
 
-def _count_answering(*, answers: list[EdgeEpoch], membership: list[str]) -> int:
-    return len({answer.edge for answer in answers} & set(membership))
+def _why_too_few(*, answers: list[EdgeEpoch], state: CoreState) -> str:
+    """Why so many answers are not enough; empty if they are.
+
+    >>> state = CoreState(membership=["a", "b", "c"], observers=["b", "c"])
+    >>> _why_too_few(answers=[EdgeEpoch(edge="a", epoch=1, address="a:1")], state=state)
+    ''
+    >>> _why_too_few(answers=[EdgeEpoch(edge="b", epoch=1, address="b:1")], state=state)
+    '0 of 1 edges of the membership answer; most are needed'
+    """
+    voters = edge_membership(state=state).voters
+    count = len({answer.edge for answer in answers} & set(voters))
+    if count * 2 > len(voters):
+        return ""
+    return f"{count} of {len(voters)} edges of the membership answer; most are needed"
 
 
 async def _adopt_newest(
@@ -176,13 +186,8 @@
             why=f"the edge at {address} has epoch {epoch} but did not give it"
         )
     adopt(state=state, doc=doc)
-    count = _count_answering(answers=answers, membership=state.membership)
-    if count * 2 <= len(state.membership):  # several joined at once since
-        return RecoveryRefusedError(
-            why=f"{count} of {len(state.membership)} edges of the newest membership "
-            "answer; most are needed"
-        )
-    return f"the edge at {address}"
+    missing = _why_too_few(answers=answers, state=state)  # of the newest membership
+    return RecoveryRefusedError(why=missing) if missing else f"the edge at {address}"
 
 
 async def _alive_cores(*, transport: Transport, members: list[CoreMember], own: str) -> list[str]:
@@ -239,7 +244,7 @@
     replica = f"{ports.rand.getrandbits(64):016x}"
     state.cluster = cluster
     state.epoch += 1
-    state.old_membership = []
+    state.old_membership, state.old_observers = [], []
     snapshot = DiskSnapshot(
         index=recovered.log.last_index + 1,
         term=recovered.term + 1,
--- a/kelpstage/core/leases/configuration_writes.py
+++ b/kelpstage/core/leases/configuration_writes.py
@@ -22,11 +22,11 @@
 )
 from kelpstage.common.errors.validation import InvalidConfigurationError, InvalidField
 from kelpstage.common.event_journal import Journal
+from kelpstage.common.lease_timing import LEASE_SPAN_US
 from kelpstage.common.ports.interfaces import Ports
 from kelpstage.core.events import PutDecided
 from kelpstage.core.leases.epoch_settlement import EpochSettlement
 from kelpstage.core.leases.leader_confirmation import CONFIRM_US
-from kelpstage.core.leases.lease_table import LEASE_SPAN_US
 from kelpstage.core.leases.validation import DocumentValidator
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.commands import Command, PutConfiguration, RefusePut, put_command
@@ -41,7 +41,7 @@
     PutVersionTaken,
     outcome_of,
 )
-from kelpstage.core.state.replicated_state import CoreState
+from kelpstage.core.state.replicated_state import CoreState, edge_membership
 
 LEAST_WRITE_US = 10_000_000  # that a write is worked on, however short its caller waits
 LOOK_US = 50_000
@@ -207,12 +207,13 @@
 
     async def _check_ready(self, *, state: CoreState, until_us: int) -> KelpstageError | None:
         """Why no write can be proposed now; None if one can."""
-        membership = list(state.membership)
-        await self._await_edge_majority(membership=membership, until_us=until_us)
-        lease_table, now_us = self._settlement.lease_table, self._ports.clock.now_us()
-        if not lease_table.has_majority(membership=membership, now_us=now_us):
-            heard = lease_table.heard_lately(membership=membership, now_us=now_us)
-            return NoEdgeMajorityError(heard=len(heard), membership=len(membership))
+        await self._await_edge_quorum(until_us=until_us)
+        if not self._settlement.has_quorum():
+            voters = edge_membership(state=state).voters
+            heard = self._settlement.lease_table.heard_lately(
+                edges=voters, now_us=self._ports.clock.now_us()
+            )
+            return NoEdgeMajorityError(heard=len(heard), membership=len(voters))
         if not await self._has_voters(until_us=until_us):
             return TooFewVotersError(voters=self._voters(), needed=self._voters_needed)
         if not await self._settlement.wait_settled(
@@ -234,16 +235,12 @@
             )
         )
 
-    async def _await_edge_majority(self, *, membership: list[str], until_us: int) -> None:
-        """Give the edges one lease span after an election to report, before most of them
-        are considered missing."""
+    async def _await_edge_quorum(self, *, until_us: int) -> None:
+        """Give the edges one lease span after an election to report, before the voting
+        members are considered missing."""
         clock = self._ports.clock
         until_us = min(until_us, self._settlement.lease_table.since_us + LEASE_SPAN_US)
-        while clock.now_us() < until_us:
-            if self._settlement.lease_table.has_majority(
-                membership=membership, now_us=clock.now_us()
-            ):
-                return
+        while clock.now_us() < until_us and not self._settlement.has_quorum():
             await self._settlement.wait_for_edge_report(wait_us=LOOK_US)
 
     def _voters(self) -> int:
--- a/kelpstage/core/leases/epoch_settlement.py
+++ b/kelpstage/core/leases/epoch_settlement.py
@@ -10,11 +10,13 @@
 
 from tornado.locks import Lock
 
+from kelpstage.common.edge_membership import EdgeMembership
 from kelpstage.common.event_journal import Journal
 from kelpstage.common.ports.interfaces import Ports
 from kelpstage.core.events import EpochSettled
 from kelpstage.core.leases.lease_table import LeaseTable
 from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.state.replicated_state import edge_membership, previous_edge_membership
 
 SETTLE_LOOK_US = 50_000
 
@@ -69,17 +71,30 @@
     def is_settled(self, *, epoch: int) -> bool:
         """Can no edge serve an epoch older than this one?
 
-        If the newest epoch added several edges at once, most of the membership before it
-        must have it as well, so that no majority of that one confirms what was before.
+        The newest epoch has to settle in the membership before it as well, so that no
+        majority of that one confirms what was before. Where that one is not known, the count
+        is strict instead.
         """
         state = self._task.machine.state
-        now_us = self._ports.clock.now_us()
-        memberships = [state.membership]
-        if epoch == state.epoch and state.old_membership:
-            memberships.append(state.old_membership)
-        return all(
-            self.lease_table.is_settled(
-                epoch=epoch, membership=list(membership), now_us=now_us, gone=self.gone
-            )
-            for membership in memberships
+        current, previous = edge_membership(state=state), previous_edge_membership(state=state)
+        if not self._is_settled_in(current, epoch=epoch, is_strict=previous is None):
+            return False
+        if previous is None or epoch != state.epoch:
+            return True
+        return self._is_settled_in(previous, epoch=epoch, is_strict=False)
+
+    def _is_settled_in(self, membership: EdgeMembership, *, epoch: int, is_strict: bool) -> bool:
+        return self.lease_table.is_settled(
+            epoch=epoch,
+            membership=membership,
+            now_us=self._ports.clock.now_us(),
+            gone=self.gone,
+            is_strict=is_strict,
+        )
+
+    def has_quorum(self) -> bool:
+        """Are enough voting members there for a new epoch to settle?"""
+        return self.lease_table.has_quorum(
+            membership=edge_membership(state=self._task.machine.state),
+            now_us=self._ports.clock.now_us(),
         )
--- a/kelpstage/core/leases/lease_table.py
+++ b/kelpstage/core/leases/lease_table.py
@@ -2,16 +2,23 @@
 
 In memory only, without I/O. A new leader knows of no lease, so it assumes that every edge
 of the membership got one the moment before it was elected. All times are microseconds.
+Which silence holds up what: docs/notes/edge-membership.md.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass, field
-
+from typing import Iterable
+
+from kelpstage.common.edge_membership import EdgeMembership
+from kelpstage.common.lease_timing import (
+    LEASE_MARGIN_US,
+    LEASE_SPAN_US,
+    OBSERVER_MARGIN_US,
+    OBSERVER_SPAN_US,
+)
 from kelpstage.common.transport.messages import EdgeContact
 
-LEASE_SPAN_US = 2_000_000
-LEASE_MARGIN_US = 200_000  # for clocks that run at different speeds
 NEVER_US = -(10**12)
 CONTACT_KEPT_SPANS = 15  # an edge that has reported within so many spans is worth a contact
 
@@ -22,7 +29,8 @@
 
     incarnation: int = 0
     epoch: int = 0
-    heard_us: int = NEVER_US  # when it reported last
+    heard_us: int = NEVER_US  # when it reported last, or left
+    has_left: bool = False  # this incarnation stopped serving, in order
     leases: list[tuple[int, int]] = field(default_factory=list)  # epoch, when
     contact: EdgeContact | None = None
     relayed_by: str = ""  # address of the edge that carried its last renewal, if one did
@@ -35,9 +43,11 @@
     >>> lease_table = LeaseTable(since_us=0)
     >>> lease_table.heard(edge="a", incarnation=1, epoch=1, contact=None, now_us=10)
     True
-    >>> lease_table.is_settled(epoch=1, membership=["a"], now_us=20)
+    >>> alone = EdgeMembership(names=("a",))
+    >>> lease_table.is_settled(epoch=1, membership=alone, now_us=20)
     True
-    >>> lease_table.is_settled(epoch=1, membership=["a", "b", "c"], now_us=20)
+    >>> three = EdgeMembership(names=("a", "b", "c"))
+    >>> lease_table.is_settled(epoch=1, membership=three, now_us=20)
     False
     """
 
@@ -60,7 +70,8 @@
     ) -> bool:
         """Record the epoch that an edge reports as installed.
 
-        False, and without effect, if a newer incarnation of the edge has reported.
+        False, and without effect, if a newer incarnation of the edge has reported, or this
+        one has left.
 
         >>> lease_table = LeaseTable(since_us=0)
         >>> [lease_table.heard(edge="a", incarnation=n, epoch=1, contact=None, now_us=10)
@@ -73,6 +84,9 @@
         if incarnation > holder.incarnation:
             holder.incarnation = incarnation
             holder.epoch = 0
+            holder.has_left = False
+        if holder.has_left:
+            return False
         holder.epoch = max(holder.epoch, epoch)
         holder.heard_us = now_us
         holder.relayed_by = relayed_by
@@ -87,67 +101,109 @@
     def record_lease(self, *, edge: str, epoch: int, now_us: int) -> None:
         """Note that an edge got a lease for an epoch, now."""
         holder = self._holders.setdefault(edge, LeaseRecord())
-        oldest = now_us - LEASE_SPAN_US - LEASE_MARGIN_US
-        holder.leases = [lease for lease in holder.leases if lease[1] > oldest]
+        oldest_us = now_us - OBSERVER_SPAN_US - OBSERVER_MARGIN_US
+        holder.leases = [lease for lease in holder.leases if lease[1] > oldest_us]
         holder.leases.append((epoch, now_us))
 
-    def give_back(self, *, edge: str, incarnation: int) -> None:
-        """A leaving edge has stopped serving."""
+    def give_back(self, *, edge: str, incarnation: int, now_us: int) -> None:
+        """An edge has left in order: it has stopped serving and confirming."""
+        holder = self._holders.setdefault(edge, LeaseRecord())
+        if incarnation < holder.incarnation:
+            return
+        holder.incarnation = incarnation
+        holder.has_left = True
+        holder.leases = []
+        holder.heard_us = now_us
+        holder.contact = None
+
+    def has_left(self, *, edge: str) -> bool:
+        """Did the newest process of this edge leave in order?"""
         holder = self._holders.get(edge)
-        if holder is not None and holder.incarnation == incarnation:
-            holder.leases = []
-            holder.heard_us = NEVER_US
-            holder.contact = None
-
-    def _is_lapsed(self, *, edge: str, epoch: int, now_us: int) -> bool:
-        span = LEASE_SPAN_US + LEASE_MARGIN_US
-        if now_us - self.since_us < span:
+        return holder is not None and holder.has_left
+
+    def _is_over(self, *, edge: str, epoch: int, now_us: int, span_us: int) -> bool:
+        """Are `span_us` over since the edge may have got a lease for an older epoch?"""
+        if now_us - self.since_us < span_us:
             return False
         holder = self._holders.get(edge)
         if holder is None:
             return True
-        return all(granted >= epoch or now_us - when >= span for granted, when in holder.leases)
+        return all(
+            granted >= epoch or now_us - when_us >= span_us for granted, when_us in holder.leases
+        )
 
     def _has_installed(self, *, edge: str, epoch: int) -> bool:
         holder = self._holders.get(edge)
         return holder is not None and holder.epoch >= epoch
 
-    def behind(self, *, epoch: int, membership: list[str], now_us: int) -> list[str]:
-        """Edges that may still serve an older epoch."""
+    def _behind(self, *, epoch: int, membership: EdgeMembership) -> list[str]:
+        """Edges that lack an epoch, and have not left."""
         return [
             edge
-            for edge in membership
-            if not self._has_installed(edge=edge, epoch=epoch)
-            and not self._is_lapsed(edge=edge, epoch=epoch, now_us=now_us)
+            for edge in membership.names
+            if not self._has_installed(edge=edge, epoch=epoch) and not self.has_left(edge=edge)
         ]
 
+    def _may_confirm_older(
+        self, *, edge: str, epoch: int, membership: EdgeMembership, now_us: int
+    ) -> bool:
+        """May an edge that lacks this epoch still confirm an older one to its peers?"""
+        span_us = OBSERVER_SPAN_US + OBSERVER_MARGIN_US
+        return not membership.is_observer(edge) or not self._is_over(
+            edge=edge, epoch=epoch, now_us=now_us, span_us=span_us
+        )
+
     def is_settled(
-        self, *, epoch: int, membership: list[str], now_us: int, gone: frozenset[str] = frozenset()
+        self,
+        *,
+        epoch: int,
+        membership: EdgeMembership,
+        now_us: int,
+        gone: frozenset[str] = frozenset(),
+        is_strict: bool = False,
     ) -> bool:
         """Can no edge serve an older epoch any more?
 
-        Edges in `gone`, which an operator states to be gone for good, neither serve nor
-        count for an older epoch.
+        That is so when no edge that lacks the epoch can hold a lease for an older one, and
+        those that may still confirm an older one are no majority. Edges in `gone`, which an
+        operator states to be gone for good, do neither. With `is_strict` they have to be
+        less than half, so that a membership that differs by one edge has no such majority
+        either.
         """
-        others = [edge for edge in membership if edge not in gone]
-        older = sum(not self._has_installed(edge=edge, epoch=epoch) for edge in others)
-        if membership and older * 2 >= len(membership):
+        behind = [e for e in self._behind(epoch=epoch, membership=membership) if e not in gone]
+        lease_us = LEASE_SPAN_US + LEASE_MARGIN_US
+        if not all(
+            self._is_over(edge=e, epoch=epoch, now_us=now_us, span_us=lease_us) for e in behind
+        ):
             return False
-        return not self.behind(epoch=epoch, membership=others, now_us=now_us)
+        confirming = [
+            e
+            for e in behind
+            if self._may_confirm_older(edge=e, epoch=epoch, membership=membership, now_us=now_us)
+        ]
+        if is_strict:
+            return not membership.has_half(confirming)
+        return not membership.has_majority(confirming)
 
-    def heard_lately(self, *, membership: list[str], now_us: int) -> list[str]:
-        """The edges of a membership that have reported within the span of a lease."""
+    def heard_lately(self, *, edges: Iterable[str], now_us: int) -> list[str]:
+        """Those edges that have reported within the span of a lease, or have left in order."""
         return [
             edge
-            for edge in membership
-            if edge in self._holders and now_us - self._holders[edge].heard_us < LEASE_SPAN_US
+            for edge in edges
+            if edge in self._holders
+            and (self.has_left(edge=edge) or now_us - self._holders[edge].heard_us < LEASE_SPAN_US)
         ]
 
-    def has_majority(self, *, membership: list[str], now_us: int) -> bool:
-        """Have enough edges reported for a write to settle?"""
-        if not membership:
-            return True
-        return len(self.heard_lately(membership=membership, now_us=now_us)) * 2 > len(membership)
+    def has_quorum(self, *, membership: EdgeMembership, now_us: int) -> bool:
+        """Are enough voting members there for a new epoch to settle: half of them?"""
+        voters = membership.voters
+        return len(self.heard_lately(edges=voters, now_us=now_us)) * 2 >= len(voters)
+
+    def absent_us(self, *, edge: str, now_us: int) -> int:
+        """For how long an edge has not reported to this leader, or has left."""
+        holder = self._holders.get(edge)
+        heard_us = NEVER_US if holder is None else holder.heard_us
+        return now_us - max(heard_us, self.since_us)
 
     def holder(self, *, edge: str) -> LeaseRecord | None:
         """What is known of an edge; None if it has never reported."""
--- a/kelpstage/core/state/commands.py
+++ b/kelpstage/core/state/commands.py
@@ -71,10 +71,12 @@
 
 @dataclass
 class AddEdge(bp.Message):
-    """Edges join the membership."""
+    """Edges join the membership, or change whether they vote."""
 
     edge: str = bp.string_field(1)
     more: List[str] = bp.string_field(2)  # that join together with it
+    observers: List[str] = bp.string_field(3)  # those of them that do not vote
+    is_joint: bool = bp.bool_field(4)  # settles in the membership before it as well
 
 
 @dataclass
@@ -82,6 +84,7 @@
     """An edge leaves the membership."""
 
     edge: str = bp.string_field(1)
+    is_joint: bool = bp.bool_field(2)  # settles in the membership before it as well
 
 
 @dataclass
--- a/kelpstage/core/state/machine.py
+++ b/kelpstage/core/state/machine.py
@@ -13,11 +13,13 @@
 from kelpstage.common.transport.delta import apply_delta
 from kelpstage.common.transport.messages import StateDoc
 from kelpstage.core.state.commands import (
+    AddEdge,
     Command,
     Put,
     PutConfiguration,
     PutDelta,
     RefusePut,
+    RemoveEdge,
     version_of,
 )
 from kelpstage.core.state.digests import document_digest, put_digest
@@ -88,8 +90,8 @@
         if kind == "put_delta":
             return self._put_delta(put=body)
         if kind == "add":
-            return self._set_membership(names=set(self.state.membership) | {body.edge, *body.more})
-        return self._set_membership(names=set(self.state.membership) - {body.edge})
+            return self._add_edges(add=body)
+        return self._remove_edge(remove=body)
 
     def _put(self, *, put: PutConfiguration) -> PutOutcome:
         digest = put_digest(document=put.document, expected=put.expected, version=put.version)
@@ -155,7 +157,7 @@
         state.version = version
         state.epoch += 1
         state.document = document
-        state.old_membership = []
+        state.old_membership, state.old_observers = [], []
         record.version, record.epoch = state.version, state.epoch
         state.puts.append(record)
         self._index(record=record)
@@ -197,13 +199,35 @@
         if self._taken.get(record.digest) is record:
             del self._taken[record.digest]
 
-    def _set_membership(self, *, names: set[str]) -> MembershipSet:
+    def _add_edges(self, *, add: AddEdge) -> MembershipSet:
+        joining = {add.edge, *add.more}
+        observers = set(self.state.observers) - joining | joining & set(add.observers)
+        return self._set_membership(
+            names=set(self.state.membership) | joining, observers=observers, is_joint=add.is_joint
+        )
+
+    def _remove_edge(self, *, remove: RemoveEdge) -> MembershipSet:
+        state = self.state
+        return self._set_membership(
+            names=set(state.membership) - {remove.edge},
+            observers=set(state.observers) - {remove.edge},
+            is_joint=remove.is_joint,
+        )
+
+    def _set_membership(
+        self, *, names: set[str], observers: set[str], is_joint: bool
+    ) -> MembershipSet:
+        """Set the membership. A change of several edges is joint in every case; one of a
+        single edge was not in the logs of older versions."""
         state = self.state
-        if names != set(state.membership):
-            is_step = len(names ^ set(state.membership)) == 1
-            state.epoch += 1
-            state.old_membership = [] if is_step else state.membership
-            state.membership = sorted(names)
+        before = set(state.membership)
+        if names == before and observers == set(state.observers):
+            return MembershipSet(epoch=state.epoch)
+        is_kept = is_joint or len(names ^ before) != 1
+        state.epoch += 1
+        state.old_membership = list(state.membership) if is_kept else []
+        state.old_observers = list(state.observers) if is_kept else []
+        state.membership, state.observers = sorted(names), sorted(observers)
         return MembershipSet(epoch=state.epoch)
 
     def record(self, *, put_id: str) -> RequestRecord | None:
@@ -251,4 +275,5 @@
             version=state.version,
             document=state.document,
             membership=list(state.membership),
+            observers=list(state.observers),
         )
--- a/kelpstage/core/state/replicated_state.py
+++ b/kelpstage/core/state/replicated_state.py
@@ -10,6 +10,7 @@
 
 import betterproto as bp
 
+from kelpstage.common.edge_membership import EdgeMembership
 from kelpstage.common.transport.messages import StateDoc
 
 DIGEST_PREFIX_BYTES = 16
@@ -40,10 +41,30 @@
     document: bytes = bp.bytes_field(4)
     membership: List[str] = bp.string_field(5)
     puts: List[RequestRecord] = bp.message_field(6)  # applied, oldest first
-    old_membership: List[str] = bp.string_field(7)  # before the newest epoch, if it added several
+    old_membership: List[str] = bp.string_field(7)  # before the newest epoch, if that is joint
     refused: List[RequestRecord] = bp.message_field(8)  # oldest first
     superseded: bytes = bp.bytes_field(9)  # rows of those applied before `puts`, oldest first
     forgotten_to: int = bp.uint64_field(10)  # up to this version, others may have been applied
+    observers: List[str] = bp.string_field(11)  # of the membership
+    old_observers: List[str] = bp.string_field(12)  # of `old_membership`
+
+
+def edge_membership(*, state: CoreState) -> EdgeMembership:
+    """The membership of edges in force."""
+    return EdgeMembership.of(names=state.membership, observers=state.observers)
+
+
+def previous_edge_membership(*, state: CoreState) -> EdgeMembership | None:
+    """The membership before the newest epoch: that epoch has to settle there as well.
+
+    A write of a configuration leaves the membership as it is. None where it is not known: in
+    the first epoch, and where an older version added or removed a single edge.
+    """
+    if state.puts and state.puts[-1].epoch == state.epoch:
+        return edge_membership(state=state)
+    if not state.old_membership:
+        return None
+    return EdgeMembership.of(names=state.old_membership, observers=state.old_observers)
 
 
 def adopt(*, state: CoreState, doc: StateDoc) -> None:
@@ -60,7 +81,8 @@
         state.forgotten_to = doc.version
     state.version, state.document = doc.version, doc.document
     state.membership, state.epoch = list(doc.membership), doc.epoch
-    state.old_membership = []
+    state.observers = list(doc.observers)
+    state.old_membership, state.old_observers = [], []
 
 
 def read_rows(*, rows: bytes) -> Iterator[tuple[bytes, int]]:
--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -147,7 +147,7 @@
         return _put_reply(outcome=outcome, put_id=ask.put_id)
     if ask.method == "DELETE":
         names = unquote(ask.url.removeprefix("/v1/roster/")).split(",")
-        removal = await lease_service.remove_edges(edges=names)
+        removal = await lease_service.membership_changes.remove_edges(edges=names)
         if isinstance(removal, KelpstageError):
             return error_reply(error=removal)
         return json_reply(body={"epoch": removal.epoch, "roster": task.machine.state.membership})
--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -212,6 +212,7 @@
             seeds=self.settings["seeds"],
             contact=build_contact(settings=self.settings, incarnation=self.incarnation),
             on_installed=self._on_installed,
+            is_observer=self.settings.get("observer", False),
         )
 
     def _start_health_checks(self) -> None:
--- a/kelpstage/edge/handlers.py
+++ b/kelpstage/edge/handlers.py
@@ -112,7 +112,7 @@
     return ConfirmEpochReply(
         edge=lease_holder.me,
         incarnation=edge.incarnation,
-        vouches=lease_holder.may_confirm_epochs,
+        vouches=lease_holder.may_confirm(now_us=edge.ports.clock.now_us()),
         epoch=lease_holder.epoch,
         cluster=lease_holder.cluster,
         asker_version=edge.swim.served(name=message.edge),
--- a/kelpstage/edge/lease/epoch_confirmation.py
+++ b/kelpstage/edge/lease/epoch_confirmation.py
@@ -4,6 +4,7 @@
 
 from typing import Callable
 
+from kelpstage.common.lease_timing import OBSERVER_SPAN_US
 from kelpstage.common.ports.interfaces import Ports
 from kelpstage.common.transport.connections import Transport
 from kelpstage.common.transport.messages import ConfirmEpoch, ConfirmEpochReply
@@ -54,36 +55,44 @@
                 self._ports.spawn(self._confirm(name=name, address=addresses[name]))
 
     def _is_small(self) -> bool:
-        return is_small(count=len(self._lease_holder.membership))
+        return is_small(count=len(self._lease_holder.membership.names))
 
     def _is_wanted(self) -> bool:
         lease_holder = self._lease_holder
-        lease_age_us = self._ports.clock.now_us() - lease_holder.lease_asked_us
-        if lease_age_us < overdue_us(count=len(lease_holder.membership)):
+        if self._lease_age_us() < overdue_us(count=len(lease_holder.membership.names)):
             return False
-        return lease_holder.may_confirm_epochs or lease_holder.is_unleased
+        return not lease_holder.has_left
 
     def _addresses(self) -> dict[str, str]:
         """Members that may answer; every known edge while no membership is installed."""
-        membership = self._lease_holder.membership
+        membership = self._lease_holder.membership.names
         return {
             name: member.info.address
             for name, member in sorted(self._swim.members.items())
-            if name in (membership or [name]) and member.info.status in (ALIVE, SUSPECT)
+            if (not membership or name in membership) and member.info.status in (ALIVE, SUSPECT)
         }
 
     def _choose(self, *, names: list[str]) -> list[str]:
-        """All of them, or in a large fleet somewhat more than a majority, by lot: others
-        the next time. An edge without a lease since its start asks all, for what they
-        remember of it; but as long as it has no state either, a few, for that."""
+        """All of them, or in a large fleet the voting members and, while observers may still
+        confirm, somewhat more than a majority by lot: others the next time. An edge without
+        a lease since its start asks all, for what they remember of it; but as long as it has
+        no state either, a few, for that."""
         lease_holder, rand = self._lease_holder, self._ports.rand
-        has_no_state = lease_holder.is_unleased and not lease_holder.membership
+        membership = lease_holder.membership
+        has_no_state = lease_holder.is_unleased and not membership.names
         if has_no_state and len(names) > SMALL_MEMBERSHIP:
             return rand.sample(names, FIRST_PEERS)
         if self._is_small() or lease_holder.is_unleased:
             return names
-        enough = int(len(lease_holder.membership) * CONFIRM_SHARE) + 1
-        return rand.sample(names, min(enough, len(names)))
+        voters = [name for name in names if not membership.is_observer(name)]
+        if self._lease_age_us() > OBSERVER_SPAN_US:
+            return voters
+        enough = int(len(membership.names) * CONFIRM_SHARE) + 1
+        drawn = rand.sample(names, min(enough, len(names)))
+        return sorted({*voters, *drawn})
+
+    def _lease_age_us(self) -> int:
+        return self._ports.clock.now_us() - self._lease_holder.lease_asked_us
 
     async def _confirm(self, *, name: str, address: str) -> None:
         lease_holder = self._lease_holder
--- a/kelpstage/edge/lease/lease_holder.py
+++ b/kelpstage/edge/lease/lease_holder.py
@@ -1,12 +1,14 @@
 """An edge's right to serve: its leases, its peers' confirmations, its configuration.
 
 An edge may serve while it holds a lease for the epoch that it has installed, or while a
-majority of the membership has confirmed lately that none of them has a newer epoch
-installed. An edge that has had no lease since it started may have forgotten an epoch: it
-may count its peers' confirmations, but confirms nothing to them.
+majority of the membership, or of its voting members, has confirmed lately that none of them
+has a newer epoch installed. An edge that has had no lease since it started may have forgotten
+an epoch: it may count its peers' confirmations, but confirms nothing to them. An observer
+confirms for a while after its last lease only, a voting member without a bound.
 
 Times are whole microseconds of the edge's own clock, which runs on through a freeze; a
-lease counts from when it was asked for. Source: docs/notes/serving-right.md.
+lease counts from when it was asked for. Source: docs/notes/serving-right.md and
+docs/notes/edge-membership.md.
 """
 
 from __future__ import annotations
@@ -14,6 +16,8 @@
 from dataclasses import dataclass, field
 
 from kelpstage.common.configuration.types import EMPTY, Configuration
+from kelpstage.common.edge_membership import EdgeMembership
+from kelpstage.common.lease_timing import CONFIRMS_AFTER_LEASE_US
 from kelpstage.common.transport.messages import ConfirmEpochReply, LeaseReply, StateDoc
 
 CONFIRMATION_US = 1_000_000  # how long a peer's confirmation of its epoch counts
@@ -52,7 +56,7 @@
     me: str
     cluster: str = ""
     epoch: int = 0
-    membership: list[str] = field(default_factory=list)
+    membership: EdgeMembership = EdgeMembership()
     configuration: Configuration = EMPTY
     previous: Configuration | None = None
     installed_us: int = 0
@@ -62,6 +66,7 @@
     leases: dict[int, int] = field(default_factory=dict)  # epoch -> until
     lease_asked_us: int = -(10**12)
     first_leased_epoch: int | None = None
+    has_left: bool = False  # in order: it serves and confirms nothing any more
     served_version: int = 0  # newest version served before a restart, as peers remember it
     confirmed_epochs: dict[str, ConfirmedEpoch] = field(default_factory=dict)
 
@@ -73,7 +78,7 @@
             return False
         self.cluster = doc.cluster
         self.epoch = doc.epoch
-        self.membership = list(doc.membership)
+        self.membership = EdgeMembership.of(names=doc.membership, observers=doc.observers)
         self.state_bytes = bytes(doc)
         self.newest_epoch = max(self.newest_epoch, doc.epoch)
         if doc.version > self.configuration.version:
@@ -104,13 +109,20 @@
         if self.first_leased_epoch is None:
             self.first_leased_epoch = reply.epoch
 
-    @property
-    def may_confirm_epochs(self) -> bool:
+    def may_confirm(self, *, now_us: int) -> bool:
         """May this edge confirm its epoch to others?
 
-        Only after a lease since it started: before, it may have forgotten a newer one.
+        Only after a lease since it started: before, it may have forgotten a newer one. An
+        observer may for a while after its last lease for what it has installed: the leader
+        waits that long for it, and no longer.
         """
-        return self.first_leased_epoch is not None and self.epoch >= self.first_leased_epoch
+        if self.has_left or self.first_leased_epoch is None:
+            return False
+        if self.epoch < self.first_leased_epoch:
+            return False
+        if not self.membership.is_observer(self.me):
+            return True
+        return now_us < self.lease_until_us() + CONFIRMS_AFTER_LEASE_US
 
     @property
     def is_unleased(self) -> bool:
@@ -140,29 +152,31 @@
         """Members whose confirmation is fresh, this edge among them if it may confirm."""
         out = [
             name
-            for name in self.membership
+            for name in self.membership.names
             if name != self.me
             and name in self.confirmed_epochs
             and now_us - self.confirmed_epochs[name].asked_us < CONFIRMATION_US
         ]
-        return out + ([self.me] if self.may_confirm_epochs and self.me in self.membership else [])
+        is_confirming = self.me in self.membership.names and self.may_confirm(now_us=now_us)
+        return out + ([self.me] if is_confirming else [])
 
     def has_majority(self, *, now_us: int) -> bool:
         """Does a majority vouch that nothing newer is acknowledged?
 
-        What counts is what they have installed: an epoch that is acknowledged is
-        installed on a majority. One that is only confirmed_epochs of may be lost with the
-        cores that spoke of it, and must not stop the fleet for good.
+        What counts is what they have installed: once an epoch is acknowledged, those that
+        lack it and may still confirm are no majority. One that they only know of may be lost
+        with the cores that spoke of it, and must not stop the fleet for good.
         """
-        if self.is_unleased:
-            if self.me not in self.membership or self.configuration.version < self.served_version:
+        if self.first_leased_epoch is None:
+            is_member = self.me in self.membership.names
+            if not is_member or self.configuration.version < self.served_version:
                 return False
-        elif not self.may_confirm_epochs:
+        elif self.epoch < self.first_leased_epoch:
             return False
         names = self.confirming_members(now_us=now_us)
         if self._has_newer_peer(names=names):
             return False
-        return len(names) * 2 > len(self.membership)
+        return self.membership.has_majority(names)
 
     def _has_newer_peer(self, *, names: list[str]) -> bool:
         confirmed = self.confirmed_epochs
@@ -170,6 +184,8 @@
 
     def refusal(self, *, now_us: int) -> str:
         """Why this edge may not serve now; empty if it may."""
+        if self.has_left:
+            return "left"
         if not self.configuration.version:
             return "no configuration"
         if self.has_lease(now_us=now_us) or self.has_majority(now_us=now_us):
@@ -177,7 +193,7 @@
         names = self.confirming_members(now_us=now_us)
         if self._has_newer_peer(names=names):
             return f"a peer has a newer epoch than {self.epoch}"
-        return f"no lease, and {len(names)} of {len(self.membership)} peers vouch"
+        return f"no lease, and {len(names)} of {len(self.membership.names)} peers vouch"
 
     def has_moved_on(self, *, version: int, now_us: int) -> bool:
         """Is this version one that must not be run here any more?"""
--- a/kelpstage/edge/lease/peer_discovery.py
+++ b/kelpstage/edge/lease/peer_discovery.py
@@ -70,7 +70,7 @@
 
     def _knows_enough(self) -> bool:
         """Is there a fresh lease, and is most of the membership known?"""
-        is_most_known = len(self._swim.live()) * 2 > len(self._lease_holder.membership)
+        is_most_known = len(self._swim.live()) * 2 > len(self._lease_holder.membership.names)
         lease_age_us = self._ports.clock.now_us() - self._lease_holder.lease_asked_us
         return is_most_known and lease_age_us < REGISTER_US and bool(self._swim.members)
 
@@ -106,7 +106,7 @@
             if known_count < self._swim.known_count():
                 wait_us = MEMBERS_US
             known_count = self._swim.known_count()
-            membership_count = len(self._lease_holder.membership)
+            membership_count = len(self._lease_holder.membership.names)
             if is_small(count=membership_count) or known_count >= membership_count:
                 continue
             if clock.now_us() - asked_us < wait_us:
--- a/kelpstage/edge/lease/relay.py
+++ b/kelpstage/edge/lease/relay.py
@@ -49,7 +49,7 @@
     def start_if_due(self, *, target: str) -> None:
         """Start a wave, unless the lease is fresh or one was started a moment ago."""
         now_us = self._ports.clock.now_us()
-        period_us = renew_period_us(count=len(self._lease_holder.membership))
+        period_us = renew_period_us(count=len(self._lease_holder.membership.names))
         is_fresh = now_us - self._lease_holder.lease_asked_us < period_us
         if is_fresh or now_us - self._started_us < RELAY_EVERY_US:
             return
--- a/kelpstage/edge/lease/renewal.py
+++ b/kelpstage/edge/lease/renewal.py
@@ -51,6 +51,7 @@
         contact: EdgeContact,
         on_contacts: Callable[[list[EdgeContact]], None],
         on_newer_epoch: Callable[[str], None],
+        is_observer: bool,
     ) -> None:
         """`on_contacts` hears of peers that the leader names, `on_newer_epoch` of an
         address that has an epoch which is not installed here."""
@@ -62,6 +63,7 @@
         self._contact = contact
         self._on_contacts = on_contacts
         self._on_newer_epoch = on_newer_epoch
+        self._is_observer = is_observer
         self.relay: Relay
         self.last_refusal = "not asked yet"
         self.is_leaving = False
@@ -85,7 +87,7 @@
             await self._ports.clock.within(self._wake.wait(), us=wait_us)
 
     def _period_us(self) -> int:
-        count = len(self._lease_holder.membership)
+        count = len(self._lease_holder.membership.names)
         period_us = renew_period_us(count=count)
         if is_small(count=count):
             return period_us
@@ -97,7 +99,7 @@
         sent_us = self._ports.clock.now_us()
         message = self.request(target=target)
         self._ports.failpoint("edge.before_renew")
-        wait_us = renew_wait_us(count=len(self._lease_holder.membership))
+        wait_us = renew_wait_us(count=len(self._lease_holder.membership.names))
         reply = await self._transport.call(address=target, message=message, wait_us=wait_us)
         if not isinstance(reply, LeaseReply):
             self._on_no_reply(reply=reply, target=target)
@@ -134,6 +136,7 @@
             epoch=lease_holder.epoch,
             cluster=lease_holder.cluster,
             known=self._known if is_known else 0,
+            is_observer=self._is_observer,
         )
         if not is_known or now_us - self._introduced_us >= CONTACT_AGAIN_US:
             message.contact = self._contact
@@ -164,8 +167,9 @@
         self._known_by = reply.leader_address if reply.known else ""
 
     async def leave(self) -> None:
-        """Give the lease back: this edge serves no more."""
+        """Give the lease back: this edge serves and confirms no more."""
         self.is_leaving = True
+        self._lease_holder.has_left = True
         target = self.next_target()
         message = self.request(target=target)
         message.is_leaving = True
--- a/kelpstage/edge/lease/task.py
+++ b/kelpstage/edge/lease/task.py
@@ -36,8 +36,10 @@
         seeds: list[str],
         contact: EdgeContact,
         on_installed: Callable[[], None],
+        is_observer: bool = False,
     ) -> None:
-        """`on_installed` is called after each state that was installed."""
+        """`on_installed` is called after each state that was installed; `is_observer` is
+        whether any number of machines like this one may go."""
         self._on_edge_installed = on_installed
         self._directory = CoreDirectory(seeds=seeds)
         self._states = StateSync(
@@ -66,6 +68,7 @@
             contact=contact,
             on_contacts=discovery.register_peers,
             on_newer_epoch=self._states.fetch_soon,
+            is_observer=is_observer,
         )
         self.relay = self.renewal.relay = RelayedRenewal(
             ports=ports,
--- a/kelpstage/edge/main.py
+++ b/kelpstage/edge/main.py
@@ -33,6 +33,10 @@
     metrics: Optional[str] = typer.Option(
         None, help="IP:port for metrics alone, beside /metrics at --http."
     ),
+    observer: Optional[bool] = typer.Option(
+        None,
+        help="Does not vote: any number of machines like this one may go at one time.",
+    ),
     record: Optional[str] = typer.Option(
         None, help="Folder for a record of the day (calls as they come), for kelpstage-replay."
     ),
@@ -52,6 +56,7 @@
                     "platform": platform,
                     "metrics": metrics,
                     "record": record,
+                    "observer": observer,
                 },
                 form=EDGE_FORM,
             )
--- a/kelpstage/edge/web/explain.py
+++ b/kelpstage/edge/web/explain.py
@@ -171,7 +171,7 @@
             "leader": edge.leases.leader or None,
             "last_why": edge.leases.last_refusal or None,
             "vouchers": lease_holder.confirming_members(now_us=now_us),
-            "roster": lease_holder.membership,
+            "roster": list(lease_holder.membership.names),
         },
         "in_flight": len(edge.gather.table),
         "partners": [
--- a/kelpstage/testbed/model/adapter.py
+++ b/kelpstage/testbed/model/adapter.py
@@ -15,6 +15,7 @@
 from kelpstage.common.configuration.types import EMPTY
 from kelpstage.common.errors.base import KelpstageError
 from kelpstage.common.errors.control import WriteUnresolvedError
+from kelpstage.common.lease_timing import LEASE_SPAN_US
 from kelpstage.common.transport.messages import (
     AppendEntries,
     AppendEntriesReply,
@@ -29,7 +30,7 @@
 )
 from kelpstage.core.bootstrap import FOUNDING_INDEX, FOUNDING_TERM
 from kelpstage.core.leases.configuration_writes import as_result
-from kelpstage.core.leases.lease_table import LEASE_SPAN_US, LeaseTable
+from kelpstage.core.leases.lease_table import LeaseTable
 from kelpstage.core.raft import leadership, membership
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.log import MemoryLog
@@ -41,7 +42,7 @@
 from kelpstage.core.state.digests import put_digest
 from kelpstage.core.state.machine import Machine
 from kelpstage.core.state.outcomes import PutApplied, PutNotAbove, PutSuperseded
-from kelpstage.core.state.replicated_state import CoreState
+from kelpstage.core.state.replicated_state import CoreState, edge_membership
 from kelpstage.core.store.records import DiskSnapshot
 from kelpstage.edge.lease.lease_holder import LeaseHolder
 
@@ -281,7 +282,8 @@
     lease_table: LeaseTable, *, state: CoreState, epoch: int, now_us: int
 ) -> bool:
     """Can no edge serve an older epoch any more, as far as the leader knows?"""
-    return lease_table.is_settled(epoch=epoch, membership=list(state.membership), now_us=now_us)
+    membership = edge_membership(state=state)
+    return lease_table.is_settled(epoch=epoch, membership=membership, now_us=now_us)
 
 
 # --- what planted faults need ---------------------------------------------------------
--- a/kelpstage/testbed/simulation/fleet.py
+++ b/kelpstage/testbed/simulation/fleet.py
@@ -31,11 +31,16 @@
 
 @dataclass(kw_only=True)
 class SimFleet(HistoryWriter):
-    """One deployment in one world."""
+    """One deployment in one world.
+
+    With `has_observers`, the loss of the machines with a disk counts, one at a time, and
+    any number of the others may go; without, every edge votes.
+    """
 
     world: World
     deployment: Deployment
     rate: float = 0.15
+    has_observers: bool = False
     history: list[dict] = field(default_factory=list)
     processes: dict[str, SimProcess] = field(default_factory=dict)
     daemons: dict[str, Any] = field(default_factory=dict)
@@ -175,6 +180,8 @@
             "seeds": seeds or list(self.core_address.values())[:3],
             "data": "data",
         }
+        if self.has_observers:
+            settings["bounds"] = {"tolerance": 1}
         core = Core(ports=process.ports, settings=settings)
         await _open(daemon=core)
         self.daemons[f"core/{name}"] = core
@@ -197,6 +204,7 @@
             "http": self.edge_http[name],
             "seeds": seeds or list(self.core_address.values())[:3],
             "platform": f"http://{self.platform.address}/backends",
+            "observer": self.has_observers and name not in self.core_address,
         }
         edge = Edge(ports=process.ports, settings=settings)
         await _open(daemon=edge)
@@ -478,6 +486,7 @@
     scenario: Callable[[SimFleet], Awaitable[None]],
     rate: float = 0.15,
     far_us: int = 0,
+    has_observers: bool = False,
 ) -> SimFleet:
     """Run a scenario in a world of its own; the same seed gives the same history. With
     `far_us`, zones are so far apart, one way, with jitter and lost datagrams."""
@@ -490,7 +499,12 @@
         world.far_us, world.loss = (far_us, far_us * 13 // 10), 0.01
     try:
         fleet = loop.run_until_complete(
-            _play(world=world, deployment=deployment, scenario=scenario, rate=rate)
+            _play(
+                SimFleet(
+                    world=world, deployment=deployment, rate=rate, has_observers=has_observers
+                ),
+                scenario=scenario,
+            )
         )
     finally:
         for task in asyncio.all_tasks(loop):
@@ -501,8 +515,7 @@
     return fleet
 
 
-async def _play(*, world: World, deployment: Deployment, scenario: Any, rate: float) -> SimFleet:
-    fleet = SimFleet(world=world, deployment=deployment, rate=rate)
+async def _play(fleet: SimFleet, *, scenario: Any) -> SimFleet:
     try:
         await scenario(fleet)
     finally:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -16,10 +16,12 @@
 from kelpstage.cli.offline.warnings import warnings_of
 from kelpstage.common.configuration.types import EMPTY, CallerLimits, Configuration, Service
 from kelpstage.common.configuration.validation import read_configuration
+from kelpstage.common.edge_membership import EdgeMembership
 from kelpstage.common.errors.validation import InvalidSettingsError
+from kelpstage.common.lease_timing import LEASE_SPAN_US
 from kelpstage.common.ports.interfaces import HttpCall
 from kelpstage.common.settings.loading import CORE_FORM, EDGE_FORM, validate_settings
-from kelpstage.core.leases.lease_table import LEASE_SPAN_US, LeaseTable
+from kelpstage.core.leases.lease_table import LeaseTable
 from kelpstage.core.state.commands import AddEdge, Command, PutConfiguration
 from kelpstage.core.state.machine import REFUSALS_KEPT, Machine
 from kelpstage.core.state.outcomes import PutApplied, PutSuperseded
@@ -333,7 +335,12 @@
                     for name in has_it:
                         lease_table.heard(edge=name, incarnation=1, epoch=2, contact=None, now_us=1)
                     if not all(  # as the lease service asks
-                        lease_table.is_settled(epoch=2, membership=names, now_us=late_us)
+                        lease_table.is_settled(
+                            epoch=2,
+                            membership=EdgeMembership(names=tuple(names)),
+                            now_us=late_us,
+                            is_strict=True,
+                        )
                         for names in ([membership, old] if old else [membership])
                     ):
                         continue
--- /dev/null
+++ b/tests/test_edge_membership.py
@@ -0,0 +1,274 @@
+"""The counts over the membership of edges: settling, quorum, removal, the right to confirm."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from kelpstage.common.configuration.types import Configuration
+from kelpstage.common.edge_membership import EdgeMembership
+from kelpstage.common.lease_timing import (
+    CONFIRMS_AFTER_LEASE_US,
+    LEASE_MARGIN_US,
+    LEASE_SPAN_US,
+    OBSERVER_MARGIN_US,
+    OBSERVER_SPAN_US,
+)
+from kelpstage.common.transport.messages import LeaseReply, StateDoc
+from kelpstage.core.leases.lease_table import LeaseTable
+from kelpstage.core.leases.membership_changes import (
+    ABSENT_OBSERVER_US,
+    ABSENT_VOTER_US,
+    edge_to_remove,
+)
+from kelpstage.core.state.commands import AddEdge, Command, PutConfiguration, RemoveEdge
+from kelpstage.core.state.machine import Machine
+from kelpstage.core.state.replicated_state import edge_membership, previous_edge_membership
+from kelpstage.edge.lease.lease_holder import LeaseHolder
+
+LATE_US = OBSERVER_SPAN_US + OBSERVER_MARGIN_US
+VERY_LATE_US = 10 * LATE_US
+
+
+def membership_of(names: str, observers: str = "") -> EdgeMembership:
+    return EdgeMembership.of(names=list(names), observers=list(observers))
+
+
+def heard(lease_table: LeaseTable, edge: str, *, epoch: int, now_us: int) -> bool:
+    return lease_table.heard(edge=edge, incarnation=1, epoch=epoch, contact=None, now_us=now_us)
+
+
+def subsets(names: tuple[str, ...]) -> list[tuple[str, ...]]:
+    return [
+        chosen for count in range(len(names) + 1) for chosen in itertools.combinations(names, count)
+    ]
+
+
+def changes() -> list[tuple[EdgeMembership, EdgeMembership]]:
+    """Memberships of up to five edges, each with all that one change makes of it."""
+    out = []
+    for count in range(1, 5):
+        names = "abcde"[:count]
+        for observers in subsets(tuple(names)):
+            before = EdgeMembership.of(names=list(names), observers=observers)
+            out += [(before, membership_of(names + "x", "".join(observers) + "x"))]
+            out += [(before, membership_of(names + "x", "".join(observers)))]
+            out += [(before, membership_of(names + "xyz", "".join(observers) + "z"))]
+            out += [
+                (before, membership_of(names.replace(gone, ""), "".join(observers)))
+                for gone in names
+            ]
+    return out
+
+
+class Settling(unittest.TestCase):
+    def test_once_settled_no_majority_lacks_the_epoch(self) -> None:
+        """Every change of small memberships, installed by every subset: when it counts as
+        settled, those without it are no majority of either membership that may confirm."""
+        settled = 0
+        for before, after in changes():
+            everybody = tuple(sorted({*before.names, *after.names}))
+            for installed in subsets(everybody):
+                lease_table = LeaseTable(since_us=0)
+                for edge in installed:
+                    heard(lease_table, edge, epoch=2, now_us=1)
+                if not all(
+                    lease_table.is_settled(epoch=2, membership=m, now_us=LEASE_SPAN_US * 2)
+                    for m in (before, after)
+                ):
+                    continue
+                settled += 1
+                for membership in (before, after):
+                    lacking = set(everybody) - set(installed)
+                    self.assertFalse(membership.has_majority(lacking), (before, after, installed))
+        self.assertGreater(settled, 500)
+
+    def test_half_of_the_voting_members_settle_it_and_fewer_do_not(self) -> None:
+        for voters, needed in ((1, 1), (2, 1), (3, 2), (4, 2), (5, 3), (6, 3)):
+            membership = membership_of("abcdef"[:voters] + "uvwxyz", "uvwxyz")
+            for count in range(voters + 1):
+                lease_table = LeaseTable(since_us=0)
+                for edge in membership.voters[:count]:
+                    heard(lease_table, edge, epoch=2, now_us=1)
+                is_settled = lease_table.is_settled(
+                    epoch=2, membership=membership, now_us=VERY_LATE_US
+                )
+                self.assertEqual(count >= needed, is_settled, (voters, count))
+                quorum = lease_table.has_quorum(membership=membership, now_us=2)
+                self.assertEqual(count >= needed, quorum, (voters, count))
+
+    def test_silent_observers_hold_it_up_for_their_span_and_no_longer(self) -> None:
+        membership = membership_of("abcdefg", "cdefg")
+        lease_table = LeaseTable(since_us=0)
+        for edge in membership.names:
+            heard(lease_table, edge, epoch=1, now_us=VERY_LATE_US)
+            lease_table.record_lease(edge=edge, epoch=1, now_us=VERY_LATE_US)
+        for edge in "ab":
+            heard(lease_table, edge, epoch=2, now_us=VERY_LATE_US + 1)
+
+        def is_settled(after_us: int) -> bool:
+            return lease_table.is_settled(
+                epoch=2, membership=membership, now_us=VERY_LATE_US + after_us
+            )
+
+        self.assertFalse(is_settled(LATE_US - 1))
+        self.assertTrue(is_settled(LATE_US))
+
+    def test_one_silent_edge_holds_it_up_for_a_lease(self) -> None:
+        membership = membership_of("abc", "c")
+        lease_table = LeaseTable(since_us=0)
+        for edge in "ab":
+            heard(lease_table, edge, epoch=2, now_us=1)
+        span_us = LEASE_SPAN_US + LEASE_MARGIN_US
+        for now_us, expected in ((span_us - 1, False), (span_us, True)):
+            self.assertEqual(
+                expected, lease_table.is_settled(epoch=2, membership=membership, now_us=now_us)
+            )
+
+    def test_a_lease_for_the_newer_epoch_does_not_hold_it_up(self) -> None:
+        membership = membership_of("abc", "bc")
+        lease_table = LeaseTable(since_us=0)
+        heard(lease_table, "a", epoch=2, now_us=1)
+        for edge in "bc":
+            lease_table.record_lease(edge=edge, epoch=2, now_us=VERY_LATE_US)
+        self.assertTrue(lease_table.is_settled(epoch=2, membership=membership, now_us=VERY_LATE_US))
+
+    def test_an_edge_that_left_holds_nothing_up(self) -> None:
+        membership = membership_of("abc")
+        lease_table = LeaseTable(since_us=0)
+        heard(lease_table, "a", epoch=2, now_us=1)
+        for edge in "bc":
+            heard(lease_table, edge, epoch=1, now_us=1)
+            lease_table.record_lease(edge=edge, epoch=1, now_us=1)
+            lease_table.give_back(edge=edge, incarnation=1, now_us=2)
+        self.assertTrue(lease_table.is_settled(epoch=2, membership=membership, now_us=3))
+        self.assertTrue(lease_table.has_quorum(membership=membership, now_us=3))
+        self.assertFalse(heard(lease_table, "b", epoch=1, now_us=4))  # under way when it left
+        self.assertTrue(lease_table.is_settled(epoch=2, membership=membership, now_us=5))
+        lease_table.heard(edge="b", incarnation=2, epoch=0, contact=None, now_us=6)
+        self.assertFalse(lease_table.is_settled(epoch=2, membership=membership, now_us=7))
+
+    def test_the_word_of_an_older_process_that_left_counts_for_nothing(self) -> None:
+        lease_table = LeaseTable(since_us=0)
+        lease_table.heard(edge="a", incarnation=2, epoch=1, contact=None, now_us=1)
+        lease_table.give_back(edge="a", incarnation=1, now_us=2)
+        self.assertFalse(lease_table.has_left(edge="a"))
+
+
+class Removal(unittest.TestCase):
+    def setUp(self) -> None:
+        self.lease_table = LeaseTable(since_us=0)
+        self.membership = membership_of("abcxy", "xy")
+
+    def removed(self, *, now_us: int, least_voters: int = 2) -> str | None:
+        return edge_to_remove(
+            membership=self.membership,
+            lease_table=self.lease_table,
+            least_voters=least_voters,
+            now_us=now_us,
+        )
+
+    def hear(self, edges: str, *, now_us: int) -> None:
+        for edge in edges:
+            heard(self.lease_table, edge, epoch=1, now_us=now_us)
+
+    def test_silent_voter(self) -> None:
+        self.hear("bcxy", now_us=ABSENT_VOTER_US)
+        self.assertIsNone(self.removed(now_us=ABSENT_VOTER_US - 1))
+        self.assertEqual("a", self.removed(now_us=ABSENT_VOTER_US))
+        self.assertIsNone(self.removed(now_us=ABSENT_VOTER_US, least_voters=3))
+
+    def test_voter_that_left(self) -> None:
+        self.hear("abcxy", now_us=1)
+        self.lease_table.give_back(edge="b", incarnation=1, now_us=2)
+        self.assertEqual("b", self.removed(now_us=3))
+
+    def test_observers(self) -> None:
+        self.hear("abcxy", now_us=1)
+        self.lease_table.give_back(edge="y", incarnation=1, now_us=2)
+        self.hear("abcx", now_us=ABSENT_OBSERVER_US)
+        self.assertIsNone(self.removed(now_us=ABSENT_OBSERVER_US + 1))
+        self.assertEqual("y", self.removed(now_us=ABSENT_OBSERVER_US + 2))
+
+    def test_silence_counts_from_the_election(self) -> None:
+        self.lease_table = LeaseTable(since_us=VERY_LATE_US)
+        self.assertIsNone(self.removed(now_us=VERY_LATE_US + ABSENT_VOTER_US - 1))
+        self.assertEqual("a", self.removed(now_us=VERY_LATE_US + ABSENT_VOTER_US))
+
+
+class RightToConfirm(unittest.TestCase):
+    def holder(self, *, me: str, epoch: int = 3) -> LeaseHolder:
+        holder = LeaseHolder(me=me)
+        doc = StateDoc(
+            cluster="c", epoch=epoch, version=1, membership=list("abxyz"), observers=list("xyz")
+        )
+        configuration = Configuration(version=1, document=b"")
+        holder.install(doc=doc, configuration=configuration, now_us=0)
+        return holder
+
+    def lease(self, holder: LeaseHolder, *, epoch: int, sent_us: int) -> None:
+        reply = LeaseReply(is_granted=True, cluster="c", epoch=epoch, span_us=LEASE_SPAN_US)
+        holder.take_lease(reply=reply, sent_us=sent_us)
+
+    def test_an_observer_confirms_for_a_while_after_its_lease(self) -> None:
+        holder = self.holder(me="x")
+        self.assertFalse(holder.may_confirm(now_us=0))
+        self.lease(holder, epoch=3, sent_us=0)
+        self.assertTrue(holder.may_confirm(now_us=OBSERVER_SPAN_US - 1))
+        self.assertFalse(holder.may_confirm(now_us=OBSERVER_SPAN_US))
+        self.assertEqual(OBSERVER_SPAN_US, LEASE_SPAN_US + CONFIRMS_AFTER_LEASE_US)
+
+    def test_a_lease_for_an_epoch_that_is_not_installed_does_not_extend_it(self) -> None:
+        holder = self.holder(me="x")
+        self.lease(holder, epoch=3, sent_us=0)
+        self.lease(holder, epoch=4, sent_us=OBSERVER_SPAN_US - 1)
+        self.assertFalse(holder.may_confirm(now_us=OBSERVER_SPAN_US))
+
+    def test_a_voting_member_confirms_without_a_bound(self) -> None:
+        holder = self.holder(me="a")
+        self.lease(holder, epoch=3, sent_us=0)
+        self.assertTrue(holder.may_confirm(now_us=VERY_LATE_US))
+
+    def test_who_has_left_serves_and_confirms_nothing(self) -> None:
+        holder = self.holder(me="a")
+        self.lease(holder, epoch=3, sent_us=0)
+        holder.has_left = True
+        self.assertFalse(holder.may_confirm(now_us=1))
+        self.assertEqual("left", holder.refusal(now_us=1))
+
+
+class ReplicatedMembership(unittest.TestCase):
+    def setUp(self) -> None:
+        self.machine = Machine(cluster="c")
+
+    def apply(self, **what: object) -> None:
+        self.machine.apply(data=bytes(Command(**what)))
+
+    def test_observers_join_change_and_leave(self) -> None:
+        add = AddEdge(edge="a", more=["x", "y"], observers=["x", "y"], is_joint=True)
+        self.apply(add=add)
+        self.assertEqual(membership_of("axy", "xy"), edge_membership(state=self.machine.state))
+        self.apply(add=AddEdge(edge="x", is_joint=True))
+        self.assertEqual(membership_of("axy", "y"), edge_membership(state=self.machine.state))
+        self.assertEqual(
+            membership_of("axy", "xy"), previous_edge_membership(state=self.machine.state)
+        )
+        self.apply(remove=RemoveEdge(edge="y", is_joint=True))
+        self.assertEqual(membership_of("ax"), edge_membership(state=self.machine.state))
+        self.assertEqual(3, self.machine.state.epoch)
+        self.assertEqual([], self.machine.doc().observers)
+
+    def test_a_write_leaves_the_membership_as_it_is(self) -> None:
+        self.apply(add=AddEdge(edge="a", more=["b"]))
+        self.assertIsNone(previous_edge_membership(state=self.machine.state))
+        self.apply(put=PutConfiguration(put_id="p", expected=0, document=b"{}"))
+        self.assertEqual(membership_of("ab"), previous_edge_membership(state=self.machine.state))
+
+    def test_a_single_edge_in_a_log_of_an_older_version_is_not_joint(self) -> None:
+        for name in "abc":
+            self.apply(add=AddEdge(edge=name))
+        self.assertIsNone(previous_edge_membership(state=self.machine.state))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -14,9 +14,10 @@
 from typing import Awaitable, Callable
 from unittest import mock
 
+from kelpstage.common.lease_timing import LEASE_SPAN_US
 from kelpstage.common.transport.messages import LeaseReply
 from kelpstage.core.leases.lease_service import LeaseService
-from kelpstage.core.leases.lease_table import LEASE_SPAN_US, LeaseTable
+from kelpstage.core.leases.lease_table import LeaseTable
 from kelpstage.core.raft.state import RaftState
 from kelpstage.core.raft.types import TransferLeadership
 from kelpstage.edge.backend.endpoint_list import EndpointList
@@ -423,7 +424,7 @@
     """Planted fault: a deposed leader goes on renewing leases."""
 
 
-def lapsed_at_once(self: LeaseTable, *, edge: str, epoch: int, now_us: int) -> bool:
+def lapsed_at_once(self: LeaseTable, *, edge: str, epoch: int, now_us: int, span_us: int) -> bool:
     """Planted fault: a new leader holds unknown leases for lapsed."""
     holder = self._holders.get(edge)
     return holder is None or not holder.leases
@@ -445,7 +446,7 @@
         self.assertIn("serves", found)
 
     def test_a_new_leader_that_does_not_wait(self) -> None:
-        with mock.patch.object(LeaseTable, "_is_lapsed", lapsed_at_once):
+        with mock.patch.object(LeaseTable, "_is_over", lapsed_at_once):
             found = self.watched(transfer_beside_a_cut_off_edge)
         self.assertIn("a lease at", found)
 
--- a/tests/test_regressions.py
+++ b/tests/test_regressions.py
@@ -241,7 +241,7 @@
         fleet, ready = self.run_story(["node-02", "node-05"])
         self.assertEqual([n.name for n in fleet.deployment.nodes], ready)
         lease_holder = fleet.daemons["edge/node-02"].lease_holder
-        self.assertFalse(lease_holder.may_confirm_epochs)
+        self.assertFalse(lease_holder.may_confirm(now_us=fleet.world.now_us()))
         self.assertEqual(1, lease_holder.configuration.version)
 
     def test_half_of_six_forgot_and_nobody_serves(self) -> None:
