--- a/kelpstage/testbed/platform_model/faults/__init__.py
+++ b/kelpstage/testbed/platform_model/faults/__init__.py
@@ -12,6 +12,7 @@
     configuration,
     disks,
     machines,
+    membership,
     network,
     write_races,
 )
@@ -64,6 +65,10 @@
     clients.clients_leave,
     network.core_halves,
     machines.losses_overlap,
+    membership.most_leave,
+    membership.most_go_dark,
+    membership.most_freeze,
+    membership.all_replaced,
 )
 _REGISTERED_CLOSING: tuple[Fault, ...] = (
     closing.closing_power,
