Platform model: most machines leave, go dark, stand still; all are replaced in turn

Four faults beside the ones there are, struck while changes are ordered, judged by every rule of the platform, the acknowledgement of orders in calm among them.

--- a/tests/test_platform_sim.py
+++ b/tests/test_platform_sim.py
@@ -121,6 +121,18 @@
         for seed in (1, 2):
             self.clean(faults=("losses_overlap",), seconds=8, seed=seed, least=0.2)
 
+    def test_most_machines_leave_or_go_dark_for_good(self):
+        for faults in (("most_leave",), ("most_go_dark",)):
+            self.clean(faults=faults, seconds=14, rate=0.08, closing="closing_kill", least=0.5)
+
+    def test_most_machines_stand_still_and_wake_together(self):
+        self.clean(deployment="netherlands", faults=("most_freeze",), seconds=14, least=0.5)
+
+    def test_each_machine_is_replaced_by_a_new_one(self):
+        self.clean(
+            faults=("all_replaced",), seconds=14, rate=0.08, closing="closing_wipe", least=0.5
+        )
+
     def test_clients_leave_before_their_answers(self):
         outcome = self.clean(faults=("clients_leave",), seconds=8, rate=0.3, least=0.3)
         left = [request for request in outcome.history.requests if request.end == "left"]
