Model checker: edges that leave, are replaced or cut off together, and who confirms what

The model had edges with leases, and no membership of theirs that changes. Now leaders of the model add edges that ask and remove those that left or are silent, by the product's own rules, one change at a time; actions: an edge leaves, an observer is gone for good and another name comes, all observers are cut off at once. New invariant: no majority of the membership that an edge has installed may confirm an epoch below a settled one. For that the joint count is one function (is_epoch_settled), used by the leader and the model.

--- a/kelpstage/core/leases/epoch_settlement.py
+++ b/kelpstage/core/leases/epoch_settlement.py
@@ -10,17 +10,43 @@
 
 from tornado.locks import Lock
 
-from kelpstage.common.edge_membership import EdgeMembership
 from kelpstage.common.event_journal import Journal
 from kelpstage.common.ports.interfaces import Ports
 from kelpstage.core.events import EpochSettled
 from kelpstage.core.leases.lease_table import LeaseTable
 from kelpstage.core.replica_task import ReplicaTask
-from kelpstage.core.state.replicated_state import edge_membership, previous_edge_membership
+from kelpstage.core.state.replicated_state import (
+    CoreState,
+    edge_membership,
+    previous_edge_membership,
+)
 
 SETTLE_LOOK_US = 50_000
 
 
+def is_epoch_settled(
+    *,
+    lease_table: LeaseTable,
+    state: CoreState,
+    epoch: int,
+    now_us: int,
+    gone: frozenset[str] = frozenset(),
+) -> bool:
+    """Can no edge serve an epoch older than this one?
+
+    The newest epoch has to settle in the membership before it as well, so that no majority of
+    that one confirms what was before. Where that one is not known, the count is strict
+    instead. Edges in `gone` are gone for good, as an operator states.
+    """
+    current, previous = edge_membership(state=state), previous_edge_membership(state=state)
+    is_current_settled = lease_table.is_settled(
+        epoch=epoch, membership=current, now_us=now_us, gone=gone, is_strict=previous is None
+    )
+    if not is_current_settled or previous is None or epoch != state.epoch:
+        return is_current_settled
+    return lease_table.is_settled(epoch=epoch, membership=previous, now_us=now_us, gone=gone)
+
+
 class EpochSettlement:
     """The lease table of this leadership, and the wait for an epoch to settle.
 
@@ -69,27 +95,13 @@
             await self.wait_for_edge_report(wait_us=SETTLE_LOOK_US)
 
     def is_settled(self, *, epoch: int) -> bool:
-        """Can no edge serve an epoch older than this one?
-
-        The newest epoch has to settle in the membership before it as well, so that no
-        majority of that one confirms what was before. Where that one is not known, the count
-        is strict instead.
-        """
-        state = self._task.machine.state
-        current, previous = edge_membership(state=state), previous_edge_membership(state=state)
-        if not self._is_settled_in(current, epoch=epoch, is_strict=previous is None):
-            return False
-        if previous is None or epoch != state.epoch:
-            return True
-        return self._is_settled_in(previous, epoch=epoch, is_strict=False)
-
-    def _is_settled_in(self, membership: EdgeMembership, *, epoch: int, is_strict: bool) -> bool:
-        return self.lease_table.is_settled(
+        """Can no edge serve an epoch older than this one?"""
+        return is_epoch_settled(
+            lease_table=self.lease_table,
+            state=self._task.machine.state,
             epoch=epoch,
-            membership=membership,
             now_us=self._ports.clock.now_us(),
             gone=self.gone,
-            is_strict=is_strict,
         )
 
     def has_quorum(self) -> bool:
--- a/kelpstage/edge/lease/lease_holder.py
+++ b/kelpstage/edge/lease/lease_holder.py
@@ -146,7 +146,7 @@
 
     def has_lease(self, *, now_us: int) -> bool:
         """Does a lease cover what is installed here?"""
-        return now_us < self.lease_until_us()
+        return not self.has_left and now_us < self.lease_until_us()
 
     def confirming_members(self, *, now_us: int) -> list[str]:
         """Members whose confirmation is fresh, this edge among them if it may confirm."""
--- a/kelpstage/testbed/model/actions.py
+++ b/kelpstage/testbed/model/actions.py
@@ -243,22 +243,55 @@
 def renew(cluster: Cluster, a: int, b: int) -> None:
     """An edge asks for a lease."""
     if cluster.sessions.edges:
-        edge = cluster.sessions.edges[f"e{a % cluster.scope.edges}"]
-        cluster.sessions.renew(edge=edge, to=cluster.node_at(b).address)
+        edge = cluster.sessions.edge_at(a)
+        if not edge.lease_holder.has_left:
+            cluster.sessions.renew(edge=edge, to=cluster.node_at(b).address)
 
 
 @action
 def restart_edge(cluster: Cluster, a: int, b: int) -> None:
     """An edge starts again."""
     if cluster.sessions.edges:
-        cluster.sessions.restart_edge(edge=cluster.sessions.edges[f"e{a % cluster.scope.edges}"])
+        cluster.sessions.restart_edge(edge=cluster.sessions.edge_at(a))
+
+
+@action
+def leave_edge(cluster: Cluster, a: int, b: int) -> None:
+    """An edge leaves in order."""
+    if cluster.sessions.edges:
+        edge = cluster.sessions.edge_at(a)
+        cluster.sessions.leave_edge(edge=edge, to=cluster.node_at(b).address)
+
+
+@action
+def replace_edge(cluster: Cluster, a: int, b: int) -> None:
+    """An observer is gone for good, and one of another name comes."""
+    if cluster.sessions.edges and cluster.sessions.edge_at(a).is_observer:
+        edge = cluster.sessions.edge_at(a)
+        cluster.muted.discard(edge.name)
+        cluster.sessions.replace_edge(edge=edge)
 
 
 @action
 def mute(cluster: Cluster, a: int, b: int) -> None:
     """An edge is cut off from all cores, or no longer so."""
     if cluster.sessions.edges:
-        cluster.muted ^= {f"e{a % cluster.scope.edges}"}
+        cluster.muted ^= {cluster.sessions.edge_at(a).name}
+
+
+@action
+def mute_most(cluster: Cluster, a: int, b: int) -> None:
+    """All observers are cut off from all cores, and with an odd `b` one voter as well."""
+    edges = cluster.sessions.edges.values()
+    cluster.muted |= {edge.name for edge in edges if edge.is_observer}
+    if edges and b % 2:
+        cluster.muted.add(cluster.sessions.edge_at(a).name)
+
+
+@action
+def unmute(cluster: Cluster, a: int, b: int) -> None:
+    """No edge is cut off any more."""
+    cluster.muted.clear()
 
 
 @action
--- a/kelpstage/testbed/model/adapter.py
+++ b/kelpstage/testbed/model/adapter.py
@@ -29,8 +29,11 @@
     TimeoutNow,
 )
 from kelpstage.core.bootstrap import FOUNDING_INDEX, FOUNDING_TERM
+from kelpstage.core.leases import epoch_settlement
 from kelpstage.core.leases.configuration_writes import as_result
+from kelpstage.core.leases.epoch_settlement import is_epoch_settled
 from kelpstage.core.leases.lease_table import LeaseTable
+from kelpstage.core.leases.membership_changes import edge_to_remove
 from kelpstage.core.raft import leadership, membership
 from kelpstage.core.raft import types as raft
 from kelpstage.core.raft.log import MemoryLog
@@ -38,7 +41,14 @@
 from kelpstage.core.raft.replica import Replica
 from kelpstage.core.raft.replication import append_own, commit_to, replicate_all
 from kelpstage.core.raft.state import InvariantViolated as ReplicaInvariantViolated
-from kelpstage.core.state.commands import Command, PutConfiguration, RefusePut, put_command
+from kelpstage.core.state.commands import (
+    AddEdge,
+    Command,
+    PutConfiguration,
+    RefusePut,
+    RemoveEdge,
+    put_command,
+)
 from kelpstage.core.state.digests import put_digest
 from kelpstage.core.state.machine import Machine
 from kelpstage.core.state.outcomes import PutApplied, PutNotAbove, PutSuperseded
@@ -241,9 +251,11 @@
     return None
 
 
-def first_state(*, edges: list[str]) -> CoreState:
-    """The state of a cluster in which these edges have joined."""
-    return CoreState(cluster=CLUSTER, epoch=1, membership=sorted(edges))
+def first_state(*, edges: list[str], observers: list[str]) -> CoreState:
+    """The state of a cluster in which these edges have joined, some of them as observers."""
+    return CoreState(
+        cluster=CLUSTER, epoch=1, membership=sorted(edges), observers=sorted(observers)
+    )
 
 
 def lease_reply(*, epoch: int) -> LeaseReply:
@@ -282,8 +294,50 @@
     lease_table: LeaseTable, *, state: CoreState, epoch: int, now_us: int
 ) -> bool:
     """Can no edge serve an older epoch any more, as far as the leader knows?"""
-    membership = edge_membership(state=state)
-    return lease_table.is_settled(epoch=epoch, membership=membership, now_us=now_us)
+    return is_epoch_settled(lease_table=lease_table, state=state, epoch=epoch, now_us=now_us)
+
+
+def has_edge_quorum(lease_table: LeaseTable, *, state: CoreState, now_us: int) -> bool:
+    """Are enough voting edges there for a new epoch to settle?"""
+    return lease_table.has_quorum(membership=edge_membership(state=state), now_us=now_us)
+
+
+def lease_table_leaves(
+    lease_table: LeaseTable, *, edge: str, incarnation: int, now_us: int
+) -> None:
+    """The leader hears that an edge leaves."""
+    lease_table.give_back(edge=edge, incarnation=incarnation, now_us=now_us)
+
+
+def removal_bytes(
+    lease_table: LeaseTable, *, state: CoreState, tolerance: int, now_us: int
+) -> bytes:
+    """The command that removes the edge that has been absent for too long; empty if none has."""
+    edge = edge_to_remove(
+        membership=edge_membership(state=state),
+        lease_table=lease_table,
+        least_voters=max(1, 2 * tolerance),
+        now_us=now_us,
+    )
+    return bytes(Command(remove=RemoveEdge(edge=edge, is_joint=True))) if edge else b""
+
+
+def join_bytes(*, edges: dict[str, bool]) -> bytes:
+    """The command that adds edges by name, with whether each is an observer."""
+    names = list(edges)
+    observers = [name for name, is_observer in edges.items() if is_observer]
+    add = AddEdge(edge=names[0], more=names[1:], observers=observers, is_joint=True)
+    return bytes(Command(add=add))
+
+
+def may_confirm(lease_holder: LeaseHolder, *, now_us: int) -> bool:
+    """May an edge confirm its epoch to its peers?"""
+    return lease_holder.may_confirm(now_us=now_us)
+
+
+def leave(lease_holder: LeaseHolder) -> None:
+    """An edge stops serving and confirming."""
+    lease_holder.has_left = True
 
 
 # --- what planted faults need ---------------------------------------------------------
@@ -376,6 +430,22 @@
     return mock.patch.object(MemberList, "is_majority", is_majority)
 
 
+def patch_may_confirm(rule: Callable[[LeaseHolder], bool]) -> AbstractContextManager:
+    """Another rule of who may confirm its epoch, at whatever time."""
+    return mock.patch.object(
+        LeaseHolder, "may_confirm", lambda self, *, now_us: not self.has_left and rule(self)
+    )
+
+
+def patch_previous_membership() -> AbstractContextManager:
+    """The membership before the newest epoch is taken for the newest one."""
+    return mock.patch.object(
+        epoch_settlement,
+        "previous_edge_membership",
+        lambda *, state: edge_membership(state=state),
+    )
+
+
 def patch_caught_up(replacement: Callable[..., bool]) -> AbstractContextManager:
     """Another rule of when a learner can be raised."""
     return mock.patch.object(membership, "_is_caught_up", replacement)
--- a/kelpstage/testbed/model/calls.py
+++ b/kelpstage/testbed/model/calls.py
@@ -62,6 +62,20 @@
     incarnation: int
     epoch: int
     sent_us: int
+    is_observer: bool = False
+
+
+@dataclass(frozen=True, kw_only=True)
+class LeaveEdgeCall:
+    """An edge says that it has stopped serving and confirming."""
+
+    edge: str
+    incarnation: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class MembershipCall:
+    """A leader looks whether an edge is to join or to be removed."""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -123,3 +137,4 @@
     lease_holder: core.LeaseHolder
     incarnation: int = 1
     renewed_us: int = -(10**9)
+    is_observer: bool = False
--- a/kelpstage/testbed/model/checks.py
+++ b/kelpstage/testbed/model/checks.py
@@ -26,6 +26,7 @@
 NO_EFFECT_AFTER_REFUSAL = "no refused order takes effect"
 READ_FRESHNESS = "no read older than the newest acknowledgement before it"
 LEASE_FENCING = "no lease for an epoch below a settled one"
+CONFIRMATION_FENCING = "no majority that may confirm an epoch below a settled one"
 OWN_ASSERTIONS = "the replica's own assertions"
 LIVENESS = "liveness"
 
@@ -287,6 +288,7 @@
         self.settled_epoch = max(self.settled_epoch, epoch)
         for edge in self.world.sessions.edges.values():
             self.edge_changed(edge=edge)
+        self.edges_confirm()
 
     def refused_order(self, *, order: Order) -> None:
         """Check a reply that finally refuses an order."""
@@ -301,8 +303,33 @@
                 READ_FRESHNESS, f"{node.identity} answers {version}, {floor} was acknowledged"
             )
 
+    def edges_confirm(self) -> None:
+        """No edge below a settled epoch finds a majority that may confirm an epoch that old.
+
+        Whoever is cut off may reach all that are, so the count is over all edges.
+        """
+        now_us = self.world.now_us
+        edges = self.world.sessions.edges.values()
+        for edge in edges:
+            holder = edge.lease_holder
+            if holder.has_left or holder.epoch >= self.settled_epoch:
+                continue
+            confirming = [
+                other.name
+                for other in edges
+                if other.lease_holder.epoch <= holder.epoch
+                and core.may_confirm(other.lease_holder, now_us=now_us)
+            ]
+            if holder.membership.has_majority(confirming):
+                self.fail(
+                    CONFIRMATION_FENCING,
+                    f"{edge.name} at epoch {holder.epoch} is confirmed by {confirming}, "
+                    f"{self.settled_epoch} is settled",
+                )
+
     def edge_changed(self, *, edge: Edge) -> None:
         """An edge holds no lease under an epoch older than one that is settled."""
+        self.edges_confirm()
         if not core.has_lease(edge.lease_holder, now_us=self.world.now_us):
             return
         if edge.lease_holder.epoch < self.settled_epoch:
--- a/kelpstage/testbed/model/cluster.py
+++ b/kelpstage/testbed/model/cluster.py
@@ -35,7 +35,7 @@
         self.lost: set[str] = set()
         self.calm_us = 0
         self.checks = Checks(world=self)
-        self.sessions = Sessions(world=self, operators=scope.operators, edges=scope.edges)
+        self.sessions = Sessions(world=self, scope=scope)
         self.nodes: dict[str, Node] = {}
         self._found()
 
@@ -51,7 +51,7 @@
         names = [f"n{i}" for i in range(self.scope.machines)]
         founders = names[: self.scope.voters]
         members = [core.CoreMember(replica=n, address=n, is_voter=True) for n in founders]
-        state = core.first_state(edges=list(self.sessions.edges))
+        state = self.sessions.first_state()
         snapshot = core.DiskSnapshot(
             index=core.FOUNDING_INDEX,
             term=core.FOUNDING_TERM,
@@ -232,5 +232,6 @@
     def _renew_edges(self) -> None:
         leader = self.leader()
         for edge in self.sessions.edges.values():
-            if leader is not None and self.now_us - edge.renewed_us >= RENEW_US:
+            is_due = self.now_us - edge.renewed_us >= RENEW_US
+            if leader is not None and is_due and not edge.lease_holder.has_left:
                 self.sessions.renew(edge=edge, to=leader.address)
--- a/kelpstage/testbed/model/main.py
+++ b/kelpstage/testbed/model/main.py
@@ -22,7 +22,9 @@
 )
 
 
-def scope_of(*, machines: int, voters: int, operators: int, edges: int) -> Scope:
+def scope_of(
+    *, machines: int, voters: int, operators: int, edges: int, observers: int = 0
+) -> Scope:
     """A scope whose voters bear as many lost disks as so many can.
 
     >>> scope_of(machines=6, voters=5, operators=2, edges=1).tolerance
@@ -34,6 +36,7 @@
         tolerance=(voters - 1) // 2,
         operators=operators,
         edges=edges,
+        observers=min(observers, edges),
     )
 
 
@@ -95,7 +98,8 @@
     machines: int = typer.Option(3, min=1, max=9, help="Machines; those above the voters wait."),
     voters: int = typer.Option(3, min=1, max=5, help="Voters."),
     operators: int = typer.Option(2, min=0, max=4, help="Operators, all with one number."),
-    edges: int = typer.Option(3, min=0, max=4, help="Edges with leases."),
+    edges: int = typer.Option(3, min=0, max=9, help="Edges with leases."),
+    observers: int = typer.Option(0, min=0, max=9, help="Those of them that do not vote."),
     profile: str = typer.Option("chaos", help=f"One of: {', '.join(PROFILES)}."),
     first_seed: int = typer.Option(1, min=0, help="The first seed."),
     walks: int = typer.Option(40, min=1, help="How many seeds."),
@@ -105,7 +109,9 @@
     """Random walks; prints a failing one, shortened, as a ready test."""
     if profile not in PROFILES:
         raise typer.BadParameter(f"there are: {', '.join(PROFILES)}", param_hint="--profile")
-    scope = scope_of(machines=machines, voters=voters, operators=operators, edges=edges)
+    scope = scope_of(
+        machines=machines, voters=voters, operators=operators, edges=edges, observers=observers
+    )
     began = time.monotonic()
     with ProcessPoolExecutor(max_workers=workers) as pool:
         outcomes = list(
--- a/kelpstage/testbed/model/scope.py
+++ b/kelpstage/testbed/model/scope.py
@@ -19,7 +19,8 @@
     """How large the modelled system is.
 
     `machines` above `voters` are learners that stand by; `tolerance` disks may be lost
-    for good before the first of them counts as repaired.
+    for good before the first of them counts as repaired. The last `observers` of the edges
+    do not vote.
     """
 
     machines: int = 3
@@ -27,3 +28,4 @@
     tolerance: int = 1
     operators: int = 2
     edges: int = 2
+    observers: int = 0
--- a/kelpstage/testbed/model/sessions.py
+++ b/kelpstage/testbed/model/sessions.py
@@ -14,6 +14,8 @@
 from kelpstage.testbed.model.calls import (
     Edge,
     LeaseAnswer,
+    LeaveEdgeCall,
+    MembershipCall,
     Operator,
     Order,
     OrderAnswer,
@@ -24,6 +26,7 @@
 )
 from kelpstage.testbed.model.checks import Checks
 from kelpstage.testbed.model.interfaces import NodeView
+from kelpstage.testbed.model.scope import Scope
 
 ORDER_WAIT_US = 10_000_000
 
@@ -58,17 +61,26 @@
 class Sessions:
     """All operators and edges, and their calls under way."""
 
-    def __init__(self, *, world: SessionHost, operators: int, edges: int) -> None:
+    def __init__(self, *, world: SessionHost, scope: Scope) -> None:
         self.world = world
-        self.operators = {f"op{i}": Operator(name=f"op{i}") for i in range(operators)}
+        self._scope = scope
+        self.operators = {f"op{i}": Operator(name=f"op{i}") for i in range(scope.operators)}
         self.edges: dict[str, Edge] = {}
+        self._joining: dict[str, bool] = {}  # is it an observer?
         self._work: dict[int, Work] = {}
         self._token = 0
-        names = [f"e{i}" for i in range(edges)]
-        doc = core.Machine(cluster=core.CLUSTER, state=core.first_state(edges=names)).doc()
-        for name in names:
-            self.edges[name] = Edge(name=name, lease_holder=core.LeaseHolder(me=name))
-            core.install(self.edges[name].lease_holder, doc=doc, now_us=0)
+        for place in range(scope.edges):
+            name, is_observer = f"e{place}", place >= scope.edges - scope.observers
+            holder = core.LeaseHolder(me=name)
+            self.edges[name] = Edge(name=name, lease_holder=holder, is_observer=is_observer)
+        doc = core.Machine(cluster=core.CLUSTER, state=self.first_state()).doc()
+        for edge in self.edges.values():
+            core.install(edge.lease_holder, doc=doc, now_us=0)
+
+    def first_state(self) -> core.CoreState:
+        """The state of a cluster in which all edges have joined."""
+        observers = [edge.name for edge in self.edges.values() if edge.is_observer]
+        return core.first_state(edges=list(self.edges), observers=observers)
 
     # --- calls arrive at a node --------------------------------------------------------
 
@@ -77,10 +89,17 @@
         clear answer."""
         if core.role_of(node.replica) != core.LEADER:
             return
+        if isinstance(call, LeaveEdgeCall):
+            self._note_leaving(node=node, call=call)
+            return
         if isinstance(call, RenewCall):
             self._note_edge(node=node, call=call)
         if isinstance(call, OrderCall) and self._is_at_work(node=node, order=call.order):
             return  # the call joins the work that is under way for the same order
+        self._begin(node=node, source=source, call=call)
+
+    def _begin(self, *, node: NodeView, source: str, call: Any) -> None:
+        """A call waits for a read index first."""
         self._token += 1
         self._work[self._token] = Work(
             address=node.address,
@@ -92,6 +111,14 @@
         )
         node.take(core.ReadIndexRequest(token=self._token))
 
+    def _note_leaving(self, *, node: NodeView, call: LeaveEdgeCall) -> None:
+        core.lease_table_leaves(
+            node.lease_table,
+            edge=call.edge,
+            incarnation=call.incarnation,
+            now_us=self.world.now_us,
+        )
+
     def _is_at_work(self, *, node: NodeView, order: Order) -> bool:
         return any(
             work.lease_table is node.lease_table
@@ -127,6 +154,10 @@
         if isinstance(work.call, OrderCall):
             self._look_up(node=node, token=token, work=work)
             return
+        if isinstance(work.call, MembershipCall):
+            work.stage = TURN
+            self._propose_membership(node=node, token=token, work=work)
+            return
         del self._work[token]
         if isinstance(work.call, ReadCall):
             self.world.checks.read_done(
@@ -139,6 +170,12 @@
         if work.lease_table is not node.lease_table:
             return
         call, epoch = work.call, node.machine.state.epoch
+        is_on_membership = call.edge in node.machine.state.membership
+        if not is_on_membership or call.is_observer != (call.edge in node.machine.state.observers):
+            self._joining[call.edge] = call.is_observer
+        if not is_on_membership:
+            self._send_state(node=node, call=call)
+            return
         core.lease_table_gives(
             node.lease_table, edge=call.edge, epoch=epoch, now_us=self.world.now_us
         )
@@ -148,10 +185,65 @@
             sent_us=call.sent_us,
         )
         self.world.send(source=node.address, to=call.edge, body=answer)
-        if call.epoch < epoch:
+        self._send_state(node=node, call=call)
+
+    def _send_state(self, *, node: NodeView, call: RenewCall) -> None:
+        if call.epoch < node.machine.state.epoch:
             state = StateAnswer(doc=node.machine.doc())
             self.world.send(source=node.address, to=call.edge, body=state)
 
+    # --- the membership of edges --------------------------------------------------------------
+
+    def _is_changing(self, *, work: Work) -> bool:
+        """Is another change of this leader proposed, and not yet applied?"""
+        return any(
+            other.lease_table is work.lease_table and other.stage == PROPOSED
+            for other in self._work.values()
+        )
+
+    def _may_propose(self, *, node: NodeView, work: Work) -> bool:
+        """One change at a time, when the one before it is settled."""
+        state = node.machine.state
+        return not self._is_changing(work=work) and core.lease_table_settled(
+            node.lease_table, state=state, epoch=state.epoch, now_us=self.world.now_us
+        )
+
+    def _begin_membership_change(self, *, node: NodeView) -> None:
+        """A leader looks now and then whether an edge is to join or to be removed."""
+        is_begun = any(
+            work.lease_table is node.lease_table and isinstance(work.call, MembershipCall)
+            for work in self._work.values()
+        )
+        if not is_begun and self._membership_command(node=node):
+            self._begin(node=node, source=node.address, call=MembershipCall())
+
+    def _membership_command(self, *, node: NodeView) -> bytes:
+        state = node.machine.state
+        joining = {
+            name: is_observer
+            for name, is_observer in self._joining.items()
+            if name in self.edges and not self.edges[name].lease_holder.has_left
+            if name not in state.membership or is_observer != (name in state.observers)
+        }
+        if joining:
+            return core.join_bytes(edges=joining)
+        now_us = self.world.now_us
+        if not core.has_edge_quorum(node.lease_table, state=state, now_us=now_us):
+            return b""
+        return core.removal_bytes(
+            node.lease_table, state=state, tolerance=self._scope.tolerance, now_us=now_us
+        )
+
+    def _propose_membership(self, *, node: NodeView, token: int, work: Work) -> None:
+        if not self._may_propose(node=node, work=work):
+            return
+        data = self._membership_command(node=node)
+        if not data:
+            del self._work[token]
+            return
+        work.stage = PROPOSED
+        node.take(core.Propose(kind=core.COMMAND, data=data, token=token))
+
     # --- orders -------------------------------------------------------------------------------
 
     def _look_up(self, *, node: NodeView, token: int, work: Work) -> None:
@@ -179,9 +271,7 @@
         The state machine checks it once more, against what is in force at its index.
         """
         order, state = work.call.order, node.machine.state
-        if not core.lease_table_settled(
-            node.lease_table, state=state, epoch=state.epoch, now_us=self.world.now_us
-        ):
+        if not self._may_propose(node=node, work=work):
             return
         work.stage = PROPOSED
         data = core.order_bytes(
@@ -208,8 +298,12 @@
     def applied(self, *, node: NodeView, token: int, outcome: Any) -> None:
         """The state machine decided an order that was proposed here."""
         work = self._work.get(token)
-        if work is not None:
-            self._decided(node=node, token=token, work=work, outcome=outcome)
+        if work is None:
+            return
+        if isinstance(work.call, MembershipCall):
+            del self._work[token]
+            return
+        self._decided(node=node, token=token, work=work, outcome=outcome)
 
     def _decided(self, *, node: NodeView, token: int, work: Work, outcome: Any) -> None:
         if core.is_unclear(outcome):
@@ -244,7 +338,9 @@
         self.world.send(source=node.address, to=work.source, body=answer)
 
     def tick(self, *, node: NodeView) -> None:
-        """Orders that wait for a settled epoch are looked at again."""
+        """Orders that wait for a settled epoch are looked at again, and the membership."""
+        if core.role_of(node.replica) == core.LEADER:
+            self._begin_membership_change(node=node)
         waiting = [
             (token, work)
             for token, work in self._work.items()
@@ -257,6 +353,8 @@
                 self._settle(node=node, token=token, work=work)
             elif core.role_of(node.replica) != core.LEADER:
                 del self._work[token]
+            elif isinstance(work.call, MembershipCall):
+                self._propose_membership(node=node, token=token, work=work)
             else:
                 self._propose(node=node, token=token, work=work)
 
@@ -271,7 +369,9 @@
         if name in self.operators:
             self.operators[name].hear(answer=body)
             return
-        edge = self.edges[name]
+        edge = self.edges.get(name)
+        if edge is None:
+            return  # gone for good
         if isinstance(body, StateAnswer):
             core.install(edge.lease_holder, doc=body.doc, now_us=self.world.now_us)
         elif body.incarnation == edge.incarnation:
@@ -286,9 +386,33 @@
             incarnation=edge.incarnation,
             epoch=edge.lease_holder.epoch,
             sent_us=self.world.now_us,
+            is_observer=edge.is_observer,
         )
         self.world.send(source=edge.name, to=to, body=call)
 
+    def edge_at(self, place: int) -> Edge:
+        """An edge by its place, counted round."""
+        names = list(self.edges)
+        return self.edges[names[place % len(names)]]
+
+    def leave_edge(self, *, edge: Edge, to: str) -> None:
+        """An edge stops serving and confirming, and says so."""
+        core.leave(edge.lease_holder)
+        call = LeaveEdgeCall(edge=edge.name, incarnation=edge.incarnation)
+        self.world.send(source=edge.name, to=to, body=call)
+
+    def replace_edge(self, *, edge: Edge) -> None:
+        """An edge is gone for good without a word; one of another name comes in its place."""
+        number = int(edge.name.partition(".")[2] or 0) + 1
+        name = f"{edge.name.partition('.')[0]}.{number}"
+        fresh = Edge(
+            name=name, lease_holder=core.LeaseHolder(me=name), is_observer=edge.is_observer
+        )
+        self.edges = {
+            (name if other is edge else other.name): (fresh if other is edge else other)
+            for other in self.edges.values()
+        }
+
     def restart_edge(self, *, edge: Edge) -> None:
         """An edge starts anew and has forgotten everything."""
         edge.incarnation += 1
--- a/kelpstage/testbed/model/walk.py
+++ b/kelpstage/testbed/model/walk.py
@@ -64,6 +64,18 @@
     "renew": 40,
     "order": 50,
 }
+EDGES = CUTS | {
+    "mute": 12,
+    "mute_most": 8,
+    "unmute": 10,
+    "leave_edge": 3,
+    "replace_edge": 3,
+    "restart_edge": 4,
+    "busy": 40,
+    "rounds": 80,
+    "isolate": 3,
+    "transfer": 4,
+}
 HALVES = CUTS | {"halves": 15, "heal": 20, "wipe": 5, "isolate": 1}
 PROFILES = {
     "chaos": CHAOS,
@@ -71,6 +83,7 @@
     "elections": ELECTIONS,
     "cuts": CUTS,
     "halves": HALVES,
+    "edges": EDGES,
 }
 
 
@@ -124,7 +137,7 @@
         return rand.choice([2, 10, 45])
     if name in ("order", "repeat"):
         return rand.randrange(max(1, world.scope.operators))
-    if name in ("renew", "mute", "restart_edge"):
+    if name in ("renew", "mute", "restart_edge", "leave_edge", "replace_edge", "mute_most"):
         return rand.randrange(max(1, world.scope.edges))
     return rand.randrange(world.scope.machines)
 
@@ -142,7 +155,7 @@
     if name == "isolate":
         return rand.randrange(3)
     place = rand.randrange(machines)
-    if name in ("order", "repeat", "renew"):
+    if name in ("order", "repeat", "renew", "leave_edge"):
         leader = world.leader()
         if leader is not None and rand.random() < 0.8:
             place = list(world.nodes).index(leader.address)
@@ -156,6 +169,9 @@
     bounded virtual time; then a new order is acknowledged."""
     world.cuts.clear()
     world.muted.clear()
+    for edge in world.sessions.edges.values():
+        if edge.lease_holder.has_left:
+            world.sessions.restart_edge(edge=edge)
     for node in world.nodes.values():
         if not node.is_up:
             node.start()
--- a/tests/model_mutants.py
+++ b/tests/model_mutants.py
@@ -261,6 +261,25 @@
     return patched(core, "take_lease", take_late)
 
 
+def observer_confirms_for_ever() -> contextlib.AbstractContextManager:
+    """An observer confirms its epoch without a bound."""
+    return core.patch_may_confirm(
+        lambda holder: (
+            holder.first_leased_epoch is not None and holder.epoch >= holder.first_leased_epoch
+        )
+    )
+
+
+def observers_not_waited_for() -> contextlib.AbstractContextManager:
+    """A leader takes it that whoever lacks an epoch confirms nothing any more."""
+    return patched(core.LeaseTable, "_may_confirm_older", lambda *_, **__: False)
+
+
+def membership_before_forgotten() -> contextlib.AbstractContextManager:
+    """An epoch is settled by the newest membership alone."""
+    return core.patch_previous_membership()
+
+
 def learner_never_raised() -> contextlib.AbstractContextManager:
     """A learner that has caught up is not made a voter."""
     return core.patch_caught_up(lambda state, *, name: False)
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -18,6 +18,7 @@
 
 THREE = Scope(machines=3, voters=3, tolerance=1)
 THREE_EDGES = Scope(machines=3, voters=3, tolerance=1, edges=3)
+OBSERVERS = Scope(machines=3, voters=3, tolerance=1, edges=7, observers=4)
 LOG_ONLY = Scope(machines=3, voters=3, tolerance=1, operators=0, edges=0)
 FIVE = Scope(machines=5, voters=5, tolerance=2)
 WITH_SPARE = Scope(machines=4, voters=3, tolerance=1, edges=3)
@@ -81,6 +82,12 @@
             outcomes = self.walk(scope=scope, seeds=seeds, steps=2_000, profile="halves")
             self.assertGreater(sum(o.acknowledged for o in outcomes), len(seeds))
 
+    def test_edges_that_leave_are_replaced_or_cut_off(self) -> None:
+        """Edges leave, are cut off all together, and are replaced, while the lead changes."""
+        for scope in (OBSERVERS, THREE_EDGES):
+            outcomes = self.walk(scope=scope, seeds=range(6), steps=2_000, profile="edges")
+            self.assertGreater(sum(o.acknowledged for o in outcomes), 60)
+
     def test_three_voters(self) -> None:
         outcomes = self.walk(scope=THREE, seeds=range(30), steps=2_000, profile="chaos")
         self.assertGreater(sum(o.acknowledged for o in outcomes), 90)
@@ -341,6 +348,9 @@
     (mutants.lease_without_quorum, THREE_EDGES, "cuts", 29, checks.LEASE_FENCING),
     (mutants.acknowledged_unsettled, THREE, "chaos", 11, checks.LEASE_FENCING),
     (mutants.lease_from_arrival, THREE_EDGES, "cuts", 0, checks.LEASE_FENCING),
+    (mutants.observer_confirms_for_ever, OBSERVERS, "edges", 3, checks.CONFIRMATION_FENCING),
+    (mutants.observers_not_waited_for, OBSERVERS, "edges", 2, checks.CONFIRMATION_FENCING),
+    (mutants.membership_before_forgotten, OBSERVERS, "edges", 27, checks.CONFIRMATION_FENCING),
     (mutants.DedupLostInSnapshot, THREE, "chaos", 4, checks.NO_LATE_REFUSAL),
     (mutants.RepeatRefused, THREE, "chaos", 15, checks.NO_LATE_REFUSAL),
     (mutants.snapshot_never_found, THREE, "chaos", 0, checks.LIVENESS),
