Soak: real processes under signals, restarts and changes that overlap, kept connections

A soak has series by a seed that run side by side: SIGTERM with other signals on top, SIGKILL, SIGSTOP, SIGHUP at single edges, at most of those whose loss is not counted, and at one counted machine at a time, with orders all the while. Callers keep a connection each and use it until the process is gone. At the end every process is killed; all serve within 12 s and an order is acknowledged within 5 s. Judged: nine checkers of the histories, what was lost on kept connections (a planned stop excuses nothing, a stopped process does), processes that outlive SIGTERM by 8 s, tracebacks in logs.

--- a/kelpstage/testbed/fleet/fleet.py
+++ b/kelpstage/testbed/fleet/fleet.py
@@ -38,6 +38,7 @@
     deployment: Deployment
     seed: int = 1
     pause_share: float = 0.002
+    has_observers: bool = False  # the machines without a disk; of the others one may be lost
     history: list[dict] = field(default_factory=list)
 
     def __post_init__(self) -> None:
@@ -145,6 +146,7 @@
                 "http": self.core_http[name],
                 "seeds": self._seeds(),
                 "data": str(data),
+                "bounds": {"tolerance": 1} if self.has_observers else {},
             }
             process = self.processes.add(
                 name=f"core-{name}", module="kelpstage.core.main", settings=settings, arguments=[]
@@ -165,6 +167,7 @@
                 "http": self.edge_http[name],
                 "seeds": self._seeds(),
                 "platform": f"http://{self.platform.address}/backends",
+                "observer": self.has_observers and not node.has_disk,
             }
             process = self.processes.add(
                 name=f"edge-{name}", module="kelpstage.edge.main", settings=settings, arguments=[]
@@ -389,13 +392,14 @@
         self.signal_core(name=name, number=signal.SIGTERM)
         await self.wait_for(what=f"core {name} to end", is_there=lambda: _is_ended(process))
         self.start_core(name=name)
-        await self.wait_for(what=f"core {name}", is_there=lambda: self._core_ready(name=name))
+        await self.wait_for(what=f"core {name}", is_there=lambda: self.is_core_ready(name=name))
 
     async def is_ready(self, *, name: str) -> bool:
         """Does this edge answer `/ready` with 200?"""
         return await self.get(address=self.edge_http[name], path="/ready") is not None
 
-    async def _core_ready(self, *, name: str) -> bool:
+    async def is_core_ready(self, *, name: str) -> bool:
+        """Does this core answer `/ready` with 200?"""
         return await self.get(address=self.core_http[name], path="/ready") is not None
 
     def configuration(self, *, cut: Cut | None = None, note: str = "", **more: Any) -> bytes:
--- a/kelpstage/testbed/fleet/processes.py
+++ b/kelpstage/testbed/fleet/processes.py
@@ -85,6 +85,16 @@
         if self.child is not None:
             self.child.wait(timeout=30)
 
+    def is_ended_within(self, *, seconds: float) -> bool:
+        """Wait for the process to end, for so long at most; did it?"""
+        if self.child is None:
+            return True
+        try:
+            self.child.wait(timeout=seconds)
+        except subprocess.TimeoutExpired:
+            return False
+        return True
+
     def cpu_us(self) -> int:
         """Processor time used so far, as the kernel counts it."""
         if not self.is_running:
--- a/kelpstage/testbed/main.py
+++ b/kelpstage/testbed/main.py
@@ -17,6 +17,7 @@
 from kelpstage.testbed.fleet.deployment import configuration_of, load, names
 from kelpstage.testbed.fleet.record import write_recording
 from kelpstage.testbed.fleet.scenario import run_scenario
+from kelpstage.testbed.fleet.soak import run_soak, soak_text
 from kelpstage.testbed.fleet.summary import summary_text, write_report
 from kelpstage.testbed.measure.choices import CHOICES, run_variant, summarize
 from kelpstage.testbed.measure.http import measure_http
@@ -105,6 +106,45 @@
     raise SystemExit(0 if is_good else 1)
 
 
+@app.command()
+def soak(
+    deployment: str = typer.Option("tiny", help=f"One of: {', '.join(names())}."),
+    seeds: str = typer.Option("1", help="Seeds, one soak each: 7, 1-40 or 3,5,8-9."),
+    seconds: float = typer.Option(30.0, min=5.0, max=7200.0, help="How long things are disturbed."),
+    callers: int = typer.Option(12, min=1, max=2000, help="Callers with a connection each."),
+    edges: int = typer.Option(0, min=0, max=250, help="Machines in all, if more than it has."),
+    quiet: bool = typer.Option(False, help="Print one line a soak."),
+) -> None:
+    """Real processes under signals, restarts and changes that overlap; judged at the end.
+
+    Callers use their connections until the process behind is gone. Exit code 1 if a rule was
+    broken. A process takes some 45 MB.
+    """
+    if deployment not in names():
+        _say_bad(f"no deployment {deployment!r}; there are: {', '.join(names())}")
+    broken = 0
+    for seed in read_seeds(text=seeds):
+        started = time.monotonic()
+
+        def say(text: str, since: float = started) -> None:
+            if not quiet:
+                print(f"[{time.monotonic() - since:6.1f} s] {text}", file=sys.stderr, flush=True)
+
+        result = asyncio.run(
+            run_soak(
+                name=deployment,
+                seed=seed,
+                seconds=seconds,
+                callers=callers,
+                edges=edges,
+                say=say,
+            )
+        )
+        broken += bool(result.violations)
+        print(soak_text(result=result), flush=True)
+    raise SystemExit(1 if broken else 0)
+
+
 def _say_bad(text: str) -> None:
     print(text, file=sys.stderr)
     raise SystemExit(2)
--- a/kelpstage/testbed/stand_ins/callers.py
+++ b/kelpstage/testbed/stand_ins/callers.py
@@ -25,6 +25,17 @@
     is_single: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class PreparedCall:
+    """A call that is about to be sent, and the row of the history that it becomes."""
+
+    kind: Kind
+    call: HttpCall
+    query: str
+    single: tuple[str, int] | None  # shard and number of the record that is asked for
+    row: dict[str, Any]
+
+
 @dataclass(kw_only=True)
 class Callers:
     """Sends calls at the rates of a deployment and checks the replies."""
@@ -58,13 +69,29 @@
 
         Without a ready node the row ends in `no_node` at once.
         """
-        rand = self.ports.rand
+        node = self.platform.hand_on(zone=self.ports.rand.choice(self.zones))
+        if node is None:
+            row = self._row(kind=kind, node=None)
+            row |= {"end": "no_node", "done_us": row["sent_us"], "status": 0}
+            self.note(row)
+            return
+        prepared = self.prepare(kind=kind, node=node)
+        self.in_flight += 1
+        reply = await self.ports.net.fetch(call=prepared.call)
+        self.in_flight -= 1
+        if not isinstance(reply, KelpstageError):
+            self.note_reply(prepared=prepared, reply=reply)
+            return
+        if isinstance(reply, ConnectError):
+            self.platform.forget(name=node)
+        done = {"done_us": self.ports.clock.now_us(), "end": reply.kind, "status": 0}
+        self.note(prepared.row | done)
+
+    def _row(self, *, kind: Kind, node: str | None) -> dict[str, Any]:
         self.serial += 1
-        name = f"{kind.name}-{self.serial}"
-        node = self.platform.hand_on(zone=rand.choice(self.zones))
-        row: dict[str, Any] = {
+        return {
             "event": "call",
-            "call": name,
+            "call": f"{kind.name}-{self.serial}",
             "kind": kind.name,
             "node": node,
             "sent_us": self.ports.clock.now_us(),
@@ -73,14 +100,14 @@
             "quorum": 1 if kind.is_single else self.quorum,
             "time_left_us": kind.time_left_us,
         }
-        if node is None:
-            row |= {"end": "no_node", "done_us": row["sent_us"], "status": 0}
-            self.note(row)
-            return
-        query = rand.choice(QUERIES)
-        call, expected_shard = self._shape(kind=kind, name=name, node=node, query=query)
-        if expected_shard is not None:
-            row |= {"shard": expected_shard[0], "asked_cut": self.current_cut()}
+
+    def prepare(self, *, kind: Kind, node: str) -> PreparedCall:
+        """A call of a kind to a node, with what its reply is compared to."""
+        row = self._row(kind=kind, node=node)
+        query = self.ports.rand.choice(QUERIES)
+        call, expected = self._shape(kind=kind, name=row["call"], node=node, query=query)
+        if expected is not None:
+            row |= {"shard": expected[0], "asked_cut": self.current_cut()}
         row["ask"] = {
             "method": call.method,
             "path": "/" + call.url.split("/", 3)[3],
@@ -88,17 +115,19 @@
             "content_type": "application/json",
             "body": base64.b64encode(call.body).decode(),
         }
-        self.in_flight += 1
-        reply = await self.ports.net.fetch(call=call)
-        self.in_flight -= 1
-        row["done_us"] = self.ports.clock.now_us()
-        if isinstance(reply, KelpstageError):
-            if isinstance(reply, ConnectError):
-                self.platform.forget(name=node)
-            row |= {"end": reply.kind, "status": 0}
-        else:
-            row |= self.judge(kind=kind, reply=reply, query=query, single=expected_shard)
-        self.note(row)
+        return PreparedCall(kind=kind, call=call, query=query, single=expected, row=row)
+
+    def note_reply(self, *, prepared: PreparedCall, reply: HttpReply) -> None:
+        """Judge a reply, and note the call."""
+        judged = self.judge(
+            kind=prepared.kind, reply=reply, query=prepared.query, single=prepared.single
+        )
+        self.note(prepared.row | {"done_us": self.ports.clock.now_us()} | judged)
+
+    def note_unanswered(self, *, prepared: PreparedCall, end: str) -> None:
+        """Note a call on a kept connection that got no complete reply."""
+        done = {"event": "kept_call", "done_us": self.ports.clock.now_us(), "end": end}
+        self.note(prepared.row | done | {"status": 0})
 
     def _shape(
         self, *, kind: Kind, name: str, node: str, query: str
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -64,7 +64,7 @@
 def outcomes_of(jobs: list[str]) -> Iterator[Outcome]:
     """Run the jobs in several processes; what runs real processes comes last, alone, so
     that nothing competes with it."""
-    alone = [name for name in jobs if ".test_live" in name]
+    alone = [name for name in jobs if ".test_live" in name or ".test_soak.Soak." in name]
     with ProcessPoolExecutor(max_workers=os.cpu_count() or 2) as pool:
         yield from pool.map(run_one, [name for name in jobs if name not in alone])
     for name in alone:
