--- a/tests/membership_days.py
+++ b/tests/membership_scenarios.py
@@ -1,4 +1,4 @@
-"""Simulated days on which edges leave, fall silent, stand still or are replaced, while
+"""Simulated scenarios in which edges leave, fall silent, stand still or are replaced, while
 changes are ordered, the lead changes and every edge is watched for what it serves.
 
 Ten machines, three of which have a disk, a core and a voting edge; at most one of those is
@@ -28,7 +28,7 @@
 
 
 @dataclass(kw_only=True)
-class MembershipDay:
+class ScenarioRun:
     """One fleet, its operator, and what was seen that may not be."""
 
     fleet: SimFleet
@@ -183,7 +183,7 @@
             self.fleet.daemons[f"core/{leader}"].task.inbox.put_nowait(TransferLeadership())
 
     async def close(self) -> None:
-        """Every process is killed, as the last fault of a day; all serve soon after."""
+        """Every process is killed, as the last fault of a scenario; all serve soon after."""
         for name in self.names():
             self.cut_power(name=name)
         await self.fleet.sleep(us=1_000_000)
@@ -203,22 +203,22 @@
             await self.fleet.sleep(us=LOOK_US)
 
 
-Story = Callable[[MembershipDay], Awaitable[None]]
+Scenario = Callable[[ScenarioRun], Awaitable[None]]
 
 
-def run_day(story: Story, *, seed: int, deployment: str = "senegal") -> list[str]:
-    """Play a story; what was seen that may not be."""
-    days: list[MembershipDay] = []
+def run_scenario(scenario: Scenario, *, seed: int, deployment: str = "senegal") -> list[str]:
+    """Play a scenario; what was seen that may not be."""
+    runs: list[ScenarioRun] = []
 
-    async def scenario(fleet: SimFleet) -> None:
+    async def play(fleet: SimFleet) -> None:
         await fleet.bring_up()
-        day = MembershipDay(fleet=fleet, rand=random.Random(f"{seed}/membership"))
-        days.append(day)
-        day.acknowledged.append((fleet.now_us(), fleet.version))
-        watching = asyncio.ensure_future(day.watch())
-        await story(day)
-        day.is_open = False
+        run = ScenarioRun(fleet=fleet, rand=random.Random(f"{seed}/membership"))
+        runs.append(run)
+        run.acknowledged.append((fleet.now_us(), fleet.version))
+        watching = asyncio.ensure_future(run.watch())
+        await scenario(run)
+        run.is_open = False
         await watching
 
-    run_sim(seed=seed, deployment=load(name=deployment), scenario=scenario, has_observers=True)
-    return days[0].violations
+    run_sim(seed=seed, deployment=load(name=deployment), scenario=play, has_observers=True)
+    return runs[0].violations
