--- a/kelpstage/testbed/fleet/soak.py
+++ b/kelpstage/testbed/fleet/soak.py
@@ -11,6 +11,7 @@
 import random
 import signal
 from dataclasses import dataclass, field, replace
+from functools import partial
 from typing import Any, Awaitable, Callable
 
 from kelpstage.testbed.fleet.deployment import Deployment, Node, load
@@ -168,7 +169,7 @@
             if self._fleet.processes.all[f"edge-{name}"].is_running:
                 await self._fleet.wait_for(
                     what=f"{name} to be ready",
-                    is_there=lambda name=name: self._fleet.is_ready(name=name),
+                    is_there=partial(self._fleet.is_ready, name=name),
                 )
 
     # --- what is done to processes -------------------------------------------------------
