Operators see who votes, who has left, and whether the newest epoch is settled

Cause: when a change isn't acknowledged, status and metrics said which edges are behind, but not which of them may hold it up: an edge that left and one that is cut off looked alike, and an observer's silence like a voting member's.

Change: GET /v1/roster and a leader's status carry is_settled, and for each edge is_voting and has_left; kelpctl shows them; gauges kelpstage_membership_voting_members and kelpstage_epoch_settled. Voting members are worked out once a membership instead of once an edge: with most of a large fleet silent, the count took steps that grow with its square.

Tests: test_edge_membership asks for the view while an observer left and another lost power, before and after the change settles. test_compatibility demanded that these replies have exactly the fields of 0.1.0; it demands exactly those and a named list now, as it does for the kinds of errors.

--- a/kelpstage/cli/views/status.py
+++ b/kelpstage/cli/views/status.py
@@ -12,21 +12,27 @@
 def membership_text(*, view: dict[str, Any]) -> str:
     """The membership as a table.
 
-    >>> membership_text(view={"epoch": 1, "version": 2, "edges": []})
-    'version 2, epoch 1\\nedge  zone  epoch  behind  heard ago (us)'
+    >>> membership_text(view={"epoch": 1, "version": 2, "is_settled": False, "edges": []})
+    'version 2, epoch 1, not settled\\nedge  zone  votes  epoch  behind  heard ago (us)'
     """
-    rows = [
-        [
-            row["edge"],
-            row["domain"],
-            row["epoch"],
-            "yes" if row["is_behind"] else "no",
-            row["heard_us_ago"],
-        ]
-        for row in view["edges"]
+    rows = [_membership_row(row=row) for row in view["edges"]]
+    head = f"version {view['version']}, epoch {view['epoch']}"
+    if not view.get("is_settled", True):  # a core of an older version does not say
+        head += ", not settled"
+    heads = ["edge", "zone", "votes", "epoch", "behind", "heard ago (us)"]
+    return f"{head}\n" + table(rows=rows, heads=heads)
+
+
+def _membership_row(*, row: dict[str, Any]) -> list[Any]:
+    behind = "yes" if row["is_behind"] else "no"
+    return [
+        row["edge"],
+        row["domain"],
+        "yes" if row.get("is_voting", True) else "no",
+        row["epoch"],
+        "left" if row.get("has_left") else behind,
+        row["heard_us_ago"],
     ]
-    head = f"version {view['version']}, epoch {view['epoch']}\n"
-    return head + table(rows=rows, heads=["edge", "zone", "epoch", "behind", "heard ago (us)"])
 
 
 def status_text(*, view: dict[str, Any]) -> str:
@@ -50,7 +56,9 @@
             f" {margin['losses_wanted']} are wanted, for {margin['since_us_ago']} us now"
         )
     if "roster" in view:
-        body = {"epoch": view["epoch"], "version": view["version"], "edges": view["roster"]}
+        body = view | {"edges": view["roster"]}
+        if not view.get("is_settled", True):
+            lines.append(f"  epoch {view['epoch']} is not settled")
         lines += ["  " + line for line in membership_text(view=body).splitlines()[1:]]
     return "\n".join(lines)
 
--- a/kelpstage/common/edge_membership.py
+++ b/kelpstage/common/edge_membership.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Collection
 
 
@@ -29,12 +30,16 @@
         """A membership from lists, as messages carry them."""
         return EdgeMembership(names=tuple(names), observers=frozenset(observers))
 
-    @property
+    @cached_property
     def voters(self) -> tuple[str, ...]:
         """The voting members: all but the observers, or all if there are only observers."""
         voters = tuple(name for name in self.names if name not in self.observers)
         return voters or self.names
 
+    @cached_property
+    def _not_voting(self) -> frozenset[str]:
+        return self.observers.difference(self.voters)
+
     def has_majority(self, names: Collection[str]) -> bool:
         """Are these more than half of all members, or more than half of the voting ones?
 
@@ -52,4 +57,4 @@
 
     def is_observer(self, name: str) -> bool:
         """Is this member an observer, whose silence holds up nothing for long?"""
-        return name in self.observers and name not in self.voters
+        return name in self._not_voting
--- a/kelpstage/core/web/metrics.py
+++ b/kelpstage/core/web/metrics.py
@@ -13,6 +13,7 @@
 from kelpstage.core.leases.lease_service import LeaseService
 from kelpstage.core.raft.types import Role
 from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.state.replicated_state import edge_membership
 
 MICROS = 1_000_000
 
@@ -128,6 +129,16 @@
     yield MetricFamily.gauge(
         "kelpstage_membership_size", "Edges in the replicated membership.", len(state.membership)
     )
+    yield MetricFamily.gauge(
+        "kelpstage_membership_voting_members",
+        "Edges of the replicated membership whose silence may hold up a change.",
+        len(edge_membership(state=state).voters),
+    )
+    yield MetricFamily.gauge(
+        "kelpstage_epoch_settled",
+        "At the leader: 1 when no edge can serve an epoch older than the newest.",
+        int(task.is_leader and lease_service.is_settled(epoch=state.epoch)),
+    )
     holders = (lease_service.lease_table.holder(edge=edge) for edge in state.membership)
     yield MetricFamily.gauge(
         "kelpstage_edges_behind",
--- a/kelpstage/core/web/views.py
+++ b/kelpstage/core/web/views.py
@@ -15,6 +15,7 @@
 from kelpstage.core.context import OperatorContext
 from kelpstage.core.leases.lease_service import LeaseService
 from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.state.replicated_state import edge_membership
 
 
 def membership_view(
@@ -22,8 +23,9 @@
 ) -> dict[str, Any]:
     """The membership with what the leader knows of each edge."""
     state = task.machine.state
+    membership = edge_membership(state=state)
     rows = []
-    for edge in state.membership:
+    for edge in membership.names:
         holder = lease_service.lease_table.holder(edge=edge)
         has_reported = holder is not None and holder.heard_us > 0
         contact = holder.contact if holder is not None and has_reported else None
@@ -33,11 +35,18 @@
                 "epoch": holder.epoch if holder else 0,
                 "is_behind": not holder or holder.epoch < state.epoch,
                 "heard_us_ago": now_us - holder.heard_us if holder and has_reported else None,
+                "is_voting": not membership.is_observer(edge),
+                "has_left": lease_service.lease_table.has_left(edge=edge),
                 "address": contact.address if contact else None,
                 "domain": contact.zone if contact else None,
             }
         )
-    return {"epoch": state.epoch, "version": state.version, "edges": rows}
+    return {
+        "epoch": state.epoch,
+        "version": state.version,
+        "is_settled": lease_service.is_settled(epoch=state.epoch),
+        "edges": rows,
+    }
 
 
 def _log_view(*, task: ReplicaTask) -> dict[str, int]:
@@ -90,6 +99,7 @@
         membership = membership_view(
             task=task, lease_service=core.lease_service, now_us=core.ports.clock.now_us()
         )
+        view["is_settled"] = membership["is_settled"]
         view["roster"] = membership["edges"]
     return view
 
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -463,6 +463,25 @@
         return kind(**dict(zip(names, values.values(), strict=True)))
 
 
+# Fields added after 0.1.0 to what cores say of the membership; none is ever taken away.
+MEMBERSHIP_FIELDS_SINCE = ("is_settled",)
+EDGE_FIELDS_SINCE = ("has_left", "is_voting")
+EDGES_IN = {"/v1/roster": "edges", "/v1/status": "roster"}
+
+
+def with_fields_since(*, row: Json) -> Json:
+    """The reply that is expected now: the one of 0.1.0 with the fields added since."""
+    reply = row["reply"]
+    rows_name = EDGES_IN.get(row["request"]["path"])
+    if rows_name is None or rows_name not in reply.get("rows", {}):
+        return reply
+    edge_fields = sorted([*reply["rows"][rows_name], *EDGE_FIELDS_SINCE])
+    return reply | {
+        "fields": sorted([*reply["fields"], *MEMBERSHIP_FIELDS_SINCE]),
+        "rows": reply["rows"] | {rows_name: edge_fields},
+    }
+
+
 class PublicHttp(unittest.TestCase):
     def test_paths_headers_and_fields_are_those_of_before(self) -> None:
         expected = load_json(name="http.json")
@@ -486,7 +505,7 @@
         for row, reply in zip(expected["requests"], replies, strict=True):
             request = row["request"]
             with self.subTest(to=request["to"], method=request["method"], path=request["path"]):
-                self.assertEqual(row["reply"], reply)
+                self.assertEqual(with_fields_since(row=row), reply)
         self.assertCountEqual(expected["backend_calls"], backend_calls)
 
 
--- a/tests/test_edge_membership.py
+++ b/tests/test_edge_membership.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import itertools
+import json
 import unittest
+from typing import Any
 
 from kelpstage.common.configuration.types import Configuration
 from kelpstage.common.edge_membership import EdgeMembership
@@ -14,6 +17,7 @@
     OBSERVER_MARGIN_US,
     OBSERVER_SPAN_US,
 )
+from kelpstage.common.ports.interfaces import HttpCall, HttpReply
 from kelpstage.common.transport.messages import LeaseReply, StateDoc
 from kelpstage.core.leases.lease_table import LeaseTable
 from kelpstage.core.leases.membership_changes import (
@@ -25,6 +29,8 @@
 from kelpstage.core.state.machine import Machine
 from kelpstage.core.state.replicated_state import edge_membership, previous_edge_membership
 from kelpstage.edge.lease.lease_holder import LeaseHolder
+from kelpstage.testbed.fleet.deployment import load
+from kelpstage.testbed.simulation.fleet import SimFleet, run_sim
 
 LATE_US = OBSERVER_SPAN_US + OBSERVER_MARGIN_US
 VERY_LATE_US = 10 * LATE_US
@@ -270,5 +276,42 @@
         self.assertIsNone(previous_edge_membership(state=self.machine.state))
 
 
+async def membership_seen(fleet: SimFleet) -> dict[str, Any]:
+    """The membership as the leader tells it to operators."""
+    leader = fleet.leader()
+    assert leader is not None
+    call = HttpCall(method="GET", url=f"http://{fleet.core_http(name=leader)}/v1/roster")
+    reply = await fleet.outside.ports.net.fetch(call=call)
+    assert isinstance(reply, HttpReply)
+    return json.loads(reply.body)
+
+
+class ShownToOperators(unittest.TestCase):
+    def test_who_votes_who_has_left_and_whether_the_epoch_is_settled(self) -> None:
+        """Guards against a change that is held up while nothing shows by whom."""
+        seen: list[dict[str, Any]] = []
+
+        async def scenario(fleet: SimFleet) -> None:
+            await fleet.bring_up()
+            nodes = fleet.deployment.nodes
+            left, dark = [node.name for node in nodes if not node.has_disk][:2]
+            await fleet.stop_edge(name=left)
+            fleet.processes[f"edge/{dark}"].kill(is_power=True)
+            put = asyncio.ensure_future(fleet.put_next())
+            await fleet.sleep(us=500_000)
+            seen.append(await membership_seen(fleet))
+            await put
+            seen.append(await membership_seen(fleet))
+            rows = {row["edge"]: row for row in seen[0]["edges"]}
+            self.assertTrue(rows[left]["has_left"])
+            self.assertTrue(rows[dark]["is_behind"])
+            self.assertFalse(rows[dark]["has_left"])
+            voting = {name for name, row in rows.items() if row["is_voting"]}
+            self.assertEqual({node.name for node in nodes if node.has_disk}, voting)
+
+        run_sim(seed=1, deployment=load(name="senegal"), scenario=scenario, has_observers=True)
+        self.assertEqual([False, True], [view["is_settled"] for view in seen])
+
+
 if __name__ == "__main__":
     unittest.main()
