--- a/kelpstage/testbed/fleet/fleet.py
+++ b/kelpstage/testbed/fleet/fleet.py
@@ -18,7 +18,7 @@
 from kelpstage.testbed.checkers.history import HistoryWriter
 from kelpstage.testbed.fleet.deployment import Deployment, configuration_of, digest_of, facts_of
 from kelpstage.testbed.fleet.machine import NOISY_LAG_US
-from kelpstage.testbed.fleet.processes import Process, Processes
+from kelpstage.testbed.fleet.processes import PORTS, PortPool, Process, Processes
 from kelpstage.testbed.stand_ins.callers import Callers
 from kelpstage.testbed.stand_ins.platform import Platform
 from kelpstage.testbed.stand_ins.records import Cut
@@ -39,12 +39,13 @@
     seed: int = 1
     pause_share: float = 0.002
     has_observers: bool = False  # the machines without a disk; of the others one may be lost
+    port_range: range = PORTS
     history: list[dict] = field(default_factory=list)
 
     def __post_init__(self) -> None:
         self.ports = live_ports(data_folder=None)
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="kelpstage-testbed-"))
-        self.processes = Processes(folder=self.folder)
+        self.processes = Processes(folder=self.folder, ports=PortPool(ports=self.port_range))
         take = self.processes.ports.take
         deployment = self.deployment
         self.core_nodes = [node for node in deployment.nodes if node.has_disk]
--- a/kelpstage/testbed/fleet/processes.py
+++ b/kelpstage/testbed/fleet/processes.py
@@ -15,24 +15,28 @@
 import sys
 from dataclasses import dataclass, field
 
-LOW_PORT, HIGH_PORT = 20_000, 32_000
+PORTS = range(20_000, 32_000)
 
 
 class PortPool:
     """Free loopback ports, each free for TCP and UDP when it was given out.
 
+    Runs side by side take theirs from different ranges: a port is free while the process that
+    it was given to restarts.
+
     >>> pool = PortPool(); pool.take() != pool.take()
     True
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, ports: range = PORTS) -> None:
+        self._ports = ports
         self._rand = random.Random(os.getpid())
         self._given: set[int] = set()
 
     def take(self) -> str:
         """A loopback address, `host:port`, that this pool never returned before."""
         while True:
-            port = self._rand.randrange(LOW_PORT, HIGH_PORT)
+            port = self._rand.choice(self._ports)
             if port in self._given or not self._is_free(port=port):
                 continue
             self._given.add(port)
@@ -108,7 +112,7 @@
     """All children of one run, in one folder."""
 
     folder: pathlib.Path
-    ports: PortPool = field(default_factory=PortPool)
+    ports: PortPool
     all: dict[str, Process] = field(default_factory=dict)
 
     def add(
--- a/kelpstage/testbed/fleet/soak.py
+++ b/kelpstage/testbed/fleet/soak.py
@@ -15,7 +15,8 @@
 from typing import Any, Awaitable, Callable
 
 from kelpstage.testbed.fleet.deployment import Deployment, Node, load
-from kelpstage.testbed.fleet.fleet import Fleet
+from kelpstage.testbed.fleet.fleet import Fleet, FleetTimeoutError
+from kelpstage.testbed.fleet.processes import PORTS
 from kelpstage.testbed.fleet.scenario import bring_up
 from kelpstage.testbed.fleet.soak_rules import find_violations
 from kelpstage.testbed.stand_ins.kept_callers import KeptCallers
@@ -44,6 +45,7 @@
     disturbances: dict[str, int]
     violations: list[str]
     logs: dict[str, str] = field(repr=False)
+    history: list[dict[str, Any]] = field(repr=False, default_factory=list)
 
 
 def soak_text(*, result: SoakResult) -> str:
@@ -332,10 +334,17 @@
     callers: int,
     edges: int,
     say: Callable[[str], None],
+    port_range: range = PORTS,
 ) -> SoakResult:
     """One soak of a deployment, enlarged to so many machines; what it came to."""
     deployment = enlarged(deployment=load(name=name), edges=edges)
-    fleet = Fleet(deployment=deployment, seed=seed, pause_share=0.0, has_observers=True)
+    fleet = Fleet(
+        deployment=deployment,
+        seed=seed,
+        pause_share=0.0,
+        has_observers=True,
+        port_range=port_range,
+    )
     soak = Soak(fleet=fleet, seed=seed, say=say)
     kept = KeptCallers(callers=fleet.callers)
     logs: dict[str, str] = {}
@@ -346,6 +355,8 @@
         await kept.stop()
         await fleet.collect_receipts()
         await fleet.read_back()
+    except* FleetTimeoutError as errors:
+        soak.violations += [str(error) for error in errors.exceptions]
     finally:
         logs = fleet.stop()
     rows = [row for row in fleet.history if row["event"] in ("call", "kept_call")]
@@ -358,4 +369,5 @@
         disturbances=dict(sorted(soak.disturbances.items())),
         violations=soak.violations + find_violations(history=fleet.history, logs=logs),
         logs=logs,
+        history=fleet.history,
     )
--- a/kelpstage/testbed/main.py
+++ b/kelpstage/testbed/main.py
@@ -17,7 +17,8 @@
 from kelpstage.testbed.fleet.deployment import configuration_of, load, names
 from kelpstage.testbed.fleet.record import write_recording
 from kelpstage.testbed.fleet.scenario import run_scenario
-from kelpstage.testbed.fleet.soak import run_soak, soak_text
+from kelpstage.testbed.fleet.soak import soak_text
+from kelpstage.testbed.fleet.soak_runs import SoakPlan, run_soaks, write_soak_report
 from kelpstage.testbed.fleet.summary import summary_text, write_report
 from kelpstage.testbed.measure.choices import CHOICES, run_variant, summarize
 from kelpstage.testbed.measure.http import measure_http
@@ -113,6 +114,8 @@
     seconds: float = typer.Option(30.0, min=5.0, max=7200.0, help="How long things are disturbed."),
     callers: int = typer.Option(12, min=1, max=2000, help="Callers with a connection each."),
     edges: int = typer.Option(0, min=0, max=250, help="Machines in all, if more than it has."),
+    jobs: int = typer.Option(1, min=1, max=8, help="Soaks side by side."),
+    reports: Optional[Path] = typer.Option(None, help="Write logs of those not kept here."),
     quiet: bool = typer.Option(False, help="Print one line a soak."),
 ) -> None:
     """Real processes under signals, restarts and changes that overlap; judged at the end.
@@ -122,26 +125,25 @@
     """
     if deployment not in names():
         _say_bad(f"no deployment {deployment!r}; there are: {', '.join(names())}")
-    broken = 0
-    for seed in read_seeds(text=seeds):
-        started = time.monotonic()
-
-        def say(text: str, since: float = started) -> None:
-            if not quiet:
-                print(f"[{time.monotonic() - since:6.1f} s] {text}", file=sys.stderr, flush=True)
-
-        result = asyncio.run(
-            run_soak(
-                name=deployment,
-                seed=seed,
-                seconds=seconds,
-                callers=callers,
-                edges=edges,
-                say=say,
-            )
+    plans = [
+        SoakPlan(
+            deployment=deployment,
+            seed=seed,
+            seconds=seconds,
+            callers=callers,
+            edges=edges,
+            is_quiet=quiet,
         )
-        broken += bool(result.violations)
+        for seed in read_seeds(text=seeds)
+    ]
+    broken = 0
+    for result in run_soaks(plans=plans, jobs=jobs):
         print(soak_text(result=result), flush=True)
+        if result.violations:
+            broken += 1
+            if reports is not None:
+                write_soak_report(folder=reports / f"seed-{result.seed}", result=result)
+    print(f"{len(plans) - broken} of {len(plans)} soaks kept")
     raise SystemExit(1 if broken else 0)
 
 
