--- /dev/null
+++ b/kelpstage/testbed/fleet/process_faults.py
@@ -0,0 +1,106 @@
+"""What a soak does to processes: restarts, kills, standing still, SIGHUP.
+
+Processes are named `edge-NODE` and `core-NODE`. Each function ends when it has done its part;
+whether the processes are ready again is the caller's to wait for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import signal
+from collections import Counter
+
+from kelpstage.testbed.fleet.fleet import Fleet
+
+TERM_GRACE_S = 8.0  # until a process that was told to stop counts as one that does not
+FREEZE_WHILE_STOPPING = "freeze while stopping"
+
+
+class ProcessFaults:
+    """Signals to the processes of a fleet; `violations` are those that don't stop."""
+
+    def __init__(self, *, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.counts: Counter[str] = Counter()
+        self.violations: list[str] = []
+
+    def send(self, processes: list[str], number: int) -> None:
+        """Send a signal to each of them that runs."""
+        for name in processes:
+            self._fleet.processes.all[name].send(number=number)
+
+    def start(self, processes: list[str]) -> None:
+        """Start processes that have ended."""
+        for name in processes:
+            kind, _, node = name.partition("-")
+            if kind == "edge":
+                self._fleet.note({"event": "ended", "edge": node})
+                self._fleet.start_edge(name=node)
+                self._fleet.note({"event": "started", "edge": node})
+            else:
+                self._fleet.note({"event": "core", "core": node, "is_up": False})
+                self._fleet.start_core(name=node)
+
+    async def restart(self, processes: list[str], rand: random.Random) -> None:
+        """SIGTERM, at times with other signals on top, and a start when all have ended."""
+        await self.stop(processes, rand)
+        await asyncio.sleep(rand.random() * 2)
+        self.start(processes)
+
+    async def stop(self, processes: list[str], rand: random.Random) -> None:
+        """SIGTERM, at times with other signals on top, until all have ended."""
+        self.send(processes, signal.SIGTERM)
+        if rand.random() < 0.5:
+            await asyncio.sleep(rand.random() * 1.5)
+            self.send(processes, rand.choice((signal.SIGTERM, signal.SIGHUP)))
+        if rand.random() < 0.2:
+            await self._freeze_for(processes, seconds=rand.random() * 2)
+        await asyncio.gather(*(self._wait_for_end(name) for name in processes))
+        self.kill_now(processes)
+
+    async def _freeze_for(self, processes: list[str], *, seconds: float) -> None:
+        """Processes that are stopping stand still: trouble of its own beside a planned stop."""
+        nodes = [name.partition("-")[2] for name in processes]
+        number = self._fleet.fault(
+            what=FREEZE_WHILE_STOPPING, excuses=["edge", "line"], nodes=nodes, after_us=0
+        )
+        self.send(processes, signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        self.send(processes, signal.SIGCONT)
+        self._fleet.fault_end(fault=number)
+        self.counts[FREEZE_WHILE_STOPPING] += 1
+
+    async def _wait_for_end(self, name: str) -> None:
+        process = self._fleet.processes.all[name]
+        if not await asyncio.to_thread(process.is_ended_within, seconds=TERM_GRACE_S):
+            self.violations.append(f"{name} still runs {TERM_GRACE_S} s after SIGTERM")
+
+    def kill_now(self, processes: list[str]) -> None:
+        """SIGKILL to those that run; they have ended after it."""
+        self.send(processes, signal.SIGKILL)
+        for name in processes:
+            self._fleet.processes.all[name].kill()
+
+    async def kill(self, processes: list[str], rand: random.Random) -> None:
+        """SIGKILL, and a start after up to six seconds."""
+        self.kill_now(processes)
+        await asyncio.sleep(rand.choice((0.1, 1.0, 6.0)) * rand.random())
+        self.start(processes)
+
+    async def freeze(self, processes: list[str], rand: random.Random) -> None:
+        """SIGSTOP for up to seven seconds, at times with a SIGTERM that waits meanwhile."""
+        self.send(processes, signal.SIGSTOP)
+        await asyncio.sleep(rand.choice((0.5, 3.0, 7.0)) * rand.random())
+        is_stopped = rand.random() < 0.2
+        if is_stopped:
+            self.send(processes, signal.SIGTERM)
+        self.send(processes, signal.SIGCONT)
+        if is_stopped:
+            await self.restart(processes, rand)
+
+    async def hang_up(self, processes: list[str], rand: random.Random) -> None:
+        """SIGHUP, several times."""
+        for _ in range(rand.randrange(1, 4)):
+            self.send(processes, signal.SIGHUP)
+            await asyncio.sleep(rand.random() * 0.3)
--- a/kelpstage/testbed/fleet/soak.py
+++ b/kelpstage/testbed/fleet/soak.py
@@ -2,82 +2,30 @@
 
 Callers keep their connections and use them until the process is gone. Edges on machines
 without a disk are disturbed freely, most of them at one time now and then; of the machines
-with a disk, one at a time. At the end every process is killed and started again.
+with a disk, one at a time. Machines of both kinds are replaced by empty ones under new names.
+At the end every process is killed and started again.
 """
 
 from __future__ import annotations
 
 import asyncio
 import random
-import signal
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from functools import partial
 from typing import Any, Awaitable, Callable
 
-from kelpstage.testbed.fleet.deployment import Deployment, Node, load
-from kelpstage.testbed.fleet.fleet import Fleet, FleetTimeoutError
-from kelpstage.testbed.fleet.processes import PORTS
-from kelpstage.testbed.fleet.scenario import bring_up
-from kelpstage.testbed.fleet.soak_rules import find_violations
-from kelpstage.testbed.stand_ins.kept_callers import KeptCallers
+from kelpstage.testbed.fleet.deployment import Node
+from kelpstage.testbed.fleet.fleet import Fleet
+from kelpstage.testbed.fleet.process_faults import ProcessFaults
+from kelpstage.testbed.fleet.replacement import add_node, forget_node, has_voters
 
 SECOND_US = 1_000_000
 ACKNOWLEDGED_WITHIN_S = 5.0  # of an order in calm
 RECOVERY_S = 12.0
 CATCH_UP_S = 4.0
 ORDER_TRY_US = 1_500_000
-TERM_GRACE_S = 8.0  # until a process that was told to stop counts as one that does not
 AFTER_US = 3 * SECOND_US  # what a disturbance excuses when it is over
 CLOSING_DOWN_S = 0.5
-FREEZE = "freeze while stopping"
-SHOWN = 8  # violations that are printed
-
-
-@dataclass(frozen=True, kw_only=True)
-class SoakResult:
-    """What a soak came to."""
-
-    seed: int
-    processes: int
-    calls: int
-    answered: int
-    orders: int
-    disturbances: dict[str, int]
-    violations: list[str]
-    logs: dict[str, str] = field(repr=False)
-    history: list[dict[str, Any]] = field(repr=False, default_factory=list)
-
-
-def soak_text(*, result: SoakResult) -> str:
-    """A soak as a line of text, and one for each of its first violations.
-
-    >>> soak_text(result=SoakResult(seed=1, processes=2, calls=3, answered=3, orders=4,
-    ...     disturbances={"kill": 1}, violations=[], logs={}))
-    'seed 1: 2 processes, 3 of 3 calls answered, 4 orders, kill 1: kept'
-    """
-    what = ", ".join(f"{name} {count}" for name, count in result.disturbances.items())
-    head = (
-        f"seed {result.seed}: {result.processes} processes, {result.answered} of {result.calls} "
-        f"calls answered, {result.orders} orders, {what}: "
-    )
-    if not result.violations:
-        return head + "kept"
-    lines = [f"  {violation}" for violation in result.violations[:SHOWN]]
-    return "\n".join([head + f"{len(result.violations)} violations", *lines])
-
-
-def enlarged(*, deployment: Deployment, edges: int) -> Deployment:
-    """A deployment with more machines without a disk, so that it has so many in all.
-
-    >>> len(enlarged(deployment=load(name="tiny"), edges=8).nodes)
-    8
-    """
-    nodes = list(deployment.nodes)
-    while len(nodes) < edges:
-        number = len(nodes) + 1
-        zone = deployment.zones[number % len(deployment.zones)]
-        nodes.append(Node(name=f"node-{number:02}", zone=zone, has_disk=False))
-    return replace(deployment, nodes=nodes)
 
 
 class Soak:
@@ -91,14 +39,21 @@
         self._busy: set[str] = set()  # machines that are disturbed just now
         self._counted = asyncio.Lock()  # one machine with a disk at a time
         self._version = 1
-        self._orders = 0
-        self.disturbances: dict[str, int] = {}
-        self.violations: list[str] = []
+        self._orders_sent = 0
+        self._added = 0  # machines that came under a new name
+        self._faults = ProcessFaults(fleet=fleet)
+        self._violations: list[str] = []
+        self.orders = 0  # that were acknowledged
+
+    @property
+    def violations(self) -> list[str]:
+        """What was seen that may not be."""
+        return self._violations + self._faults.violations
 
     @property
-    def orders(self) -> int:
-        """How many orders were acknowledged."""
-        return self._orders
+    def disturbances(self) -> dict[str, int]:
+        """How many there were of each kind."""
+        return dict(sorted(self._faults.counts.items()))
 
     async def run(self, *, seconds: float) -> None:
         """All series side by side, then the closing fault."""
@@ -107,6 +62,7 @@
             series.create_task(self._series("edges", self._disturb_edge, most_pause_s=1.0))
             series.create_task(self._series("others", self._disturb_edge, most_pause_s=2.5))
             series.create_task(self._series("most", self._disturb_most, most_pause_s=8.0))
+            series.create_task(self._series("replaced", self._replace_edge, most_pause_s=6.0))
             series.create_task(self._series("counted", self._disturb_counted, most_pause_s=2.0))
             series.create_task(self._series("orders", self._order, most_pause_s=0.6))
         await self._close()
@@ -146,14 +102,25 @@
     async def _disturb(
         self, *, names: list[str], rand: random.Random, is_most: bool = False
     ) -> None:
-        what = rand.choice((self._restart, self._kill, self._freeze, self._hang_up))
-        kind = what.__name__.strip("_") + (" most" if is_most else "")
-        self.disturbances[kind] = self.disturbances.get(kind, 0) + 1
+        what = self._some_fault(rand)
+        kind = what.__name__ + (" most" if is_most else "")
+        self._faults.counts[kind] += 1
         processes = [f"edge-{name}" for name in names]
         await self._under_fault(what=kind, names=names, work=what(processes, rand), is_away=is_most)
 
+    def _some_fault(
+        self, rand: random.Random
+    ) -> Callable[[list[str], random.Random], Awaitable[None]]:
+        faults = self._faults
+        return rand.choice((faults.restart, faults.kill, faults.freeze, faults.hang_up))
+
     async def _under_fault(
-        self, *, what: str, names: list[str], work: Awaitable[None], is_away: bool
+        self,
+        *,
+        what: str,
+        names: list[str],
+        work: Awaitable[None],
+        is_away: bool = False,
     ) -> None:
         """Do something to machines, as a fault of the history that ends when all are ready."""
         self._busy |= set(names)
@@ -168,108 +135,91 @@
 
     async def _wait_until_ready(self, *, names: list[str]) -> None:
         for name in names:
-            if self._fleet.processes.all[f"edge-{name}"].is_running:
+            if name in self._fleet.edge_http:  # it may be gone for good
                 await self._fleet.wait_for(
                     what=f"{name} to be ready",
                     is_there=partial(self._fleet.is_ready, name=name),
                 )
 
-    # --- what is done to processes -------------------------------------------------------
-
-    def _send(self, processes: list[str], number: int) -> None:
-        for name in processes:
-            self._fleet.processes.all[name].send(number=number)
+    # --- machines that are gone for good --------------------------------------------------
 
-    def _start(self, processes: list[str]) -> None:
-        for name in processes:
-            kind, _, node = name.partition("-")
-            if kind == "edge":
-                self._fleet.note({"event": "ended", "edge": node})
-                self._fleet.start_edge(name=node)
-                self._fleet.note({"event": "started", "edge": node})
-            else:
-                self._fleet.note({"event": "core", "core": node, "is_up": False})
-                self._fleet.start_core(name=node)
-
-    async def _restart(self, processes: list[str], rand: random.Random) -> None:
-        """SIGTERM, at times with other signals on top, and a start when all have ended."""
-        self._send(processes, signal.SIGTERM)
-        if rand.random() < 0.5:
-            await asyncio.sleep(rand.random() * 1.5)
-            self._send(processes, rand.choice((signal.SIGTERM, signal.SIGHUP)))
-        if rand.random() < 0.2:
-            await self._freeze_for(processes, seconds=rand.random() * 2)
-        await asyncio.gather(*(self._wait_for_end(name) for name in processes))
-        await self._kill_now(processes)
-        await asyncio.sleep(rand.random() * 2)
-        self._start(processes)
-
-    async def _freeze_for(self, processes: list[str], *, seconds: float) -> None:
-        """Processes that are stopping stand still: trouble of its own beside a planned stop."""
-        nodes = [name.partition("-")[2] for name in processes]
-        number = self._fleet.fault(what=FREEZE, excuses=["edge", "line"], nodes=nodes, after_us=0)
-        self._send(processes, signal.SIGSTOP)
-        await asyncio.sleep(seconds)
-        self._send(processes, signal.SIGCONT)
-        self._fleet.fault_end(fault=number)
-        self.disturbances[FREEZE] = self.disturbances.get(FREEZE, 0) + 1
-
-    async def _wait_for_end(self, name: str) -> None:
-        process = self._fleet.processes.all[name]
-        if not await asyncio.to_thread(process.is_ended_within, seconds=TERM_GRACE_S):
-            self.violations.append(f"{name} still runs {TERM_GRACE_S} s after SIGTERM")
-
-    async def _kill_now(self, processes: list[str]) -> None:
-        for name in processes:
-            self._fleet.processes.all[name].kill()
-
-    async def _kill(self, processes: list[str], rand: random.Random) -> None:
-        """SIGKILL, and a start after up to six seconds."""
-        await self._kill_now(processes)
-        await asyncio.sleep(rand.choice((0.1, 1.0, 6.0)) * rand.random())
-        self._start(processes)
-
-    async def _freeze(self, processes: list[str], rand: random.Random) -> None:
-        """SIGSTOP for up to seven seconds, at times with a SIGTERM that waits meanwhile."""
-        self._send(processes, signal.SIGSTOP)
-        await asyncio.sleep(rand.choice((0.5, 3.0, 7.0)) * rand.random())
-        is_stopped = rand.random() < 0.2
-        if is_stopped:
-            self._send(processes, signal.SIGTERM)
-        self._send(processes, signal.SIGCONT)
-        if is_stopped:
-            await self._restart(processes, rand)
-
-    async def _hang_up(self, processes: list[str], rand: random.Random) -> None:
-        """SIGHUP, several times."""
-        for _ in range(rand.randrange(1, 4)):
-            self._send(processes, signal.SIGHUP)
-            await asyncio.sleep(rand.random() * 0.3)
+    async def _replace_edge(self, rand: random.Random) -> None:
+        """One that is not counted leaves, or is gone without a word; another one comes."""
+        names = self._free_observers()
+        if names:
+            await self._replace(name=rand.choice(names), rand=rand)
+
+    async def _replace(self, *, name: str, rand: random.Random) -> None:
+        node = self._node(name=name)
+        is_in_order = rand.random() < 0.5
+        kind = "leave" if is_in_order else "gone"
+        self._faults.counts[kind + (" counted" if node.has_disk else "")] += 1
+        is_new_first = is_in_order and node.has_disk
+        fresh = self._add_like(node=node) if is_new_first else None
+        if fresh is not None:
+            await self._wait_until_ready(names=[fresh])
+            await asyncio.sleep(CATCH_UP_S)
+        work = self._remove(node=node, rand=rand, is_in_order=is_in_order)
+        await self._under_fault(what=kind, names=[name], work=work)
+        if fresh is None:
+            await asyncio.sleep(rand.random() * 3)
+            fresh = self._add_like(node=node)
+        await self._wait_until_ready(names=[fresh])
+
+    def _node(self, *, name: str) -> Node:
+        return next(node for node in self._fleet.deployment.nodes if node.name == name)
+
+    def _add_like(self, *, node: Node) -> str:
+        self._added += 1
+        fresh = replace(node, name=f"new-{self._added:02}")
+        add_node(fleet=self._fleet, node=fresh)
+        return fresh.name
+
+    async def _remove(self, *, node: Node, rand: random.Random, is_in_order: bool) -> None:
+        processes = _processes_of(node=node)
+        if is_in_order:
+            await self._faults.stop(processes, rand)
+        else:
+            self._faults.kill_now(processes)
+        self._fleet.note({"event": "ended", "edge": node.name})
+        forget_node(fleet=self._fleet, name=node.name)
 
     # --- machines that count ----------------------------------------------------------------
 
     async def _disturb_counted(self, rand: random.Random) -> None:
-        """One machine with a disk: its core, its edge, or both; the leader half of the time."""
+        """One machine with a disk, the leader's half of the time: its core, its edge or both
+        are disturbed, or it is replaced."""
         async with self._counted:
             names = [node.name for node in self._fleet.core_nodes]
             leader = await self._fleet.leader()
             name = leader if leader and rand.random() < 0.5 else rand.choice(names)
-            roles = rand.choice((("core",), ("core", "edge"), ("edge",)))
-            processes = [f"{role}-{name}" for role in roles]
-            what = rand.choice((self._restart, self._kill, self._freeze, self._hang_up))
-            kind = f"{what.__name__.strip('_')} counted"
-            self.disturbances[kind] = self.disturbances.get(kind, 0) + 1
-            await self._under_fault(
-                what=kind, names=[name], work=what(processes, rand), is_away=False
-            )
-            await self._wait_for_core(name=name)
+            if rand.random() < 0.25:
+                await self._replace(name=name, rand=rand)
+            else:
+                await self._disturb_processes_of(name=name, rand=rand)
+            await self._wait_for_cores()
             await asyncio.sleep(CATCH_UP_S)
 
-    async def _wait_for_core(self, *, name: str) -> None:
+    async def _disturb_processes_of(self, *, name: str, rand: random.Random) -> None:
+        roles = rand.choice((("core",), ("core", "edge"), ("edge",)))
+        processes = [f"{role}-{name}" for role in roles]
+        what = self._some_fault(rand)
+        kind = f"{what.__name__} counted"
+        self._faults.counts[kind] += 1
+        await self._under_fault(what=kind, names=[name], work=what(processes, rand))
+
+    async def _wait_for_cores(self) -> None:
+        """Wait until the cores that there are, and no others, vote and are ready."""
+        names = [node.name for node in self._fleet.core_nodes]
         await self._fleet.wait_for(
-            what=f"the core of {name}",
-            is_there=lambda: self._fleet.is_core_ready(name=name),
+            what=f"the cores of {', '.join(names)}",
+            is_there=partial(has_voters, fleet=self._fleet, names=names),
         )
+        for name in names:
+            await self._fleet.wait_for(
+                what=f"the core of {name}",
+                is_there=partial(self._fleet.is_core_ready, name=name),
+            )
 
     # --- the operator -----------------------------------------------------------------------
 
@@ -279,8 +229,8 @@
 
     async def _order_within(self, *, rand: random.Random, seconds: float, why: str) -> None:
         fleet = self._fleet
-        self.disturbances["order"] = self.disturbances.get("order", 0) + 1
-        note = f"order-{self.disturbances['order']}"
+        self._orders_sent += 1
+        note = f"order-{self._orders_sent}"
         document = fleet.configuration(note=note)
         until_us = fleet.now_us() + int(seconds * SECOND_US)
         reply: Any = None
@@ -293,11 +243,11 @@
                 wait_us=ORDER_TRY_US,
             )
             if getattr(reply, "status", 0) == 200:
-                self._orders += 1
+                self.orders += 1
                 self._version += 1
                 return
             await asyncio.sleep(0.1)
-        self.violations.append(f"{why}: no acknowledgement within {seconds} s: {reply}")
+        self._violations.append(f"{why}: no acknowledgement within {seconds} s: {reply}")
 
     # --- the end ----------------------------------------------------------------------------
 
@@ -306,68 +256,28 @@
         fleet = self._fleet
         self._say("the closing fault")
         names = [node.name for node in fleet.deployment.nodes]
-        processes = [f"core-{node.name}" for node in fleet.core_nodes]
-        processes += [f"edge-{name}" for name in names]
+        processes = [name for node in fleet.deployment.nodes for name in _processes_of(node=node)]
         number = fleet.fault(what="all killed", excuses=["edge", "line", "away"], after_us=AFTER_US)
-        self._send(processes, signal.SIGKILL)
-        await self._kill_now(processes)
+        self._faults.kill_now(processes)
         await asyncio.sleep(CLOSING_DOWN_S)
-        self._start(processes)
+        self._faults.start(processes)
         began_us = fleet.now_us()
         await self._wait_until_ready(names=names)
         took_s = (fleet.now_us() - began_us) / SECOND_US
         fleet.fault_end(fault=number)
         self._say(f"all serve {took_s:.1f} s after the closing fault")
         if took_s > RECOVERY_S:
-            self.violations.append(f"all serve only {took_s:.1f} s after the closing fault")
+            self._violations.append(f"all serve only {took_s:.1f} s after the closing fault")
         rand = random.Random(f"{self._seed}/close")
         await self._order_within(
             rand=rand, seconds=ACKNOWLEDGED_WITHIN_S, why="after the closing fault"
         )
 
 
-async def run_soak(
-    *,
-    name: str,
-    seed: int,
-    seconds: float,
-    callers: int,
-    edges: int,
-    say: Callable[[str], None],
-    port_range: range = PORTS,
-) -> SoakResult:
-    """One soak of a deployment, enlarged to so many machines; what it came to."""
-    deployment = enlarged(deployment=load(name=name), edges=edges)
-    fleet = Fleet(
-        deployment=deployment,
-        seed=seed,
-        pause_share=0.0,
-        has_observers=True,
-        port_range=port_range,
-    )
-    soak = Soak(fleet=fleet, seed=seed, say=say)
-    kept = KeptCallers(callers=fleet.callers)
-    logs: dict[str, str] = {}
-    try:
-        await bring_up(fleet=fleet, say=say)
-        kept.start(count=callers)
-        await soak.run(seconds=seconds)
-        await kept.stop()
-        await fleet.collect_receipts()
-        await fleet.read_back()
-    except* FleetTimeoutError as errors:
-        soak.violations += [str(error) for error in errors.exceptions]
-    finally:
-        logs = fleet.stop()
-    rows = [row for row in fleet.history if row["event"] in ("call", "kept_call")]
-    return SoakResult(
-        seed=seed,
-        processes=len(fleet.processes.all),
-        calls=len(rows),
-        answered=sum(row["event"] == "call" and row["end"] == "ok" for row in rows),
-        orders=soak.orders,
-        disturbances=dict(sorted(soak.disturbances.items())),
-        violations=soak.violations + find_violations(history=fleet.history, logs=logs),
-        logs=logs,
-        history=fleet.history,
-    )
+def _processes_of(*, node: Node) -> list[str]:
+    """The names of a machine's processes, its core first.
+
+    >>> _processes_of(node=Node(name="n", zone="z", has_disk=True))
+    ['core-n', 'edge-n']
+    """
+    return [f"core-{node.name}"] * node.has_disk + [f"edge-{node.name}"]
--- a/kelpstage/testbed/fleet/soak_rules.py
+++ b/kelpstage/testbed/fleet/soak_rules.py
@@ -59,4 +59,4 @@
 
 
 def _is_planned(what: str) -> bool:
-    return what.startswith(("restart", "hang_up"))
+    return what.startswith(("restart", "hang_up", "leave"))
--- a/kelpstage/testbed/fleet/soak_runs.py
+++ b/kelpstage/testbed/fleet/soak_runs.py
@@ -8,12 +8,19 @@
 import sys
 import time
 from concurrent.futures import ProcessPoolExecutor
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from pathlib import Path
-from typing import Iterator
+from typing import Any, Callable, Iterator
 
+from kelpstage.testbed.fleet.deployment import Deployment, Node, load
+from kelpstage.testbed.fleet.fleet import Fleet, FleetTimeoutError
 from kelpstage.testbed.fleet.processes import PORTS
-from kelpstage.testbed.fleet.soak import SoakResult, run_soak
+from kelpstage.testbed.fleet.scenario import bring_up
+from kelpstage.testbed.fleet.soak import Soak
+from kelpstage.testbed.fleet.soak_rules import find_violations
+from kelpstage.testbed.stand_ins.kept_callers import KeptCallers
+
+SHOWN = 8  # violations that are printed
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -58,6 +65,53 @@
     return out
 
 
+@dataclass(frozen=True, kw_only=True)
+class SoakResult:
+    """What a soak came to."""
+
+    seed: int
+    processes: int
+    calls: int
+    answered: int
+    orders: int
+    disturbances: dict[str, int]
+    violations: list[str]
+    logs: dict[str, str] = field(repr=False)
+    history: list[dict[str, Any]] = field(repr=False, default_factory=list)
+
+
+def soak_text(*, result: SoakResult) -> str:
+    """A soak as a line of text, and one for each of its first violations.
+
+    >>> soak_text(result=SoakResult(seed=1, processes=2, calls=3, answered=3, orders=4,
+    ...     disturbances={"kill": 1}, violations=[], logs={}))
+    'seed 1: 2 processes, 3 of 3 calls answered, 4 orders, kill 1: kept'
+    """
+    what = ", ".join(f"{name} {count}" for name, count in result.disturbances.items())
+    head = (
+        f"seed {result.seed}: {result.processes} processes, {result.answered} of {result.calls} "
+        f"calls answered, {result.orders} orders, {what}: "
+    )
+    if not result.violations:
+        return head + "kept"
+    lines = [f"  {violation}" for violation in result.violations[:SHOWN]]
+    return "\n".join([head + f"{len(result.violations)} violations", *lines])
+
+
+def enlarged(*, deployment: Deployment, edges: int) -> Deployment:
+    """A deployment with more machines without a disk, so that it has so many in all.
+
+    >>> len(enlarged(deployment=load(name="tiny"), edges=8).nodes)
+    8
+    """
+    nodes = list(deployment.nodes)
+    while len(nodes) < edges:
+        number = len(nodes) + 1
+        zone = deployment.zones[number % len(deployment.zones)]
+        nodes.append(Node(name=f"node-{number:02}", zone=zone, has_disk=False))
+    return replace(deployment, nodes=nodes)
+
+
 def write_soak_report(*, folder: Path, result: SoakResult) -> None:
     """Write what a soak came to, its history and the log of each process."""
     folder.mkdir(parents=True, exist_ok=True)
@@ -75,14 +129,43 @@
         if not plan.is_quiet:
             print(f"[{time.monotonic() - started:6.1f} s] {text}", file=sys.stderr, flush=True)
 
-    return asyncio.run(
-        run_soak(
-            name=plan.deployment,
-            seed=plan.seed,
-            seconds=plan.seconds,
-            callers=plan.callers,
-            edges=plan.edges,
-            say=say,
-            port_range=plan.port_range,
-        )
+    return asyncio.run(run_soak(plan=plan, say=say))
+
+
+async def run_soak(*, plan: SoakPlan, say: Callable[[str], None]) -> SoakResult:
+    """One soak of a deployment, enlarged to so many machines; what it came to."""
+    deployment = enlarged(deployment=load(name=plan.deployment), edges=plan.edges)
+    fleet = Fleet(
+        deployment=deployment,
+        seed=plan.seed,
+        pause_share=0.0,
+        has_observers=True,
+        port_range=plan.port_range,
+    )
+    soak = Soak(fleet=fleet, seed=plan.seed, say=say)
+    kept = KeptCallers(callers=fleet.callers)
+    logs: dict[str, str] = {}
+    timed_out: list[str] = []
+    try:
+        await bring_up(fleet=fleet, say=say)
+        kept.start(count=plan.callers)
+        await soak.run(seconds=plan.seconds)
+        await kept.stop()
+        await fleet.collect_receipts()
+        await fleet.read_back()
+    except* FleetTimeoutError as errors:
+        timed_out = [str(error) for error in errors.exceptions]
+    finally:
+        logs = fleet.stop()
+    rows = [row for row in fleet.history if row["event"] in ("call", "kept_call")]
+    return SoakResult(
+        seed=plan.seed,
+        processes=len(fleet.processes.all),
+        calls=len(rows),
+        answered=sum(row["event"] == "call" and row["end"] == "ok" for row in rows),
+        orders=soak.orders,
+        disturbances=soak.disturbances,
+        violations=timed_out + soak.violations + find_violations(history=fleet.history, logs=logs),
+        logs=logs,
+        history=fleet.history,
     )
--- a/kelpstage/testbed/main.py
+++ b/kelpstage/testbed/main.py
@@ -17,8 +17,7 @@
 from kelpstage.testbed.fleet.deployment import configuration_of, load, names
 from kelpstage.testbed.fleet.record import write_recording
 from kelpstage.testbed.fleet.scenario import run_scenario
-from kelpstage.testbed.fleet.soak import soak_text
-from kelpstage.testbed.fleet.soak_runs import SoakPlan, run_soaks, write_soak_report
+from kelpstage.testbed.fleet.soak_runs import SoakPlan, run_soaks, soak_text, write_soak_report
 from kelpstage.testbed.fleet.summary import summary_text, write_report
 from kelpstage.testbed.measure.choices import CHOICES, run_variant, summarize
 from kelpstage.testbed.measure.http import measure_http
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,19 +6,20 @@
 import unittest
 from typing import Any
 
-from kelpstage.testbed.fleet.soak import run_soak
 from kelpstage.testbed.fleet.soak_rules import lost_on_kept_connections
+from kelpstage.testbed.fleet.soak_runs import SoakPlan, run_soak
 
-SECONDS = 30.0
+SECONDS = 60.0
 LEAST_CALLS = 500
 
 
 class Soak(unittest.TestCase):
     def test_signals_restarts_and_changes_overlap(self) -> None:
         said: list[str] = []
-        result = asyncio.run(
-            run_soak(name="tiny", seed=7, seconds=SECONDS, callers=12, edges=0, say=said.append)
+        plan = SoakPlan(
+            deployment="tiny", seed=7, seconds=SECONDS, callers=12, edges=0, is_quiet=True
         )
+        result = asyncio.run(run_soak(plan=plan, say=said.append))
         self.assertEqual([], result.violations, (said, result.disturbances))
         self.assertGreater(result.calls, LEAST_CALLS)
         self.assertGreater(result.answered, result.calls * 8 // 10)
@@ -52,7 +53,7 @@
     def test_a_kill_excuses_it_and_a_planned_stop_does_not(self) -> None:
         self.assertEqual(0, self.lost(end="closed", fault="kill"))
         self.assertEqual(0, self.lost(end="cut_off", fault="freeze most"))
-        for fault in ("restart", "restart most", "hang_up"):
+        for fault in ("restart", "restart most", "hang_up", "leave"):
             self.assertEqual(1, self.lost(end="closed", fault=fault), fault)
 
 
