Recovery from one core: pages and command say which edges have to answer

Cause: since observers are told apart the tool counts voting edges, while its page and help still said most of the edges. No logic is changed.

--- a/kelpstage/cli/commands/recovery.py
+++ b/kelpstage/cli/commands/recovery.py
@@ -26,15 +26,17 @@
     data: str = typer.Argument(help="The data folder of the one core that is left."),
     own: str = typer.Option(..., help="IP:port of that core's own lines."),
     http: str = typer.Option(..., help="IP:port of that core's operators' HTTP."),
-    edge_own: List[str] = typer.Option(..., help="IP:port of an edge's own lines; give most."),
+    edge_own: List[str] = typer.Option(
+        ..., help="IP:port of a voting edge's own lines; give most."
+    ),
     accept: str = typer.Option(
         "", help="Say `the-other-cores-are-gone-for-good`; without it nothing is done."
     ),
     is_json: bool = AS_JSON,
 ) -> None:
     """After most cores are lost for good: make the one that is left a cluster of its
-    own. It must be stopped. Refused while another core answers, or while most edges
-    of the membership do not."""
+    own. It must be stopped. Refused while another core answers, or while half of the
+    voting edges do not."""
     _fail_unless_allowed(
         data=data, own=own, http=http, edge_own=edge_own, accept=accept, is_json=is_json
     )
--- a/kelpstage/core/cluster_recovery.py
+++ b/kelpstage/core/cluster_recovery.py
@@ -93,9 +93,9 @@
 ) -> RecoveredCluster | KelpstageError:
     """Make the survivor in this data folder the one voter of a new cluster.
 
-    `edges` are own-line addresses. More than half of the voting members must answer: an
-    acknowledged put is installed on at least half of them, so the newest epoch known
-    to that many edges is at least the newest that was acknowledged.
+    `edges` are own-line addresses. More than half of the voting members must answer that they
+    may confirm their epoch: those that lack an acknowledged one and may are at most half of
+    them, so the newest epoch known to that many is at least the newest that was acknowledged.
     """
     store = Store(ports=ports)
     identity = await store.read_identity()
