Ports: a connection that its peer ended at once is an error, not a broken task

Cause: between the end of the handshake and the next turn of the connecting task the peer had closed the connection; the stream then has no socket any more, and its options were set without looking. The task broke before the connection was ended, so what waited on it got no error before its own time was over.

Change: a stream that is closed by then is a ConnectError, as a refused one is.

--- a/kelpstage/common/ports/live.py
+++ b/kelpstage/common/ports/live.py
@@ -171,6 +171,8 @@
             return ReplyTimeoutError(address=address, after_us=wait_us)
         except (OSError, iostream.StreamClosedError, ValueError, OverflowError):
             return ConnectError(address=address)  # nobody there, or no address
+        if stream.closed():  # the peer ended it before this task ran again
+            return ConnectError(address=address)
         if lost_after_us:
             notice_loss(sock=stream.socket, after_ms=lost_after_us // 1000)
         return LiveStream(stream=stream, address=address)
--- a/tests/test_ports.py
+++ b/tests/test_ports.py
@@ -6,6 +6,9 @@
 import socket
 import unittest
 from typing import Any
+from unittest import mock
+
+from tornado import iostream, tcpclient
 
 from kelpstage.common.errors.requests import UnknownResourceError
 from kelpstage.common.errors.transport import (
@@ -76,6 +79,23 @@
 
 
 class LiveStreams(unittest.TestCase):
+    def test_a_connection_that_has_ended_before_it_is_used_is_an_error(self) -> None:
+        """Guards against a peer that accepts and is killed at once: the connecting task broke."""
+
+        async def scenario() -> None:
+            ports = live_ports(data_folder=None)
+            ended = iostream.IOStream(socket.socket())
+            ended.close()
+            with mock.patch.object(
+                tcpclient.TCPClient, "connect", mock.AsyncMock(return_value=ended)
+            ):
+                outcome = await ports.net.connect(
+                    address="127.0.0.1:1", wait_us=1_000_000, lost_after_us=2_000_000
+                )
+            self.assertIsInstance(outcome, ConnectError)
+
+        asyncio.run(scenario())
+
     def test_a_line_is_lost_when_nothing_gets_through_for_long(self) -> None:
         """Both ends ask the system for it; daemons run only where the system has the option."""
         option = socket.TCP_USER_TIMEOUT
