--- a/tests/membership_scenarios.py
+++ b/tests/membership_scenarios.py
@@ -183,6 +183,12 @@
             if self.fleet.is_up(process=f"{kind}/{name}"):
                 self.fleet.processes[f"{kind}/{name}"].kill(is_power=True)
 
+    def kill(self, *, name: str) -> None:
+        """Both processes of a machine are killed; it closes what they had open."""
+        for kind in ("edge", "core"):
+            if self.fleet.is_up(process=f"{kind}/{name}"):
+                self.fleet.processes[f"{kind}/{name}"].kill()
+
     async def start(self, *, name: str) -> None:
         """Both processes of a machine start."""
         if name in self.fleet.core_address:
