--- a/tests/test_membership_scenarios.py
+++ b/tests/test_membership_scenarios.py
@@ -41,6 +41,15 @@
     await run.close()
 
 
+async def each_voter_replaced_twice(run: ScenarioRun) -> None:
+    """Every machine that counts is replaced, as planned or not, and its replacement as well."""
+    for name in [*run.voters(), "", "", ""]:
+        name = name or run.voters()[0]  # the one that has been there for longest
+        await run.replace_voter(name=name, is_planned=run.rand.random() < 0.5)
+        await run.order(why="a voter replaced")
+    await run.close()
+
+
 async def change_when_most_are_dark(run: ScenarioRun) -> None:
     """All observers lose power at one moment and never return."""
     for name in run.observers():
@@ -152,6 +161,10 @@
         """Guards against review case 1: no edge joins any more, each replaced one is one less."""
         self.judge(replaced_after_most_left)
 
+    def test_a_change_is_acknowledged_when_all_voters_were_replaced_twice(self) -> None:
+        """Guards against voting members that are gone and still counted, one more each time."""
+        self.judge(each_voter_replaced_twice)
+
     def test_a_change_is_acknowledged_when_most_edges_are_dark_for_good(self) -> None:
         """Guards against the same with no word of leaving: silence alone holds up the fleet."""
         self.judge(change_when_most_are_dark)
@@ -200,6 +213,8 @@
                 [], run_scenario(change_after_most_left, seed=1)
             )  # settles all the same
             self.assertEqual(10, run_membership(change_after_most_left))
+            found = run_scenario(each_voter_replaced_twice, seed=1)
+        self.assertIn("a voter replaced", " ".join(found))
         self.assertEqual(3, run_membership(change_after_most_left))
 
 
