Soak: settings files name the cores that there are, once a machine with a disk was replaced

All three cores had been replaced meanwhile, and its settings file still named the first three as seeds. The platform fills the file anew at each start, so the harness was wrong, not the edge.

Change: whenever a core comes or goes, every settings file gets the cores that there are, written beside and moved into place; processes read it at their next start or SIGHUP.

--- a/kelpstage/testbed/fleet/replacement.py
+++ b/kelpstage/testbed/fleet/replacement.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import json
+import os
+
 from kelpstage.testbed.fleet.deployment import Node
 from kelpstage.testbed.fleet.fleet import Fleet
 
@@ -15,6 +18,7 @@
     if node.has_disk:
         fleet.core_own[node.name], fleet.core_http[node.name] = take(), take()
         fleet.core_nodes.append(node)
+        write_seeds(fleet=fleet)
         fleet.start_core(name=node.name)
     fleet.start_edge(name=node.name)
     fleet.note({"event": "started", "edge": node.name})
@@ -27,6 +31,21 @@
     fleet.platform.nodes.pop(name, None)
     for addresses in (fleet.edge_own, fleet.edge_http, fleet.core_own, fleet.core_http):
         addresses.pop(name, None)
+    write_seeds(fleet=fleet)
+
+
+def write_seeds(*, fleet: Fleet) -> None:
+    """Write the cores that there are as seeds into every settings file, as the platform does
+    when its list changes; a process reads them at its next start or SIGHUP."""
+    seeds = list(fleet.core_own.values())
+    for name in fleet.processes.all:
+        path = fleet.folder / f"{name}.json"
+        if not path.exists():
+            continue  # a host of stand-ins has none
+        settings = json.loads(path.read_text(encoding="utf-8"))
+        fresh = path.with_suffix(".fresh")
+        fresh.write_text(json.dumps(settings | {"seeds": seeds}, indent=1), encoding="utf-8")
+        os.replace(fresh, path)
 
 
 async def has_voters(*, fleet: Fleet, names: list[str]) -> bool:
