--- a/kelpstage/core/leases/announcements.py
+++ b/kelpstage/core/leases/announcements.py
@@ -52,7 +52,7 @@
         self._packed_state = b""
         if not self._task.is_leader:
             return
-        contacts = self._settlement.lease_table.contacts(now_us=self._ports.clock.now_us())
+        contacts = self._settlement.lease_table.recent_contacts(now_us=self._ports.clock.now_us())
         state = bytes(self._announced)
         delta = pack_delta(base=b"" if base is None else bytes(base), target=state)
         message = self._announce(delta=delta, base_epoch=base_epoch)
@@ -112,7 +112,9 @@
         await self._ports.clock.sleep(us=ANNOUNCE_AGAIN_US)
         if epoch != self._announced_epoch or not self._task.is_leader:
             return
-        for contact in self._settlement.lease_table.contacts(now_us=self._ports.clock.now_us()):
+        for contact in self._settlement.lease_table.recent_contacts(
+            now_us=self._ports.clock.now_us()
+        ):
             holder = self._settlement.lease_table.holder(edge=contact.name)
             if holder is not None and holder.epoch < epoch:
                 self._announce_to(contact=contact, message=self._complete_announce())
--- a/kelpstage/core/leases/configuration_writes.py
+++ b/kelpstage/core/leases/configuration_writes.py
@@ -210,7 +210,7 @@
         await self._await_edge_quorum(until_us=until_us)
         if not self._settlement.has_quorum():
             voters = edge_membership(state=state).voters
-            heard = self._settlement.lease_table.heard_lately(
+            heard = self._settlement.lease_table.reported_lately(
                 edges=voters, now_us=self._ports.clock.now_us()
             )
             return NoEdgeMajorityError(heard=len(heard), membership=len(voters))
--- a/kelpstage/core/leases/lease_service.py
+++ b/kelpstage/core/leases/lease_service.py
@@ -111,9 +111,9 @@
         state = self._task.machine.state
         is_on_membership = request.edge in state.membership
         members = self._task.raft.members.current
-        lease_table.note_cores(cores=[member.address for member in members])
+        lease_table.contacts.note_cores(cores=[member.address for member in members])
         is_small = lease_table.count() <= RELAYED_FROM_EDGES
-        peers, cores = lease_table.news_for(
+        peers, cores = lease_table.contacts.since(
             known=request.known,
             now_us=now_us,
             limit=CONTACTS_IN_REPLY if is_small else CONTACTS_IN_LARGE_REPLY,
@@ -128,7 +128,7 @@
             cores=cores,
             is_on_membership=is_on_membership,
             peers=peers,
-            known=lease_table.mark(),
+            known=lease_table.contacts.mark(),
         )
         if not is_on_membership or request.is_observer != (request.edge in state.observers):
             self.membership_changes.begin_join(edge=request.edge, is_observer=request.is_observer)
@@ -161,7 +161,7 @@
 
 def _note_report(lease_table: LeaseTable, *, request: Renew, epoch: int, now_us: int) -> bool:
     """Record what an edge reports; false if a newer incarnation of it has reported."""
-    return lease_table.heard(
+    return lease_table.record_report(
         edge=request.edge,
         incarnation=request.incarnation,
         epoch=epoch,
--- a/kelpstage/core/leases/lease_table.py
+++ b/kelpstage/core/leases/lease_table.py
@@ -18,9 +18,9 @@
     OBSERVER_SPAN_US,
 )
 from kelpstage.common.transport.messages import EdgeContact
+from kelpstage.core.leases.contact_updates import ContactUpdates
 
 NEVER_US = -(10**12)
-CONTACT_KEPT_SPANS = 15  # an edge that has reported within so many spans is worth a contact
 
 
 @dataclass(kw_only=True)
@@ -29,19 +29,17 @@
 
     incarnation: int = 0
     epoch: int = 0
-    heard_us: int = NEVER_US  # when it reported last, or left
+    reported_us: int = NEVER_US  # when it reported last, or left
     has_left: bool = False  # this incarnation stopped serving, in order
     leases: list[tuple[int, int]] = field(default_factory=list)  # epoch, when
-    contact: EdgeContact | None = None
     relayed_by: str = ""  # address of the edge that carried its last renewal, if one did
-    changed_at: int = 0  # count of changes when its contact changed last
 
 
 class LeaseTable:
     """Leases given by this leader since it was elected.
 
     >>> lease_table = LeaseTable(since_us=0)
-    >>> lease_table.heard(edge="a", incarnation=1, epoch=1, contact=None, now_us=10)
+    >>> lease_table.record_report(edge="a", incarnation=1, epoch=1, contact=None, now_us=10)
     True
     >>> alone = EdgeMembership(names=("a",))
     >>> lease_table.is_settled(epoch=1, membership=alone, now_us=20)
@@ -54,11 +52,9 @@
     def __init__(self, *, since_us: int) -> None:
         self.since_us = since_us
         self._holders: dict[str, LeaseRecord] = {}
-        self._changes = 1
-        self._cores: list[str] = []
-        self._cores_changed_at = 1
+        self.contacts = ContactUpdates(since_us=since_us)
 
-    def heard(
+    def record_report(
         self,
         *,
         edge: str,
@@ -74,7 +70,7 @@
         one has left.
 
         >>> lease_table = LeaseTable(since_us=0)
-        >>> [lease_table.heard(edge="a", incarnation=n, epoch=1, contact=None, now_us=10)
+        >>> [lease_table.record_report(edge="a", incarnation=n, epoch=1, contact=None, now_us=10)
         ...     for n in (2, 1, 3)]
         [True, False, True]
         """
@@ -88,14 +84,12 @@
         if holder.has_left:
             return False
         holder.epoch = max(holder.epoch, epoch)
-        holder.heard_us = now_us
+        holder.reported_us = now_us
         holder.relayed_by = relayed_by
-        if contact is None or not contact.name:
-            return True  # as it was
-        if holder.contact != contact:
-            self._changes += 1
-            holder.changed_at = self._changes
-        holder.contact = contact
+        is_introduced = contact is not None and bool(contact.name)
+        self.contacts.note_report(
+            edge=edge, contact=contact if is_introduced else None, now_us=now_us
+        )
         return True
 
     def record_lease(self, *, edge: str, epoch: int, now_us: int) -> None:
@@ -113,8 +107,8 @@
         holder.incarnation = incarnation
         holder.has_left = True
         holder.leases = []
-        holder.heard_us = now_us
-        holder.contact = None
+        holder.reported_us = now_us
+        self.contacts.forget(edge=edge)
 
     def has_left(self, *, edge: str) -> bool:
         """Did the newest process of this edge leave in order?"""
@@ -185,101 +179,40 @@
             return not membership.has_half(confirming)
         return not membership.has_majority(confirming)
 
-    def heard_lately(self, *, edges: Iterable[str], now_us: int) -> list[str]:
+    def reported_lately(self, *, edges: Iterable[str], now_us: int) -> list[str]:
         """Those edges that have reported within the span of a lease, or have left in order."""
         return [
             edge
             for edge in edges
             if edge in self._holders
-            and (self.has_left(edge=edge) or now_us - self._holders[edge].heard_us < LEASE_SPAN_US)
+            and (
+                self.has_left(edge=edge) or now_us - self._holders[edge].reported_us < LEASE_SPAN_US
+            )
         ]
 
     def has_quorum(self, *, membership: EdgeMembership, now_us: int) -> bool:
         """Are enough voting members there for a new epoch to settle: half of them?"""
         voters = membership.voters
-        return len(self.heard_lately(edges=voters, now_us=now_us)) * 2 >= len(voters)
+        return len(self.reported_lately(edges=voters, now_us=now_us)) * 2 >= len(voters)
 
     def absent_us(self, *, edge: str, now_us: int) -> int:
         """For how long an edge has not reported to this leader, or has left."""
         holder = self._holders.get(edge)
-        heard_us = NEVER_US if holder is None else holder.heard_us
-        return now_us - max(heard_us, self.since_us)
+        reported_us = NEVER_US if holder is None else holder.reported_us
+        return now_us - max(reported_us, self.since_us)
 
     def holder(self, *, edge: str) -> LeaseRecord | None:
         """What is known of an edge; None if it has never reported."""
         return self._holders.get(edge)
 
-    def contacts(self, *, now_us: int) -> list[EdgeContact]:
+    def recent_contacts(self, *, now_us: int) -> list[EdgeContact]:
         """Contacts of the edges that have reported within a lease's span.
 
         Another one holds no lease, so that nothing waits for it; it learns of the newest
         epoch from the answer to its next renewal, and fetches that state alone.
         """
-        oldest_us = now_us - LEASE_SPAN_US - LEASE_MARGIN_US
-        return [
-            holder.contact
-            for _, holder in sorted(self._holders.items())
-            if holder.contact is not None and holder.heard_us >= oldest_us
-        ]
-
-    # --- changes since an edge was last notified ------------------------------------------
-
-    def note_cores(self, *, cores: list[str]) -> None:
-        """Note the addresses of the cores, which edges are told when they change."""
-        if cores != self._cores:
-            self._changes += 1
-            self._cores, self._cores_changed_at = list(cores), self._changes
+        return self.contacts.reporting_since(oldest_us=now_us - LEASE_SPAN_US - LEASE_MARGIN_US)
 
     def count(self) -> int:
         """How many edges have ever reported."""
         return len(self._holders)
-
-    def mark(self) -> int:
-        """A token for the contacts and cores as they are now, in this lease table."""
-        return self._era() | self._changes
-
-    def _era(self) -> int:
-        return (self.since_us & 0x7FFF_FFFF) << 32
-
-    def is_of_here(self, *, known: int) -> bool:
-        """Was this mark given by this lease table?"""
-        return known >> 32 << 32 == self._era() and known & 0xFFFF_FFFF > 0
-
-    def news_for(
-        self, *, known: int, now_us: int, limit: int
-    ) -> tuple[list[EdgeContact], list[str]]:
-        """Contacts and cores that changed since a mark was given, at most `limit`
-        contacts, the newest: gossip carries what is left out.
-
-        >>> lease_table = LeaseTable(since_us=0)
-        >>> for name in ("a", "b"):
-        ...     _ = lease_table.heard(edge=name, incarnation=1, epoch=1, now_us=10,
-        ...         contact=EdgeContact(name=name, address=name))
-        >>> contacts, _ = lease_table.news_for(known=0, now_us=20, limit=9)
-        >>> [contact.name for contact in contacts]
-        ['b', 'a']
-        >>> lease_table.news_for(known=lease_table.mark(), now_us=20, limit=9)
-        ([], [])
-        """
-        since = known & 0xFFFF_FFFF if self.is_of_here(known=known) else 0
-        if since == self._changes:
-            return [], []
-        newest = sorted(
-            (
-                holder
-                for holder in self._holders.values()
-                if holder.changed_at > since
-                and self._has_recent_contact(holder=holder, now_us=now_us)
-            ),
-            key=lambda holder: -holder.changed_at,
-        )
-        cores = self._cores if self._cores_changed_at > since else []
-        contacts = [holder.contact for holder in newest[:limit] if holder.contact is not None]
-        return contacts, list(cores)
-
-    @staticmethod
-    def _has_recent_contact(*, holder: LeaseRecord, now_us: int) -> bool:
-        return (
-            holder.contact is not None
-            and now_us - holder.heard_us < CONTACT_KEPT_SPANS * LEASE_SPAN_US
-        )
--- a/kelpstage/core/web/views.py
+++ b/kelpstage/core/web/views.py
@@ -27,14 +27,14 @@
     rows = []
     for edge in membership.names:
         holder = lease_service.lease_table.holder(edge=edge)
-        has_reported = holder is not None and holder.heard_us > 0
-        contact = holder.contact if holder is not None and has_reported else None
+        has_reported = holder is not None and holder.reported_us > 0
+        contact = lease_service.lease_table.contacts.contact_of(edge=edge)
         rows.append(
             {
                 "edge": edge,
                 "epoch": holder.epoch if holder else 0,
                 "is_behind": not holder or holder.epoch < state.epoch,
-                "heard_us_ago": now_us - holder.heard_us if holder and has_reported else None,
+                "heard_us_ago": now_us - holder.reported_us if holder and has_reported else None,
                 "is_voting": not membership.is_observer(edge),
                 "has_left": lease_service.lease_table.has_left(edge=edge),
                 "address": contact.address if contact else None,
--- a/kelpstage/testbed/model/adapter.py
+++ b/kelpstage/testbed/model/adapter.py
@@ -282,7 +282,9 @@
     lease_table: LeaseTable, *, edge: str, incarnation: int, epoch: int, now_us: int
 ) -> None:
     """The leader receives an edge's heartbeat: the epoch that it has installed."""
-    lease_table.heard(edge=edge, incarnation=incarnation, epoch=epoch, contact=None, now_us=now_us)
+    lease_table.record_report(
+        edge=edge, incarnation=incarnation, epoch=epoch, contact=None, now_us=now_us
+    )
 
 
 def lease_table_gives(lease_table: LeaseTable, *, edge: str, epoch: int, now_us: int) -> None:
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -333,7 +333,9 @@
                     has_it = [name for place, name in enumerate(membership) if mask >> place & 1]
                     lease_table = LeaseTable(since_us=0)
                     for name in has_it:
-                        lease_table.heard(edge=name, incarnation=1, epoch=2, contact=None, now_us=1)
+                        lease_table.record_report(
+                            edge=name, incarnation=1, epoch=2, contact=None, now_us=1
+                        )
                     if not all(  # as the lease service asks
                         lease_table.is_settled(
                             epoch=2,
--- a/tests/test_edge_membership.py
+++ b/tests/test_edge_membership.py
@@ -41,7 +41,9 @@
 
 
 def heard(lease_table: LeaseTable, edge: str, *, epoch: int, now_us: int) -> bool:
-    return lease_table.heard(edge=edge, incarnation=1, epoch=epoch, contact=None, now_us=now_us)
+    return lease_table.record_report(
+        edge=edge, incarnation=1, epoch=epoch, contact=None, now_us=now_us
+    )
 
 
 def subsets(names: tuple[str, ...]) -> list[tuple[str, ...]]:
@@ -151,12 +153,12 @@
         self.assertTrue(lease_table.has_quorum(membership=membership, now_us=3))
         self.assertFalse(heard(lease_table, "b", epoch=1, now_us=4))  # under way when it left
         self.assertTrue(lease_table.is_settled(epoch=2, membership=membership, now_us=5))
-        lease_table.heard(edge="b", incarnation=2, epoch=0, contact=None, now_us=6)
+        lease_table.record_report(edge="b", incarnation=2, epoch=0, contact=None, now_us=6)
         self.assertFalse(lease_table.is_settled(epoch=2, membership=membership, now_us=7))
 
     def test_the_word_of_an_older_process_that_left_counts_for_nothing(self) -> None:
         lease_table = LeaseTable(since_us=0)
-        lease_table.heard(edge="a", incarnation=2, epoch=1, contact=None, now_us=1)
+        lease_table.record_report(edge="a", incarnation=2, epoch=1, contact=None, now_us=1)
         lease_table.give_back(edge="a", incarnation=1, now_us=2)
         self.assertFalse(lease_table.has_left(edge="a"))
 
--- a/tests/test_many_edges.py
+++ b/tests/test_many_edges.py
@@ -209,27 +209,31 @@
     def test_only_what_changed_is_told(self) -> None:
         lease_table = LeaseTable(since_us=5)
         for n in range(90):
-            lease_table.heard(
+            lease_table.record_report(
                 edge=f"n{n}", incarnation=1, epoch=1, contact=self.contact(f"n{n}"), now_us=9
             )
-        lease_table.note_cores(cores=["a:1", "b:1"])
-        mark = lease_table.mark()
-        self.assertEqual(([], []), lease_table.news_for(known=mark, now_us=10, limit=32))
+        lease_table.contacts.note_cores(cores=["a:1", "b:1"])
+        mark = lease_table.contacts.mark()
+        self.assertEqual(([], []), lease_table.contacts.since(known=mark, now_us=10, limit=32))
         # A renewal without its contact changes nothing, a new life does.
-        lease_table.heard(edge="n1", incarnation=1, epoch=2, contact=EdgeContact(), now_us=11)
-        self.assertEqual(mark, lease_table.mark())
-        lease_table.heard(
+        lease_table.record_report(
+            edge="n1", incarnation=1, epoch=2, contact=EdgeContact(), now_us=11
+        )
+        self.assertEqual(mark, lease_table.contacts.mark())
+        lease_table.record_report(
             edge="n2", incarnation=2, epoch=2, contact=self.contact("n2", 2), now_us=11
         )
-        contacts, cores = lease_table.news_for(known=mark, now_us=12, limit=32)
+        contacts, cores = lease_table.contacts.since(known=mark, now_us=12, limit=32)
         self.assertEqual((["n2"], []), ([contact.name for contact in contacts], cores))
 
     def test_a_mark_of_another_lease_table_counts_for_nothing(self) -> None:
         old, new = LeaseTable(since_us=5), LeaseTable(since_us=6)
         for lease_table in (old, new):
-            lease_table.heard(edge="n", incarnation=1, epoch=1, contact=self.contact("n"), now_us=9)
-            lease_table.note_cores(cores=["a:1"])
-        contacts, cores = new.news_for(known=old.mark(), now_us=10, limit=32)
+            lease_table.record_report(
+                edge="n", incarnation=1, epoch=1, contact=self.contact("n"), now_us=9
+            )
+            lease_table.contacts.note_cores(cores=["a:1"])
+        contacts, cores = new.contacts.since(known=old.contacts.mark(), now_us=10, limit=32)
         self.assertEqual((1, ["a:1"]), (len(contacts), cores))
 
     def test_a_lease_bears_one_renewal_without_an_answer(self) -> None:
@@ -323,7 +327,7 @@
     def test_who_was_to_hand_the_news_on_is_gone(self) -> None:
         async def scenario(fleet: SimFleet) -> None:
             leader = fleet.daemons[f"core/{fleet.leader()}"]
-            contacts = leader.lease_service.lease_table.contacts(now_us=fleet.world.now_us())
+            contacts = leader.lease_service.lease_table.recent_contacts(now_us=fleet.world.now_us())
             firsts: dict[str, str] = {}
             for contact in contacts:
                 firsts.setdefault(contact.zone, contact.name)
