--- a/kelpstage/testbed/model/calls.py
+++ b/kelpstage/testbed/model/calls.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from kelpstage.testbed.model import adapter as core
+from kelpstage.testbed.model import edge_adapter as leases
 
 ACKNOWLEDGED_KEPT = 40
 PADDING = 200  # each second document is long enough to travel as a difference
@@ -134,7 +135,7 @@
     """An edge with what it has installed and its leases."""
 
     name: str
-    lease_holder: core.LeaseHolder
+    lease_holder: leases.LeaseHolder
     incarnation: int = 1
     renewed_us: int = -(10**9)
     is_observer: bool = False
--- a/kelpstage/testbed/model/checks.py
+++ b/kelpstage/testbed/model/checks.py
@@ -7,6 +7,7 @@
 from typing import Any, Mapping, Protocol
 
 from kelpstage.testbed.model import adapter as core
+from kelpstage.testbed.model import edge_adapter as leases
 from kelpstage.testbed.model.calls import Edge, Order
 from kelpstage.testbed.model.interfaces import NodeView
 
@@ -318,7 +319,7 @@
                 other.name
                 for other in edges
                 if other.lease_holder.epoch <= holder.epoch
-                and core.may_confirm(other.lease_holder, now_us=now_us)
+                and leases.may_confirm(other.lease_holder, now_us=now_us)
             ]
             if holder.membership.has_majority(confirming):
                 self.fail(
@@ -330,7 +331,7 @@
     def edge_changed(self, *, edge: Edge) -> None:
         """An edge holds no lease under an epoch older than one that is settled."""
         self.edges_confirm()
-        if not core.has_lease(edge.lease_holder, now_us=self.world.now_us):
+        if not leases.has_lease(edge.lease_holder, now_us=self.world.now_us):
             return
         if edge.lease_holder.epoch < self.settled_epoch:
             self.fail(
--- a/kelpstage/testbed/model/cluster.py
+++ b/kelpstage/testbed/model/cluster.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from kelpstage.testbed.model import adapter as core
+from kelpstage.testbed.model import edge_adapter as leases
 from kelpstage.testbed.model.checks import Checks
 from kelpstage.testbed.model.node import Hooks, Node, seeded
 from kelpstage.testbed.model.packets import JoinCall, LeaveAnswer, LeaveCall, Packet
@@ -43,9 +44,9 @@
         """The generator of one instance of one replica."""
         return seeded(seed=self.seed, name=name)
 
-    def make_lease_table(self) -> core.LeaseTable:
+    def make_lease_table(self) -> leases.LeaseTable:
         """The lease table of a leader that was elected now."""
-        return core.LeaseTable(since_us=self.now_us)
+        return leases.LeaseTable(since_us=self.now_us)
 
     def _found(self) -> None:
         names = [f"n{i}" for i in range(self.scope.machines)]
--- a/kelpstage/testbed/model/interfaces.py
+++ b/kelpstage/testbed/model/interfaces.py
@@ -5,6 +5,7 @@
 from typing import Any, Protocol
 
 from kelpstage.testbed.model import adapter as core
+from kelpstage.testbed.model import edge_adapter as leases
 from kelpstage.testbed.model.disk import Disk
 
 
@@ -22,7 +23,7 @@
     disk: Disk
     replica: core.Replica | None
     machine: core.Machine | None
-    lease_table: core.LeaseTable | None
+    lease_table: leases.LeaseTable | None
 
     def take(self, event: Any) -> None:
         """Step the replica by an event and perform the effects."""
--- a/kelpstage/testbed/model/node.py
+++ b/kelpstage/testbed/model/node.py
@@ -12,6 +12,7 @@
 from typing import Any, Protocol
 
 from kelpstage.testbed.model import adapter as core
+from kelpstage.testbed.model import edge_adapter as leases
 from kelpstage.testbed.model.checks import OWN_ASSERTIONS, Checks
 from kelpstage.testbed.model.disk import Disk, SnapshotWrite
 from kelpstage.testbed.model.scope import Scope
@@ -60,7 +61,7 @@
     def random_for(self, *, name: str) -> random.Random:
         """The generator of one instance of one replica."""
 
-    def make_lease_table(self) -> core.LeaseTable:
+    def make_lease_table(self) -> leases.LeaseTable:
         """The lease table of a leader that was elected now."""
 
     def send(self, *, source: str, to: str, body: Any) -> None:
@@ -90,7 +91,7 @@
     is_frozen: bool = False
     replica: core.Replica | None = None
     machine: core.Machine | None = None
-    lease_table: core.LeaseTable | None = None
+    lease_table: leases.LeaseTable | None = None
     applied: int = 0
     synced: int = 0
     held: list[core.Send] = field(default_factory=list)
@@ -120,7 +121,7 @@
         self.shown = disk.snapshot
         self.machine = core.Machine(cluster=core.CLUSTER, state=state)
         self.applied = log.base_index
-        self.lease_table = core.LeaseTable(since_us=self.world.now_us)
+        self.lease_table = leases.LeaseTable(since_us=self.world.now_us)
         self.synced = 0
         self.held, self.proposals, self.fetches = [], {}, []
         self.arrived, self.in_writing = None, None
--- a/kelpstage/testbed/model/sessions.py
+++ b/kelpstage/testbed/model/sessions.py
@@ -11,6 +11,7 @@
 from typing import Any, Protocol
 
 from kelpstage.testbed.model import adapter as core
+from kelpstage.testbed.model import edge_adapter as leases
 from kelpstage.testbed.model.calls import (
     Edge,
     LeaseAnswer,
@@ -50,7 +51,7 @@
     address: str
     starts: int
     call: Any
-    lease_table: core.LeaseTable
+    lease_table: leases.LeaseTable
     until_us: int
     source: str = ""
     stage: str = LOOK_UP
@@ -71,16 +72,16 @@
         self._token = 0
         for place in range(scope.edges):
             name, is_observer = f"e{place}", place >= scope.edges - scope.observers
-            holder = core.LeaseHolder(me=name)
+            holder = leases.LeaseHolder(me=name)
             self.edges[name] = Edge(name=name, lease_holder=holder, is_observer=is_observer)
         doc = core.Machine(cluster=core.CLUSTER, state=self.first_state()).doc()
         for edge in self.edges.values():
-            core.install(edge.lease_holder, doc=doc, now_us=0)
+            leases.install(edge.lease_holder, doc=doc, now_us=0)
 
     def first_state(self) -> core.CoreState:
         """The state of a cluster in which all edges have joined."""
         observers = [edge.name for edge in self.edges.values() if edge.is_observer]
-        return core.first_state(edges=list(self.edges), observers=observers)
+        return leases.first_state(edges=list(self.edges), observers=observers)
 
     # --- calls arrive at a node --------------------------------------------------------
 
@@ -112,7 +113,7 @@
         node.take(core.ReadIndexRequest(token=self._token))
 
     def _note_leaving(self, *, node: NodeView, call: LeaveEdgeCall) -> None:
-        core.lease_table_leaves(
+        leases.lease_table_leaves(
             node.lease_table,
             edge=call.edge,
             incarnation=call.incarnation,
@@ -128,7 +129,7 @@
         )
 
     def _note_edge(self, *, node: NodeView, call: RenewCall) -> None:
-        core.lease_table_hears(
+        leases.lease_table_hears(
             node.lease_table,
             edge=call.edge,
             incarnation=call.incarnation,
@@ -176,12 +177,12 @@
         if not is_on_membership:
             self._send_state(node=node, call=call)
             return
-        core.lease_table_gives(
+        leases.lease_table_gives(
             node.lease_table, edge=call.edge, epoch=epoch, now_us=self.world.now_us
         )
         answer = LeaseAnswer(
             incarnation=call.incarnation,
-            reply=core.lease_reply(epoch=epoch),
+            reply=leases.lease_reply(epoch=epoch),
             sent_us=call.sent_us,
         )
         self.world.send(source=node.address, to=call.edge, body=answer)
@@ -204,7 +205,7 @@
     def _may_propose(self, *, node: NodeView, work: Work) -> bool:
         """One change at a time, when the one before it is settled."""
         state = node.machine.state
-        return not self._is_changing(work=work) and core.lease_table_settled(
+        return not self._is_changing(work=work) and leases.lease_table_settled(
             node.lease_table, state=state, epoch=state.epoch, now_us=self.world.now_us
         )
 
@@ -226,11 +227,11 @@
             if name not in state.membership or is_observer != (name in state.observers)
         }
         if joining:
-            return core.join_bytes(edges=joining)
+            return leases.join_bytes(edges=joining)
         now_us = self.world.now_us
-        if not core.has_edge_quorum(node.lease_table, state=state, now_us=now_us):
+        if not leases.has_edge_quorum(node.lease_table, state=state, now_us=now_us):
             return b""
-        return core.removal_bytes(
+        return leases.removal_bytes(
             node.lease_table, state=state, tolerance=self._scope.tolerance, now_us=now_us
         )
 
@@ -324,7 +325,7 @@
     def _settle(self, *, node: NodeView, token: int, work: Work) -> None:
         """Acknowledge when no edge can serve an older epoch."""
         state = node.machine.state
-        if not core.lease_table_settled(
+        if not leases.lease_table_settled(
             work.lease_table, state=state, epoch=work.epoch, now_us=self.world.now_us
         ):
             return
@@ -373,9 +374,9 @@
         if edge is None:
             return  # gone for good
         if isinstance(body, StateAnswer):
-            core.install(edge.lease_holder, doc=body.doc, now_us=self.world.now_us)
+            leases.install(edge.lease_holder, doc=body.doc, now_us=self.world.now_us)
         elif body.incarnation == edge.incarnation:
-            core.take_lease(edge.lease_holder, reply=body.reply, sent_us=body.sent_us)
+            leases.take_lease(edge.lease_holder, reply=body.reply, sent_us=body.sent_us)
         self.world.checks.edge_changed(edge=edge)
 
     def renew(self, *, edge: Edge, to: str) -> None:
@@ -397,7 +398,7 @@
 
     def leave_edge(self, *, edge: Edge, to: str) -> None:
         """An edge stops serving and confirming, and says so."""
-        core.leave(edge.lease_holder)
+        leases.leave(edge.lease_holder)
         call = LeaveEdgeCall(edge=edge.name, incarnation=edge.incarnation)
         self.world.send(source=edge.name, to=to, body=call)
 
@@ -406,7 +407,7 @@
         number = int(edge.name.partition(".")[2] or 0) + 1
         name = f"{edge.name.partition('.')[0]}.{number}"
         fresh = Edge(
-            name=name, lease_holder=core.LeaseHolder(me=name), is_observer=edge.is_observer
+            name=name, lease_holder=leases.LeaseHolder(me=name), is_observer=edge.is_observer
         )
         self.edges = {
             (name if other is edge else other.name): (fresh if other is edge else other)
@@ -416,4 +417,4 @@
     def restart_edge(self, *, edge: Edge) -> None:
         """An edge starts anew and has forgotten everything."""
         edge.incarnation += 1
-        edge.lease_holder = core.LeaseHolder(me=edge.name)
+        edge.lease_holder = leases.LeaseHolder(me=edge.name)
--- a/tests/model_mutants.py
+++ b/tests/model_mutants.py
@@ -12,9 +12,11 @@
 from unittest import mock
 
 from kelpstage.testbed.model import adapter as core
+from kelpstage.testbed.model import edge_adapter as leases
 from kelpstage.testbed.model.node import Hooks, Node
 from kelpstage.testbed.model.sessions import RenewCall, Sessions, Work
 from kelpstage.testbed.model.system import World
+from tests import model_patches as patches
 
 
 class SuffixDroppedBySnapshot(Hooks):
@@ -23,7 +25,7 @@
     def after(self, node: Node, event: Any, effects: list[Any]) -> list[Any]:
         if not any(isinstance(effect, core.SaveSnapshot) for effect in effects):
             return effects
-        core.drop_log_behind(node.replica, index=event.index)
+        patches.drop_log_behind(node.replica, index=event.index)
         return [
             dataclasses.replace(effect, tail=[])
             if isinstance(effect, core.SaveSnapshot)
@@ -77,7 +79,7 @@
 
     def before(self, node: Node, event: Any) -> Any:
         if isinstance(event, core.Received) and isinstance(event.message, self.kind):
-            message = self.change(node, core.copy_message(event.message))
+            message = self.change(node, patches.copy_message(event.message))
             return core.Received(message=message)
         return event
 
@@ -92,7 +94,7 @@
     kind = core.RequestVote
 
     def change(self, node: Node, message: Any) -> Any:
-        core.forget_vote(node.replica)
+        patches.forget_vote(node.replica)
         return message
 
 
@@ -116,7 +118,7 @@
         if message.term != core.term_of(node.replica) or not message.entries:
             return message
         if node.replica.log.term_at(index=last) == message.entries[-1].term:
-            core.truncate(node, index=max(last, core.commit_index_of(node.replica)))
+            patches.truncate(node, index=max(last, core.commit_index_of(node.replica)))
         return message
 
 
@@ -128,7 +130,7 @@
     def change(self, node: Node, message: Any) -> Any:
         log = node.replica.log
         if message.term == core.term_of(node.replica):
-            core.commit_unchecked(node.replica, index=min(message.commit_index, log.last_index))
+            patches.commit_unchecked(node.replica, index=min(message.commit_index, log.last_index))
         return message
 
 
@@ -148,7 +150,7 @@
 
     def before(self, node: Node, event: Any) -> Any:
         if core.role_of(node.replica) == core.LEADER:
-            core.claim_durable(node.replica)
+            patches.claim_durable(node.replica)
         return event
 
 
@@ -205,7 +207,7 @@
     def after(self, node: Node, event: Any, effects: list[Any]) -> list[Any]:
         for effect in effects:
             if isinstance(effect, core.RoleChanged) and effect.role == core.LEADER:
-                node.world.make_lease_table = lambda: core.LeaseTable(since_us=-(10**9))
+                node.world.make_lease_table = lambda: leases.LeaseTable(since_us=-(10**9))
         return effects
 
 
@@ -214,7 +216,7 @@
 
     def before(self, node: Node, event: Any) -> Any:
         if isinstance(event, core.Tick):
-            core.put_off_learners_timeout(node.replica)
+            patches.put_off_learners_timeout(node.replica)
         return event
 
 
@@ -248,22 +250,22 @@
 
 def acknowledged_unsettled() -> contextlib.AbstractContextManager:
     """An order is acknowledged while edges may still serve what was before it."""
-    return patched(core, "lease_table_settled", lambda *_, **__: True)
+    return patched(leases, "lease_table_settled", lambda *_, **__: True)
 
 
 def lease_from_arrival() -> contextlib.AbstractContextManager:
     """An edge counts its lease from when it came, not from when it was asked for."""
-    take = core.take_lease
+    take = leases.take_lease
 
-    def take_late(lease_holder: core.LeaseHolder, *, reply: Any, sent_us: int) -> None:
+    def take_late(lease_holder: leases.LeaseHolder, *, reply: Any, sent_us: int) -> None:
         take(lease_holder, reply=reply, sent_us=sent_us + 1_500_000)
 
-    return patched(core, "take_lease", take_late)
+    return patched(leases, "take_lease", take_late)
 
 
 def observer_confirms_for_ever() -> contextlib.AbstractContextManager:
     """An observer confirms its epoch without a bound."""
-    return core.patch_may_confirm(
+    return patches.patch_may_confirm(
         lambda holder: (
             holder.first_leased_epoch is not None and holder.epoch >= holder.first_leased_epoch
         )
@@ -272,44 +274,44 @@
 
 def observers_not_waited_for() -> contextlib.AbstractContextManager:
     """A leader takes it that whoever lacks an epoch confirms nothing any more."""
-    return patched(core.LeaseTable, "_may_confirm_older", lambda *_, **__: False)
+    return patched(leases.LeaseTable, "_may_confirm_older", lambda *_, **__: False)
 
 
 def membership_before_forgotten() -> contextlib.AbstractContextManager:
     """An epoch is settled by the newest membership alone."""
-    return core.patch_previous_membership()
+    return patches.patch_previous_membership()
 
 
 def learner_never_raised() -> contextlib.AbstractContextManager:
     """A learner that has caught up is not made a voter."""
-    return core.patch_caught_up(lambda state, *, name: False)
+    return patches.patch_caught_up(lambda state, *, name: False)
 
 
 def quorum_too_small() -> contextlib.AbstractContextManager:
     """Half of the voters count as a majority."""
-    return core.patch_majority(lambda names, voters: len(names & voters) * 2 >= len(voters) - 1)
+    return patches.patch_majority(lambda names, voters: len(names & voters) * 2 >= len(voters) - 1)
 
 
 class SmallMessages(Hooks):
     """No fault: AppendEntries carries one entry at a time."""
 
     def on_start(self, node: Node) -> None:
-        core.send_one_entry_at_a_time(node.replica)
+        patches.send_one_entry_at_a_time(node.replica)
 
 
 def older_term_counted() -> contextlib.AbstractContextManager:
     """An entry of an older term is committed because a majority has it."""
-    return core.patch_commit_any_term()
+    return patches.patch_commit_any_term()
 
 
 def change_before_terms_entry() -> contextlib.AbstractContextManager:
     """A leader changes members before an entry of its term is committed."""
-    return core.patch_change_pending(lambda state: state.members.index > state.commit_index)
+    return patches.patch_change_pending(lambda state: state.members.index > state.commit_index)
 
 
 def changes_side_by_side() -> contextlib.AbstractContextManager:
     """A leader changes members while a change is under way."""
-    return core.patch_change_pending(lambda state: False)
+    return patches.patch_change_pending(lambda state: False)
 
 
 def snapshot_never_found() -> contextlib.AbstractContextManager:
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -15,6 +15,7 @@
 from kelpstage.testbed.model.system import Action, Packet, Scope, World
 from kelpstage.testbed.model.walk import Outcome, Walk, as_test, random_walk, replay, shrink
 from tests import model_mutants as mutants
+from tests import model_patches as patches
 
 THREE = Scope(machines=3, voters=3, tolerance=1)
 THREE_EDGES = Scope(machines=3, voters=3, tolerance=1, edges=3)
@@ -166,7 +167,7 @@
             for m in core.members_of(node.replica)
             if without is None or m.replica != without.identity
         ]
-        core.change_members(node.replica, members=members)
+        patches.change_members(node.replica, members=members)
         node.perform(node.replica.state.take_effects())
         node.sync(count=9)
 
