Build: libraries of another kind of machine are built anew

Cause: build.sh took a target/deps that is newer than pyproject.toml for done, whatever machine had built it. A folder that is carried over from x86-64 to arm64 (or to another Python) holds compiled parsers that don't load there.

Change: the stamp holds the machine and the Python that it was built for; another one, or the empty stamp of before, is built anew. On a clean checkout the script does what it did. Run on arm64 alone; the libraries have wheels or sources for both kinds, x86-64 wasn't at hand.

--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -1,7 +1,10 @@
 #!/bin/sh
-# Puts the libraries that pyproject.toml names under target/deps.
+# Puts the libraries that pyproject.toml names under target/deps. Some of them are compiled:
+# what was built on another kind of machine, or for another Python, is built anew.
 set -eu
-if [ -e target/deps/.built ] && [ target/deps/.built -nt pyproject.toml ]; then
+kind="$(uname -m) $(python3 -c 'import sys; print(sys.implementation.cache_tag)')"
+built=target/deps/.built
+if [ "$(cat "$built" 2>/dev/null)" = "$kind" ] && [ "$built" -nt pyproject.toml ]; then
     exit 0
 fi
 rm -rf target/deps
@@ -12,4 +15,4 @@
     print("\n".join(tomllib.load(file)["project"]["dependencies"]))
 PY
 python3 -m pip install -q --disable-pip-version-check --target target/deps -r target/requirements.txt
-touch target/deps/.built
+echo "$kind" > "$built"
