Edges that renew through a peer fetch the newest state from that peer

Cause: a relayed reply names the leader as the source of the epoch, so the state was fetched from the leader and the other cores alone, which that edge can't reach, one after the other, some eight seconds each. The peer that relayed has it. A lease for an epoch that is not installed gives no right to serve; as the lease was fresh, no peer was asked to confirm either.

Change: a newer epoch that a relayed reply names is fetched from the peer that relayed it; and a source that has not brought the state within 1 s is left to go on while the next one is asked beside it, none twice at one time. A lease for a newer epoch drops the sources of older ones.

--- a/kelpstage/edge/lease/lease_holder.py
+++ b/kelpstage/edge/lease/lease_holder.py
@@ -105,7 +105,8 @@
         self.leases[reply.epoch] = max(self.leases.get(reply.epoch, 0), until_us)
         while len(self.leases) > LEASES_KEPT:
             del self.leases[min(self.leases)]
-        self.newest_epoch = max(self.newest_epoch, reply.epoch)
+        if reply.epoch > self.newest_epoch:
+            self.newest_epoch, self.newest_sources = reply.epoch, []
         if self.first_leased_epoch is None:
             self.first_leased_epoch = reply.epoch
 
--- a/kelpstage/edge/lease/relay.py
+++ b/kelpstage/edge/lease/relay.py
@@ -80,31 +80,30 @@
         sent_us, calls = self._send(target=target)
         refused: LeaseReply | None = None
         for call in asyncio.as_completed(calls):
-            reply = await call
+            peer, reply = await call
             if not isinstance(reply, LeaseReply):
                 continue
             self._swim.outrank(incarnation=reply.newest_incarnation)
             refused = None if reply.is_granted else reply
-            if reply.is_granted and self._accept(reply=reply, sent_us=sent_us, target=target):
+            if reply.is_granted and self._renewal.accept_reply(
+                reply=reply, sent_us=sent_us, target=target, relayed_by=peer
+            ):
                 return True
         if refused is not None and not self._cores.leader:
-            self._accept(reply=refused, sent_us=sent_us, target=target)
+            self._renewal.accept_reply(reply=refused, sent_us=sent_us, target=target)
         return False
 
-    def _accept(self, *, reply: LeaseReply, sent_us: int, target: str) -> bool:
-        return self._renewal.accept_reply(reply=reply, sent_us=sent_us, target=target)
-
-    def _send(self, *, target: str) -> tuple[int, list[asyncio.Task[object]]]:
+    def _send(self, *, target: str) -> tuple[int, list[asyncio.Task[tuple[str, object]]]]:
         """The calls to peers by lot, and when they were sent."""
         members = self._swim.members.values()
         peers = sorted(m.info.address for m in members if m.info.status == ALIVE)
         peers = self._ports.rand.sample(peers, min(RELAY_COUNT, len(peers)))
         sent_us = self._ports.clock.now_us()
         message = RelayRenew(target=target, renew=self._renewal.request(target=""))
-        calls = [
-            self._ports.spawn(
-                self._transport.call(address=peer, message=message, wait_us=RELAY_WAIT_US)
-            )
-            for peer in peers
-        ]
+        calls = [self._ports.spawn(self._ask(peer=peer, message=message)) for peer in peers]
         return sent_us, calls
+
+    async def _ask(self, *, peer: str, message: RelayRenew) -> tuple[str, object]:
+        """A peer's address and its reply."""
+        reply = await self._transport.call(address=peer, message=message, wait_us=RELAY_WAIT_US)
+        return peer, reply
--- a/kelpstage/edge/lease/renewal.py
+++ b/kelpstage/edge/lease/renewal.py
@@ -143,8 +143,14 @@
             self._introduced_us = now_us
         return message
 
-    def accept_reply(self, *, reply: LeaseReply, sent_us: int, target: str) -> bool:
-        """Take a core's reply to a request of `sent_us`; true if it grants a lease."""
+    def accept_reply(
+        self, *, reply: LeaseReply, sent_us: int, target: str, relayed_by: str = ""
+    ) -> bool:
+        """Take a core's reply to a request of `sent_us`; true if it grants a lease.
+
+        A newer epoch is fetched from the peer that relayed the reply, if one did: that peer
+        reaches the leader, while this edge may not.
+        """
         lease_holder = self._lease_holder
         if reply.cluster and lease_holder.cluster and reply.cluster != lease_holder.cluster:
             self.last_refusal = f"{target} belongs to another cluster"
@@ -155,8 +161,9 @@
         self._note_known(reply=reply)
         self.last_refusal = reply.why
         lease_holder.take_lease(reply=reply, sent_us=sent_us)
-        if reply.epoch and lease_holder.note_epoch(epoch=reply.epoch, source=reply.leader_address):
-            self._on_newer_epoch(reply.leader_address)
+        source = relayed_by or reply.leader_address
+        if reply.epoch and lease_holder.note_epoch(epoch=reply.epoch, source=source):
+            self._on_newer_epoch(source)
         return reply.is_granted
 
     def _note_known(self, *, reply: LeaseReply) -> None:
--- a/kelpstage/edge/lease/state_sync.py
+++ b/kelpstage/edge/lease/state_sync.py
@@ -21,6 +21,8 @@
 
 log = logger(name="lease")
 
+NEXT_SOURCE_US = 1_000_000  # without the state for so long, the next source is asked as well
+
 
 class StateSync:
     """Brings this edge to the newest epoch that it knows of, one fetch at a time."""
@@ -44,6 +46,7 @@
         self._journal = journal
         self._on_installed = on_installed
         self._is_fetching = False
+        self._asked: set[str] = set()  # addresses that a fetch is under way from
         self._chunks = ChunkSource()
 
     # --- fetching -------------------------------------------------------------------------
@@ -56,17 +59,35 @@
         self._ports.spawn(self._fetch(first=first))
 
     async def _fetch(self, *, first: str) -> None:
+        """Ask one source after the other. A source that is cut off or gone keeps a fetch for
+        seconds, so the next one is asked beside it."""
         lease_holder = self._lease_holder
-        known = [first, self._cores.leader, *lease_holder.newest_sources, *self._cores.cores]
-        sources = [address for address in dict.fromkeys(known) if address]
-        for address in sources:
-            if await self._fetch_from(address=address):
+        tried: set[str] = set()
+        while address := self._next_source(first=first, tried=tried):
+            tried.add(address)
+            fetch = self._ports.spawn(self._fetch_once(address=address))
+            if await self._ports.clock.within(fetch, us=NEXT_SOURCE_US):
                 break
         self._is_fetching = False
-        if lease_holder.newest_epoch > lease_holder.epoch and sources:
+        if lease_holder.newest_epoch > lease_holder.epoch and (tried or self._asked):
             await self._ports.clock.sleep(us=RETRY_US)
             self.fetch_soon()
 
+    def _next_source(self, *, first: str, tried: set[str]) -> str:
+        """The next address to ask, of those known by now; empty if there is none."""
+        sources = self._lease_holder.newest_sources
+        for address in (first, self._cores.leader, *sources, *self._cores.cores):
+            if address and address not in tried and address not in self._asked:
+                return address
+        return ""
+
+    async def _fetch_once(self, *, address: str) -> bool:
+        self._asked.add(address)
+        try:
+            return await self._fetch_from(address=address)
+        finally:
+            self._asked.discard(address)
+
     async def _fetch_from(self, *, address: str) -> bool:
         """Fetch and install what an address has; true if that brought a newer epoch."""
         lease_holder = self._lease_holder
--- a/tests/test_membership_scenarios.py
+++ b/tests/test_membership_scenarios.py
@@ -9,9 +9,16 @@
 from kelpstage.core.leases import membership_changes
 from kelpstage.core.leases.lease_table import LeaseTable
 from kelpstage.edge.lease.lease_holder import LeaseHolder
-from tests.membership_scenarios import CATCH_UP_US, Scenario, ScenarioRun, run_scenario
+from tests.membership_scenarios import (
+    CATCH_UP_US,
+    RECOVERY_US,
+    Scenario,
+    ScenarioRun,
+    run_scenario,
+)
 
 SEEDS = (1, 2, 3)
+APPLIED_WITHIN_US = 3_000_000  # of an acknowledgement, for edges that get leases
 
 
 async def most_leave_in_order(run: ScenarioRun) -> None:
@@ -100,6 +107,23 @@
     await run.order(why="healed")
 
 
+async def most_reach_the_cores_through_a_new_one(run: ScenarioRun) -> None:
+    """All observers are cut off from the voters while a change is made. Then a machine joins
+    that reaches both sides, and passes their renewals on: they install the change by it."""
+    names = run.observers()
+    pairs = {pair for a in names for b in run.voters() for pair in ((a, b), (b, a))}
+    run.fleet.world.cuts |= pairs
+    await run.order(why="all observers behind a cut")
+    await run.fleet.sleep(us=run.rand.randrange(0, 6) * 1_000_000)
+    await run.add(zone=run.rand.choice(run.fleet.deployment.zones), has_core=False)
+    await run.wait_until_ready(us=RECOVERY_US, why="one that reaches both sides")
+    await run.order(why="one that reaches both sides")
+    await run.wait_until_ready(us=APPLIED_WITHIN_US, why="acknowledged")
+    run.fleet.world.cuts -= pairs
+    run.fleet.world.flush()
+    await run.wait_until_ready(us=CATCH_UP_US, why="healed")
+
+
 async def most_behind_a_cut(run: ScenarioRun) -> None:
     """All observers and one voter are cut off from the two other voters, reach each other,
     and serve on by their confirmations as long as they may."""
@@ -174,6 +198,10 @@
         self.judge(most_freeze_and_thaw)
         self.judge(most_thaw_behind_a_cut)
 
+    def test_edges_that_renew_through_a_peer_install_a_change(self) -> None:
+        """Guards against a lease for an epoch that is asked for at unreachable cores alone."""
+        self.judge(most_reach_the_cores_through_a_new_one)
+
     def test_edges_behind_a_cut_serve_nothing_older(self) -> None:
         """Guards against a left-out majority behind a cut that vouches for what it had."""
         self.judge(most_behind_a_cut)
