--- a/kelpstage/testbed/model/actions.py
+++ b/kelpstage/testbed/model/actions.py
@@ -242,50 +242,50 @@
 @action
 def renew(cluster: Cluster, a: int, b: int) -> None:
     """An edge asks for a lease."""
-    if cluster.sessions.edges:
-        edge = cluster.sessions.edge_at(a)
+    if cluster.sessions.edges.by_name:
+        edge = cluster.sessions.edges.at(a)
         if not edge.lease_holder.has_left:
-            cluster.sessions.renew(edge=edge, to=cluster.node_at(b).address)
+            cluster.sessions.edges.renew(edge=edge, to=cluster.node_at(b).address)
 
 
 @action
 def restart_edge(cluster: Cluster, a: int, b: int) -> None:
     """An edge starts again."""
-    if cluster.sessions.edges:
-        cluster.sessions.restart_edge(edge=cluster.sessions.edge_at(a))
+    if cluster.sessions.edges.by_name:
+        cluster.sessions.edges.restart(edge=cluster.sessions.edges.at(a))
 
 
 @action
 def leave_edge(cluster: Cluster, a: int, b: int) -> None:
     """An edge leaves in order."""
-    if cluster.sessions.edges:
-        edge = cluster.sessions.edge_at(a)
-        cluster.sessions.leave_edge(edge=edge, to=cluster.node_at(b).address)
+    if cluster.sessions.edges.by_name:
+        edge = cluster.sessions.edges.at(a)
+        cluster.sessions.edges.leave(edge=edge, to=cluster.node_at(b).address)
 
 
 @action
 def replace_edge(cluster: Cluster, a: int, b: int) -> None:
     """An observer is gone for good, and one of another name comes."""
-    if cluster.sessions.edges and cluster.sessions.edge_at(a).is_observer:
-        edge = cluster.sessions.edge_at(a)
+    if cluster.sessions.edges.by_name and cluster.sessions.edges.at(a).is_observer:
+        edge = cluster.sessions.edges.at(a)
         cluster.muted.discard(edge.name)
-        cluster.sessions.replace_edge(edge=edge)
+        cluster.sessions.edges.replace(edge=edge)
 
 
 @action
 def mute(cluster: Cluster, a: int, b: int) -> None:
     """An edge is cut off from all cores, or no longer so."""
-    if cluster.sessions.edges:
-        cluster.muted ^= {cluster.sessions.edge_at(a).name}
+    if cluster.sessions.edges.by_name:
+        cluster.muted ^= {cluster.sessions.edges.at(a).name}
 
 
 @action
 def mute_most(cluster: Cluster, a: int, b: int) -> None:
     """All observers are cut off from all cores, and with an odd `b` one voter as well."""
-    edges = cluster.sessions.edges.values()
+    edges = cluster.sessions.edges.by_name.values()
     cluster.muted |= {edge.name for edge in edges if edge.is_observer}
     if edges and b % 2:
-        cluster.muted.add(cluster.sessions.edge_at(a).name)
+        cluster.muted.add(cluster.sessions.edges.at(a).name)
 
 
 @action
--- a/kelpstage/testbed/model/checks.py
+++ b/kelpstage/testbed/model/checks.py
@@ -287,7 +287,7 @@
             self.fail(ONE_ORDER_A_BASE, f"{order} beside another on {order.expected}")
         self.newest_version = max(self.newest_version, version)
         self.settled_epoch = max(self.settled_epoch, epoch)
-        for edge in self.world.sessions.edges.values():
+        for edge in self.world.sessions.edges.by_name.values():
             self.edge_changed(edge=edge)
         self.edges_confirm()
 
@@ -310,7 +310,7 @@
         Whoever is cut off may reach all that are, so the count is over all edges.
         """
         now_us = self.world.now_us
-        edges = self.world.sessions.edges.values()
+        edges = self.world.sessions.edges.by_name.values()
         for edge in edges:
             holder = edge.lease_holder
             if holder.has_left or holder.epoch >= self.settled_epoch:
--- a/kelpstage/testbed/model/cluster.py
+++ b/kelpstage/testbed/model/cluster.py
@@ -52,7 +52,7 @@
         names = [f"n{i}" for i in range(self.scope.machines)]
         founders = names[: self.scope.voters]
         members = [core.CoreMember(replica=n, address=n, is_voter=True) for n in founders]
-        state = self.sessions.first_state()
+        state = self.sessions.edges.first_state()
         snapshot = core.DiskSnapshot(
             index=core.FOUNDING_INDEX,
             term=core.FOUNDING_TERM,
@@ -131,7 +131,7 @@
             return
         node = self.nodes.get(packet.to)
         if node is None:
-            self.sessions.hear(name=packet.to, body=packet.body)
+            self.sessions.receive(name=packet.to, body=packet.body)
             return
         if node.is_frozen:
             self.packets.append(packet)
@@ -232,7 +232,7 @@
 
     def _renew_edges(self) -> None:
         leader = self.leader()
-        for edge in self.sessions.edges.values():
+        for edge in self.sessions.edges.by_name.values():
             is_due = self.now_us - edge.renewed_us >= RENEW_US
             if leader is not None and is_due and not edge.lease_holder.has_left:
-                self.sessions.renew(edge=edge, to=leader.address)
+                self.sessions.edges.renew(edge=edge, to=leader.address)
--- a/kelpstage/testbed/model/sessions.py
+++ b/kelpstage/testbed/model/sessions.py
@@ -8,12 +8,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any
 
 from kelpstage.testbed.model import adapter as core
 from kelpstage.testbed.model import edge_adapter as leases
 from kelpstage.testbed.model.calls import (
-    Edge,
     LeaseAnswer,
     LeaveEdgeCall,
     MembershipCall,
@@ -25,7 +24,7 @@
     RenewCall,
     StateAnswer,
 )
-from kelpstage.testbed.model.checks import Checks
+from kelpstage.testbed.model.edges import EdgeHost, ModelEdges
 from kelpstage.testbed.model.interfaces import NodeView
 from kelpstage.testbed.model.scope import Scope
 
@@ -34,16 +33,6 @@
 LOOK_UP, TURN, PROPOSED, SETTLE = "look-up", "turn", "proposed", "settle"
 
 
-class SessionHost(Protocol):
-    """What the sessions need of the modelled system."""
-
-    now_us: int
-    checks: Checks
-
-    def send(self, *, source: str, to: str, body: Any) -> None:
-        """Put a message on its way."""
-
-
 @dataclass(kw_only=True, eq=False)
 class Work:
     """A call that a node has not answered yet."""
@@ -62,26 +51,14 @@
 class Sessions:
     """All operators and edges, and their calls under way."""
 
-    def __init__(self, *, world: SessionHost, scope: Scope) -> None:
+    def __init__(self, *, world: EdgeHost, scope: Scope) -> None:
         self.world = world
         self._scope = scope
         self.operators = {f"op{i}": Operator(name=f"op{i}") for i in range(scope.operators)}
-        self.edges: dict[str, Edge] = {}
+        self.edges = ModelEdges(world=world, scope=scope)
         self._joining: dict[str, bool] = {}  # is it an observer?
         self._work: dict[int, Work] = {}
         self._token = 0
-        for place in range(scope.edges):
-            name, is_observer = f"e{place}", place >= scope.edges - scope.observers
-            holder = leases.LeaseHolder(me=name)
-            self.edges[name] = Edge(name=name, lease_holder=holder, is_observer=is_observer)
-        doc = core.Machine(cluster=core.CLUSTER, state=self.first_state()).doc()
-        for edge in self.edges.values():
-            leases.install(edge.lease_holder, doc=doc, now_us=0)
-
-    def first_state(self) -> core.CoreState:
-        """The state of a cluster in which all edges have joined."""
-        observers = [edge.name for edge in self.edges.values() if edge.is_observer]
-        return leases.first_state(edges=list(self.edges), observers=observers)
 
     # --- calls arrive at a node --------------------------------------------------------
 
@@ -223,7 +200,7 @@
         joining = {
             name: is_observer
             for name, is_observer in self._joining.items()
-            if name in self.edges and not self.edges[name].lease_holder.has_left
+            if name in self.edges.by_name and not self.edges.by_name[name].lease_holder.has_left
             if name not in state.membership or is_observer != (name in state.observers)
         }
         if joining:
@@ -365,56 +342,9 @@
 
     # --- answers arrive ---------------------------------------------------------------------------
 
-    def hear(self, *, name: str, body: Any) -> None:
+    def receive(self, *, name: str, body: Any) -> None:
         """An operator or an edge takes an answer."""
         if name in self.operators:
             self.operators[name].hear(answer=body)
-            return
-        edge = self.edges.get(name)
-        if edge is None:
-            return  # gone for good
-        if isinstance(body, StateAnswer):
-            leases.install(edge.lease_holder, doc=body.doc, now_us=self.world.now_us)
-        elif body.incarnation == edge.incarnation:
-            leases.take_lease(edge.lease_holder, reply=body.reply, sent_us=body.sent_us)
-        self.world.checks.edge_changed(edge=edge)
-
-    def renew(self, *, edge: Edge, to: str) -> None:
-        """An edge asks a node for a lease."""
-        edge.renewed_us = self.world.now_us
-        call = RenewCall(
-            edge=edge.name,
-            incarnation=edge.incarnation,
-            epoch=edge.lease_holder.epoch,
-            sent_us=self.world.now_us,
-            is_observer=edge.is_observer,
-        )
-        self.world.send(source=edge.name, to=to, body=call)
-
-    def edge_at(self, place: int) -> Edge:
-        """An edge by its place, counted round."""
-        names = list(self.edges)
-        return self.edges[names[place % len(names)]]
-
-    def leave_edge(self, *, edge: Edge, to: str) -> None:
-        """An edge stops serving and confirming, and says so."""
-        leases.leave(edge.lease_holder)
-        call = LeaveEdgeCall(edge=edge.name, incarnation=edge.incarnation)
-        self.world.send(source=edge.name, to=to, body=call)
-
-    def replace_edge(self, *, edge: Edge) -> None:
-        """An edge is gone for good without a word; one of another name comes in its place."""
-        number = int(edge.name.partition(".")[2] or 0) + 1
-        name = f"{edge.name.partition('.')[0]}.{number}"
-        fresh = Edge(
-            name=name, lease_holder=leases.LeaseHolder(me=name), is_observer=edge.is_observer
-        )
-        self.edges = {
-            (name if other is edge else other.name): (fresh if other is edge else other)
-            for other in self.edges.values()
-        }
-
-    def restart_edge(self, *, edge: Edge) -> None:
-        """An edge starts anew and has forgotten everything."""
-        edge.incarnation += 1
-        edge.lease_holder = leases.LeaseHolder(me=edge.name)
+        else:
+            self.edges.receive(name=name, body=body)
--- a/kelpstage/testbed/model/walk.py
+++ b/kelpstage/testbed/model/walk.py
@@ -169,9 +169,9 @@
     bounded virtual time; then a new order is acknowledged."""
     world.cuts.clear()
     world.muted.clear()
-    for edge in world.sessions.edges.values():
+    for edge in world.sessions.edges.by_name.values():
         if edge.lease_holder.has_left:
-            world.sessions.restart_edge(edge=edge)
+            world.sessions.edges.restart(edge=edge)
     for node in world.nodes.values():
         if not node.is_up:
             node.start()
