--- a/kelpstage/core/leases/contact_updates.py
+++ b/kelpstage/core/leases/contact_updates.py
@@ -1,7 +1,7 @@
-"""What the leader tells edges of each other: contacts and cores that changed since a mark.
+"""What edges are notified of by the leader: contacts and cores that changed since a mark.
 
 A mark names a lease table and how many changes it had seen, so that an edge that renews is
-told only what is new to it. In memory only, without I/O. All times are microseconds.
+notified only of what is new to it. In memory only, without I/O. All times are microseconds.
 """
 
 from __future__ import annotations
@@ -71,7 +71,7 @@
         return record.contact if record is not None else None
 
     def note_cores(self, *, cores: list[str]) -> None:
-        """Note the addresses of the cores, which edges are told when they change."""
+        """Note the addresses of the cores, of which edges are notified when they change."""
         if cores != self._cores:
             self._changes += 1
             self._cores, self._cores_changed_at = list(cores), self._changes
--- a/tests/test_edge_membership.py
+++ b/tests/test_edge_membership.py
@@ -40,7 +40,7 @@
     return EdgeMembership.of(names=list(names), observers=list(observers))
 
 
-def heard(lease_table: LeaseTable, edge: str, *, epoch: int, now_us: int) -> bool:
+def report(lease_table: LeaseTable, edge: str, *, epoch: int, now_us: int) -> bool:
     return lease_table.record_report(
         edge=edge, incarnation=1, epoch=epoch, contact=None, now_us=now_us
     )
@@ -79,7 +79,7 @@
             for installed in subsets(everybody):
                 lease_table = LeaseTable(since_us=0)
                 for edge in installed:
-                    heard(lease_table, edge, epoch=2, now_us=1)
+                    report(lease_table, edge, epoch=2, now_us=1)
                 if not all(
                     lease_table.is_settled(epoch=2, membership=m, now_us=LEASE_SPAN_US * 2)
                     for m in (before, after)
@@ -97,7 +97,7 @@
             for count in range(voters + 1):
                 lease_table = LeaseTable(since_us=0)
                 for edge in membership.voters[:count]:
-                    heard(lease_table, edge, epoch=2, now_us=1)
+                    report(lease_table, edge, epoch=2, now_us=1)
                 is_settled = lease_table.is_settled(
                     epoch=2, membership=membership, now_us=VERY_LATE_US
                 )
@@ -109,10 +109,10 @@
         membership = membership_of("abcdefg", "cdefg")
         lease_table = LeaseTable(since_us=0)
         for edge in membership.names:
-            heard(lease_table, edge, epoch=1, now_us=VERY_LATE_US)
+            report(lease_table, edge, epoch=1, now_us=VERY_LATE_US)
             lease_table.record_lease(edge=edge, epoch=1, now_us=VERY_LATE_US)
         for edge in "ab":
-            heard(lease_table, edge, epoch=2, now_us=VERY_LATE_US + 1)
+            report(lease_table, edge, epoch=2, now_us=VERY_LATE_US + 1)
 
         def is_settled(after_us: int) -> bool:
             return lease_table.is_settled(
@@ -126,7 +126,7 @@
         membership = membership_of("abc", "c")
         lease_table = LeaseTable(since_us=0)
         for edge in "ab":
-            heard(lease_table, edge, epoch=2, now_us=1)
+            report(lease_table, edge, epoch=2, now_us=1)
         span_us = LEASE_SPAN_US + LEASE_MARGIN_US
         for now_us, expected in ((span_us - 1, False), (span_us, True)):
             self.assertEqual(
@@ -136,7 +136,7 @@
     def test_a_lease_for_the_newer_epoch_does_not_hold_it_up(self) -> None:
         membership = membership_of("abc", "bc")
         lease_table = LeaseTable(since_us=0)
-        heard(lease_table, "a", epoch=2, now_us=1)
+        report(lease_table, "a", epoch=2, now_us=1)
         for edge in "bc":
             lease_table.record_lease(edge=edge, epoch=2, now_us=VERY_LATE_US)
         self.assertTrue(lease_table.is_settled(epoch=2, membership=membership, now_us=VERY_LATE_US))
@@ -144,14 +144,14 @@
     def test_an_edge_that_left_holds_nothing_up(self) -> None:
         membership = membership_of("abc")
         lease_table = LeaseTable(since_us=0)
-        heard(lease_table, "a", epoch=2, now_us=1)
+        report(lease_table, "a", epoch=2, now_us=1)
         for edge in "bc":
-            heard(lease_table, edge, epoch=1, now_us=1)
+            report(lease_table, edge, epoch=1, now_us=1)
             lease_table.record_lease(edge=edge, epoch=1, now_us=1)
             lease_table.give_back(edge=edge, incarnation=1, now_us=2)
         self.assertTrue(lease_table.is_settled(epoch=2, membership=membership, now_us=3))
         self.assertTrue(lease_table.has_quorum(membership=membership, now_us=3))
-        self.assertFalse(heard(lease_table, "b", epoch=1, now_us=4))  # under way when it left
+        self.assertFalse(report(lease_table, "b", epoch=1, now_us=4))  # under way when it left
         self.assertTrue(lease_table.is_settled(epoch=2, membership=membership, now_us=5))
         lease_table.record_report(edge="b", incarnation=2, epoch=0, contact=None, now_us=6)
         self.assertFalse(lease_table.is_settled(epoch=2, membership=membership, now_us=7))
@@ -178,7 +178,7 @@
 
     def hear(self, edges: str, *, now_us: int) -> None:
         for edge in edges:
-            heard(self.lease_table, edge, epoch=1, now_us=now_us)
+            report(self.lease_table, edge, epoch=1, now_us=now_us)
 
     def test_silent_voter(self) -> None:
         self.hear("bcxy", now_us=ABSENT_VOTER_US)
