--- a/kelpstage/edge/gather/context.py
+++ b/kelpstage/edge/gather/context.py
@@ -129,7 +129,8 @@
         known = {m.info.zone for m in self.swim.members.values()} | set(self.regions)
         known.discard(self.zone)
         others = sorted(
-            known, key=lambda zone: (self.regions.get(zone, zone) != own_region, self.rand.random())
+            sorted(known),  # the random keys are drawn in this order
+            key=lambda zone: (self.regions.get(zone, zone) != own_region, self.rand.random()),
         )
         return [self.zone, *others]
 
