Metrics: shards still awaited at an answer, late answers, late replies, new connections

A shard whose result had not arrived when its search was answered was counted nowhere; nothing counted answers after the latency target, replies of children whose request had ended, or queries that had to open a connection; near and far children shared a histogram. Change: shards awaited at the answer count as missing by the cause window; kelpstage_answers_after_target_total by route, kelpstage_child_replies_unused_total, kelpstage_child_connections_opened_total; the stage child_query_far beside child_query. Measured: tests of test_metrics, test_attempts pass (aarch64).

--- a/kelpstage/common/metrics/families.py
+++ b/kelpstage/common/metrics/families.py
@@ -48,6 +48,11 @@
             values={(key,): value for key, value in values.items()},
         )
 
+    @classmethod
+    def counter(cls, name: str, help: str, value: int) -> Self:
+        """Returns a counter without labels."""
+        return cls(name=name, help=help, kind=MetricKind.COUNTER, values={(): value})
+
     @classmethod
     def counters(cls, name: str, help: str, label: str, values: Mapping[str, int]) -> Self:
         """Returns a counter with one label."""
--- a/kelpstage/common/transport/connections.py
+++ b/kelpstage/common/transport/connections.py
@@ -218,6 +218,11 @@
         connection.close_if_unused()
         return ReplyTimeoutError(address=address, after_us=wait_us, was_sent=was_sent)
 
+    def is_connected(self, *, address: str, channel: int = frames.CONTROL) -> bool:
+        """True if a call would be sent at once, over a connection that is already open."""
+        connection = self._connections.get((address, channel))
+        return connection is not None and connection.stream is not None
+
     def send(self, *, address: str, message: Message, channel: int = frames.CONTROL) -> None:
         """Send a one-way message; it may be lost."""
         self._connection(address=address, channel=channel).send(message=message, flag=ONEWAY)
--- a/kelpstage/edge/gather/child_queries.py
+++ b/kelpstage/edge/gather/child_queries.py
@@ -70,6 +70,8 @@
     async def _call(self, *, ask: QueryChild, message: Gather, sent_us: int) -> Any:
         if not ask.address:
             return ConnectError(address="unknown")
+        if not self._transport.is_connected(address=ask.address, channel=frames.GATHER):
+            self._context.statistics.child_connections_opened += 1
         outcome = await self._transport.call(
             address=ask.address,
             message=message,
--- a/kelpstage/edge/gather/observation.py
+++ b/kelpstage/edge/gather/observation.py
@@ -98,7 +98,11 @@
         """Update the state of a peer from a reply, or from its absence."""
         context = self._context
         now_us = self._ports.clock.now_us()
-        context.statistics.note_child_reply(outcome=event.outcome, took_us=now_us - event.sent_us)
+        context.statistics.note_child_reply(
+            outcome=event.outcome,
+            took_us=now_us - event.sent_us,
+            is_far=context.is_far(name=event.node),
+        )
         if isinstance(event.outcome, Gathered):
             context.note_reply(name=event.node)
         if isinstance(event.outcome, Gathered) and not event.outcome.is_stale:
--- a/kelpstage/edge/gather/statistics.py
+++ b/kelpstage/edge/gather/statistics.py
@@ -8,11 +8,12 @@
 from kelpstage.common.errors.base import KelpstageError
 from kelpstage.common.metrics.histogram import DurationHistogram
 from kelpstage.edge.gather.messages import GatherResult
-from kelpstage.edge.gather.request_state import MISSING, ROOT, RequestState
+from kelpstage.edge.gather.request_state import CHILD, MISSING, ROOT, RequestState
 
 MAX_REQUEST_KEYS = 2_000  # bounds memory: routes come and go while a process runs
 OTHER_ROUTES = "other"
 ANSWERED = "answered"
+STILL_WAITING = "window"  # the cause of a shard whose result had not arrived when a search ended
 
 
 class RequestKey(NamedTuple):
@@ -46,6 +47,9 @@
         self.backend_outcomes: Counter[str] = Counter()
         self.child_outcomes: Counter[str] = Counter()
         self.missing: Counter[str] = Counter()  # shards missing at the root, by cause
+        self.after_target: Counter[str] = Counter()  # answers, by route
+        self.unused_child_replies = 0  # replies that arrived after their request had ended
+        self.child_connections_opened = 0  # queries to children that had to open a connection
         self.durations: defaultdict[str, DurationHistogram] = defaultdict(DurationHistogram)
 
     def note_settled(self, *, record: RequestState, now_us: int) -> None:
@@ -54,13 +58,23 @@
         if len(self.requests) >= MAX_REQUEST_KEYS and key not in self.requests:
             key = key._replace(route=OTHER_ROUTES)
         self.requests[key] += 1
-        self.durations[record.kind].observe(us=now_us - record.arrived_us)
+        took_us = now_us - record.arrived_us
+        self.durations[record.kind].observe(us=took_us)
+        is_answer = record.kind is not CHILD and isinstance(record.outcome, GatherResult)
+        if is_answer and 0 < record.aim_us < took_us:
+            self.after_target[key.route] += 1
         if record.kind is ROOT:
-            for cause, _ in record.missing.values():
-                self.missing[cause] += 1
-            for shard_state in record.shard_states.values():
-                if shard_state.state is MISSING:
-                    self.missing[shard_state.cause] += 1
+            self._note_missing(record=record)
+
+    def _note_missing(self, *, record: RequestState) -> None:
+        """Count the shards that a root left out."""
+        for cause, _ in record.missing.values():
+            self.missing[cause] += 1
+        for shard_state in record.shard_states.values():
+            if shard_state.state is MISSING:
+                self.missing[shard_state.cause] += 1
+        if isinstance(record.outcome, GatherResult):
+            self.missing[STILL_WAITING] += len(record.waiting_shards() - record.missing.keys())
 
     def note_attempt(self, *, reason: str) -> None:
         """Count an attempt sent to a backend."""
@@ -71,7 +85,9 @@
         self.backend_outcomes[outcome_name(outcome=outcome)] += 1
         self.durations["backend"].observe(us=took_us)
 
-    def note_child_reply(self, *, outcome: Any, took_us: int) -> None:
-        """Count a query to a child that has ended."""
+    def note_child_reply(self, *, outcome: Any, took_us: int, is_far: bool) -> None:
+        """Count a query to a child that has ended; `is_far`: the child is in another region."""
         self.child_outcomes[outcome_name(outcome=outcome)] += 1
         self.durations["child_query"].observe(us=took_us)
+        if is_far:
+            self.durations["child_query_far"].observe(us=took_us)
--- a/kelpstage/edge/gather/task.py
+++ b/kelpstage/edge/gather/task.py
@@ -186,6 +186,8 @@
     @_handle.register
     def _handle_child_replied(self, event: ChildReplied) -> None:
         self._observer.on_child_reply(event=event)
+        if event.key not in self.table.records:
+            self.context.statistics.unused_child_replies += 1
         self._deliver(key=event.key, event=event)
 
     def _deliver(self, *, key: int, event: Any) -> None:
--- a/kelpstage/edge/metrics.py
+++ b/kelpstage/edge/metrics.py
@@ -65,7 +65,7 @@
     yield MetricFamily.durations(
         "kelpstage_stage_duration_seconds",
         "root, child, single: from arrival to outcome; backend: one attempt; child_query: one "
-        "query to a child.",
+        "query to a child; child_query_far: those to a child in another region.",
         "stage",
         statistics.durations,
     )
@@ -75,6 +75,22 @@
         "outcome",
         statistics.child_outcomes,
     )
+    yield MetricFamily.counters(
+        "kelpstage_answers_after_target_total",
+        "Answers that took longer than their route's latency target, by route.",
+        "route",
+        statistics.after_target,
+    )
+    yield MetricFamily.counter(
+        "kelpstage_child_replies_unused_total",
+        "Replies of children that arrived after their request had ended.",
+        statistics.unused_child_replies,
+    )
+    yield MetricFamily.counter(
+        "kelpstage_child_connections_opened_total",
+        "Queries to children that had to open a connection first.",
+        statistics.child_connections_opened,
+    )
 
 
 def _retry_families(*, edge: ReportingEdge) -> Iterator[MetricFamily]:
--- a/tests/test_attempts.py
+++ b/tests/test_attempts.py
@@ -107,7 +107,7 @@
         )
         self.gather = GatherTask(
             ports=self.ports,
-            transport=SimpleNamespace(call=self.call),
+            transport=SimpleNamespace(call=self.call, is_connected=lambda **_: True),
             context=self.context,
             on_fetch_configuration=lambda want: None,
             on_backend_changed=lambda name: None,
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -20,8 +20,9 @@
 from kelpstage.core.web.metrics import core_families
 from kelpstage.edge.gather import statistics as statistics_module
 from kelpstage.edge.gather.messages import GatherResult
-from kelpstage.edge.gather.request_state import ROOT, RequestState, ShardState
+from kelpstage.edge.gather.request_state import ROOT, Child, RequestState, ShardState
 from kelpstage.edge.gather.statistics import OTHER_ROUTES, GatherStatistics
+from kelpstage.edge.gather.tree import Subtree
 from kelpstage.edge.metrics import edge_families
 from kelpstage.testbed.fleet.deployment import load
 from kelpstage.testbed.simulation.fleet import SimFleet, run_sim
@@ -105,6 +106,31 @@
         self.assertEqual({"window": 1, "budget": 1}, dict(statistics.missing))
         self.assertEqual(120_000, statistics.durations["root"].sum_us)
 
+    def test_a_shard_that_was_awaited_until_the_answer_counts_as_missing(self) -> None:
+        statistics = GatherStatistics()
+        answer = GatherResult(version=1, coverage=0.5, shards=1, body=b"", missing=2)
+        child = Child(slot=0, subtree=Subtree(node="n", shards=("s1", "s2")))
+        one = record(outcome=answer, shard_states={"s3": ShardState(shard="s3")}, children=[child])
+        one.missing = {"s1": ("budget", "")}
+        statistics.note_settled(record=one, now_us=2_000)
+        self.assertEqual({"window": 2, "budget": 1}, dict(statistics.missing))
+
+    def test_answers_after_the_target_are_counted_by_route(self) -> None:
+        statistics = GatherStatistics()
+        answer = GatherResult(version=1, coverage=1.0, shards=2, body=b"")
+        for took_us in (80_000, 80_001):
+            one = record(outcome=answer, aim_us=80_000)
+            statistics.note_settled(record=one, now_us=1_000 + took_us)
+        statistics.note_settled(record=record(outcome=answer), now_us=500_000)  # without a target
+        self.assertEqual({"r": 1}, dict(statistics.after_target))
+
+    def test_queries_to_children_in_other_regions_are_measured_apart(self) -> None:
+        statistics = GatherStatistics()
+        for took_us, is_far in ((2_000, False), (30_000, True)):
+            statistics.note_child_reply(outcome=object(), took_us=took_us, is_far=is_far)
+        self.assertEqual(32_000, statistics.durations["child_query"].sum_us)
+        self.assertEqual(30_000, statistics.durations["child_query_far"].sum_us)
+
     def test_routes_above_the_limit_are_counted_together(self) -> None:
         statistics = GatherStatistics()
         with mock.patch.object(statistics_module, "MAX_REQUEST_KEYS", 3):
