Gathering tree: children in other zones do not deepen the tree of the root's own zone

Cause: the root's fan-out that is left beside its children in other zones was used for every level in its own zone. Change: the number of levels follows from the route's fan-out; only the root of the subtree is limited to what it has left.

--- a/kelpstage/edge/gather/tree.py
+++ b/kelpstage/edge/gather/tree.py
@@ -144,20 +144,42 @@
     if not own:
         return Subtree(node=root, shards=(), children=far)
     near = _build_within_zone(
-        node=root, shards=own, helpers=helpers.get(zone, []), fan_out=fan_out - len(far)
+        node=root,
+        shards=own,
+        helpers=helpers.get(zone, []),
+        fan_out=fan_out,
+        root_fan_out=fan_out - len(far),
     )
     return Subtree(node=root, shards=near.shards, children=near.children + far)
 
 
 def _build_within_zone(
-    *, node: str, shards: tuple[str, ...], helpers: list[str], fan_out: int
+    *,
+    node: str,
+    shards: tuple[str, ...],
+    helpers: list[str],
+    fan_out: int,
+    root_fan_out: int | None = None,
 ) -> Subtree:
     """Build a subtree of nodes in one zone; with few of them, the fan-out is reduced so that no
-    node takes several places."""
+    node takes several places.
+
+    `root_fan_out` is what the subtree's root has left of its fan-out. It does not add levels: each
+    level costs all shards below it a hop.
+    """
     fan_out = min(fan_out, len(helpers) + 1)
-    if fan_out < 2 or len(shards) <= 1:
+    root_fan_out = fan_out if root_fan_out is None else min(root_fan_out, fan_out)
+    if root_fan_out < 2:
         return Subtree(node=node, shards=shards)
-    return build_tree(root=node, shards=shards, helpers=helpers, fan_out=fan_out)
+    helper_cycle = _cycle(helpers=helpers)
+    return _build_levels(
+        node=node,
+        shards=shards,
+        level=levels(shard_count=len(shards), fan_out=fan_out),
+        fan_out=fan_out,
+        next_helper=lambda: next(helper_cycle),
+        root_fan_out=root_fan_out,
+    )
 
 
 def _cycle(*, helpers: list[str]) -> Iterator[str]:
@@ -172,10 +194,11 @@
     level: int,
     fan_out: int,
     next_helper: Callable[[], str],
+    root_fan_out: int | None = None,
 ) -> Subtree:
     if level <= 1:
         return Subtree(node=node, shards=shards)
-    groups = split(shards=shards, groups=fan_out)
+    groups = split(shards=shards, groups=root_fan_out or fan_out)
     own, *others = groups
     children = [
         _build_levels(
