--- a/kelpstage/edge/gather/child_queries.py
+++ b/kelpstage/edge/gather/child_queries.py
@@ -87,6 +87,7 @@
         child = next(one for one in record.children if one.slot == ask.slot)
         subtree = child.subtree
         margin_us = context.reply_margin_us(name=ask.node)
+        connect_us = self._connect_us(ask=ask)
         return Gather(
             root=context.me,
             query_id=ask.query_id,
@@ -97,8 +98,8 @@
             query=record.query if record.request is None else record.request.body,
             content_type=record.content_type,
             subtree=subtree_message(subtree=subtree, addresses=record.addresses),
-            wait_us=ask.wait_us,
-            due_us=max(MIN_WAIT_US, record.due_us - sent_us - margin_us),
+            wait_us=max(MIN_WAIT_US, ask.wait_us - connect_us),
+            due_us=max(MIN_WAIT_US, record.due_us - sent_us - margin_us - connect_us),
             is_resumed=ask.is_resumed,
             is_extra=any(record.was_sent_before(shard=s) for s in subtree.all_shards()),
             cluster=context.lease_holder.cluster,
@@ -106,6 +107,12 @@
             **self._forwarded_fields(ask=ask, child=child, sent_us=sent_us),
         )
 
+    def _connect_us(self, *, ask: QueryChild) -> int:
+        """Return the time until a query leaves: a round trip if a connection has to be opened."""
+        if self._transport.is_connected(address=ask.address, channel=frames.GATHER):
+            return 0
+        return self._context.round_trip_us(name=ask.node)
+
     def _forwarded_fields(self, *, ask: QueryChild, child: Child, sent_us: int) -> dict[str, Any]:
         """Return the fields of a forwarded request; empty for a search in the edge's own API."""
         record, request = ask.record, ask.record.request
--- a/kelpstage/edge/gather/context.py
+++ b/kelpstage/edge/gather/context.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import random
+import zlib
 from dataclasses import dataclass, field
-from typing import Any
+from typing import Any, Callable
 
 from kelpstage.common.event_journal import Journal
 from kelpstage.edge.backend.registry import BackendRegistry
@@ -18,6 +19,8 @@
 LATE_PENALTY_US = 1_000_000  # doubles with each further late reply in a row
 REPLY_MARGIN_US = 4_000  # added to the round trip to a peer
 MAX_LATE_COUNT = 5  # bounds the doubling of the penalty
+LOAD_STEP = 4  # requests in flight; a smaller difference between two peers does not rank them
+HASH_RANGE = 2**32  # of CRC-32
 UNRESPONSIVE_COUNT = 3  # late replies in a row; a peer then gets no queries for the penalty
 
 
@@ -54,6 +57,7 @@
     round_trips_us: dict[str, int] = field(default_factory=dict)
     regions: dict[str, str] = field(default_factory=dict)  # region by zone
     statistics: GatherStatistics = field(default_factory=GatherStatistics)
+    _preferences: dict[str, float] = field(default_factory=dict)  # cache of `preference`
 
     def emit(self, effect: Any) -> None:
         """Queue an effect to be performed after this run of the stages."""
@@ -89,15 +93,20 @@
         known = self.round_trips_us.get(name, took_us)
         self.round_trips_us[name] = min(took_us, known + (took_us - known) // 4)
 
-    def reply_margin_us(self, *, name: str) -> int:
-        """Return the part of the time left to reserve for the round trip to a peer.
+    def round_trip_us(self, *, name: str) -> int:
+        """Return the round trip to a peer, or to its zone if it was not measured to the peer
+        itself: in a large fleet a node measures few of its peers."""
+        measured_us = self.round_trips_us.get(name)
+        if measured_us is not None:
+            return measured_us
+        member = self.swim.members.get(name)
+        if member is None or not member.info.zone:
+            return 0
+        return self.registry.zone_distances.distance_us(zone=member.info.zone)
 
-        >>> from types import SimpleNamespace as Some
-        >>> context = Some(round_trips_us={"k": 120_000})
-        >>> [GatherContext.reply_margin_us(context, name=name) for name in ("k", "j")]
-        [124000, 4000]
-        """
-        return REPLY_MARGIN_US + self.round_trips_us.get(name, 0)
+    def reply_margin_us(self, *, name: str) -> int:
+        """Return the part of the time left to reserve for the round trip to a peer."""
+        return REPLY_MARGIN_US + self.round_trip_us(name=name)
 
     def is_late(self, *, name: str) -> bool:
         """True while a peer is ranked last because it was late.
@@ -135,22 +144,45 @@
         return [self.zone, *others]
 
     def helpers_by_zone(self, *, collection: str) -> dict[str, list[str]]:
-        """Return the peers that may gather, by zone, the best first."""
+        """Return the peers that may gather, by zone, the best first.
+
+        Peers of equal rank are ordered by `preference`, so that one search after the other uses
+        the same few peers of a zone, over connections that are open already.
+        """
         out: dict[str, list[str]] = {}
-        for name in self.helpers(collection=collection, rand=self.rand, is_near_only=False):
+        for name in self._ranked_helpers(collection=collection, tie_break=self.preference):
             out.setdefault(self.swim.members[name].info.zone, []).append(name)
         return out
 
-    def helpers(
-        self, *, collection: str, rand: random.Random | None, is_near_only: bool = True
-    ) -> list[str]:
-        """Return the peers that may gather, the best first.
+    def preference(self, name: str) -> float:
+        """Return this node's fixed rank of a peer, from 0 to 1: the hash of both names.
 
-        They are ranked by lateness, by zone (this node's zone first) and by load; ties are broken
-        at random. Unresponsive peers are left out. With `is_near_only`, peers whose round trip
-        exceeds the route's window are left out while there are nearer ones, even if a nearer
-        peer then takes two places in the tree.
+        Each node prefers other peers (rendezvous hashing, Thaler and Ravishankar 1998), so that
+        all of a zone are used equally.
         """
+        known = self._preferences.get(name)
+        if known is None:
+            digest = zlib.crc32(f"{self.me}/{name}".encode())
+            known = self._preferences[name] = digest / HASH_RANGE
+        return known
+
+    def helpers(self, *, collection: str, rand: random.Random | None) -> list[str]:
+        """Return the peers that may gather, the best first; ties are broken at random.
+
+        Peers whose round trip exceeds the route's window are left out while there are nearer
+        ones, even if a nearer peer then takes two places in the tree.
+        """
+        names = self._ranked_helpers(
+            collection=collection, tie_break=lambda name: rand.random() if rand else 0.0
+        )
+        route = self.lease_holder.configuration.route(collection=collection)
+        window_us = route.window_us if route else 0
+        near = [name for name in names if self.round_trips_us.get(name, 0) <= window_us]
+        return near or names
+
+    def _ranked_helpers(self, *, collection: str, tie_break: Callable[[str], float]) -> list[str]:
+        """Return the peers that may gather, ranked by lateness, by zone (this node's zone first)
+        and by load. Unresponsive peers are left out."""
         ranked = []
         for name, member in self.swim.members.items():
             info = member.info
@@ -160,14 +192,13 @@
                 collection=collection, name=name, zone=info.zone
             ):
                 continue
-            tie_break = rand.random() if rand else 0.0
             ranked.append(
-                (self.is_late(name=name), info.zone != self.zone, info.load // 4, tie_break, name)
+                (
+                    self.is_late(name=name),
+                    info.zone != self.zone,
+                    info.load // LOAD_STEP,
+                    tie_break(name),
+                    name,
+                )
             )
-        names = [rank[-1] for rank in sorted(ranked)]
-        if not is_near_only:
-            return names
-        route = self.lease_holder.configuration.route(collection=collection)
-        window_us = route.window_us if route else 0
-        near = [name for name in names if self.round_trips_us.get(name, 0) <= window_us]
-        return near or names
+        return [rank[-1] for rank in sorted(ranked)]
--- a/kelpstage/edge/gather/stages/attempts.py
+++ b/kelpstage/edge/gather/stages/attempts.py
@@ -116,14 +116,19 @@
 ) -> None:
     """Record an attempt and emit the effect that sends it."""
     context.next_attempt += 1
-    window_us = context.latencies.window_us(name=backend, least_us=record.route.window_us)
+    entry = context.registry.entry(name=backend)
+    distance_us = entry.distance_us
+    window_us = context.latencies.window_us(
+        name=backend, least_us=record.route.window_us + distance_us
+    )
     shard_state.attempts.append(
         Attempt(
             number=context.next_attempt,
             backend=backend,
             sent_us=context.now_us,
             window_end_us=min(
-                context.now_us + window_us, latest_window_end_us(record=record, context=context)
+                context.now_us + window_us,
+                latest_window_end_us(record=record, context=context) + distance_us,
             ),
         )
     )
@@ -139,7 +144,6 @@
         )
     )
     record.sent_shards.add(shard_state.shard)
-    entry = context.registry.entry(name=backend)
     entry.in_flight += 1
     context.emit(
         QueryBackend(
--- a/kelpstage/edge/gather/stages/send.py
+++ b/kelpstage/edge/gather/stages/send.py
@@ -19,7 +19,7 @@
 )
 from kelpstage.edge.gather.stages.attempts import send_attempt, send_wanted_attempts
 from kelpstage.edge.gather.stages.merge import regather
-from kelpstage.edge.gather.stages.windows import child_window_us, latest_window_end_us, set_omission
+from kelpstage.edge.gather.stages.windows import child_window_end_us, set_omission
 from kelpstage.edge.gather.tree import Subtree
 
 RECHECK_US = 100_000  # until a hedge or regather that the budget refused is tried again
@@ -44,12 +44,7 @@
 def _send_child(*, child: Child, record: RequestState, context: GatherContext) -> None:
     child.is_sent = True
     child.sent_us = context.now_us
-    child.window_end_us = context.now_us + child_window_us(
-        child=child, record=record, context=context
-    )
-    child.window_end_us = min(
-        child.window_end_us, latest_window_end_us(record=record, context=context)
-    )
+    child.window_end_us = child_window_end_us(child=child, record=record, context=context)
     until_us = record.omit_at_us
     if child.is_resumed:
         child.window_end_us = until_us = record.due_us
--- a/kelpstage/edge/gather/stages/windows.py
+++ b/kelpstage/edge/gather/stages/windows.py
@@ -17,11 +17,29 @@
 
 
 def child_window_us(*, child: Child, record: RequestState, context: GatherContext) -> int:
-    """Return a child's window, which leaves time for the windows of the child's own children."""
+    """Return a child's window: the round trip to it and time for the windows of its children."""
     least_us = record.route.window_us * (child.subtree.height() + 1)
     if record.aim_us:
         least_us = max(least_us, record.aim_us * CHILD_WINDOW_PERCENT // 100)
-    return context.node_window_us(name=child.subtree.node, least_us=least_us)
+    name = child.subtree.node
+    round_trip_us = context.round_trip_us(name=name)
+    return context.node_window_us(name=name, least_us=least_us + round_trip_us)
+
+
+def child_window_end_us(*, child: Child, record: RequestState, context: GatherContext) -> int:
+    """Return when a child's window ends.
+
+    Where a second attempt after the window could not reply before late shards are omitted, it ends
+    with the omission: the child's own partial reply arrives just before.
+    """
+    round_trip_us = context.round_trip_us(name=child.subtree.node)
+    end_us = min(
+        context.now_us + child_window_us(child=child, record=record, context=context),
+        latest_window_end_us(record=record, context=context) + round_trip_us,
+    )
+    if record.route.is_strict or end_us + round_trip_us < record.omit_at_us:
+        return end_us
+    return max(end_us, record.omit_at_us)
 
 
 def latest_window_end_us(*, record: RequestState, context: GatherContext) -> int:
--- a/kelpstage/testbed/platform_model/scenario.py
+++ b/kelpstage/testbed/platform_model/scenario.py
@@ -189,9 +189,9 @@
 
     def start_services(self, *, names: tuple[str, ...], is_cold: bool = True) -> None:
         """Start every backend of the services, spread over the zones."""
-        zones = list(self.shape.zones)
         for index, name in enumerate(names):
             service = self.shape.services[name]
+            zones = self.shape.zones_of(service=name)
             for number in range(service.backends):
                 zone = zones[(index + number) % len(zones)]
                 self.backend_pool.start(service=service, zone=zone, is_cold=is_cold)
--- a/kelpstage/testbed/platform_model/shape.py
+++ b/kelpstage/testbed/platform_model/shape.py
@@ -46,7 +46,8 @@
 class Shape:
     """A deployment; `zones` maps each zone to its region.
 
-    The first `core_per_zone` machines of each zone belong to the core.
+    The first `core_per_zone` machines of each zone belong to the core. The backends of the index
+    are in `index_zones`, in all zones if it is empty.
     """
 
     name: str
@@ -70,6 +71,16 @@
     list_per_s: float = 52.0
     start_us: int = 12_000_000
     tolerance: int = 1
+    index_zones: tuple[str, ...] = ()
+
+    def zones_of(self, *, service: str) -> tuple[str, ...]:
+        """The zones that the backends of a service are spread over.
+
+        >>> shape = far_clients(); shape.zones_of(service=shape.index[0])
+        ('ams1', 'ens1')
+        """
+        is_index = service in self.index or service in self.recut
+        return self.index_zones if is_index and self.index_zones else tuple(self.zones)
 
 
 def _services(
@@ -302,6 +313,65 @@
     )
 
 
+def far_clients() -> Shape:
+    """A reduced model of a large fleet: 36 machines in 6 zones of 3 regions, 29 shards.
+
+    The backends are in two regions; clients of the third are 24 ms away from every shard.
+
+    >>> shape = far_clients(); sum(shape.machines.values()), len(shape.index)
+    (36, 29)
+    """
+    small = netherlands()
+    zones = {
+        "ams1": "randstad",
+        "ams2": "randstad",
+        "ens1": "oost",
+        "ens2": "oost",
+        "ein1": "zuid",
+        "ein2": "zuid",
+    }
+    return replace(
+        small,
+        name="far_clients",
+        zones=zones,
+        machines=dict.fromkeys(zones, 6),
+        index=_names(stem="index", count=29),
+        recut=_names(stem="recut", count=43),
+        index_zones=("ams1", "ens1"),
+        services=_services(
+            index=29,
+            recut=43,
+            per_shard=2,
+            max_connections=840,
+            pause_us=120_000,
+            single=ServiceShape(name="results", backends=6, slots=3, max_connections=1_300),
+            other=ServiceShape(name="portal", backends=6, slots=3, max_connections=1_300),
+        ),
+        kinds=tuple(
+            replace(kind, per_s=per_s, aim_us=aim_us)
+            for kind, per_s, aim_us in zip(
+                small.kinds, (36.1, 14.4, 21.7), (137_000, 87_900, 405_000), strict=True
+            )
+        ),
+        bounds=Bounds(
+            touch_us=8_000_000,
+            ack_within_us=8_000_000,
+            drain_us=5_000_000,
+            apply_us=5_000_000,
+            stretch_us=20_000_000,
+            retry_ratio=0.2,
+            retry_slack=440,
+            recovery_us=15_000_000,
+            tolerance=2,
+        ),
+        zone_us=900,
+        client_us=3_000,
+        start_us=16_000_000,
+        tolerance=2,
+        catch_up_us=6_000_000,
+    )
+
+
 def with_orders(*, shape: Shape, per_s: float = 6.0) -> Shape:
     """The deployment with an additional kind of request that may run only once.
 
@@ -325,7 +395,12 @@
     return replace(shape, kinds=(*shape.kinds, order))
 
 
-SHAPES = {"senegal": senegal, "netherlands": netherlands, "grown": grown}
+SHAPES = {
+    "senegal": senegal,
+    "netherlands": netherlands,
+    "grown": grown,
+    "far_clients": far_clients,
+}
 
 
 @dataclass(frozen=True, kw_only=True)
