--- a/kelpstage/common/transport/connections.py
+++ b/kelpstage/common/transport/connections.py
@@ -218,6 +218,12 @@
         connection.close_if_unused()
         return ReplyTimeoutError(address=address, after_us=wait_us, was_sent=was_sent)
 
+    def open(self, *, address: str, channel: int = frames.CONTROL) -> None:
+        """Open the connection to a peer if there is none, so that the next call need not wait;
+        an open one is kept from being closed as idle."""
+        connection = self._connection(address=address, channel=channel)
+        connection.last_used_us = self._ports.clock.now_us()
+
     def is_connected(self, *, address: str, channel: int = frames.CONTROL) -> bool:
         """True if a call would be sent at once, over a connection that is already open."""
         connection = self._connections.get((address, channel))
--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -27,6 +27,7 @@
 from kelpstage.edge.events import BackendChanged, Leaving, ServingChanged
 from kelpstage.edge.forward.headers import HeaderNames
 from kelpstage.edge.forward.sealed_answer import SealedCodec
+from kelpstage.edge.gather.helper_connections import HelperConnections
 from kelpstage.edge.gather.messages import ConfigurationChanged, FetchConfiguration
 from kelpstage.edge.gather.task import GatherTask
 from kelpstage.edge.gossip.members import LEAVING
@@ -164,6 +165,9 @@
             on_backend_changed=self._on_backend_changed,
             sealed=SealedCodec(names=self.header_names),
         )
+        self.helper_connections = HelperConnections(
+            ports=self.ports, transport=self.transport, context=self.gather_context
+        )
 
     async def _open_http(self) -> KelpstageError | None:
         """Open the HTTP interfaces for callers and, where one is set, for forwarded requests."""
--- a/kelpstage/edge/gather/stages/send.py
+++ b/kelpstage/edge/gather/stages/send.py
@@ -22,6 +22,7 @@
 from kelpstage.edge.gather.stages.windows import child_window_end_us, set_omission
 from kelpstage.edge.gather.tree import Subtree
 
+CHILD_WORK_DIVISOR = 10  # of the time left: reserved for merging and sending a child's reply
 RECHECK_US = 100_000  # until a hedge or regather that the budget refused is tried again
 
 
@@ -64,7 +65,7 @@
     )
     left_us = until_us - context.now_us
     margin_us = context.reply_margin_us(name=child.subtree.node)
-    wait_us = max(1_000, left_us - max(margin_us, left_us // 10))
+    wait_us = max(1_000, left_us - margin_us - left_us // CHILD_WORK_DIVISOR)
     context.emit(
         QueryChild(
             record=record,
--- a/tests/test_far_searches.py
+++ b/tests/test_far_searches.py
@@ -11,6 +11,7 @@
 from kelpstage.edge.backend.registry import BackendRegistry
 from kelpstage.edge.backend.zones import ZoneDistances
 from kelpstage.edge.gather.context import REPLY_MARGIN_US, GatherContext
+from kelpstage.edge.gather.helper_connections import HelperConnections
 from kelpstage.edge.gather.latency import LatencyEstimates
 from kelpstage.edge.gather.request_state import ROOT, Child, RequestState
 from kelpstage.edge.gather.stages.windows import child_window_end_us
@@ -96,6 +97,10 @@
 class ChoiceOfHelpers(unittest.TestCase):
     PEERS = {f"p{number:02d}": "b1" for number in range(30)}
 
+    @staticmethod
+    def zone_of(name: str) -> str:
+        return {"n1": "a1", "n2": "a2", "f1": "b1", "f2": "b1"}[name]
+
     def first(self, *, me: str) -> str:
         return context(me=me, peers=self.PEERS).helpers_by_zone(collection="r")["b1"][0]
 
@@ -119,6 +124,23 @@
         self.assertEqual(preferred, node.helpers_by_zone(collection="r")["b1"][0])
 
 
+class ConnectionsToHelpers(unittest.TestCase):
+    def wanted(self, *, fan_out: tuple[str, ...]) -> list[str]:
+        node = context(peers={"n1": "a1", "n2": "a2", "f1": "b1", "f2": "b1"})
+        node.lease_holder.configuration.forward = {
+            "r": SimpleNamespace(name="r", fan_out=fan_out),
+        }
+        ports = SimpleNamespace(spawn_critical=lambda work: work.close())
+        return HelperConnections(ports=ports, transport=None, context=node).wanted()
+
+    def test_one_helper_in_each_zone_is_kept_connected(self) -> None:
+        zones = sorted(ChoiceOfHelpers.zone_of(name) for name in self.wanted(fan_out=("s",)))
+        self.assertEqual(["a1", "a2", "b1"], zones)
+
+    def test_without_searches_no_connection_is_opened(self) -> None:
+        self.assertEqual([], self.wanted(fan_out=()))
+
+
 class DepthOfTheTree(unittest.TestCase):
     def test_children_in_other_zones_do_not_make_the_tree_in_the_own_zone_deeper(self) -> None:
         groups = [("z0", tuple(f"s{n}" for n in range(9)))]
