test_far_searches: opened connections, the child's time and the window of far attempts

Cause: read again, had no test that fails without it, nor had the window of an attempt in; the doctest of reply_margin_us had been taken out with only a part of it tested elsewhere. Change: a test for each; the doctest's two figures stand as a test again.

--- a/tests/test_far_searches.py
+++ b/tests/test_far_searches.py
@@ -2,18 +2,24 @@
 
 from __future__ import annotations
 
+import asyncio
 import random
 import unittest
 from types import SimpleNamespace
+from typing import Coroutine
 
 from kelpstage.common.event_journal import Journal
 from kelpstage.common.transport.messages import MemberMsg
 from kelpstage.edge.backend.registry import BackendRegistry
 from kelpstage.edge.backend.zones import ZoneDistances
+from kelpstage.edge.gather.child_queries import ChildQueries
 from kelpstage.edge.gather.context import REPLY_MARGIN_US, GatherContext
 from kelpstage.edge.gather.helper_connections import HelperConnections
 from kelpstage.edge.gather.latency import LatencyEstimates
-from kelpstage.edge.gather.request_state import ROOT, Child, RequestState
+from kelpstage.edge.gather.messages import QueryChild
+from kelpstage.edge.gather.request_state import ROOT, Child, RequestState, ShardState
+from kelpstage.edge.gather.stages.attempts import _begin_attempt
+from kelpstage.edge.gather.stages.send import _send_child
 from kelpstage.edge.gather.stages.windows import child_window_end_us
 from kelpstage.edge.gather.tree import Subtree, build_zone_tree
 from kelpstage.edge.gossip.members import ALIVE, Member
@@ -77,6 +83,69 @@
             REPLY_MARGIN_US + FAR_ROUND_TRIP_US, self.context.reply_margin_us(name="far")
         )
 
+    def test_the_margin_of_a_measured_and_of_an_unknown_peer(self) -> None:
+        self.context.note_round_trip(name="far", took_us=120_000)
+        margins_us = [self.context.reply_margin_us(name=name) for name in ("far", "unknown")]
+        self.assertEqual([124_000, 4_000], margins_us)
+
+    def record(self, *, node: str) -> RequestState:
+        record = RequestState(
+            key=1, kind=ROOT, collection="r", arrived_us=0, due_us=800_000, aim_us=AIM_US
+        )
+        record.omit_at_us = 64_000
+        record.route = SimpleNamespace(window_us=10_000, is_strict=False)
+        record.addresses = {node: node}
+        record.children = [Child(slot=0, subtree=Subtree(node=node, shards=("s1",)))]
+        return record
+
+    def test_a_child_is_given_neither_the_way_nor_a_tenth_for_its_work(self) -> None:
+        record = self.record(node="far")
+        _send_child(child=record.children[0], record=record, context=self.context)
+        (query,) = self.context.effects
+        self.assertEqual(64_000 - REPLY_MARGIN_US - FAR_ROUND_TRIP_US - 6_400, query.wait_us)
+
+    def given_us(self, *, is_connected: bool) -> tuple[int, int]:
+        record = self.record(node="far")
+        queries = ChildQueries(
+            ports=None,
+            transport=SimpleNamespace(is_connected=lambda **_: is_connected),
+            context=self.context,
+            on_reply=lambda reply: None,
+        )
+        ask = QueryChild(
+            record=record,
+            generation=0,
+            slot=0,
+            node="far",
+            address="far",
+            wait_us=40_000,
+            query_id=1,
+            is_resumed=False,
+        )
+        message = queries._message(ask=ask, sent_us=0)
+        return message.wait_us, message.due_us
+
+    def test_the_time_for_opening_a_connection_is_taken_off(self) -> None:
+        known, new = (self.given_us(is_connected=is_open) for is_open in (True, False))
+        self.assertEqual(40_000, known[0])
+        self.assertEqual([FAR_ROUND_TRIP_US] * 2, [a - b for a, b in zip(known, new, strict=True)])
+
+    def test_the_window_of_an_attempt_includes_the_distance_of_the_backend(self) -> None:
+        record = self.record(node="far")
+        cut = SimpleNamespace(shards={"s1": SimpleNamespace(cut="c")})
+        record.configuration = SimpleNamespace(collections={"r": cut})
+        self.context.registry.entry(name="backend").distance_us = FAR_ROUND_TRIP_US
+        shard_state = ShardState(shard="s1")
+        _begin_attempt(
+            backend="backend",
+            shard_state=shard_state,
+            record=record,
+            context=self.context,
+            why="first",
+            ranked=(),
+        )
+        self.assertEqual(10_000 + FAR_ROUND_TRIP_US, shard_state.attempts[0].window_end_us)
+
     def test_a_measured_peer_is_as_far_as_was_measured(self) -> None:
         self.context.note_round_trip(name="far", took_us=30_000)
         self.assertEqual(30_000, self.context.round_trip_us(name="far"))
@@ -137,6 +206,25 @@
         zones = sorted(ChoiceOfHelpers.zone_of(name) for name in self.wanted(fan_out=("s",)))
         self.assertEqual(["a1", "a2", "b1"], zones)
 
+    def test_connections_are_opened_without_a_search(self) -> None:
+        opened: list[str] = []
+        tasks: list[Coroutine] = []
+        node = context(peers={"f1": "b1"})
+        node.lease_holder.configuration.forward = {"r": SimpleNamespace(name="r", fan_out=("s",))}
+
+        async def sleep(*, us: int) -> None:
+            if opened:
+                raise asyncio.CancelledError
+
+        ports = SimpleNamespace(
+            spawn_critical=tasks.append, clock=SimpleNamespace(sleep=sleep, now_us=lambda: 0)
+        )
+        transport = SimpleNamespace(open=lambda *, address, channel: opened.append(address))
+        HelperConnections(ports=ports, transport=transport, context=node)
+        with self.assertRaises(asyncio.CancelledError):
+            asyncio.run(tasks[0])
+        self.assertEqual(["f1"], opened)
+
     def test_without_searches_no_connection_is_opened(self) -> None:
         self.assertEqual([], self.wanted(fan_out=()))
 
