test_far_searches: the test of opened connections fails instead of waiting

Cause: without the repair its stand-in of the clock never ended the task, so the test hung. Change: the second sleep ends it. Measured: the two classes pass (aarch64).

--- a/tests/test_far_searches.py
+++ b/tests/test_far_searches.py
@@ -208,12 +208,14 @@
 
     def test_connections_are_opened_without_a_search(self) -> None:
         opened: list[str] = []
+        sleeps: list[int] = []
         tasks: list[Coroutine] = []
         node = context(peers={"f1": "b1"})
         node.lease_holder.configuration.forward = {"r": SimpleNamespace(name="r", fan_out=("s",))}
 
         async def sleep(*, us: int) -> None:
-            if opened:
+            sleeps.append(us)
+            if len(sleeps) > 1:
                 raise asyncio.CancelledError
 
         ports = SimpleNamespace(
