Preferences of peers take bounded memory; what HelperConnections connects to is said

Cause: the cache of GatherContext.preference kept each name that was ever seen. Change: above 10,000 names the cache is emptied; the hash gives the same order again. No other behaviour.

--- a/kelpstage/edge/gather/context.py
+++ b/kelpstage/edge/gather/context.py
@@ -21,6 +21,7 @@
 MAX_LATE_COUNT = 5  # bounds the doubling of the penalty
 LOAD_STEP = 4  # requests in flight; a smaller difference between two peers does not rank them
 HASH_RANGE = 2**32  # of CRC-32
+MAX_PREFERENCES = 10_000  # names in the cache; machines come and go while a process runs
 UNRESPONSIVE_COUNT = 3  # late replies in a row; a peer then gets no queries for the penalty
 
 
@@ -162,6 +163,8 @@
         """
         known = self._preferences.get(name)
         if known is None:
+            if len(self._preferences) >= MAX_PREFERENCES:
+                self._preferences.clear()
             digest = zlib.crc32(f"{self.me}/{name}".encode())
             known = self._preferences[name] = digest / HASH_RANGE
         return known
--- a/kelpstage/edge/gather/helper_connections.py
+++ b/kelpstage/edge/gather/helper_connections.py
@@ -13,9 +13,9 @@
 class HelperConnections:
     """Opens connections before a search needs them.
 
-    A search has to reach one helper in each other zone, and opening a connection costs it a round
-    trip, which between regions is a large part of its latency target. The number of connections
-    grows with the number of zones, not with that of nodes.
+    A search asks a helper in each zone that has shards for it, and opening a connection costs a
+    round trip, which between regions is a large part of the latency target. The number of
+    connections grows with the number of zones, not with that of nodes.
     """
 
     def __init__(self, *, ports: Ports, transport: Transport, context: GatherContext) -> None:
@@ -32,8 +32,11 @@
                 self._transport.open(address=address, channel=frames.GATHER)
 
     def wanted(self) -> list[str]:
-        """Return the address of the preferred helper in each zone; empty without a route for
-        forwarded searches."""
+        """Return the address of the preferred helper in each zone, this node's own included.
+
+        It is empty without a route for forwarded searches. The helpers are those of the first such
+        route.
+        """
         forward = self._context.lease_holder.configuration.forward
         collection = next((route.name for route in forward.values() if route.fan_out), None)
         if collection is None:
--- a/tests/test_far_searches.py
+++ b/tests/test_far_searches.py
@@ -7,11 +7,13 @@
 import unittest
 from types import SimpleNamespace
 from typing import Coroutine
+from unittest import mock
 
 from kelpstage.common.event_journal import Journal
 from kelpstage.common.transport.messages import MemberMsg
 from kelpstage.edge.backend.registry import BackendRegistry
 from kelpstage.edge.backend.zones import ZoneDistances
+from kelpstage.edge.gather import context as context_module
 from kelpstage.edge.gather.child_queries import ChildQueries
 from kelpstage.edge.gather.context import REPLY_MARGIN_US, GatherContext
 from kelpstage.edge.gather.helper_connections import HelperConnections
@@ -184,6 +186,15 @@
         self.assertGreater(len(set(firsts)), 25)
         self.assertLess(max(firsts.count(name) for name in set(firsts)), 20)
 
+    def test_the_preferences_of_many_peers_take_bounded_memory(self) -> None:
+        node = context(peers={})
+        before = node.preference("p00")
+        with mock.patch.object(context_module, "MAX_PREFERENCES", 5):
+            for number in range(40):
+                node.preference(f"p{number:02d}")
+                self.assertLessEqual(len(node._preferences), 5)
+            self.assertEqual(before, node.preference("p00"))
+
     def test_a_late_helper_is_replaced_until_its_penalty_has_expired(self) -> None:
         node = context(peers=self.PEERS)
         preferred = node.helpers_by_zone(collection="r")["b1"][0]
