--- a/kelpstage/testbed/platform_model/backends.py
+++ b/kelpstage/testbed/platform_model/backends.py
@@ -30,6 +30,7 @@
 CLOSE_PROBABILITY = 0.005
 CRASH_DELIST_DELAY_US = 4_000_000
 DRAIN_MARGIN_US = 1_500_000
+FIRST_REVISION = "v1"  # the software version of a service without a rollout
 
 
 @dataclass(kw_only=True)
@@ -44,6 +45,22 @@
     forgets_idle: bool = False
 
 
+@dataclass(frozen=True, kw_only=True)
+class VersionFault:
+    """A fault of a software version: `share` of the requests fail or are slow.
+
+    It begins `after_us` after the start of an instance. `only_kind` limits it to one kind of
+    request, and `is_under_load` to instances with every slot busy. `slow_factor` above 1 makes
+    requests slow instead of failing.
+    """
+
+    share: float = 0.5
+    slow_factor: float = 1.0
+    after_us: int = 0
+    only_kind: str = ""
+    is_under_load: bool = False
+
+
 @dataclass(kw_only=True)
 class BackendRequest:
     """A request that a backend has accepted into its queue."""
@@ -67,6 +84,8 @@
     backend_pool: "BackendPool"
     work_factor: float
     started_us: int
+    revision: str
+    version_fault: VersionFault | None = None
     injected_faults: InjectedFaults = field(default_factory=InjectedFaults)
     is_draining: bool = False
     is_ended: bool = False
@@ -130,6 +149,7 @@
             method=call.method,
             target=call.url,
             body=call.body,
+            revision=self.revision,
             ran=False,
             given_us=int(float(call.headers.get(DEADLINE_HEADER, "0")) * 1_000),
         )
@@ -193,6 +213,7 @@
         now_us = self.backend_pool.world.now_us()
         request.arrival.ran, request.arrival.begun_us = True, now_us
         self.busy.append(request)
+        request.arrival.is_bad_answer = self._has_version_fault(request=request)
         end_us = min(now_us + self._service_time_us(request=request), max(now_us, request.due_us))
         end_us = self._add_pause(begin_us=now_us, end_us=end_us)
         request.arrival.until_us = end_us
@@ -211,8 +232,22 @@
             work_us *= 2.5
         if len(self.busy) >= self.service.slots:
             work_us *= 1.25
+        if request.arrival.is_bad_answer and self.version_fault is not None:
+            work_us *= self.version_fault.slow_factor
         return int(work_us)
 
+    def _has_version_fault(self, *, request: BackendRequest) -> bool:
+        """True if the fault of this instance's version applies to a request that starts now."""
+        fault = self.version_fault
+        if fault is None or self.backend_pool.world.now_us() < self.started_us + fault.after_us:
+            return False
+        if fault.is_under_load and len(self.busy) < self.service.slots:
+            return False
+        kind = self.backend_pool.kind_of(host=request.arrival.host, target=request.call.url)
+        if fault.only_kind and (kind is None or kind.name != fault.only_kind):
+            return False
+        return self.backend_pool.rand.random() < fault.share
+
     def _add_pause(self, *, begin_us: int, end_us: int) -> int:
         pause_us, interval_us = self.service.pause_us, self.service.pause_interval_us
         if not pause_us:
@@ -234,6 +269,8 @@
         status = 504 if now_us >= request.due_us else 200
         if rand.random() < self.injected_faults.fail_share:
             status = 500
+        if arrival.is_bad_answer and self.version_fault and self.version_fault.slow_factor == 1:
+            status = 500
         arrival.status = status
         if rand.random() < self.injected_faults.reset_share:
             arrival.broke_off = True
@@ -349,11 +386,18 @@
         self._seal_count = 0
         self._free_addresses: list[tuple[int, str]] = []
         self._rows: dict[str, dict] = {}
-        self.revision = "v1"
 
     # --- instances ------------------------------------------------------------------------
 
-    def start(self, *, service: ServiceShape, zone: str, is_cold: bool = True) -> Backend:
+    def start(
+        self,
+        *,
+        service: ServiceShape,
+        zone: str,
+        is_cold: bool = True,
+        revision: str = FIRST_REVISION,
+        version_fault: VersionFault | None = None,
+    ) -> Backend:
         """Start an instance at a new address, or at the address of an ended instance."""
         self._serial += 1
         now_us = self.world.now_us()
@@ -369,6 +413,8 @@
             backend_pool=self,
             work_factor=self.rand.choice((0.8, 1.0, 1.0, 1.3)),
             started_us=now_us if is_cold else now_us - SLOW_START_US,
+            revision=revision,
+            version_fault=version_fault,
             pause_offset_us=self.rand.randrange(service.pause_interval_us),
         )
         process._process_listener = process.ports.net._listen(
@@ -408,6 +454,11 @@
         """Resume a backend that `go_silent` suspended."""
         backend.process.thaw()
 
+    def stop(self, *, backend: Backend) -> None:
+        """End a backend at once, without draining, as after a complete rollout."""
+        self._end(backend=backend)
+        self._remove_row(backend=backend)
+
     def drain(self, *, backend: Backend) -> None:
         """Drain a backend: it is listed as draining, keeps serving, then ends."""
         if backend.is_draining or backend.is_ended:
@@ -448,7 +499,7 @@
             "Service": backend.service.name,
             "Address": backend.address,
             "ZoneName": backend.zone,
-            "Revision": self.revision,
+            "Revision": backend.revision,
             "Capacity": backend.service.slots,
             "InstanceId": backend.instance_id,
             "cold_until_us": backend.started_us + SLOW_START_US,
--- a/kelpstage/testbed/platform_model/faults/__init__.py
+++ b/kelpstage/testbed/platform_model/faults/__init__.py
@@ -15,6 +15,7 @@
     machines,
     membership,
     network,
+    rollouts,
     write_races,
 )
 
@@ -70,6 +71,12 @@
     membership.most_go_dark,
     membership.most_freeze,
     membership.all_replaced,
+    rollouts.rollout_good,
+    rollouts.rollout_errors,
+    rollouts.rollout_slow,
+    rollouts.rollout_under_load,
+    rollouts.rollout_one_kind,
+    rollouts.rollout_late,
 )
 _REGISTERED_CLOSING: tuple[Fault, ...] = (
     closing.closing_power,
--- a/kelpstage/testbed/platform_model/history.py
+++ b/kelpstage/testbed/platform_model/history.py
@@ -38,6 +38,9 @@
     retry_slack: int = 57
     recovery_us: int = 12_000_000
     tolerance: int = 1
+    bad_traffic_share: float = 0.1  # of a service's requests, that a bad version may receive
+    bad_traffic_slack: int = 50  # requests beyond the share
+    rollback_us: int = 5_000_000  # from the 50th bad answer to the last request
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -115,6 +118,37 @@
         return route is not None and route.allows(service=service)
 
 
+@dataclass(kw_only=True)
+class RolloutOrder:
+    """An order to move a service to another version, as its operator saw it.
+
+    `condition` is the last one that was read, and the two times are those of the first read of
+    each final condition. `read_back` is the target that the last read of the scenario named,
+    `None` if no read was answered with 200.
+    """
+
+    key: str
+    service: str
+    target: str
+    over_us: int
+    is_bad: bool = False
+    sent_us: int = 0
+    acked_us: int = 0
+    refused_us: int = 0
+    ended_us: int = 0
+    lost_us: list[int] = field(default_factory=list)  # times at which a reply to it was lost
+    statuses: list[int] = field(default_factory=list)  # of all replies, 0 for none
+    condition: str = ""
+    complete_us: int = 0
+    reverted_us: int = 0
+    read_back: str | None = None
+
+    @property
+    def term_us(self) -> int:
+        """When the rollout is due to be complete or reverted."""
+        return self.sent_us + self.over_us
+
+
 @dataclass(kw_only=True)
 class Request:
     """One attempt of a client, as the client saw it."""
@@ -178,6 +212,8 @@
     given_us: int = 0  # the time limit that it carried; 0 if none
     until_us: int = 0  # when the work is due to end, if it started
     released_us: int = 0  # when its connection ended while it was queued or running
+    revision: str = ""  # software version of the backend
+    is_bad_answer: bool = False  # a fault of the backend's version applied to it
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -267,6 +303,7 @@
     arrivals: list[Arrival] = field(default_factory=list)
     stamped: dict[str, Stamped] = field(default_factory=dict)
     orders: list[Order] = field(default_factory=list)
+    rollouts: list[RolloutOrder] = field(default_factory=list)
     shown: list[Shown] = field(default_factory=list)
     leavers: list[Leaver] = field(default_factory=list)
     faults: list[MachineFault] = field(default_factory=list)
--- a/kelpstage/testbed/platform_model/operator.py
+++ b/kelpstage/testbed/platform_model/operator.py
@@ -111,6 +111,13 @@
             self.on_acked(order, address)
         return status
 
+    async def call_any(
+        self, *, method: str, path: str, body: bytes = b""
+    ) -> HttpReply | KelpstageError | None:
+        """Make one call to a random control address."""
+        address = self._rand.choice(self._addresses())
+        return await self._call(address=address, method=method, path=path, body=body)
+
     async def _call(
         self, *, address: str, method: str, path: str, body: bytes = b"", base: int | None = None
     ) -> HttpReply | KelpstageError | None:
--- a/kelpstage/testbed/platform_model/rules/recovery.py
+++ b/kelpstage/testbed/platform_model/rules/recovery.py
@@ -36,36 +36,49 @@
     machine within `AckWithinMs` that backends drain, for at least three and over a fifth of
     the draining backends."""
     touch, out = CoreContact(history=history), []
-    starts = sorted(
-        {
-            t.end_us + history.bounds.touch_us + 1
-            for t in history.faults
-            if t.end_us <= history.end_us
-        }
-        | {
-            c.end_us + history.bounds.touch_us + 1
-            for c in history.cuts
-            if c.end_us <= history.end_us
-        }
-    )
     for order in history.orders:
         if not order.is_valid or order.refused_us:
             continue
         span_us = history.bounds.ack_within_us + ACK_US_PER_ROUTE * len(order.routes)
-        until_us = order.acked_us or order.ended_us or history.end_us
-        after_losses = [lost_us + 1 for lost_us in order.lost_us]
-        begins = [order.sent_us, *(s for s in starts if s > order.sent_us), *after_losses]
-        for begin_us in sorted(begins):
-            if begin_us + span_us >= until_us:
-                continue
-            if any(begin_us <= lost_us <= begin_us + span_us for lost_us in order.lost_us):
-                continue
-            if _is_undisturbed(
-                history=history, touch=touch, begin_us=begin_us, end_us=begin_us + span_us
-            ):
-                why = f"{order.key} ({order.revision}) was not acknowledged within {span_us} us"
-                out.append(Violation(rule="ACKS", why=why, at_us=begin_us + span_us))
-                break
+        begin_us = first_undisturbed_span(
+            history=history,
+            touch=touch,
+            sent_us=order.sent_us,
+            until_us=order.acked_us or order.ended_us or history.end_us,
+            lost_us=order.lost_us,
+            span_us=span_us,
+        )
+        if begin_us is not None:
+            why = f"{order.key} ({order.revision}) was not acknowledged within {span_us} us"
+            out.append(Violation(rule="ACKS", why=why, at_us=begin_us + span_us))
+    return out + _undisclosed_drains(history=history, touch=touch)
+
+
+def first_undisturbed_span(
+    *,
+    history: History,
+    touch: CoreContact,
+    sent_us: int,
+    until_us: int,
+    lost_us: list[int],
+    span_us: int,
+) -> int | None:
+    """The begin of the first span of `span_us` between the sending of an order and `until_us` in
+    which no fault was active and no reply to the order was lost; `None` if there is none."""
+    ends = [t.end_us for t in (*history.faults, *history.cuts) if t.end_us <= history.end_us]
+    starts = [end_us + history.bounds.touch_us + 1 for end_us in ends]
+    begins = {sent_us, *(s for s in starts if s > sent_us), *(at_us + 1 for at_us in lost_us)}
+    for begin_us in sorted(begins):
+        end_us = begin_us + span_us
+        if end_us >= until_us or any(begin_us <= at_us <= end_us for at_us in lost_us):
+            continue
+        if _is_undisturbed(history=history, touch=touch, begin_us=begin_us, end_us=end_us):
+            return begin_us
+    return None
+
+
+def _undisclosed_drains(*, history: History, touch: CoreContact) -> list[Violation]:
+    """A violation if the list shows no machine in time that several backends drain."""
     shown_at_us: dict[str, int] = {}
     for shown in history.shown:
         shown_at_us[shown.instance_id] = min(
@@ -83,10 +96,10 @@
             )
         ):
             missed.append(leaver.instance_id)
-    if len(missed) >= 3 and 5 * len(missed) > len(history.leavers):
-        why = f"no machine learned that {', '.join(missed[:4])} drain"
-        out.append(Violation(rule="ACKS", why=why, at_us=history.end_us))
-    return out
+    if len(missed) < 3 or 5 * len(missed) <= len(history.leavers):
+        return []
+    why = f"no machine learned that {', '.join(missed[:4])} drain"
+    return [Violation(rule="ACKS", why=why, at_us=history.end_us)]
 
 
 def _is_undisturbed(*, history: History, touch: CoreContact, begin_us: int, end_us: int) -> bool:
--- a/kelpstage/testbed/platform_model/rules/register.py
+++ b/kelpstage/testbed/platform_model/rules/register.py
@@ -15,6 +15,7 @@
     draining,
     operators,
     recovery,
+    rollouts,
     runs,
 )
 
@@ -45,6 +46,10 @@
     "RECOVER": recovery.recover,
     "ACKS": recovery.acks,
     "FAULT": recovery.fault,
+    "EXPOSURE": rollouts.exposure,
+    "LOST rollout": rollouts.lost,
+    "ACKS rollout": rollouts.acks,
+    "DUTY rollout": rollouts.duty,
 }
 
 
--- /dev/null
+++ b/kelpstage/testbed/platform_model/rules/rollouts.py
@@ -0,0 +1,116 @@
+"""EXPOSURE, LOST, ACKS and the duty of rollouts."""
+
+from __future__ import annotations
+
+from kelpstage.testbed.checkers.base import Violation
+from kelpstage.testbed.platform_model.eligibility import CoreContact
+from kelpstage.testbed.platform_model.history import Arrival, History, RolloutOrder
+from kelpstage.testbed.platform_model.rules.recovery import first_undisturbed_span
+
+BAD_ANSWERS = 50  # after this many, the time to the last request runs
+
+
+def exposure(history: History) -> list[Violation]:
+    """A bad version receives too large a share of its service's requests between the order and
+    its term, or a request later than `RollbackMs` after its 50th bad answer."""
+    touch = CoreContact(history=history)
+    out = []
+    for order in history.rollouts:
+        if order.is_bad:
+            out += _excess(history=history, touch=touch, order=order)
+            out += _late_requests(history=history, touch=touch, order=order)
+    return out
+
+
+def _arrivals_at_target(*, history: History, order: RolloutOrder) -> list[Arrival]:
+    return [
+        arrival
+        for arrival in history.arrivals
+        if arrival.service == order.service and arrival.revision == order.target
+    ]
+
+
+def _excess(*, history: History, touch: CoreContact, order: RolloutOrder) -> list[Violation]:
+    span = range(order.sent_us, order.term_us)
+    total = sum(a.service == order.service and a.at_us in span for a in history.arrivals)
+    received = [
+        arrival
+        for arrival in _arrivals_at_target(history=history, order=order)
+        if arrival.at_us in span and touch.is_in_touch(node=arrival.node, at_us=arrival.at_us)
+    ]
+    bounds = history.bounds
+    allowed = total * bounds.bad_traffic_share + bounds.bad_traffic_slack
+    if len(received) <= allowed:
+        return []
+    why = f"{order.target} of {order.service} received {len(received)} of {total} requests"
+    return [Violation(rule="EXPOSURE", why=why, at_us=received[-1].at_us)]
+
+
+def _late_requests(*, history: History, touch: CoreContact, order: RolloutOrder) -> list[Violation]:
+    arrivals = _arrivals_at_target(history=history, order=order)
+    bad = sorted(a.ended_us for a in arrivals if a.is_bad_answer and a.ended_us)
+    if len(bad) < BAD_ANSWERS:
+        return []
+    until_us = bad[BAD_ANSWERS - 1] + history.bounds.rollback_us
+    late = [
+        arrival
+        for arrival in arrivals
+        if arrival.at_us > until_us
+        and touch.is_in_touch(node=arrival.node, at_us=arrival.at_us, since_us=bad[BAD_ANSWERS - 1])
+    ]
+    if not late:
+        return []
+    why = f"{order.target} of {order.service} received {len(late)} after the time to roll back"
+    return [Violation(rule="EXPOSURE", why=why, at_us=late[0].at_us)]
+
+
+def lost(history: History) -> list[Violation]:
+    """The last read does not name the newest acknowledged rollout of a service, or an
+    acknowledged order was refused when it was sent again."""
+    newest = {order.service: order for order in history.rollouts if order.acked_us}
+    return [
+        Violation(
+            rule="LOST rollout",
+            why=f"{order.service} was ordered to {order.target}, the last read: {order.read_back}",
+            at_us=history.end_us,
+        )
+        for order in newest.values()
+        if order.read_back != order.target
+    ]
+
+
+def acks(history: History) -> list[Violation]:
+    """A rollout is not acknowledged within `AckWithinMs` in one undisturbed span."""
+    touch, out = CoreContact(history=history), []
+    for order in history.rollouts:
+        begin_us = first_undisturbed_span(
+            history=history,
+            touch=touch,
+            sent_us=order.sent_us,
+            until_us=order.acked_us or history.end_us,
+            lost_us=order.lost_us,
+            span_us=history.bounds.ack_within_us,
+        )
+        if begin_us is not None:
+            at_us = begin_us + history.bounds.ack_within_us
+            why = f"{order.key} of {order.service} had no acknowledgement, replies {order.statuses}"
+            out.append(Violation(rule="ACKS rollout", why=why, at_us=at_us))
+    return out
+
+
+def duty(history: History) -> list[Violation]:
+    """A good version is not complete by its term, or a bad one not reverted, although no machine
+    and no path had a fault meanwhile."""
+    touch = CoreContact(history=history)
+    out = []
+    for order in history.rollouts:
+        if order.term_us > history.end_us or not touch.is_calm_day(
+            begin_us=order.sent_us, end_us=order.term_us
+        ):
+            continue
+        reached_us = order.reverted_us if order.is_bad else order.complete_us
+        if not 0 < reached_us <= order.term_us:
+            wanted = "reverted" if order.is_bad else "complete"
+            why = f"{order.key} of {order.service} was not {wanted} by its term"
+            out.append(Violation(rule="DUTY rollout", why=why, at_us=order.term_us))
+    return out
--- a/kelpstage/testbed/platform_model/scenario.py
+++ b/kelpstage/testbed/platform_model/scenario.py
@@ -22,6 +22,7 @@
 from kelpstage.testbed.platform_model.machines import Fleet, Node
 from kelpstage.testbed.platform_model.net import HttpProcess, PlatformWorld
 from kelpstage.testbed.platform_model.operator import Operator
+from kelpstage.testbed.platform_model.rollout_operator import RolloutOperator
 from kelpstage.testbed.platform_model.rules.register import find_violations
 from kelpstage.testbed.platform_model.shape import SHAPES, Shape, with_orders
 from kelpstage.testbed.platform_model.traffic import RouteDraft, RouteDrafts
@@ -134,6 +135,10 @@
             for word in ("operator", "second operator")
         )
 
+        self.rollout_operator = RolloutOperator(
+            world=world, history=self.history, operator=self.operator
+        )
+
     def _make_process(self, *, name: str, machine: str, zone: str) -> HttpProcess:
         host = self.world.machines.get(machine)
         if host is None:
@@ -368,7 +373,9 @@
             await self._run_closing_fault()
         await self.clients.drain()
         self.operator.lose_share = 0.0
+        self.rollout_operator.lose_share = 0.0
         await self.operator.read_back(for_us=self.history.bounds.touch_us)
+        await self.rollout_operator.read_back()
         self.history.end_us = self.world.now_us()
 
     async def _send_first_configuration(self) -> None:
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -19,6 +19,7 @@
     ReadBack,
     Readiness,
     Request,
+    RolloutOrder,
     RouteSpec,
     Shown,
     Stamped,
@@ -770,6 +771,74 @@
     return {name: getattr(stamp, name) for name in Stamped.__dataclass_fields__}
 
 
+# --- rollouts ---------------------------------------------------------------------------
+
+
+def rollout(**more) -> RolloutOrder:
+    """Return an acknowledged rollout of service b, sent at 50 s with a term of 14 s."""
+    fields = {
+        "key": "rollout-2",
+        "service": "b",
+        "target": "v2",
+        "over_us": 14 * S,
+        "sent_us": 50 * S,
+        "acked_us": 51 * S,
+        "complete_us": 60 * S,
+        "read_back": "v2",
+    }
+    return RolloutOrder(**{**fields, **more})
+
+
+def bad_rollout(**more) -> RolloutOrder:
+    return rollout(is_bad=True, complete_us=0, reverted_us=60 * S, **more)
+
+
+def add_arrivals_at_target(history: History, *, count: int, since_us: int, until_us: int) -> None:
+    """Add requests that the target version received and answered badly, evenly spaced."""
+    for number in range(count):
+        at_us = since_us + (until_us - since_us) * number // count
+        add(history, attempt=f"r{number}", target="/one/x", sent_us=at_us)
+        arrival = history.arrivals[-1]
+        arrival.revision, arrival.is_bad_answer = "v2", True
+
+
+@violates("EXPOSURE")
+def a_bad_version_receives_most_requests(history):
+    history.rollouts = [bad_rollout()]
+    add_arrivals_at_target(history, count=80, since_us=51 * S, until_us=55 * S)
+
+
+@violates("EXPOSURE")
+def a_bad_version_receives_requests_after_the_time_to_roll_back(history):
+    history.rollouts = [bad_rollout()]
+    add_arrivals_at_target(history, count=60, since_us=51 * S, until_us=63 * S)
+
+
+@violates("LOST rollout")
+def an_acknowledged_rollout_is_not_known_at_the_end(history):
+    history.rollouts = [rollout(read_back=None)]
+
+
+@violates("LOST rollout")
+def the_last_read_names_an_older_target(history):
+    history.rollouts = [rollout(read_back="v1")]
+
+
+@violates("ACKS rollout")
+def a_rollout_is_refused(history):
+    history.rollouts = [rollout(acked_us=0, refused_us=51 * S, complete_us=0)]
+
+
+@violates("DUTY rollout")
+def a_good_version_is_reverted(history):
+    history.rollouts = [rollout(complete_us=0, reverted_us=60 * S)]
+
+
+@violates("DUTY rollout")
+def a_bad_version_is_complete(history):
+    history.rollouts = [rollout(is_bad=True)]
+
+
 class Planted(unittest.TestCase):
     def test_a_clean_history_breaks_no_rule(self):
         self.assertEqual(find_violations(history=clean_history()), [])
@@ -797,6 +866,17 @@
     def violated_rules(self, history: History) -> set[str]:
         return {violation.rule for violation in find_violations(history=history)}
 
+    def test_good_and_bad_rollouts_that_end_in_time_are_allowed(self):
+        history = clean_history()
+        history.rollouts = [rollout(), bad_rollout(key="rollout-3", service="p")]
+        self.assertEqual([], find_violations(history=history))
+
+    def test_a_bad_version_may_receive_a_tenth_of_the_requests_and_fifty(self):
+        history = clean_history()
+        history.rollouts = [bad_rollout()]
+        add_arrivals_at_target(history, count=49, since_us=51 * S, until_us=63 * S)
+        self.assertEqual([], find_violations(history=history))
+
     def test_abandoned_work_that_ends_within_half_a_second_is_allowed(self):
         history = clean_history()
         for request in disconnect(history, count=6):
