--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -84,6 +84,7 @@
         self.http: str = settings["http"]
         self.seeds: list[str] = list(settings["seeds"])
         self.counts: Counter[str] = Counter()
+        self.operator_calls: Counter[str] = Counter()
         self.journal = Journal(now=ports.clock.now_us)
         self.transport = Transport(ports=ports, counts=self.counts)
         self.server = TransportServer(
--- a/kelpstage/core/context.py
+++ b/kelpstage/core/context.py
@@ -28,6 +28,7 @@
     transport: Transport
     journal: Journal
     counts: Counter[str]
+    operator_calls: Counter[str]  # by method, resource and the status of the reply
     settings: dict[str, Any]
     own_address: str
     identity: DiskIdentity | None
--- a/kelpstage/core/web/call_validation.py
+++ b/kelpstage/core/web/call_validation.py
@@ -24,6 +24,23 @@
 MAX_WAIT_US = 120_000_000
 
 
+# The first parts of paths, as metrics name them; names that callers choose are left out.
+RESOURCES = ("configuration", "puts", "roster", "status")
+
+
+def resource_of(*, path: str) -> str:
+    """The name of a path's resource in metrics; `other` for any path that is not known.
+
+    >>> resource_of(path="/v1/puts/p1"), resource_of(path="/ready"), resource_of(path="/x/y")
+    ('puts', 'ready', 'other')
+    """
+    if path in ("/metrics", "/ready", "/health"):
+        return path[1:]
+    parts = path.split("/")
+    is_known = len(parts) > 2 and parts[1] == "v1" and parts[2] in RESOURCES
+    return parts[2] if is_known else "other"
+
+
 def read_request(*, call: HttpCall, path: str) -> ForwardOperatorCall | KelpstageError:
     """Parse an operator's call into a request; an error if no leader would accept it."""
     wait_us = _read_wait_us(call=call)
--- a/kelpstage/core/web/metrics.py
+++ b/kelpstage/core/web/metrics.py
@@ -31,6 +31,12 @@
         yield from _lag_families(core=core, task=task)
         yield from _disk_families(core=core, task=task)
         yield from _state_families(task=task, lease_service=lease_service)
+    yield MetricFamily.counters(
+        "kelpstage_operator_calls_total",
+        "Calls of operators, by method, resource and the status of the reply.",
+        "call",
+        core.operator_calls,
+    )
     yield MetricFamily.counters(
         "kelpstage_events_total", "Events in the journal, by kind.", "event", core.journal.counts
     )
--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -24,7 +24,7 @@
 from kelpstage.core.leases.validation import validate_document
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.outcomes import PutApplied
-from kelpstage.core.web.call_validation import read_request
+from kelpstage.core.web.call_validation import read_request, resource_of
 from kelpstage.core.web.metrics import core_families
 from kelpstage.core.web.views import LOCAL_VIEWS, membership_view
 
@@ -34,8 +34,14 @@
 
 
 async def serve_operators(*, core: OperatorContext, call: HttpCall) -> HttpReply:
-    """Handle one HTTP call of an operator."""
+    """Handle one HTTP call of an operator, and count it by its reply."""
     path = urlsplit(call.url).path
+    reply = await _serve(core=core, call=call, path=path)
+    core.operator_calls[f"{call.method[:8]} {resource_of(path=path)} {reply.status}"] += 1
+    return reply
+
+
+async def _serve(*, core: OperatorContext, call: HttpCall, path: str) -> HttpReply:
     if path == METRICS_PATH and call.method == "GET":
         return await metrics_reply(clock=core.ports.clock, collect=lambda: core_families(core=core))
     local_view = LOCAL_VIEWS.get(path)
--- a/kelpstage/testbed/platform_model/rules/recovery.py
+++ b/kelpstage/testbed/platform_model/rules/recovery.py
@@ -65,8 +65,8 @@
 ) -> int | None:
     """The begin of the first span of `span_us` between the sending of an order and `until_us` in
     which no fault was active and no reply to the order was lost; `None` if there is none."""
-    ends = [t.end_us for t in (*history.faults, *history.cuts) if t.end_us <= history.end_us]
-    starts = [end_us + history.bounds.touch_us + 1 for end_us in ends]
+    ends = [fault.end_us for fault in history.faults] + [cut.end_us for cut in history.cuts]
+    starts = [e + history.bounds.touch_us + 1 for e in ends if e <= history.end_us]
     begins = {sent_us, *(s for s in starts if s > sent_us), *(at_us + 1 for at_us in lost_us)}
     for begin_us in sorted(begins):
         end_us = begin_us + span_us
