Rollouts in the replicated state: begin, raise the share, complete, revert

Change: two commands, typed outcomes, a record for each service; each change is an epoch that settles like a configuration. An equal order is a repeat while its rollout is rolling and for 60 s after; another one meanwhile is under way.

--- /dev/null
+++ b/kelpstage/common/rollouts/__init__.py
@@ -0,0 +1,1 @@
+"""Rollouts of software versions: what edges and cores share."""
--- a/kelpstage/common/transport/messages/__init__.py
+++ b/kelpstage/common/transport/messages/__init__.py
@@ -68,6 +68,11 @@
     TimeoutNow,
 )
 from kelpstage.common.transport.messages.registry import NUMBERS, TYPES
+from kelpstage.common.transport.messages.rollouts import (
+    RolloutReport,
+    RolloutState,
+    VersionCounts,
+)
 from kelpstage.common.transport.messages.transfers import (
     Chunk,
     FetchSnapshot,
@@ -114,6 +119,8 @@
     "Renew",
     "RequestVote",
     "RequestVoteReply",
+    "RolloutReport",
+    "RolloutState",
     "SeedProbe",
     "SeedState",
     "StateDoc",
@@ -121,4 +128,5 @@
     "TYPES",
     "TimeoutNow",
     "Trace",
+    "VersionCounts",
 ]
--- a/kelpstage/common/transport/messages/cluster.py
+++ b/kelpstage/common/transport/messages/cluster.py
@@ -8,6 +8,7 @@
 import betterproto as bp
 
 from kelpstage.common.transport.codec import Message
+from kelpstage.common.transport.messages.rollouts import RolloutState
 
 
 @dataclass
@@ -40,7 +41,7 @@
 
     `version` is the version of the configuration and `document` its JSON text. `membership` holds
     the names of the edges that may hold a lease in this epoch, `observers` those of its
-    non-voting members.
+    non-voting members. `rollouts` says which versions of a service may receive requests.
     """
 
     cluster: str = bp.string_field(1)
@@ -49,6 +50,7 @@
     document: bytes = bp.bytes_field(4)
     membership: List[str] = bp.string_field(5)
     observers: List[str] = bp.string_field(6)
+    rollouts: List[RolloutState] = bp.message_field(7)  # the newest of each service
 
 
 @dataclass
--- a/kelpstage/common/transport/messages/leases.py
+++ b/kelpstage/common/transport/messages/leases.py
@@ -9,6 +9,7 @@
 
 from kelpstage.common.transport.codec import Message
 from kelpstage.common.transport.messages.cluster import EdgeContact
+from kelpstage.common.transport.messages.rollouts import RolloutReport
 
 
 @dataclass
@@ -50,6 +51,7 @@
     known: int = bp.uint64_field(8)  # `LeaseReply.known` of the contacts and cores that it has
     relayed_by: str = bp.string_field(9)  # address of the edge that relays this renewal
     is_observer: bool = bp.bool_field(10)  # non-voting: any number of such machines may be lost
+    rollouts: List[RolloutReport] = bp.message_field(11)  # while any is rolling
 
 
 @dataclass
--- /dev/null
+++ b/kelpstage/common/transport/messages/rollouts.py
@@ -0,0 +1,59 @@
+"""Messages about rollouts: their replicated state, and what edges count for them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import List
+
+import betterproto as bp
+
+from kelpstage.common.transport.codec import Message
+
+
+@dataclass
+class RolloutState(Message):
+    """The newest rollout of one service, as replicated and as installed by edges.
+
+    `condition` is a `RolloutCondition`. `share` is the part of the service's requests that may go
+    to version `target`, in thousandths. `number` is the epoch of the order. Times are the leader's
+    time of day in microseconds.
+    """
+
+    service: str = bp.string_field(1)
+    target: str = bp.string_field(2)
+    over_us: int = bp.uint64_field(3)
+    number: int = bp.uint64_field(4)
+    condition: int = bp.uint32_field(5)
+    share: int = bp.uint32_field(6)
+    why: str = bp.string_field(7)
+    begun_us: int = bp.uint64_field(8)
+    changed_us: int = bp.uint64_field(9)
+
+
+@dataclass
+class VersionCounts(Message):
+    """Answers that an edge got on one route from the target version, or from the others.
+
+    `durations` holds the histogram of a `VersionTotals`.
+    """
+
+    route: str = bp.string_field(1)
+    is_target: bool = bp.bool_field(2)
+    failed: int = bp.uint32_field(3)
+    durations: bytes = bp.bytes_field(4)
+
+
+@dataclass
+class RolloutReport(Message):
+    """From an edge to the leader, in `Renew`: its counts for one rollout since the edge started.
+
+    `targets` and `others` are the numbers of listed instances of either kind, `others_in_flight`
+    the requests in flight to the others, and `failing` the target instances that failed.
+    """
+
+    number: int = bp.uint64_field(1)
+    counts: List[VersionCounts] = bp.message_field(2)
+    targets: int = bp.uint32_field(3)
+    others: int = bp.uint32_field(4)
+    others_in_flight: int = bp.uint32_field(5)
+    failing: List[str] = bp.string_field(6)
--- a/kelpstage/core/state/commands.py
+++ b/kelpstage/core/state/commands.py
@@ -89,6 +89,34 @@
     is_joint: bool = bp.bool_field(2)  # the epoch settles in the previous membership as well
 
 
+@dataclass
+class BeginRollout(bp.Message):
+    """An order to move the traffic of a service to version `target`, within `over_us`.
+
+    `at_us` is the leader's time of day, in microseconds.
+    """
+
+    service: str = bp.string_field(1)
+    target: str = bp.string_field(2)
+    over_us: int = bp.uint64_field(3)
+    at_us: int = bp.uint64_field(4)
+
+
+@dataclass
+class ChangeRollout(bp.Message):
+    """Raises the share of a rolling rollout, or ends it; `number` identifies the rollout.
+
+    `condition` is a `RolloutCondition`, `share` in thousandths, `at_us` the leader's time of day.
+    """
+
+    service: str = bp.string_field(1)
+    number: int = bp.uint64_field(2)
+    condition: int = bp.uint32_field(3)
+    share: int = bp.uint32_field(4)
+    why: str = bp.string_field(5)
+    at_us: int = bp.uint64_field(6)
+
+
 @dataclass
 class Command(bp.Message):
     """What one log entry does to the state."""
@@ -98,6 +126,8 @@
     remove: RemoveEdge = bp.message_field(3, group="what")
     put_delta: PutDelta = bp.message_field(4, group="what")
     refuse: RefusePut = bp.message_field(5, group="what")
+    begin_rollout: BeginRollout = bp.message_field(6, group="what")
+    change_rollout: ChangeRollout = bp.message_field(7, group="what")
 
 
 def put_command(*, put: PutConfiguration, state: CoreState) -> Command:
--- a/kelpstage/core/state/machine.py
+++ b/kelpstage/core/state/machine.py
@@ -30,6 +30,7 @@
     PutIdTaken,
     PutOutcome,
     PutOutcomeUnknown,
+    RolloutOutcome,
     outcome_of,
 )
 from kelpstage.core.state.replicated_state import (
@@ -40,6 +41,7 @@
     RequestRecord,
     read_digest_rows,
 )
+from kelpstage.core.state.rollouts import begin_rollout, change_rollout
 
 RECORDS_KEPT = 512  # complete records of the newest applied writes
 REFUSALS_KEPT = 512  # complete records of the newest refused writes
@@ -79,7 +81,7 @@
         self._applied_by_digest = {record.digest: record for record in self.state.puts}
         self._compacted_versions = dict(read_digest_rows(rows=self.state.superseded))
 
-    def apply(self, *, data: bytes) -> PutOutcome | MembershipSet:
+    def apply(self, *, data: bytes) -> PutOutcome | MembershipSet | RolloutOutcome:
         """Apply one committed command, a serialized `Command`, and return its outcome."""
         command = Command().parse(data)
         kind, body = bp.which_one_of(command, "what")
@@ -91,6 +93,10 @@
             return self._put_delta(put=body)
         if kind == "add":
             return self._add_edges(add=body)
+        if kind == "begin_rollout":
+            return begin_rollout(state=self.state, order=body)
+        if kind == "change_rollout":
+            return change_rollout(state=self.state, change=body)
         return self._remove_edge(remove=body)
 
     def _put(self, *, put: PutConfiguration) -> PutOutcome:
@@ -290,4 +296,5 @@
             document=state.document,
             membership=list(state.membership),
             observers=list(state.observers),
+            rollouts=list(state.rollouts),
         )
--- a/kelpstage/core/state/outcomes.py
+++ b/kelpstage/core/state/outcomes.py
@@ -61,9 +61,36 @@
     epoch: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class RolloutBegun:
+    """The rollout is in the log, by this order or an equal one before it; `number` is its epoch."""
+
+    number: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class RolloutUnderWay:
+    """Another rollout of the service is rolling, to version `target`: the order did nothing."""
+
+    target: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class RolloutChanged:
+    """The rollout was changed, under this epoch."""
+
+    epoch: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class RolloutUnchanged:
+    """The rollout has ended, was replaced, or has that share already: nothing was changed."""
+
+
 PutOutcome = (
     PutApplied | PutSuperseded | PutNotAbove | PutIdTaken | PutOutcomeUnknown | PutDeltaMismatch
 )
+RolloutOutcome = RolloutBegun | RolloutUnderWay | RolloutChanged | RolloutUnchanged
 
 
 def outcome_of(*, record: RequestRecord) -> PutApplied | PutSuperseded | PutNotAbove:
--- a/kelpstage/core/state/replicated_state.py
+++ b/kelpstage/core/state/replicated_state.py
@@ -11,7 +11,7 @@
 import betterproto as bp
 
 from kelpstage.common.edge_membership import EdgeMembership
-from kelpstage.common.transport.messages import StateDoc
+from kelpstage.common.transport.messages import RolloutState, StateDoc
 
 DIGEST_PREFIX_BYTES = 16
 VERSION_BYTES = 8
@@ -47,6 +47,8 @@
     forgotten_to: int = bp.uint64_field(10)  # up to this version, unrecorded writes may exist
     observers: List[str] = bp.string_field(11)  # of the membership
     old_observers: List[str] = bp.string_field(12)  # of `old_membership`
+    rollouts: List[RolloutState] = bp.message_field(13)  # the newest of each service
+    past_rollouts: List[RolloutState] = bp.message_field(14)  # replaced ones, oldest first
 
 
 def edge_membership(*, state: CoreState) -> EdgeMembership:
@@ -84,6 +86,7 @@
     state.membership, state.epoch = list(doc.membership), doc.epoch
     state.observers = list(doc.observers)
     state.old_membership, state.old_observers = [], []
+    state.rollouts, state.past_rollouts = list(doc.rollouts), []
 
 
 def read_digest_rows(*, rows: bytes) -> Iterator[tuple[bytes, int]]:
--- /dev/null
+++ b/kelpstage/core/state/rollouts.py
@@ -0,0 +1,130 @@
+"""What the commands of rollouts do to the replicated state.
+
+Each change is an epoch, so that edges install it as they install a configuration. A rollout is
+rolling until it is complete or reverted; neither ends again, and the share never falls.
+"""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from kelpstage.common.rollouts.condition import COMPLETE_SHARE, RolloutCondition
+from kelpstage.common.transport.messages import RolloutState
+from kelpstage.core.state.commands import BeginRollout, ChangeRollout
+from kelpstage.core.state.outcomes import (
+    RolloutBegun,
+    RolloutChanged,
+    RolloutUnchanged,
+    RolloutUnderWay,
+)
+from kelpstage.core.state.replicated_state import CoreState
+
+REPEAT_WINDOW_US = 60_000_000  # an equal order within this time after the last change is a repeat
+PAST_ROLLOUTS_KEPT = 256
+
+
+def rollout_of(*, state: CoreState, service: str) -> RolloutState | None:
+    """The newest rollout of a service; None if there was none."""
+    return next((known for known in state.rollouts if known.service == service), None)
+
+
+def begun_before(*, state: CoreState, order: BeginRollout) -> RolloutBegun | None:
+    """The outcome of an order that is a repeat of one that was taken, else None.
+
+    An operator who got no answer sends an order again for a limited time. Later, the same content
+    is a new order.
+    """
+    for known in reversed([*state.past_rollouts, *state.rollouts]):
+        is_equal = (known.service, known.target, known.over_us) == (
+            order.service,
+            order.target,
+            order.over_us,
+        )
+        is_rolling = known.condition == RolloutCondition.ROLLING
+        is_recent = order.at_us < known.changed_us + REPEAT_WINDOW_US
+        if is_equal and (is_rolling or is_recent):
+            return RolloutBegun(number=known.number)
+    return None
+
+
+def begin_rollout(*, state: CoreState, order: BeginRollout) -> RolloutBegun | RolloutUnderWay:
+    """Begin a rollout with no share yet, unless another one of the service is rolling.
+
+    >>> state = CoreState(epoch=4, membership=["e"])
+    >>> order = BeginRollout(service="s", target="v2", over_us=9)
+    >>> begin_rollout(state=state, order=order), begin_rollout(state=state, order=order)
+    (RolloutBegun(number=5), RolloutBegun(number=5))
+    >>> begin_rollout(state=state, order=BeginRollout(service="s", target="v3"))
+    RolloutUnderWay(target='v2')
+    """
+    repeated = begun_before(state=state, order=order)
+    if repeated is not None:
+        return repeated
+    known = rollout_of(state=state, service=order.service)
+    if known is not None and known.condition == RolloutCondition.ROLLING:
+        return RolloutUnderWay(target=known.target)
+    _begin_epoch(state=state)
+    begun = RolloutState(
+        service=order.service,
+        target=order.target,
+        over_us=order.over_us,
+        number=state.epoch,
+        begun_us=order.at_us,
+        changed_us=order.at_us,
+    )
+    if known is not None:
+        state.past_rollouts = [*state.past_rollouts, known][-PAST_ROLLOUTS_KEPT:]
+    _set_rollout(state=state, rollout=begun)
+    return RolloutBegun(number=begun.number)
+
+
+def change_rollout(*, state: CoreState, change: ChangeRollout) -> RolloutChanged | RolloutUnchanged:
+    """Raise the share of a rolling rollout, or end it.
+
+    >>> state = CoreState()
+    >>> _ = begin_rollout(state=state, order=BeginRollout(service="s", target="v2", over_us=9))
+    >>> change = ChangeRollout(service="s", number=1, share=50)
+    >>> [change_rollout(state=state, change=change) for _ in range(2)]
+    [RolloutChanged(epoch=2), RolloutUnchanged()]
+    >>> change_rollout(state=state, change=ChangeRollout(
+    ...     service="s", number=1, condition=RolloutCondition.REVERTED))
+    RolloutChanged(epoch=3)
+    >>> rollout_of(state=state, service="s").share
+    0
+    """
+    known = rollout_of(state=state, service=change.service)
+    if known is None or known.number != change.number:
+        return RolloutUnchanged()
+    if known.condition != RolloutCondition.ROLLING:
+        return RolloutUnchanged()
+    share = _share_after(change=change)
+    if change.condition == RolloutCondition.ROLLING and share <= known.share:
+        return RolloutUnchanged()
+    _begin_epoch(state=state)
+    changed = replace(
+        known,
+        condition=change.condition,
+        share=share,
+        why=change.why,
+        changed_us=change.at_us,
+    )
+    _set_rollout(state=state, rollout=changed)
+    return RolloutChanged(epoch=state.epoch)
+
+
+def _share_after(*, change: ChangeRollout) -> int:
+    if change.condition == RolloutCondition.ROLLING:
+        return min(COMPLETE_SHARE, change.share)
+    return COMPLETE_SHARE if change.condition == RolloutCondition.COMPLETE else 0
+
+
+def _set_rollout(*, state: CoreState, rollout: RolloutState) -> None:
+    others = [known for known in state.rollouts if known.service != rollout.service]
+    state.rollouts = sorted([*others, rollout], key=lambda known: known.service)
+
+
+def _begin_epoch(*, state: CoreState) -> None:
+    """Begin the next epoch with the same membership, in which the epoch has to settle."""
+    state.epoch += 1
+    state.old_membership = list(state.membership)
+    state.old_observers = list(state.observers)
