--- a/kelpstage/cli/main.py
+++ b/kelpstage/cli/main.py
@@ -16,6 +16,7 @@
     imports,
     plans,
     recovery,
+    rollouts,
     top,
 )
 
@@ -38,6 +39,8 @@
 app.command("remove-edge")(fleet.remove_edge)
 app.command("drain")(drains.drain)
 app.command("undrain")(drains.undrain)
+app.command("rollout")(rollouts.rollout)
+app.command("rollouts")(rollouts.rollouts)
 app.command("recover")(recovery.recover_cluster)
 app.command("salvage", hidden=True)(recovery.recover_cluster)  # its name up to version 0.1.0
 app.command("import")(imports.import_routes)
