--- a/kelpstage/common/errors/control.py
+++ b/kelpstage/common/errors/control.py
@@ -118,6 +118,23 @@
     heard_us_ago: int
 
 
+@dataclass(frozen=True, kw_only=True)
+class RolloutUnderWayError(KelpstageError):
+    """Another rollout of the service, to version `target`, is rolling."""
+
+    kind: ClassVar[str] = "rollout_under_way"
+    service: str
+    target: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class UnknownRolloutError(KelpstageError):
+    """No rollout of this service was ever ordered."""
+
+    kind: ClassVar[str] = "unknown_rollout"
+    service: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class RecoveryRefusedError(KelpstageError):
     """The conditions do not allow the requested cluster recovery."""
--- a/kelpstage/common/http/client.py
+++ b/kelpstage/common/http/client.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 from typing import Any, Awaitable
 
 from kelpstage.common.errors.base import KelpstageError
@@ -51,10 +52,14 @@
             connection = await self._open(call=call, address=address, deadline=deadline)
         if isinstance(connection, KelpstageError):
             return connection
-        if loop.time() >= deadline:  # the process was suspended or busy during the connect
+        began = loop.time()
+        if began >= deadline:  # the process was suspended or busy during the connect
             connection.return_to_pool()
             return ReplyTimeoutError(address=address, after_us=call.wait_us, was_sent=False)
-        return await connection.exchange(call=call, data=data, deadline=deadline)
+        outcome = await connection.exchange(call=call, data=data, deadline=deadline)
+        if isinstance(outcome, HttpReply):
+            return replace(outcome, exchange_us=round((loop.time() - began) * 1_000_000))
+        return outcome
 
     def close(self) -> None:
         """Close every idle connection."""
--- a/kelpstage/common/http/error_status.py
+++ b/kelpstage/common/http/error_status.py
@@ -19,9 +19,11 @@
     NoLeaderError,
     PutIdReusedError,
     RecoveryRefusedError,
+    RolloutUnderWayError,
     TooFewVotersError,
     UnknownEdgeError,
     UnknownPutError,
+    UnknownRolloutError,
     VersionMismatchError,
     VersionNotAboveError,
     WriteUnresolvedError,
@@ -109,6 +111,8 @@
     UnknownEdgeError: HttpStatus(code=404),
     EdgeAliveError: HttpStatus(code=409),
     RecoveryRefusedError: HttpStatus(code=409),
+    RolloutUnderWayError: HttpStatus(code=409),
+    UnknownRolloutError: HttpStatus(code=404),
     DiskError: HttpStatus(code=503, retry_after_s=2),
 }
 DEFAULT_STATUS = HttpStatus()
--- a/kelpstage/common/ports/interfaces.py
+++ b/kelpstage/common/ports/interfaces.py
@@ -61,6 +61,9 @@
 class HttpReply:
     """One HTTP reply; header names are lower case.
 
+    `exchange_us` is the time from the sending of the request to the complete reply, without the
+    time to open a connection or to wait for one; 0 if it was not measured.
+
     >>> HttpReply(status=200).headers
     {}
     """
@@ -68,6 +71,7 @@
     status: int
     headers: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
+    exchange_us: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/kelpstage/common/rollouts/assessment.py
+++ b/kelpstage/common/rollouts/assessment.py
@@ -7,13 +7,15 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from math import sqrt
 from typing import Mapping
 
-from kelpstage.common.rollouts.totals import BUCKET_COUNT, BUCKETS_PER_DOUBLING, VersionTotals
+from kelpstage.common.rollouts.totals import BUCKETS_PER_DOUBLING, VersionTotals
 
 CONFIDENCE_Z = 3.0  # standard deviations; wide, since the decision is taken again and again
 MIN_BAD_ANSWERS = 3
+MIN_SUSPECT_ANSWERS = 2
 FAILURE_MARGIN = 0.02  # of the answers, by which a target has to be worse
 SLOW_MARGIN = 0.08
 SLOW_BUCKETS = 2 * BUCKETS_PER_DOUBLING  # slow: four times the others' median or more
@@ -37,13 +39,40 @@
     return max(0.0, (center - spread) / (1 + square)), min(1.0, (center + spread) / (1 + square))
 
 
-def _is_higher(*, target: tuple[int, int], others: tuple[int, int], margin: float) -> bool:
-    """True if the target's share (count, total) is certainly higher than that of the others."""
-    if target[0] < MIN_BAD_ANSWERS:
-        return False
-    low, _ = share_bounds(count=target[0], total=target[1])
-    _, high = share_bounds(count=others[0], total=others[1])
-    return low > high + margin
+@dataclass(frozen=True, kw_only=True)
+class Comparison:
+    """Bad answers of the target and of the other versions, and how much worse is too much."""
+
+    what: str
+    count: int
+    total: int
+    other_count: int
+    other_total: int
+    margin: float
+
+    @property
+    def is_worse(self) -> bool:
+        """True if the target's share is certainly higher than that of the others."""
+        if self.count < MIN_BAD_ANSWERS:
+            return False
+        low, _ = share_bounds(count=self.count, total=self.total)
+        _, high = share_bounds(count=self.other_count, total=self.other_total)
+        return low > high + self.margin
+
+    @property
+    def is_suspect(self) -> bool:
+        """True if the target's share looks higher, on too few answers to be certain."""
+        if self.count < MIN_SUSPECT_ANSWERS or not self.other_total:
+            return False
+        return self.count / self.total > self.other_count / self.other_total + self.margin
+
+    @property
+    def text(self) -> str:
+        """The two shares, as operators see them."""
+        return (
+            f"{self.count} of {self.total} answers {self.what}, "
+            f"of the other versions {self.other_count} of {self.other_total}"
+        )
 
 
 def bad_version_reason(*, target: RouteTotals, others: RouteTotals) -> str:
@@ -72,25 +101,38 @@
     return out
 
 
+def suspicion_of(*, target: RouteTotals, others: RouteTotals) -> str:
+    """Why the target may be worse, certain or not, on all routes together; empty if not.
+
+    >>> suspicion_of(target={"r": VersionTotals(failed=2, untimed=40)},
+    ...     others={"r": VersionTotals(untimed=300)})
+    '2 of 42 answers failed, of the other versions 0 of 300'
+    """
+    comparisons = _comparisons(target=_sum(target), others=_sum(others))
+    return next((comparison.text for comparison in comparisons if comparison.is_suspect), "")
+
+
 def _reason(*, target: VersionTotals, others: VersionTotals) -> str:
-    if _is_higher(
-        target=(target.failed, target.answered),
-        others=(others.failed, others.answered),
+    comparisons = _comparisons(target=target, others=others)
+    return next((comparison.text for comparison in comparisons if comparison.is_worse), "")
+
+
+def _comparisons(*, target: VersionTotals, others: VersionTotals) -> list[Comparison]:
+    failures = Comparison(
+        what="failed",
+        count=target.failed,
+        total=target.answered,
+        other_count=others.failed,
+        other_total=others.answered,
         margin=FAILURE_MARGIN,
-    ):
-        return (
-            f"{target.failed} of {target.answered} answers failed, "
-            f"of the other versions {others.failed} of {others.answered}"
-        )
+    )
     from_bucket = others.median_bucket() + SLOW_BUCKETS
-    if from_bucket >= BUCKET_COUNT:
-        return ""
-    slow, others_slow = target.slow(from_bucket=from_bucket), others.slow(from_bucket=from_bucket)
-    if _is_higher(
-        target=(slow, target.answered), others=(others_slow, others.answered), margin=SLOW_MARGIN
-    ):
-        return (
-            f"{slow} of {target.answered} answers were slow, "
-            f"of the other versions {others_slow} of {others.answered}"
-        )
-    return ""
+    slow = Comparison(
+        what="were slow",
+        count=target.slow(from_bucket=from_bucket),
+        total=target.timed,
+        other_count=others.slow(from_bucket=from_bucket),
+        other_total=others.timed,
+        margin=SLOW_MARGIN,
+    )
+    return [failures, slow]
--- a/kelpstage/common/rollouts/totals.py
+++ b/kelpstage/common/rollouts/totals.py
@@ -18,7 +18,7 @@
 
 @dataclass(kw_only=True, slots=True)
 class VersionTotals:
-    """Failed answers, and successful ones by their duration.
+    """Failed answers, successful ones by their duration, and successful ones without it.
 
     >>> totals = VersionTotals()
     >>> totals.add_answer(took_us=900)
@@ -28,12 +28,18 @@
     """
 
     failed: int = 0
+    untimed: int = 0
     durations: list[int] = field(default_factory=lambda: [0] * BUCKET_COUNT)
 
     @property
     def answered(self) -> int:
         """The number of answers, failed ones included."""
-        return self.failed + sum(self.durations)
+        return self.failed + self.untimed + self.timed
+
+    @property
+    def timed(self) -> int:
+        """The number of successful answers whose duration counts."""
+        return sum(self.durations)
 
     def add_answer(self, *, took_us: int) -> None:
         """Count a successful answer."""
@@ -42,12 +48,13 @@
     def add(self, other: VersionTotals) -> None:
         """Add the counts of another edge or route."""
         self.failed += other.failed
+        self.untimed += other.untimed
         for index, count in enumerate(other.durations):
             self.durations[index] += count
 
     def median_bucket(self) -> int:
         """The bucket of the median duration; 0 without an answer."""
-        half = sum(self.durations) / 2
+        half = self.timed / 2
         return next(
             (index for index, count in enumerate(accumulate(self.durations)) if count >= half), 0
         )
@@ -64,8 +71,10 @@
         return struct.pack(f"!{used}I", *self.durations[:used])
 
     @classmethod
-    def unpack(cls, *, failed: int, durations: bytes) -> VersionTotals:
+    def unpack(cls, *, failed: int, untimed: int = 0, durations: bytes) -> VersionTotals:
         """The totals of a message; further buckets and an incomplete last count are ignored."""
         used = min(BUCKET_COUNT, len(durations) // 4)
         counts = struct.unpack_from(f"!{used}I", durations)
-        return cls(failed=failed, durations=[*counts, *[0] * (BUCKET_COUNT - used)])
+        return cls(
+            failed=failed, untimed=untimed, durations=[*counts, *[0] * (BUCKET_COUNT - used)]
+        )
--- a/kelpstage/common/transport/messages/rollouts.py
+++ b/kelpstage/common/transport/messages/rollouts.py
@@ -41,6 +41,7 @@
     is_target: bool = bp.bool_field(2)
     failed: int = bp.uint32_field(3)
     durations: bytes = bp.bytes_field(4)
+    untimed: int = bp.uint32_field(5)
 
 
 @dataclass
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -47,6 +47,7 @@
 from kelpstage.core.membership_requests import send_join_requests
 from kelpstage.core.raft import types as raft
 from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.rollouts.service import RolloutService
 from kelpstage.core.store.records import DiskIdentity, DiskSnapshot
 from kelpstage.core.store.recovery import Recovered
 from kelpstage.core.store.store import Store
@@ -64,8 +65,8 @@
 class Core:
     """One core process.
 
-    Owns the identity, the running replica and its lease service. `task` and `lease_service`
-    are set together while a replica runs, and are None otherwise.
+    Owns the identity, the running replica and its services. `task`, `lease_service` and
+    `rollout_service` are set together while a replica runs, and are None otherwise.
     """
 
     def __init__(
@@ -94,6 +95,7 @@
         self.identity: DiskIdentity | None = None
         self.task: ReplicaTask | None = None
         self.lease_service: LeaseService | None = None
+        self.rollout_service: RolloutService | None = None
         self.is_stopping = False
         self.waits_for = "starting"
         self._edge_contacts = EdgeContacts(ports=ports)
@@ -191,9 +193,16 @@
             own_address=self.own_address,
             tolerance=self.bounds.tolerance,
         )
+        self.rollout_service = RolloutService(
+            ports=self.ports,
+            journal=self.journal,
+            task=self.task,
+            lease_service=self.lease_service,
+            drain_us=self.bounds.drain_us,
+        )
         await self._disk_failed.wait()
         self.task.stop()
-        self.task, self.lease_service = None, None
+        self.task, self.lease_service, self.rollout_service = None, None, None
         await self.ports.clock.sleep(us=RESTART_DELAY_US)
 
     def _on_applied(self, outcome: object, index: int) -> None:
@@ -201,8 +210,10 @@
             self.lease_service.announce_latest_epoch()
 
     def _on_role(self, role: str) -> None:
-        if role == raft.LEADER and self.lease_service is not None:
-            self.lease_service.begin_leadership()
+        if role != raft.LEADER or self.lease_service is None or self.rollout_service is None:
+            return
+        self.lease_service.begin_leadership()
+        self.rollout_service.begin_leadership()
 
     def _on_disk_error(self, error: KelpstageError) -> None:
         self._report_disk_error(error=error)
--- a/kelpstage/core/context.py
+++ b/kelpstage/core/context.py
@@ -14,13 +14,14 @@
 from kelpstage.common.transport.messages import EdgeContact, SeedState
 from kelpstage.core.leases.lease_service import LeaseService
 from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.rollouts.service import RolloutService
 from kelpstage.core.store.records import DiskIdentity
 
 
 class OperatorContext(Protocol):
     """What the operators' interface needs from a core.
 
-    `task` and `lease_service` are set while a replica runs, `identity` once it has been read
+    `task` and both services are set while a replica runs, `identity` once it has been read
     from the disk. `waits_for` states what a core without a running replica waits for.
     """
 
@@ -34,6 +35,7 @@
     identity: DiskIdentity | None
     task: ReplicaTask | None
     lease_service: LeaseService | None
+    rollout_service: RolloutService | None
     waits_for: str
     is_stopping: bool
 
--- a/kelpstage/core/events.py
+++ b/kelpstage/core/events.py
@@ -84,6 +84,26 @@
     membership: list[str]
 
 
+@dataclass(frozen=True, kw_only=True)
+class RolloutOrdered(Event):
+    """An operator's order to move a service to another version is in the log."""
+
+    service: str
+    target: str
+    over_us: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class RolloutMoved(Event):
+    """A rollout has another share (in thousandths) or condition; `why` is that of a revert."""
+
+    service: str
+    target: str
+    condition: str
+    share: int
+    why: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class SnapshotKept(Event):
     """A snapshot up to this log index is on disk."""
--- a/kelpstage/core/leases/configuration_writes.py
+++ b/kelpstage/core/leases/configuration_writes.py
@@ -12,22 +12,19 @@
 
 from kelpstage.common.errors.base import KelpstageError
 from kelpstage.common.errors.control import (
-    NoEdgeMajorityError,
-    NoLeaderError,
     PutIdReusedError,
-    TooFewVotersError,
     VersionMismatchError,
     VersionNotAboveError,
     WriteUnresolvedError,
 )
 from kelpstage.common.errors.validation import InvalidConfigurationError, InvalidField
 from kelpstage.common.event_journal import Journal
-from kelpstage.common.lease_timing import LEASE_SPAN_US
 from kelpstage.common.ports.interfaces import Ports
 from kelpstage.core.events import PutDecided
 from kelpstage.core.leases.epoch_settlement import EpochSettlement
 from kelpstage.core.leases.leader_confirmation import CONFIRM_TIMEOUT_US
 from kelpstage.core.leases.validation import DocumentValidator
+from kelpstage.core.leases.write_readiness import WriteReadiness
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.state.commands import Command, PutConfiguration, RefusePut, put_command
 from kelpstage.core.state.digests import put_digest
@@ -41,18 +38,12 @@
     PutSuperseded,
     outcome_of,
 )
-from kelpstage.core.state.replicated_state import CoreState, edge_membership
 
 MIN_WRITE_TIMEOUT_US = 10_000_000  # of one write, even if its caller waits for less
-POLL_INTERVAL_US = 50_000
-CORE_CONTACT_GRACE_US = 5_000_000  # after an election, for other cores to contact the leader
 
 
 class ConfigurationWrites:
-    """Proposes writes to the log, one epoch at a time.
-
-    `tolerance` is the number of cores whose loss an acknowledged write survives.
-    """
+    """Proposes writes to the log, one epoch at a time."""
 
     def __init__(
         self,
@@ -61,14 +52,13 @@
         journal: Journal,
         task: ReplicaTask,
         settlement: EpochSettlement,
-        tolerance: int,
+        readiness: WriteReadiness,
     ) -> None:
         self._ports = ports
         self._journal = journal
         self._task = task
         self._settlement = settlement
-        self._tolerance = tolerance
-        self._voters_needed = 2 * tolerance + 1
+        self._readiness = readiness
         self._running: dict[bytes, asyncio.Future[PutApplied | KelpstageError]] = {}
         self.validate = DocumentValidator().validate
 
@@ -195,7 +185,7 @@
             return VersionMismatchError(expected=put.expected, current=state.version)
         if put.version and put.version <= state.version:
             return VersionNotAboveError(version=put.version, current=state.version)
-        error = await self._check_ready(state=state, deadline_us=deadline_us)
+        error = await self._readiness.check(deadline_us=deadline_us)
         if error is not None:
             return error
         self._ports.failpoint("core.before_propose")
@@ -212,23 +202,6 @@
             )
         return result
 
-    async def _check_ready(self, *, state: CoreState, deadline_us: int) -> KelpstageError | None:
-        """The error that prevents a proposal now; None if a write can be proposed."""
-        await self._await_edge_quorum(deadline_us=deadline_us)
-        if not self._settlement.has_quorum():
-            voters = edge_membership(state=state).voters
-            reported = self._settlement.lease_table.recently_reported(
-                edges=voters, now_us=self._ports.clock.now_us()
-            )
-            return NoEdgeMajorityError(heard=len(reported), membership=len(voters))
-        if not await self._has_enough_voters(deadline_us=deadline_us):
-            return TooFewVotersError(voters=self._voter_count(), needed=self._voters_needed)
-        if not await self._settlement.wait_settled(
-            epoch=state.epoch, wait_us=self._remaining_us(deadline_us)
-        ):
-            return NoLeaderError(why="the previous change is not settled yet")
-        return None
-
     def _record_decision(
         self, *, put: PutConfiguration, outcome: PutOutcome | KelpstageError
     ) -> None:
@@ -242,46 +215,6 @@
             )
         )
 
-    async def _await_edge_quorum(self, *, deadline_us: int) -> None:
-        """Wait until a quorum of edges has reported, up to one lease span after an election.
-
-        Voting members that have not reported by then count as missing.
-        """
-        clock = self._ports.clock
-        deadline_us = min(deadline_us, self._settlement.lease_table.since_us + LEASE_SPAN_US)
-        while clock.now_us() < deadline_us and not self._settlement.has_quorum():
-            await self._settlement.wait_for_edge_report(wait_us=POLL_INTERVAL_US)
-
-    def _voter_count(self) -> int:
-        return sum(member.is_voter for member in self._task.raft.members.current)
-
-    async def _has_enough_voters(self, *, deadline_us: int) -> bool:
-        """True if data on a majority of the voters survives `tolerance` losses.
-
-        Waits while voters are still being added. See `docs/notes/voters.md`.
-        """
-        clock = self._ports.clock
-        while self._voter_count() < self._voters_needed:
-            if self._are_current_voters_sufficient():
-                return True
-            if clock.now_us() >= deadline_us or not self._task.is_leader:
-                return False
-            await clock.sleep(us=POLL_INTERVAL_US)
-        return True
-
-    def _are_current_voters_sufficient(self) -> bool:
-        """True if every known core votes and a majority of the voters exceeds `tolerance`.
-
-        An acknowledged write then survives `tolerance` losses even with fewer voters than
-        configured.
-        """
-        leading_us = self._ports.clock.now_us() - self._settlement.lease_table.since_us
-        members = self._task.raft.members.current
-        has_only_voters = leading_us > CORE_CONTACT_GRACE_US and all(
-            member.is_voter for member in members
-        )
-        return has_only_voters and self._voter_count() // 2 >= self._tolerance
-
     def put_state(self, *, put_id: str) -> PutApplied | KelpstageError | None:
         """The outcome of a write; None if this leader's log holds no record of it."""
         record = self._task.machine.record(put_id=put_id)
--- a/kelpstage/core/leases/lease_service.py
+++ b/kelpstage/core/leases/lease_service.py
@@ -6,7 +6,7 @@
 
 from __future__ import annotations
 
-from typing import Awaitable
+from typing import Awaitable, Callable
 
 from kelpstage.common.errors.control import NoLeaderError
 from kelpstage.common.event_journal import Journal
@@ -16,10 +16,12 @@
 from kelpstage.common.transport.messages import LeaseReply, Renew
 from kelpstage.core.leases.announcements import LARGE_MEMBERSHIP_EDGES, EpochAnnouncer
 from kelpstage.core.leases.configuration_writes import ConfigurationWrites
+from kelpstage.core.leases.epoch_changes import EpochChanges
 from kelpstage.core.leases.epoch_settlement import EpochSettlement
 from kelpstage.core.leases.leader_confirmation import LeaderConfirmation
 from kelpstage.core.leases.lease_table import LeaseTable
 from kelpstage.core.leases.membership_changes import MembershipChanges
+from kelpstage.core.leases.write_readiness import WriteReadiness
 from kelpstage.core.replica_task import ReplicaTask
 
 CONTACTS_IN_REPLY = 32
@@ -45,42 +47,48 @@
         self._journal = journal
         self._task = task
         self._own_address = own_address
-        self._settlement = EpochSettlement(ports=ports, journal=journal, task=task)
+        self.settlement = EpochSettlement(ports=ports, journal=journal, task=task)
         self._confirmation = LeaderConfirmation(ports=ports, task=task)
         self._announcer = EpochAnnouncer(
             ports=ports,
             transport=transport,
             task=task,
-            settlement=self._settlement,
+            settlement=self.settlement,
             own_address=own_address,
         )
+        self.on_report: Callable[[Renew], None] = lambda request: None  # of each valid renewal
+        self.readiness = WriteReadiness(
+            ports=ports, task=task, settlement=self.settlement, tolerance=tolerance
+        )
+        self.epoch_changes = EpochChanges(task=task, settlement=self.settlement)
         self.membership_changes = MembershipChanges(
             ports=ports,
             journal=journal,
             task=task,
-            settlement=self._settlement,
+            settlement=self.settlement,
+            epoch_changes=self.epoch_changes,
             tolerance=tolerance,
         )
         self.configuration_writes = ConfigurationWrites(
             ports=ports,
             journal=journal,
             task=task,
-            settlement=self._settlement,
-            tolerance=tolerance,
+            settlement=self.settlement,
+            readiness=self.readiness,
         )
 
     @property
     def lease_table(self) -> LeaseTable:
         """The lease table of this leadership."""
-        return self._settlement.lease_table
+        return self.settlement.lease_table
 
     def is_settled(self, *, epoch: int) -> bool:
         """True if no edge can serve an epoch older than this one."""
-        return self._settlement.is_settled(epoch=epoch)
+        return self.settlement.is_settled(epoch=epoch)
 
     def begin_leadership(self) -> None:
         """Start a leadership with an empty lease table, and remove absent edges while it lasts."""
-        self._settlement.begin_leadership()
+        self.settlement.begin_leadership()
         self._ports.spawn(self.membership_changes.remove_absent())
 
     def announce_latest_epoch(self) -> None:
@@ -98,12 +106,13 @@
             lease_table.record_leave(
                 edge=request.edge, incarnation=request.incarnation, now_us=now_us
             )
-            self._settlement.notify_edge_report()
+            self.settlement.notify_edge_report()
             return LeaseReply(cluster=cluster, why="leaving")
         if request.cluster:
             if not _record_report(lease_table, request=request, epoch=request.epoch, now_us=now_us):
                 return self._superseded_reply(lease_table=lease_table, edge=request.edge)
-            self._settlement.notify_edge_report()
+            self.on_report(request)
+            self.settlement.notify_edge_report()
         error = await self._confirm()
         if error is not None or lease_table is not self.lease_table:
             return LeaseReply(cluster=cluster, why=error.why if error else "the leader changed")
--- a/kelpstage/core/leases/membership_changes.py
+++ b/kelpstage/core/leases/membership_changes.py
@@ -13,11 +13,12 @@
 
 from kelpstage.common.edge_membership import EdgeMembership
 from kelpstage.common.errors.base import KelpstageError
-from kelpstage.common.errors.control import EdgeAliveError, NoLeaderError, UnknownEdgeError
+from kelpstage.common.errors.control import EdgeAliveError, UnknownEdgeError
 from kelpstage.common.event_journal import Journal
 from kelpstage.common.lease_timing import LEASE_SPAN_US
 from kelpstage.common.ports.interfaces import Ports
 from kelpstage.core.events import MembershipChanged
+from kelpstage.core.leases.epoch_changes import EpochChanges
 from kelpstage.core.leases.epoch_settlement import EpochSettlement
 from kelpstage.core.leases.leader_confirmation import CONFIRM_TIMEOUT_US
 from kelpstage.core.leases.lease_table import LeaseTable
@@ -26,7 +27,6 @@
 from kelpstage.core.state.outcomes import MembershipSet
 from kelpstage.core.state.replicated_state import edge_membership
 
-MEMBERSHIP_CHANGE_TIMEOUT_US = 5_000_000
 REMOVAL_CHECK_INTERVAL_US = 500_000
 # Short, since the next voting machine may fail soon after this one is replaced.
 VOTER_REMOVAL_TIMEOUT_US = 4_000_000
@@ -71,6 +71,7 @@
         journal: Journal,
         task: ReplicaTask,
         settlement: EpochSettlement,
+        epoch_changes: EpochChanges,
         tolerance: int,
     ) -> None:
         """`tolerance` is the number of voting machines that may be lost at one time."""
@@ -78,6 +79,7 @@
         self._journal = journal
         self._task = task
         self._settlement = settlement
+        self._epoch_changes = epoch_changes
         self._min_voters = max(1, 2 * tolerance)
         self._joining: dict[str, bool] = {}  # edge: is_observer, in request order
         self._is_adding = False
@@ -168,33 +170,13 @@
             return EdgeAliveError(edge=edge, heard_us_ago=absent_us)
         return None
 
-    # --- one change -------------------------------------------------------------------
-
     async def _change(self, *, make_command: Callable[[], Command | None]) -> KelpstageError | None:
-        async with self._settlement.change_lock:
-            # Another core may have led while this change waited for the lock.
-            error = await self._task.confirm(wait_us=CONFIRM_TIMEOUT_US)
-            if error is not None:
-                return error
-            if not await self._settlement.wait_settled(
-                epoch=self._task.machine.state.epoch, wait_us=MEMBERSHIP_CHANGE_TIMEOUT_US
-            ):
-                return NoLeaderError(why="the previous epoch is not settled")
-            command = make_command()
-            if command is None:
-                return None
-            outcome: MembershipSet | KelpstageError = await self._task.propose(
-                data=bytes(command), put_id="", wait_us=MEMBERSHIP_CHANGE_TIMEOUT_US
-            )
-            if not isinstance(outcome, MembershipSet):
-                return outcome
-            self._journal.add(
-                MembershipChanged(membership=list(self._task.machine.state.membership))
-            )
-            await self._settlement.wait_settled(
-                epoch=outcome.epoch, wait_us=MEMBERSHIP_CHANGE_TIMEOUT_US
-            )
-            return None
+        return await self._epoch_changes.change(
+            make_command=make_command, on_changed=self._on_changed
+        )
+
+    def _on_changed(self) -> None:
+        self._journal.add(MembershipChanged(membership=list(self._task.machine.state.membership)))
 
 
 def _remove_command(*, edge: str) -> Command:
--- /dev/null
+++ b/kelpstage/core/rollouts/controller.py
@@ -0,0 +1,164 @@
+"""Carries out rollouts on the leader: raises shares, completes and reverts."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from functools import partial
+
+from kelpstage.common.event_journal import Journal
+from kelpstage.common.log.ring import logger
+from kelpstage.common.ports.interfaces import Ports
+from kelpstage.common.rollouts.condition import RolloutCondition
+from kelpstage.common.transport.messages import RolloutState
+from kelpstage.core.events import RolloutMoved
+from kelpstage.core.leases.epoch_changes import EpochChanges
+from kelpstage.core.leases.epoch_settlement import EpochSettlement
+from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.rollouts.reports import RolloutEvidence, RolloutReports
+from kelpstage.core.rollouts.schedule import RolloutChange, StepProgress, next_change
+from kelpstage.core.state.commands import ChangeRollout, Command
+from kelpstage.core.state.rollouts import rollout_of
+
+CHECK_INTERVAL_US = 200_000
+log = logger(name="rollouts")
+
+
+@dataclass(kw_only=True)
+class StepStart:
+    """When this leader first saw a share, and the answers that were counted by then."""
+
+    share: int
+    epoch: int
+    at_us: int
+    target_answers: int
+    other_answers: int
+
+
+class RolloutController:
+    """Decides on every rolling rollout while this core leads.
+
+    `reports` holds what edges reported to this leader; `drain_us` bounds the wait for requests in
+    flight before a rollout is complete.
+    """
+
+    def __init__(
+        self,
+        *,
+        ports: Ports,
+        journal: Journal,
+        task: ReplicaTask,
+        settlement: EpochSettlement,
+        epoch_changes: EpochChanges,
+        drain_us: int,
+    ) -> None:
+        self._ports = ports
+        self._journal = journal
+        self._task = task
+        self._settlement = settlement
+        self._epoch_changes = epoch_changes
+        self._drain_us = drain_us
+        self._steps: dict[int, StepStart] = {}
+        self.reports = RolloutReports()
+
+    def begin_leadership(self) -> None:
+        """Start with no reports, and decide until this leadership ends."""
+        self.reports = RolloutReports()
+        self._steps = {}
+        self._ports.spawn(self._run())
+
+    async def _run(self) -> None:
+        reports = self.reports
+        while reports is self.reports and self._task.is_leader:
+            await self._ports.clock.sleep(us=CHECK_INTERVAL_US)
+            for rollout in self._rolling():
+                if self._decide(service=rollout.service) is not None:
+                    await self._change(service=rollout.service)
+
+    def _rolling(self) -> list[RolloutState]:
+        rolling = [
+            rollout
+            for rollout in self._task.machine.state.rollouts
+            if rollout.condition == RolloutCondition.ROLLING
+        ]
+        numbers = {rollout.number for rollout in rolling}
+        self.reports.forget(keep=numbers)
+        self._steps = {n: step for n, step in self._steps.items() if n in numbers}
+        return rolling
+
+    def evidence(self, *, rollout: RolloutState) -> RolloutEvidence:
+        """What the edges have reported about a rollout."""
+        return self.reports.evidence(
+            number=rollout.number,
+            epoch=self._step_of(rollout=rollout).epoch,
+            now_us=self._ports.clock.now_us(),
+        )
+
+    def _step_of(self, *, rollout: RolloutState) -> StepStart:
+        known = self._steps.get(rollout.number)
+        if known is None or known.share != rollout.share:
+            now_us, epoch = self._ports.clock.now_us(), self._task.machine.state.epoch
+            evidence = self.reports.evidence(number=rollout.number, epoch=epoch, now_us=now_us)
+            known = self._steps[rollout.number] = StepStart(
+                share=rollout.share,
+                epoch=epoch,
+                at_us=now_us,
+                target_answers=evidence.target_answers,
+                other_answers=evidence.other_answers,
+            )
+        return known
+
+    def _decide(self, *, service: str) -> Command | None:
+        """The command for the next change of a service's rollout; None if there is none now."""
+        rollout = rollout_of(state=self._task.machine.state, service=service)
+        if rollout is None or rollout.condition != RolloutCondition.ROLLING:
+            return None
+        step, evidence = self._step_of(rollout=rollout), self.evidence(rollout=rollout)
+        change = next_change(
+            rollout=rollout,
+            evidence=evidence,
+            progress=StepProgress(
+                elapsed_us=max(0, self._ports.clock.wall_us() - rollout.begun_us),
+                held_us=self._ports.clock.now_us() - step.at_us,
+                target_answers=evidence.target_answers - step.target_answers,
+                other_answers=evidence.other_answers - step.other_answers,
+            ),
+            drain_us=self._drain_us,
+        )
+        return None if change is None else self._command(rollout=rollout, change=change)
+
+    def _command(self, *, rollout: RolloutState, change: RolloutChange) -> Command:
+        return Command(
+            change_rollout=ChangeRollout(
+                service=rollout.service,
+                number=rollout.number,
+                condition=change.condition,
+                share=change.share,
+                why=change.why,
+                at_us=self._ports.clock.wall_us(),
+            )
+        )
+
+    async def _change(self, *, service: str) -> None:
+        await self._epoch_changes.change(
+            make_command=partial(self._decide, service=service),
+            on_changed=partial(self._on_changed, service=service),
+        )
+
+    def _on_changed(self, *, service: str) -> None:
+        rollout = rollout_of(state=self._task.machine.state, service=service)
+        if rollout is None:
+            return
+        condition = RolloutCondition(rollout.condition)
+        if condition == RolloutCondition.REVERTED:
+            log.warning(
+                "rollout of {} to {} reverted: {}", rollout.service, rollout.target, rollout.why
+            )
+        self._journal.add(
+            RolloutMoved(
+                service=rollout.service,
+                target=rollout.target,
+                condition=condition.public_name,
+                share=rollout.share,
+                why=rollout.why,
+            )
+        )
--- /dev/null
+++ b/kelpstage/core/rollouts/orders.py
@@ -0,0 +1,123 @@
+"""Orders of rollouts on the leader: replicated and in force before they are acknowledged."""
+
+from __future__ import annotations
+
+import asyncio
+
+from kelpstage.common.errors.base import KelpstageError
+from kelpstage.common.errors.control import RolloutUnderWayError, WriteUnresolvedError
+from kelpstage.common.event_journal import Journal
+from kelpstage.common.ports.interfaces import Ports
+from kelpstage.core.events import RolloutOrdered
+from kelpstage.core.leases.epoch_settlement import EpochSettlement
+from kelpstage.core.leases.leader_confirmation import CONFIRM_TIMEOUT_US
+from kelpstage.core.leases.write_readiness import WriteReadiness
+from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.state.commands import BeginRollout, Command
+from kelpstage.core.state.outcomes import RolloutBegun, RolloutUnderWay
+from kelpstage.core.state.rollouts import begun_before
+
+MIN_ORDER_TIMEOUT_US = 10_000_000  # of one order, even if its caller waits for less
+OrderContent = tuple[str, str, int]  # service, target, duration
+
+
+class RolloutOrders:
+    """Takes orders, each in a task that continues after its caller's timeout.
+
+    An order is acknowledged once a quorum of cores has it on disk and no edge can serve an epoch
+    before it: then no edge sends a request to the target version before its first step.
+    """
+
+    def __init__(
+        self,
+        *,
+        ports: Ports,
+        journal: Journal,
+        task: ReplicaTask,
+        settlement: EpochSettlement,
+        readiness: WriteReadiness,
+    ) -> None:
+        self._ports = ports
+        self._journal = journal
+        self._task = task
+        self._settlement = settlement
+        self._readiness = readiness
+        self._running: dict[OrderContent, asyncio.Future[RolloutBegun | KelpstageError]] = {}
+
+    async def begin(
+        self, *, service: str, target: str, over_us: int, wait_us: int
+    ) -> RolloutBegun | KelpstageError:
+        """Begin a rollout; returns once every edge that may serve has installed it.
+
+        A call that exceeds `wait_us` gets `WriteUnresolvedError` while the order continues. The
+        same order sent again waits for it or gets its outcome; it is never refused.
+        """
+        content = (service, target, over_us)
+        running = self._running.get(content)
+        if running is None:
+            order = BeginRollout(
+                service=service,
+                target=target,
+                over_us=over_us,
+                at_us=self._ports.clock.wall_us(),
+            )
+            running = self._ports.spawn(
+                self._run(order=order, wait_us=max(wait_us, MIN_ORDER_TIMEOUT_US))
+            )
+            self._running[content] = running
+        outcome: RolloutBegun | KelpstageError | None = await self._ports.clock.within(
+            running, us=wait_us
+        )
+        if outcome is None:
+            return WriteUnresolvedError(put_id="", why="the order is still in progress; retry")
+        return outcome
+
+    async def _run(self, *, order: BeginRollout, wait_us: int) -> RolloutBegun | KelpstageError:
+        deadline_us = self._ports.clock.now_us() + wait_us
+        try:
+            begun = await self._decide(order=order, deadline_us=deadline_us)
+            if isinstance(begun, KelpstageError):
+                return begun
+            wait_us = max(0, deadline_us - self._ports.clock.now_us())
+            if await self._settlement.wait_settled(epoch=begun.number, wait_us=wait_us):
+                self._ports.failpoint("core.before_put_result")
+                return begun
+            return WriteUnresolvedError(
+                put_id="", why="committed, but not yet confirmed by the edges"
+            )
+        finally:
+            self._running.pop((order.service, order.target, order.over_us), None)
+
+    async def _decide(
+        self, *, order: BeginRollout, deadline_us: int
+    ) -> RolloutBegun | KelpstageError:
+        async with self._settlement.change_lock:
+            error: KelpstageError | None = await self._task.confirm(wait_us=CONFIRM_TIMEOUT_US)
+            if error is not None:
+                return error
+            repeated = begun_before(state=self._task.machine.state, order=order)
+            if repeated is not None:
+                return repeated
+            error = await self._readiness.check(deadline_us=deadline_us)
+            if error is not None:
+                return error
+            self._ports.failpoint("core.before_propose")
+            outcome = await self._task.propose(
+                data=bytes(Command(begin_rollout=order)),
+                put_id="",
+                wait_us=max(0, deadline_us - self._ports.clock.now_us()),
+            )
+            if isinstance(outcome, RolloutUnderWay):
+                return RolloutUnderWayError(service=order.service, target=outcome.target)
+            if isinstance(outcome, RolloutBegun):
+                self._journal.add(
+                    RolloutOrdered(
+                        service=order.service, target=order.target, over_us=order.over_us
+                    )
+                )
+                # The next change waits until this one is settled.
+                await self._settlement.wait_settled(
+                    epoch=outcome.number,
+                    wait_us=max(0, deadline_us - self._ports.clock.now_us()),
+                )
+            return outcome  # type: ignore[no-any-return]
--- /dev/null
+++ b/kelpstage/core/rollouts/schedule.py
@@ -0,0 +1,139 @@
+"""The steps of a rollout: when its share is raised, and when it is complete or reverted.
+
+Plain decisions without a clock. The share stays small for the first part of the time, so that
+a version which turns bad late, or for few requests, is found before it has received many.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from kelpstage.common.rollouts.assessment import bad_version_reason, suspicion_of
+from kelpstage.common.rollouts.condition import (
+    COMPLETE_SHARE,
+    RolloutCondition,
+    instances_in_use,
+)
+from kelpstage.common.transport.messages import RolloutState
+from kelpstage.core.rollouts.reports import RolloutEvidence
+
+MIN_HOLD_US = 1_300_000  # of a step: longer than edges take to report what they saw in it
+QUIET_HOLD_US = 3_000_000  # of a step that gets too few requests to be assessed
+MIN_STEP_ANSWERS = 10  # of the target version, before the share is raised again
+MIN_FAILING_INSTANCES = 2  # one faulty machine must not revert a good version
+SUSPECT_PART = 0.8  # of its time, after which a rollout in doubt is reverted
+MIN_TARGET_PART = 0.7  # of the instances that a share needs, which have to be listed
+
+
+@dataclass(frozen=True, kw_only=True)
+class Step:
+    """A share in thousandths, and the part of the rollout's time after which it may begin."""
+
+    share: int
+    from_part: float
+
+
+STEPS = (
+    Step(share=60, from_part=0.0),
+    Step(share=250, from_part=0.46),
+    Step(share=500, from_part=0.56),
+    Step(share=COMPLETE_SHARE, from_part=0.66),
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class StepProgress:
+    """How far the present step of a rollout is.
+
+    `elapsed_us` runs from the order, `held_us` from the moment at which this leader saw the share
+    in force; the two counts are the answers since then.
+    """
+
+    elapsed_us: int
+    held_us: int
+    target_answers: int
+    other_answers: int
+
+
+@dataclass(frozen=True, kw_only=True)
+class RolloutChange:
+    """A change to propose: the new condition, its share, and the reason of a revert."""
+
+    condition: RolloutCondition
+    share: int = 0
+    why: str = ""
+
+
+def next_change(
+    *,
+    rollout: RolloutState,
+    evidence: RolloutEvidence,
+    progress: StepProgress,
+    drain_us: int,
+) -> RolloutChange | None:
+    """The next change of a rolling rollout; None while it stays as it is.
+
+    `drain_us` is the longest time that requests to the other versions are waited for. While the
+    target looks worse, but not certainly so, the share is not raised.
+
+    >>> rollout = RolloutState(service="s", target="v2", over_us=10_000_000, number=1)
+    >>> progress = StepProgress(elapsed_us=0, held_us=0, target_answers=0, other_answers=0)
+    >>> next_change(rollout=rollout, evidence=RolloutEvidence(others=2), progress=progress,
+    ...     drain_us=0) is None
+    True
+    >>> next_change(rollout=rollout, evidence=RolloutEvidence(others=2, targets=2),
+    ...     progress=progress, drain_us=0).share
+    60
+    """
+    why = revert_reason(evidence=evidence, share=rollout.share)
+    if why:
+        return RolloutChange(condition=RolloutCondition.REVERTED, why=why)
+    suspicion = suspicion_of(target=evidence.target, others=evidence.other_versions)
+    if suspicion and progress.elapsed_us >= rollout.over_us * SUSPECT_PART:
+        why = f"still in doubt near the end of its time: {suspicion}"
+        return RolloutChange(condition=RolloutCondition.REVERTED, why=why)
+    if rollout.share >= COMPLETE_SHARE:
+        is_drained = evidence.is_drained and progress.held_us >= MIN_HOLD_US // 2
+        if is_drained or progress.held_us >= drain_us:
+            return RolloutChange(condition=RolloutCondition.COMPLETE)
+        return None
+    step = next(step for step in STEPS if step.share > rollout.share)
+    if suspicion or progress.elapsed_us < rollout.over_us * step.from_part:
+        return None
+    if not _has_instances(evidence=evidence, share=step.share):
+        return None
+    if rollout.share and not _is_assessed(rollout=rollout, progress=progress):
+        return None
+    return RolloutChange(condition=RolloutCondition.ROLLING, share=step.share)
+
+
+def revert_reason(*, evidence: RolloutEvidence, share: int) -> str:
+    """Why the target version has to be reverted; empty if it has not.
+
+    Bad answers count only if they come from more than one of the instances in use.
+    """
+    in_use = instances_in_use(count=evidence.targets, share=share)
+    if len(evidence.failing) < min(MIN_FAILING_INSTANCES, in_use):
+        return ""
+    return bad_version_reason(target=evidence.target, others=evidence.other_versions)
+
+
+def _has_instances(*, evidence: RolloutEvidence, share: int) -> bool:
+    """True if enough instances of the target are listed for a share, or the service has none."""
+    if not evidence.targets and not evidence.others:
+        return True
+    needed = evidence.others * share / COMPLETE_SHARE * MIN_TARGET_PART
+    return evidence.targets > 0 and evidence.targets >= needed
+
+
+def _is_assessed(*, rollout: RolloutState, progress: StepProgress) -> bool:
+    """True if the present step showed enough, or gets too few requests to ever do."""
+    if progress.held_us < MIN_HOLD_US:
+        return False
+    if progress.target_answers >= MIN_STEP_ANSWERS:
+        return True
+    answers = progress.target_answers + progress.other_answers
+    if not answers:
+        return True  # no route uses the service
+    is_quiet = answers * rollout.share < MIN_STEP_ANSWERS * COMPLETE_SHARE
+    return is_quiet and progress.held_us >= QUIET_HOLD_US
--- /dev/null
+++ b/kelpstage/core/rollouts/service.py
@@ -0,0 +1,64 @@
+"""The rollouts of one replica: its orders, the edges' reports and the controller."""
+
+from __future__ import annotations
+
+from kelpstage.common.event_journal import Journal
+from kelpstage.common.ports.interfaces import Ports
+from kelpstage.common.transport.messages import Renew, RolloutState
+from kelpstage.core.leases.lease_service import LeaseService
+from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.rollouts.controller import RolloutController
+from kelpstage.core.rollouts.orders import RolloutOrders
+from kelpstage.core.rollouts.reports import RolloutEvidence
+
+
+class RolloutService:
+    """Takes orders and carries them out while this core leads.
+
+    The reports of edges arrive with the renewals of their leases. `drain_us` bounds the wait for
+    requests in flight before a rollout is complete.
+    """
+
+    def __init__(
+        self,
+        *,
+        ports: Ports,
+        journal: Journal,
+        task: ReplicaTask,
+        lease_service: LeaseService,
+        drain_us: int,
+    ) -> None:
+        self._ports = ports
+        self.orders = RolloutOrders(
+            ports=ports,
+            journal=journal,
+            task=task,
+            settlement=lease_service.settlement,
+            readiness=lease_service.readiness,
+        )
+        self._controller = RolloutController(
+            ports=ports,
+            journal=journal,
+            task=task,
+            settlement=lease_service.settlement,
+            epoch_changes=lease_service.epoch_changes,
+            drain_us=drain_us,
+        )
+        lease_service.on_report = self._on_report
+
+    def begin_leadership(self) -> None:
+        """Carry out rollouts until this leadership ends."""
+        self._controller.begin_leadership()
+
+    def evidence(self, *, rollout: RolloutState) -> RolloutEvidence:
+        """What the edges have reported about a rollout to this leader."""
+        return self._controller.evidence(rollout=rollout)
+
+    def _on_report(self, request: Renew) -> None:
+        self._controller.reports.record(
+            edge=request.edge,
+            incarnation=request.incarnation,
+            epoch=request.epoch,
+            reports=request.rollouts,
+            now_us=self._ports.clock.now_us(),
+        )
--- a/kelpstage/core/web/call_validation.py
+++ b/kelpstage/core/web/call_validation.py
@@ -19,13 +19,14 @@
 )
 from kelpstage.common.ports.interfaces import HttpCall
 from kelpstage.common.transport.messages import ForwardOperatorCall
+from kelpstage.core.web.rollouts import ROLLOUTS_PATH, read_order
 
 DEFAULT_WAIT_US = 10_000_000
 MAX_WAIT_US = 120_000_000
 
 
 # The first parts of paths, as metrics name them; names that callers choose are left out.
-RESOURCES = ("configuration", "puts", "roster", "status")
+RESOURCES = ("configuration", "puts", "roster", "rollouts", "status")
 
 
 def resource_of(*, path: str) -> str:
@@ -95,18 +96,23 @@
         if request.method != "PUT":
             return MethodNotAllowedError(method=request.method, allowed="GET, PUT")
         return _validate_put(request=request)
+    if request.url == ROLLOUTS_PATH and request.method == "POST":
+        order = read_order(body=request.body)
+        return order if isinstance(order, KelpstageError) else None
     allowed = _allowed_method(path=request.url)
     if allowed is None:
         return UnknownResourceError(path=request.url)
-    if request.method != allowed:
+    if request.method not in allowed.split(", "):
         return MethodNotAllowedError(method=request.method, allowed=allowed)
     return None
 
 
 def _allowed_method(*, path: str) -> str | None:
-    """The method allowed on a resource other than the configuration; `None` if unknown."""
-    if path.startswith("/v1/puts/") or path == "/v1/roster":
+    """The methods allowed on a resource other than the configuration; `None` if unknown."""
+    if path.startswith(("/v1/puts/", f"{ROLLOUTS_PATH}/")) or path == "/v1/roster":
         return "GET"
+    if path == ROLLOUTS_PATH:
+        return "GET, POST"
     return "DELETE" if path.startswith("/v1/roster/") else None
 
 
--- a/kelpstage/core/web/metrics.py
+++ b/kelpstage/core/web/metrics.py
@@ -9,6 +9,7 @@
 from typing import Iterator
 
 from kelpstage.common.metrics.families import MetricFamily
+from kelpstage.common.rollouts.condition import COMPLETE_SHARE, RolloutCondition
 from kelpstage.core.context import OperatorContext
 from kelpstage.core.leases.lease_service import LeaseService
 from kelpstage.core.raft.types import Role
@@ -145,6 +146,25 @@
         "At the leader: 1 when no edge can serve an epoch older than the newest.",
         int(task.is_leader and lease_service.is_settled(epoch=state.epoch)),
     )
+    yield MetricFamily.gauges(
+        "kelpstage_rollouts",
+        "Services by the condition of their newest rollout.",
+        "condition",
+        {
+            condition.public_name: sum(one.condition == condition for one in state.rollouts)
+            for condition in RolloutCondition
+        },
+    )
+    yield MetricFamily.gauges(
+        "kelpstage_rollout_share",
+        "Share of a service's requests that its target version may receive, while it is rolling.",
+        "service",
+        {
+            rollout.service: rollout.share / COMPLETE_SHARE
+            for rollout in state.rollouts
+            if rollout.condition == RolloutCondition.ROLLING
+        },
+    )
     holders = (lease_service.lease_table.holder(edge=edge) for edge in state.membership)
     yield MetricFamily.gauge(
         "kelpstage_edges_behind",
--- a/kelpstage/core/web/operators.py
+++ b/kelpstage/core/web/operators.py
@@ -26,6 +26,7 @@
 from kelpstage.core.state.outcomes import PutApplied
 from kelpstage.core.web.call_validation import read_request, resource_of
 from kelpstage.core.web.metrics import core_families
+from kelpstage.core.web.rollouts import ROLLOUTS_PATH, begin_rollout, get_rollouts
 from kelpstage.core.web.views import LOCAL_VIEWS, membership_view
 
 READ_WAIT_US = 2_000_000
@@ -140,8 +141,8 @@
 
 
 async def _answer(*, core: OperatorContext, request: ForwardOperatorCall) -> HttpReply:
-    task, lease_service = core.task, core.lease_service
-    if task is None or lease_service is None or not task.is_leader:
+    task, lease_service, rollouts = core.task, core.lease_service, core.rollout_service
+    if task is None or lease_service is None or rollouts is None or not task.is_leader:
         no_leader = error_reply(error=NoLeaderError(why="this core does not lead"))
         return _rejection_of(core=core, request=request) or no_leader
     if request.method == "PUT":
@@ -153,6 +154,10 @@
             version=request.version,
         )
         return _put_reply(outcome=outcome, put_id=request.put_id)
+    if request.method == "POST":
+        return await begin_rollout(
+            rollouts=rollouts, body=request.body, wait_us=request.wait_us * 9 // 10
+        )
     if request.method == "DELETE":
         names = unquote(request.url.removeprefix("/v1/roster/")).split(",")
         removal = await lease_service.membership_changes.remove_edges(edges=names)
@@ -164,6 +169,8 @@
         return error_reply(error=error)
     if request.url == "/v1/configuration":
         return _get_configuration(task=task)
+    if request.url.startswith(ROLLOUTS_PATH):
+        return get_rollouts(rollouts=rollouts, task=task, path=request.url)
     if request.url == "/v1/roster":
         return json_reply(
             body=membership_view(
--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -220,7 +220,9 @@
             contact=build_contact(settings=self.settings, incarnation=self.incarnation),
             on_installed=self._on_installed,
             is_observer=self.settings.get("observer", False),
+            rollout_reports=self.registry.version_statistics.reports,
         )
+        self.registry.version_statistics.on_bad_answer = self.leases.report_soon
 
     def _start_health_checks(self) -> None:
         self.health_checks = HealthCheckTask(
@@ -324,6 +326,7 @@
 
     def _on_installed(self) -> None:
         self._apply_configuration()
+        self.registry.version_routing.apply(rollouts=self.lease_holder.rollouts)
         self.gather.inbox.put_nowait(ConfigurationChanged())
         self._refresh_status()
 
--- a/kelpstage/edge/backend/registry.py
+++ b/kelpstage/edge/backend/registry.py
@@ -3,8 +3,9 @@
 A facade over its parts, each of which alone holds its state: entries and instances
 (`instance_registry.py`), connection limits (`connection_limits.py`), the platform's list
 (`platform_states.py`), suspected instances (`suspected_instances.py`), updates after answers
-and failures (`health.py`), gossiped states (`state_gossip.py`), and the decision whether a
-backend may receive requests (`eligibility.py`).
+and failures (`health.py`), gossiped states (`state_gossip.py`), the decision whether a
+backend may receive requests (`eligibility.py`), and the versions of a service during a rollout
+(`version_routing.py`, `version_statistics.py`).
 """
 
 from __future__ import annotations
@@ -22,6 +23,8 @@
 from kelpstage.edge.backend.platform_states import PlatformStates
 from kelpstage.edge.backend.state_gossip import StateGossip
 from kelpstage.edge.backend.suspected_instances import SuspectedInstances
+from kelpstage.edge.backend.version_routing import VersionRouting
+from kelpstage.edge.backend.version_statistics import VersionStatistics
 from kelpstage.edge.backend.zones import ZoneDistances
 
 
@@ -60,6 +63,10 @@
         self._eligibility = Eligibility(
             me=me, instances=self._instances, platform_states=self._platform_states
         )
+        self.version_routing = VersionRouting()
+        self.version_statistics = VersionStatistics(
+            routing=self.version_routing, entries_of=self._entries_of
+        )
 
     # --- entries and instances ------------------------------------------------------
 
@@ -97,6 +104,9 @@
         """Return the sorted ids of the listed instances of a service."""
         return self._instances.instances_of(service)
 
+    def _entries_of(self, service: str) -> list[BackendEntry]:
+        return [self.entries[name] for name in self._instances.instances_of(service)]
+
     def zones_of(self, *, service: str, now_us: int) -> frozenset[str]:
         """Return the zones with an available instance of a service.
 
--- a/kelpstage/edge/backend/selection.py
+++ b/kelpstage/edge/backend/selection.py
@@ -29,7 +29,8 @@
 MEAN_RANDOM_WEIGHT = 1.0  # weight of every instance without a random generator
 
 
-# Refused, suspected, overdue, cost, tie-breaking random number, name.
+# Refused, suspected, overdue (of an instance: a fallback during a rollout), cost, tie-breaking
+# random number, name.
 Rank = tuple[bool, bool, bool, float, float, str]
 
 
@@ -118,13 +119,17 @@
     its zone. So speed, queueing and distance count, and equal instances share the load
     equally.
 
-    If no instance is available, the ejected one that may be tried soonest is offered.
+    If no instance is available, the ejected one that may be tried soonest is offered. During a
+    rollout, an instance whose version may not be used is refused, whatever else holds.
     """
     entries, own_zone = registry.entries, registry.zone_distances.zone
     median_us = registry.median_us(service=service, now_us=now_us)
     random_number = rand.random if rand else None
     out = []
     is_any_available = False
+    version = registry.version_routing.choose(
+        service=service, entries=[entries[name] for name in instances], rand=rand
+    )
     for name in instances:
         entry = entries[name]
         refusal = (
@@ -132,6 +137,8 @@
             if _is_unrestricted(entry)
             else registry.refusal_of_instance(entry=entry, now_us=now_us)
         )
+        if version is not None:
+            refusal = version.refusal(entry=entry) or refusal
         seen = entry.outlier_statistics
         mean_us = seen.latency_us(median_us=median_us, now_us=now_us)
         cost = expected_cost_us(entry=entry, mean_us=mean_us, now_us=now_us)
@@ -151,7 +158,14 @@
                 int(mean_us),
                 is_suspected,
                 now_us < seen.overloaded_until_us,
-                (refusal != "", is_suspected, False, weight, 0.0, name),
+                (
+                    refusal != "",
+                    is_suspected,
+                    version is not None and version.is_fallback(entry=entry),
+                    weight,
+                    0.0,
+                    name,
+                ),
             )
         )
     out.sort(key=_rank)
--- a/kelpstage/edge/gather/backend_queries.py
+++ b/kelpstage/edge/gather/backend_queries.py
@@ -52,9 +52,12 @@
             self._observer.note_draining(reply=reply, backend=ask.backend)
             outcome = self._read(reply=reply, ask=ask)
         self._ports.failpoint("edge.after_backend_reply")
-        self._report(ask=ask, sent_us=sent_us, outcome=outcome)
+        exchange_us = reply.exchange_us if isinstance(reply, HttpReply) else 0
+        self._report(ask=ask, sent_us=sent_us, outcome=outcome, exchange_us=exchange_us)
 
-    def _report(self, *, ask: QueryBackend, sent_us: int, outcome: Any) -> None:
+    def _report(
+        self, *, ask: QueryBackend, sent_us: int, outcome: Any, exchange_us: int = 0
+    ) -> None:
         self._on_reply(
             BackendReplied(
                 key=ask.record.key,
@@ -64,6 +67,8 @@
                 backend=ask.backend,
                 sent_us=sent_us,
                 outcome=outcome,
+                route=ask.record.collection,
+                exchange_us=exchange_us,
             )
         )
 
--- a/kelpstage/edge/gather/messages.py
+++ b/kelpstage/edge/gather/messages.py
@@ -47,6 +47,8 @@
     backend: str
     sent_us: int
     outcome: Any
+    route: str = ""
+    exchange_us: int = 0  # as in `HttpReply`
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/kelpstage/edge/gather/observation.py
+++ b/kelpstage/edge/gather/observation.py
@@ -4,7 +4,11 @@
 
 from typing import Any, Callable
 
-from kelpstage.common.errors.backends import InvalidReplyError, RequestNotRunError
+from kelpstage.common.errors.backends import (
+    BackendFailedError,
+    InvalidReplyError,
+    RequestNotRunError,
+)
 from kelpstage.common.errors.serving import CallerGoneError
 from kelpstage.common.errors.transport import ConnectError, ConnectionLostError, ReplyTimeoutError
 from kelpstage.common.ports.interfaces import HttpReply, Ports
@@ -80,6 +84,7 @@
             or isinstance(outcome, ForwardedReply)
             and outcome.status < 500
         ):
+            self._count_answer(event=event, now_us=now_us)
             registry.note_answer(name=name, took_us=took_us, now_us=now_us)
             self._context.latencies.observe(name=name, took_us=took_us, now_us=now_us)
             return
@@ -88,12 +93,28 @@
             return
         if isinstance(outcome, ReplyTimeoutError) and not outcome.was_sent:
             return  # it waited in this node for a connection
+        if isinstance(outcome, (BackendFailedError, ForwardedReply)):
+            registry.version_statistics.note_failure(
+                entry=registry.entry(name=name), route=event.route
+            )
         why = failure_kind(outcome=outcome)
         if isinstance(outcome, ReplyTimeoutError):
             self._context.latencies.observe(name=name, took_us=took_us, now_us=now_us)
         if registry.note_failure(name=name, why=why, now_us=now_us, waited_us=took_us):
             self._on_backend_changed(name)
 
+    def _count_answer(self, *, event: BackendReplied, now_us: int) -> None:
+        """Count an answer for a rollout; an instance that still warms up is slow in any version."""
+        registry = self._context.registry
+        entry = registry.entry(name=event.backend)
+        is_warm = now_us >= entry.warming_up_until_us
+        registry.version_statistics.note_answer(
+            entry=entry,
+            route=event.route,
+            took_us=max(0, event.exchange_us - entry.distance_us) if is_warm else None,
+            median_us=registry.median_us(service=entry.service, now_us=now_us),
+        )
+
     def on_child_reply(self, *, event: ChildReplied) -> None:
         """Update the state of a peer from a reply, or from its absence."""
         context = self._context
--- a/kelpstage/edge/lease/lease_holder.py
+++ b/kelpstage/edge/lease/lease_holder.py
@@ -19,7 +19,12 @@
 from kelpstage.common.configuration.types import EMPTY_CONFIGURATION, Configuration
 from kelpstage.common.edge_membership import EdgeMembership
 from kelpstage.common.lease_timing import CONFIRMS_AFTER_LEASE_US
-from kelpstage.common.transport.messages import ConfirmEpochReply, LeaseReply, StateDoc
+from kelpstage.common.transport.messages import (
+    ConfirmEpochReply,
+    LeaseReply,
+    RolloutState,
+    StateDoc,
+)
 
 CONFIRMATION_TTL_US = 1_000_000  # how long a peer's confirmation is valid
 PREVIOUS_CONFIGURATION_US = 250_000  # how long the previous one may still be used
@@ -61,6 +66,7 @@
     configuration: Configuration = EMPTY_CONFIGURATION
     previous: Configuration | None = None
     installed_us: int = 0
+    rollouts: tuple[RolloutState, ...] = ()
     state_bytes: bytes = b""
     newest_epoch: int = 0
     newest_sources: list[str] = field(default_factory=list)
@@ -80,6 +86,7 @@
         self.cluster = doc.cluster
         self.epoch = doc.epoch
         self.membership = EdgeMembership.of(names=doc.membership, observers=doc.observers)
+        self.rollouts = tuple(doc.rollouts)
         self.state_bytes = bytes(doc)
         self.newest_epoch = max(self.newest_epoch, doc.epoch)
         if doc.version > self.configuration.version:
--- a/kelpstage/edge/lease/renewal.py
+++ b/kelpstage/edge/lease/renewal.py
@@ -8,7 +8,12 @@
 from kelpstage.common.errors.base import KelpstageError
 from kelpstage.common.ports.interfaces import Ports
 from kelpstage.common.transport.connections import Transport
-from kelpstage.common.transport.messages import EdgeContact, LeaseReply, Renew
+from kelpstage.common.transport.messages import (
+    EdgeContact,
+    LeaseReply,
+    Renew,
+    RolloutReport,
+)
 from kelpstage.edge.gossip.swim import Swim
 from kelpstage.edge.lease.core_directory import CoreDirectory
 from kelpstage.edge.lease.lease_holder import LeaseHolder
@@ -20,6 +25,7 @@
     renew_timeout_us,
 )
 
+MIN_REPORT_INTERVAL_US = 300_000  # between renewals that are sent for their reports
 CONTACT_RESEND_US = 10_000_000  # the contact is sent to the leader again after this time
 LEAVE_TIMEOUT_US = 300_000
 LEASE_TABLE_SHIFT = 32  # the upper half of `LeaseReply.known` identifies the lease table
@@ -51,6 +57,7 @@
         contact: EdgeContact,
         on_contacts: Callable[[list[EdgeContact]], None],
         on_newer_epoch: Callable[[str], None],
+        rollout_reports: Callable[[], list[RolloutReport]],
         is_observer: bool,
     ) -> None:
         """`on_contacts` gets the peers that the leader has sent, `on_newer_epoch` the address
@@ -63,6 +70,7 @@
         self._contact = contact
         self._on_contacts = on_contacts
         self._on_newer_epoch = on_newer_epoch
+        self._rollout_reports = rollout_reports
         self._is_observer = is_observer
         self.relay: Relay
         self.last_refusal = "no renewal has been sent yet"
@@ -71,6 +79,7 @@
         self._known_leader = ""
         self._contact_sent_us = -CONTACT_RESEND_US
         self._wake = asyncio.Event()
+        self._sent_us = 0
 
     # --- the loop ---------------------------------------------------------------------
 
@@ -78,6 +87,11 @@
         """Renew now, without waiting for the end of the period."""
         self._wake.set()
 
+    def report_soon(self) -> None:
+        """Renew now, unless a renewal was sent just before: for what the leader waits for."""
+        if self._ports.clock.now_us() - self._sent_us >= MIN_REPORT_INTERVAL_US:
+            self._wake.set()
+
     async def run(self) -> None:
         """Renew until this edge leaves."""
         while not self.is_leaving:
@@ -96,7 +110,7 @@
 
     async def _renew(self) -> bool:
         target = self.next_target()
-        sent_us = self._ports.clock.now_us()
+        sent_us = self._sent_us = self._ports.clock.now_us()
         message = self.request(target=target)
         self._ports.failpoint("edge.before_renew")
         wait_us = renew_timeout_us(count=len(self._lease_holder.membership.names))
@@ -139,6 +153,7 @@
             cluster=lease_holder.cluster,
             known=self._known if is_known else 0,
             is_observer=self._is_observer,
+            rollouts=self._rollout_reports(),
         )
         if not is_known or now_us - self._contact_sent_us >= CONTACT_RESEND_US:
             message.contact = self._contact
--- a/kelpstage/edge/lease/task.py
+++ b/kelpstage/edge/lease/task.py
@@ -11,7 +11,13 @@
 from kelpstage.common.event_journal import Journal
 from kelpstage.common.ports.interfaces import Ports
 from kelpstage.common.transport.connections import Transport
-from kelpstage.common.transport.messages import Announce, Chunk, EdgeContact, FetchState
+from kelpstage.common.transport.messages import (
+    Announce,
+    Chunk,
+    EdgeContact,
+    FetchState,
+    RolloutReport,
+)
 from kelpstage.edge.gossip.swim import Swim
 from kelpstage.edge.lease.core_directory import CoreDirectory
 from kelpstage.edge.lease.epoch_confirmation import EpochConfirmation
@@ -37,9 +43,11 @@
         contact: EdgeContact,
         on_installed: Callable[[], None],
         is_observer: bool = False,
+        rollout_reports: Callable[[], list[RolloutReport]] = list,
     ) -> None:
         """`on_installed` is called after each installed state; `is_observer` is true if any
-        number of machines like this one may disappear."""
+        number of machines like this one may disappear; `rollout_reports` returns what the leader is
+        to know of rollouts."""
         self._on_edge_installed = on_installed
         self._directory = CoreDirectory(seeds=seeds)
         self._states = StateSync(
@@ -69,6 +77,7 @@
             on_contacts=discovery.register_peers,
             on_newer_epoch=self._states.start_fetch,
             is_observer=is_observer,
+            rollout_reports=rollout_reports,
         )
         self.relay = self.renewal.relay = RelayedRenewal(
             ports=ports,
@@ -124,6 +133,10 @@
         """Process a state that a core has announced."""
         self._states.on_announced(announce=announce)
 
+    def report_soon(self) -> None:
+        """Report to the leader before the next renewal is due."""
+        self.renewal.report_soon()
+
     async def leave(self) -> None:
         """Release the lease: this edge no longer serves."""
         await self.renewal.leave()
--- a/kelpstage/testbed/platform_model/backends.py
+++ b/kelpstage/testbed/platform_model/backends.py
@@ -456,6 +456,9 @@
 
     def stop(self, *, backend: Backend) -> None:
         """End a backend at once, without draining, as after a complete rollout."""
+        for request in (*backend.busy, *backend.queue):
+            if not request.is_dropped:
+                self.history.stopped_requests.append((self.world.now_us(), request.arrival.attempt))
         self._end(backend=backend)
         self._remove_row(backend=backend)
 
--- a/kelpstage/testbed/platform_model/faults/__init__.py
+++ b/kelpstage/testbed/platform_model/faults/__init__.py
@@ -77,6 +77,7 @@
     rollouts.rollout_under_load,
     rollouts.rollout_one_kind,
     rollouts.rollout_late,
+    rollouts.rollout_answers_lost,
 )
 _REGISTERED_CLOSING: tuple[Fault, ...] = (
     closing.closing_power,
--- a/kelpstage/testbed/platform_model/faults/rollouts.py
+++ b/kelpstage/testbed/platform_model/faults/rollouts.py
@@ -13,6 +13,7 @@
 WATCH_AFTER_TERM_US = 6_000_000
 DRAIN_DELAY_S = 2.0  # from the revert until the new backends drain
 SLOW_FACTOR = 8.0
+LOST_ANSWERS = 0.9
 LATE_AFTER_US = 4_500_000  # from the start of an instance
 
 
@@ -47,6 +48,12 @@
     await _rollout(play, rand, fault=VersionFault(after_us=LATE_AFTER_US))
 
 
+async def rollout_answers_lost(play: Any, rand: random.Random) -> None:
+    """Most answers to the order of a good rollout are lost."""
+    play.rollout_operator.lose_share = LOST_ANSWERS
+    await _rollout(play, rand, fault=None)
+
+
 async def _rollout(play: Any, rand: random.Random, *, fault: VersionFault | None) -> None:
     """Order a rollout of one shard, and start and stop backends as the platform does."""
     service = rand.choice(next(d for d in play.drafts.routes.values() if d.fan_out).fan_out)
--- a/kelpstage/testbed/platform_model/history.py
+++ b/kelpstage/testbed/platform_model/history.py
@@ -304,6 +304,8 @@
     stamped: dict[str, Stamped] = field(default_factory=dict)
     orders: list[Order] = field(default_factory=list)
     rollouts: list[RolloutOrder] = field(default_factory=list)
+    # Requests at an old backend that was stopped because its rollout was complete.
+    stopped_requests: list[tuple[int, str]] = field(default_factory=list)
     shown: list[Shown] = field(default_factory=list)
     leavers: list[Leaver] = field(default_factory=list)
     faults: list[MachineFault] = field(default_factory=list)
--- a/kelpstage/testbed/platform_model/net.py
+++ b/kelpstage/testbed/platform_model/net.py
@@ -8,7 +8,7 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Any, Callable
 
 from kelpstage.common.errors.base import KelpstageError
@@ -456,7 +456,10 @@
         )
         if isinstance(connection, KelpstageError):
             return connection
+        began_us = self.process.world.now_us()
         outcome = await connection.exchange(call=call, deadline_us=deadline_us)
+        if isinstance(outcome, HttpReply):
+            outcome = replace(outcome, exchange_us=self.process.world.now_us() - began_us)
         if connection.is_open:
             if connection.allows_reuse and connection.is_usable() and connection.pool is not None:
                 connection.pool.release(connection=connection)
--- a/kelpstage/testbed/platform_model/rules/register.py
+++ b/kelpstage/testbed/platform_model/rules/register.py
@@ -48,6 +48,7 @@
     "FAULT": recovery.fault,
     "EXPOSURE": rollouts.exposure,
     "LOST rollout": rollouts.lost,
+    "LOST version": rollouts.cut_by_completion,
     "ACKS rollout": rollouts.acks,
     "DUTY rollout": rollouts.duty,
 }
--- a/kelpstage/testbed/platform_model/rules/rollouts.py
+++ b/kelpstage/testbed/platform_model/rules/rollouts.py
@@ -1,4 +1,4 @@
-"""EXPOSURE, LOST, ACKS and the duty of rollouts."""
+"""EXPOSURE, LOST, ACKS and the duty of rollouts, and requests that their end cuts off."""
 
 from __future__ import annotations
 
@@ -79,6 +79,14 @@
     ]
 
 
+def cut_by_completion(history: History) -> list[Violation]:
+    """A rollout is read as complete while an old backend, which then stops, has a request."""
+    return [
+        Violation(rule="LOST version", why=f"{attempt} was at an old backend", at_us=at_us)
+        for at_us, attempt in history.stopped_requests
+    ]
+
+
 def acks(history: History) -> list[Violation]:
     """A rollout is not acknowledged within `AckWithinMs` in one undisturbed span."""
     touch, out = CoreContact(history=history), []
--- a/tests/test_compatibility.py
+++ b/tests/test_compatibility.py
@@ -432,7 +432,11 @@
                 self.assertEqual(target, bytes(message))
 
 
-KINDS_ADDED_SINCE = ("caller_gone",)  # added after 0.1.0; kinds are never removed
+KINDS_ADDED_SINCE = (
+    "caller_gone",
+    "rollout_under_way",
+    "unknown_rollout",
+)  # added after 0.1.0; kinds are never removed
 
 
 class ErrorCompatibility(unittest.TestCase):
