--- a/kelpstage/common/settings/bounds.py
+++ b/kelpstage/common/settings/bounds.py
@@ -27,6 +27,7 @@
     retry_ratio: float | None = None  # retries per first attempt; None: the budget's own ratio
     retry_window_us: int = 10_000_000
     retry_slack: int = 20  # retries per window that the ratio does not limit
+    bad_traffic_share: float = 0.1  # of a service's requests, that a bad version may receive
     tolerance: int = (
         0  # cores that may lose their disks at once without loss of an acknowledged put
     )
--- a/kelpstage/common/settings/loading.py
+++ b/kelpstage/common/settings/loading.py
@@ -48,6 +48,7 @@
     }
     | {
         t.Key("retry_ratio", optional=True): t.Float(gte=0, lte=1),
+        t.Key("bad_traffic_share", optional=True): t.Float(gte=0, lte=1),
         t.Key("retry_slack", optional=True): t.Int(gte=0),
         t.Key("tolerance", optional=True): t.Int(gte=0),
         t.Key("is_first_start", optional=True): t.Bool(),
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -198,7 +198,7 @@
             journal=self.journal,
             task=self.task,
             lease_service=self.lease_service,
-            drain_us=self.bounds.drain_us,
+            bounds=self.bounds,
         )
         await self._disk_failed.wait()
         self.task.stop()
--- a/kelpstage/core/rollouts/controller.py
+++ b/kelpstage/core/rollouts/controller.py
@@ -9,6 +9,7 @@
 from kelpstage.common.log.ring import logger
 from kelpstage.common.ports.interfaces import Ports
 from kelpstage.common.rollouts.condition import RolloutCondition
+from kelpstage.common.settings.bounds import Bounds
 from kelpstage.common.transport.messages import RolloutState
 from kelpstage.core.events import RolloutMoved
 from kelpstage.core.leases.epoch_changes import EpochChanges
@@ -37,8 +38,7 @@
 class RolloutController:
     """Decides on every rolling rollout while this core leads.
 
-    `reports` holds what edges reported to this leader; `drain_us` bounds the wait for requests in
-    flight before a rollout is complete.
+    `reports` holds what edges reported to this leader.
     """
 
     def __init__(
@@ -49,14 +49,14 @@
         task: ReplicaTask,
         settlement: EpochSettlement,
         epoch_changes: EpochChanges,
-        drain_us: int,
+        bounds: Bounds,
     ) -> None:
         self._ports = ports
         self._journal = journal
         self._task = task
         self._settlement = settlement
         self._epoch_changes = epoch_changes
-        self._drain_us = drain_us
+        self._bounds = bounds
         self._steps: dict[int, StepStart] = {}
         self.reports = RolloutReports()
 
@@ -122,7 +122,8 @@
                 target_answers=evidence.target_answers - step.target_answers,
                 other_answers=evidence.other_answers - step.other_answers,
             ),
-            drain_us=self._drain_us,
+            drain_us=self._bounds.drain_us,
+            bad_traffic_share=self._bounds.bad_traffic_share,
         )
         return None if change is None else self._command(rollout=rollout, change=change)
 
--- a/kelpstage/core/rollouts/schedule.py
+++ b/kelpstage/core/rollouts/schedule.py
@@ -21,6 +21,7 @@
 QUIET_HOLD_US = 3_000_000  # of a step that gets too few requests to be assessed
 MIN_STEP_ANSWERS = 10  # of the target version, before the share is raised again
 MIN_FAILING_INSTANCES = 2  # one faulty machine must not revert a good version
+FIRST_STEP_PART = 0.6  # of the share that a bad version may receive
 SUSPECT_PART = 0.8  # of its time, after which a rollout in doubt is reverted
 MIN_TARGET_PART = 0.7  # of the instances that a share needs, which have to be listed
 
@@ -33,14 +34,26 @@
     from_part: float
 
 
-STEPS = (
-    Step(share=60, from_part=0.0),
+LATER_STEPS = (
     Step(share=250, from_part=0.46),
     Step(share=500, from_part=0.56),
     Step(share=COMPLETE_SHARE, from_part=0.66),
 )
 
 
+def steps(*, bad_traffic_share: float) -> tuple[Step, ...]:
+    """The steps where a bad version may receive this share of a service's requests.
+
+    The first step stays below it, so that most of a rollout's time exposes less than is allowed.
+
+    >>> [step.share for step in steps(bad_traffic_share=0.1)]
+    [60, 250, 500, 1000]
+    """
+    share = round(COMPLETE_SHARE * bad_traffic_share * FIRST_STEP_PART)
+    first = Step(share=min(LATER_STEPS[0].share - 1, max(1, share)), from_part=0.0)
+    return (first, *LATER_STEPS)
+
+
 @dataclass(frozen=True, kw_only=True)
 class StepProgress:
     """How far the present step of a rollout is.
@@ -70,6 +83,7 @@
     evidence: RolloutEvidence,
     progress: StepProgress,
     drain_us: int,
+    bad_traffic_share: float,
 ) -> RolloutChange | None:
     """The next change of a rolling rollout; None while it stays as it is.
 
@@ -79,10 +93,10 @@
     >>> rollout = RolloutState(service="s", target="v2", over_us=10_000_000, number=1)
     >>> progress = StepProgress(elapsed_us=0, held_us=0, target_answers=0, other_answers=0)
     >>> next_change(rollout=rollout, evidence=RolloutEvidence(others=2), progress=progress,
-    ...     drain_us=0) is None
+    ...     drain_us=0, bad_traffic_share=0.1) is None
     True
     >>> next_change(rollout=rollout, evidence=RolloutEvidence(others=2, targets=2),
-    ...     progress=progress, drain_us=0).share
+    ...     progress=progress, drain_us=0, bad_traffic_share=0.1).share
     60
     """
     why = revert_reason(evidence=evidence, share=rollout.share)
@@ -97,7 +111,8 @@
         if is_drained or progress.held_us >= drain_us:
             return RolloutChange(condition=RolloutCondition.COMPLETE)
         return None
-    step = next(step for step in STEPS if step.share > rollout.share)
+    planned = steps(bad_traffic_share=bad_traffic_share)
+    step = next(step for step in planned if step.share > rollout.share)
     if suspicion or progress.elapsed_us < rollout.over_us * step.from_part:
         return None
     if not _has_instances(evidence=evidence, share=step.share):
--- a/kelpstage/core/rollouts/service.py
+++ b/kelpstage/core/rollouts/service.py
@@ -4,6 +4,7 @@
 
 from kelpstage.common.event_journal import Journal
 from kelpstage.common.ports.interfaces import Ports
+from kelpstage.common.settings.bounds import Bounds
 from kelpstage.common.transport.messages import Renew, RolloutState
 from kelpstage.core.leases.lease_service import LeaseService
 from kelpstage.core.replica_task import ReplicaTask
@@ -15,8 +16,7 @@
 class RolloutService:
     """Takes orders and carries them out while this core leads.
 
-    The reports of edges arrive with the renewals of their leases. `drain_us` bounds the wait for
-    requests in flight before a rollout is complete.
+    The reports of edges arrive with the renewals of their leases.
     """
 
     def __init__(
@@ -26,7 +26,7 @@
         journal: Journal,
         task: ReplicaTask,
         lease_service: LeaseService,
-        drain_us: int,
+        bounds: Bounds,
     ) -> None:
         self._ports = ports
         self.orders = RolloutOrders(
@@ -42,7 +42,7 @@
             task=task,
             settlement=lease_service.settlement,
             epoch_changes=lease_service.epoch_changes,
-            drain_us=drain_us,
+            bounds=bounds,
         )
         lease_service.on_report = self._on_report
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -22,7 +22,7 @@
 from kelpstage.core.rollouts import schedule
 from kelpstage.core.rollouts.orders import RolloutOrders
 from kelpstage.core.rollouts.reports import RolloutEvidence
-from kelpstage.core.rollouts.schedule import STEPS, StepProgress, next_change
+from kelpstage.core.rollouts.schedule import LATER_STEPS, StepProgress, next_change
 from kelpstage.core.state.commands import BeginRollout, ChangeRollout, Command
 from kelpstage.core.state.machine import Machine
 from kelpstage.core.state.outcomes import (
@@ -248,10 +248,11 @@
             evidence=self.evidence,
             progress=replace(self.progress, **progress),
             drain_us=4 * S,
+            bad_traffic_share=0.1,
         )
 
     def test_the_share_is_raised_when_its_time_has_come(self):
-        self.assertEqual(STEPS[1].share, self.change().share)
+        self.assertEqual(LATER_STEPS[0].share, self.change().share)
         self.assertIsNone(self.change(elapsed_us=4 * S))
 
     def test_the_share_waits_for_answers_and_for_instances(self):
@@ -278,7 +279,7 @@
         self.evidence.failing = {"i1", "i2"}
         self.evidence.target["r"].failed = 20
         self.evidence.other_versions["r"].failed = 200
-        self.assertEqual(STEPS[1].share, self.change().share)
+        self.assertEqual(LATER_STEPS[0].share, self.change().share)
 
     def test_a_version_in_doubt_waits_and_is_reverted_near_the_end(self):
         self.evidence.target["r"].failed = 2
