--- a/kelpstage/core/rollouts/schedule.py
+++ b/kelpstage/core/rollouts/schedule.py
@@ -142,7 +142,10 @@
 
 
 def _is_assessed(*, rollout: RolloutState, progress: StepProgress) -> bool:
-    """True if the present step showed enough, or gets too few requests to ever do."""
+    """True if the present step showed enough, or gets too few requests to ever do.
+
+    With few requests, the target has to have answered half of its share of them.
+    """
     if progress.held_us < MIN_HOLD_US:
         return False
     if progress.target_answers >= MIN_STEP_ANSWERS:
@@ -150,5 +153,5 @@
     answers = progress.target_answers + progress.other_answers
     if not answers:
         return True  # no route uses the service
-    is_quiet = answers * rollout.share < MIN_STEP_ANSWERS * COMPLETE_SHARE
-    return is_quiet and progress.held_us >= QUIET_HOLD_US
+    expected = answers * rollout.share / COMPLETE_SHARE
+    return progress.held_us >= QUIET_HOLD_US and 2 * progress.target_answers >= expected
--- a/kelpstage/testbed/platform_model/faults/backends.py
+++ b/kelpstage/testbed/platform_model/faults/backends.py
@@ -21,9 +21,14 @@
 
 
 async def _start_replacement(play: Any, *, backend: Any, after_s: float) -> None:
-    """Start a new instance of the backend's service after a delay."""
+    """Start a new instance of the backend's service and version after a delay."""
     await sleep(s=after_s)
-    play.backend_pool.start(service=backend.service, zone=backend.zone)
+    play.backend_pool.start(
+        service=backend.service,
+        zone=backend.zone,
+        revision=backend.revision,
+        version_fault=backend.version_fault,
+    )
 
 
 async def srv_crash(play: Any, rand: random.Random) -> None:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -263,6 +263,11 @@
     def test_a_service_without_requests_moves_on(self):
         self.assertIsNotNone(self.change(target_answers=0, other_answers=0))
 
+    def test_a_service_that_lost_its_requests_moves_on(self):
+        """A service that the configuration dropped after a few answers stayed at its share."""
+        self.assertIsNotNone(self.change(target_answers=6, other_answers=172))
+        self.assertIsNone(self.change(target_answers=2, other_answers=172))
+
     def test_nothing_moves_before_an_instance_of_the_target_is_listed(self):
         self.rollout.share = 0
         self.evidence.targets = 0
