--- a/kelpstage/edge/backend/selection.py
+++ b/kelpstage/edge/backend/selection.py
@@ -127,9 +127,11 @@
     random_number = rand.random if rand else None
     out = []
     is_any_available = False
-    version = registry.version_routing.choose(
-        service=service, entries=[entries[name] for name in instances], rand=rand
-    )
+    version = None
+    if registry.version_routing.has_rollout(service=service):
+        version = registry.version_routing.choose(
+            service=service, entries=[entries[name] for name in instances], rand=rand
+        )
     for name in instances:
         entry = entries[name]
         refusal = (
--- a/kelpstage/edge/backend/version_routing.py
+++ b/kelpstage/edge/backend/version_routing.py
@@ -64,6 +64,10 @@
         """
         self._blocked.add(number)
 
+    def has_rollout(self, *, service: str) -> bool:
+        """True if a rollout of the service was ever ordered."""
+        return service in self._rollouts
+
     def rolling(self) -> list[RolloutState]:
         """The rollouts that are neither complete nor reverted."""
         return [
--- a/kelpstage/edge/gather/observation.py
+++ b/kelpstage/edge/gather/observation.py
@@ -107,6 +107,8 @@
         """Count an answer for a rollout; an instance that still warms up is slow in any version."""
         registry = self._context.registry
         entry = registry.entry(name=event.backend)
+        if registry.version_routing.rolling_of(service=entry.service) is None:
+            return
         is_warm = now_us >= entry.warming_up_until_us
         registry.version_statistics.note_answer(
             entry=entry,
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -13,6 +13,7 @@
 
 from tornado.locks import Lock
 
+from kelpstage.common.errors.requests import BadRequestError
 from kelpstage.common.rollouts.assessment import bad_version_reason
 from kelpstage.common.rollouts.condition import COMPLETE_SHARE, RolloutCondition
 from kelpstage.common.rollouts.totals import VersionTotals
@@ -33,10 +34,12 @@
 )
 from kelpstage.core.state.replicated_state import CoreState, adopt, previous_edge_membership
 from kelpstage.core.state.rollouts import REPEAT_WINDOW_US, rollout_of
+from kelpstage.core.web.rollouts import read_order
 from kelpstage.edge.backend.entry import BackendEntry
 from kelpstage.edge.backend.instance import Instance
 from kelpstage.edge.backend.registry import BackendRegistry
 from kelpstage.edge.backend.version_routing import VersionChoice, VersionRouting
+from kelpstage.testbed.platform_model.machines import load
 from kelpstage.testbed.platform_model.scenario import Outcome, Plan, as_text, run_scenario
 from tests.async_case import AsyncCase
 
@@ -376,6 +379,25 @@
         self.assertEqual((["v2-1", "v2-2"], 2, 2), (report.failing, report.targets, report.others))
 
 
+class OrderBodies(unittest.TestCase):
+    def test_a_body_that_is_no_order_is_rejected_without_reaching_the_log(self):
+        configuration = load(name="configuration")
+        for body in (
+            b"",
+            b"[]",
+            b'{"Service":"s","TargetVersion":"v2"}',
+            b'{"Service":"s","TargetVersion":2,"OverS":9}',
+            b'{"Service":"s","TargetVersion":"v2","OverS":-1}',
+            b'{"Service":"s","TargetVersion":"v2","OverS":1e999}',
+            b'{"Service":"s","Service":"t","TargetVersion":"v2","OverS":9}',
+        ):
+            with self.subTest(body), self.assertRaises(configuration.ConfigurationFormatError):
+                configuration.to_rollout_order(body=body)
+        for body in (b'{"service":"s","target":"","over_us":9000000}', b'{"service":"s"}', b"x"):
+            with self.subTest(body):
+                self.assertIsInstance(read_order(body=body), BadRequestError)
+
+
 class Acknowledgement(AsyncCase):
     async def test_an_order_that_edges_have_not_installed_is_not_acknowledged(self):
         """The order is committed, but an edge could still serve the epoch before it."""
