--- a/kelpstage/common/transport/messages/rollouts.py
+++ b/kelpstage/common/transport/messages/rollouts.py
@@ -28,6 +28,7 @@
     why: str = bp.string_field(7)
     begun_us: int = bp.uint64_field(8)
     changed_us: int = bp.uint64_field(9)
+    reverted: List[str] = bp.string_field(10)  # earlier targets that may not be used, oldest first
 
 
 @dataclass
--- a/kelpstage/core/rollouts/controller.py
+++ b/kelpstage/core/rollouts/controller.py
@@ -13,7 +13,6 @@
 from kelpstage.common.transport.messages import RolloutState
 from kelpstage.core.events import RolloutMoved
 from kelpstage.core.leases.epoch_changes import EpochChanges
-from kelpstage.core.leases.epoch_settlement import EpochSettlement
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.rollouts.reports import RolloutEvidence, RolloutReports
 from kelpstage.core.rollouts.schedule import RolloutChange, StepProgress, next_change
@@ -47,14 +46,12 @@
         ports: Ports,
         journal: Journal,
         task: ReplicaTask,
-        settlement: EpochSettlement,
         epoch_changes: EpochChanges,
         bounds: Bounds,
     ) -> None:
         self._ports = ports
         self._journal = journal
         self._task = task
-        self._settlement = settlement
         self._epoch_changes = epoch_changes
         self._bounds = bounds
         self._steps: dict[int, StepStart] = {}
--- a/kelpstage/core/rollouts/service.py
+++ b/kelpstage/core/rollouts/service.py
@@ -40,7 +40,6 @@
             ports=ports,
             journal=journal,
             task=task,
-            settlement=lease_service.settlement,
             epoch_changes=lease_service.epoch_changes,
             bounds=bounds,
         )
--- a/kelpstage/core/state/rollouts.py
+++ b/kelpstage/core/state/rollouts.py
@@ -21,6 +21,7 @@
 
 REPEAT_WINDOW_US = 60_000_000  # an equal order within this time after the last change is a repeat
 PAST_ROLLOUTS_KEPT = 256
+REVERTED_VERSIONS_KEPT = 16  # of a service
 
 
 def rollout_of(*, state: CoreState, service: str) -> RolloutState | None:
@@ -71,6 +72,7 @@
         number=state.epoch,
         begun_us=order.at_us,
         changed_us=order.at_us,
+        reverted=_reverted_before(known=known, target=order.target),
     )
     if known is not None:
         state.past_rollouts = [*state.past_rollouts, known][-PAST_ROLLOUTS_KEPT:]
@@ -78,6 +80,17 @@
     return RolloutBegun(number=begun.number)
 
 
+def _reverted_before(*, known: RolloutState | None, target: str) -> list[str]:
+    """The versions of a service that were reverted; their instances may still be listed."""
+    if known is None:
+        return []
+    reverted = list(known.reverted)
+    if known.condition == RolloutCondition.REVERTED:
+        reverted.append(known.target)
+    kept = [version for version in dict.fromkeys(reverted) if version != target]
+    return kept[-REVERTED_VERSIONS_KEPT:]
+
+
 def change_rollout(*, state: CoreState, change: ChangeRollout) -> RolloutChanged | RolloutUnchanged:
     """Raise the share of a rolling rollout, or end it.
 
--- a/kelpstage/edge/backend/version_routing.py
+++ b/kelpstage/edge/backend/version_routing.py
@@ -19,18 +19,22 @@
 @dataclass(frozen=True, kw_only=True)
 class VersionChoice:
     """What one request may use: the target version, the others, or the target with the others
-    as a fallback. `in_use` holds the target's instances that come first.
+    as a fallback. `in_use` holds the target's instances that come first, `reverted` the versions
+    that no request may use.
     """
 
     target: str
     allows_target: bool
     allows_others: bool
     in_use: frozenset[str] = frozenset()
+    reverted: frozenset[str] = frozenset()
 
     def refusal(self, *, entry: BackendEntry) -> str:
         """Why an instance may not receive this request; empty if it may."""
         if entry.revision == self.target:
             return "" if self.allows_target else "version not yet in use, or reverted"
+        if entry.revision in self.reverted:
+            return "version reverted"
         return "" if self.allows_others else "version replaced"
 
     def is_fallback(self, *, entry: BackendEntry) -> bool:
@@ -93,13 +97,15 @@
         rollout = self._rollouts.get(service)
         if rollout is None:
             return None
-        target = rollout.target
-        others_only = VersionChoice(target=target, allows_target=False, allows_others=True)
+        target, reverted = rollout.target, frozenset(rollout.reverted)
+        others_only = VersionChoice(
+            target=target, allows_target=False, allows_others=True, reverted=reverted
+        )
         if rollout.condition == RolloutCondition.REVERTED:
             return others_only
         listed = sorted(entry.name for entry in entries if _is_up(entry=entry, version=target))
         if rollout.condition == RolloutCondition.COMPLETE and not listed:
-            return None  # the version was replaced without an order
+            return others_only  # the version was replaced without an order
         if rollout.share >= COMPLETE_SHARE:
             return VersionChoice(target=target, allows_target=True, allows_others=False)
         if not self._draws_target(rollout=rollout, rand=rand):
@@ -109,6 +115,7 @@
             allows_target=True,
             allows_others=True,
             in_use=_in_use(names=listed, share=rollout.share),
+            reverted=reverted,
         )
 
     def _draws_target(self, *, rollout: RolloutState, rand: random.Random | None) -> bool:
--- a/kelpstage/edge/backend/version_statistics.py
+++ b/kelpstage/edge/backend/version_statistics.py
@@ -100,7 +100,8 @@
         counts = self._counts.get(rollout.number, RolloutCounts())
         entries = self._entries_of(rollout.service)
         targets = [entry for entry in entries if entry.revision == rollout.target]
-        others = [entry for entry in entries if entry.revision != rollout.target]
+        unused = {rollout.target, *rollout.reverted}
+        others = [entry for entry in entries if entry.revision not in unused]
         return RolloutReport(
             number=rollout.number,
             counts=[
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -217,6 +217,19 @@
         self.begin(target="v3", at_us=3 * S)
         self.assertEqual(RolloutUnchanged(), self.change(number=4, share=500))
 
+    def test_reverted_versions_are_kept_until_they_are_ordered_again(self):
+        self.begin()
+        self.change(number=4, condition=RolloutCondition.REVERTED)
+        self.begin(target="v3")
+        self.change(number=6, condition=RolloutCondition.REVERTED)
+        self.begin(target="v4")
+        self.restart()
+        rollout = rollout_of(state=self.machine.state, service="s")
+        self.assertEqual(["v2", "v3"], rollout.reverted)
+        self.change(number=8, condition=RolloutCondition.COMPLETE)
+        self.begin(target="v2", over_us=11 * S)
+        self.assertEqual(["v3"], rollout_of(state=self.machine.state, service="s").reverted)
+
     def test_each_change_settles_in_the_same_membership(self):
         self.begin()
         previous = previous_edge_membership(state=self.machine.state)
@@ -336,7 +349,7 @@
         self.registry.set_instances(instances, now_us=1)
 
     def allowed(self, **fields) -> set[str]:
-        rollout = RolloutState(service="s", target="v2", number=7, **fields)
+        rollout = RolloutState(**{"service": "s", "target": "v2", "number": 7, **fields})
         self.registry.version_routing.apply(rollouts=[rollout])
         entries = [self.registry.entries[name] for name in self.registry.instances_of("s")]
         choice = self.registry.version_routing.choose(service="s", entries=entries, rand=None)
@@ -358,6 +371,19 @@
     def test_nothing_goes_to_a_reverted_version(self):
         self.assertEqual({"v1"}, self.allowed(condition=RolloutCondition.REVERTED))
 
+    def test_nothing_goes_to_a_version_that_was_reverted_before_a_newer_order(self):
+        """While a third version is rolling, instances of the reverted second one still run."""
+        newer = Instance(instance_id="v3-1", service="s", address="127.0.0.1:9", revision="v3")
+        known = [
+            Instance(instance_id=name, service="s", address=entry.address, revision=entry.revision)
+            for name, entry in self.registry.entries.items()
+        ]
+        self.registry.set_instances([*known, newer], now_us=2)
+        order = {"target": "v3", "reverted": ["v2"]}
+        self.assertEqual({"v1"}, self.allowed(**order))
+        self.assertEqual({"v1", "v3"}, self.allowed(**order, share=600))
+        self.assertEqual({"v1"}, self.allowed(**order, condition=RolloutCondition.REVERTED))
+
     def test_a_complete_rollout_whose_version_is_gone_restricts_nothing(self):
         self.registry.set_instances(
             [Instance(instance_id="v3-1", service="s", address="127.0.0.1:9", revision="v3")],
