--- a/kelpstage/testbed/platform_model/faults/rollouts.py
+++ b/kelpstage/testbed/platform_model/faults/rollouts.py
@@ -74,6 +74,7 @@
         return
     new = new or _start_target(play, old=old, order=order, fault=fault)
     await play.rollout_operator.watch(order=order, until_us=order.term_us + WATCH_AFTER_TERM_US)
+    play.later(play.rollout_operator.read_again(order=order))
     if order.complete_us:
         for backend in play.backend_pool.active_instances(service=service):
             if backend.revision != order.target:
--- a/kelpstage/testbed/platform_model/history.py
+++ b/kelpstage/testbed/platform_model/history.py
@@ -139,6 +139,7 @@
     lost_us: list[int] = field(default_factory=list)  # times at which a reply to it was lost
     statuses: list[int] = field(default_factory=list)  # of all replies, 0 for none
     condition: str = ""
+    conditions: list[str] = field(default_factory=list)  # as read one after another
     complete_us: int = 0
     reverted_us: int = 0
     read_back: str | None = None
--- a/kelpstage/testbed/platform_model/rollout_operator.py
+++ b/kelpstage/testbed/platform_model/rollout_operator.py
@@ -20,6 +20,7 @@
 BEGIN_PATH, READ_PATH = "/api/Rollouts.Begin", "/api/Rollouts.Read"
 WATCH_INTERVAL_S = 0.3
 READ_BACK_ATTEMPTS = 40
+READS_AFTER_THE_END = 4
 COMPLETE, REVERTED = "complete", "reverted"
 
 
@@ -83,6 +84,8 @@
 
     def _record(self, *, order: RolloutOrder, condition: str) -> None:
         order.condition = condition
+        if not order.conditions or order.conditions[-1] != condition:
+            order.conditions.append(condition)
         if condition == COMPLETE and not order.complete_us:
             order.complete_us = self._world.now_us()
         if condition == REVERTED and not order.reverted_us:
@@ -93,7 +96,13 @@
         while self._world.now_us() < until_us:
             await self.read(order=order)
             if order.complete_us or order.reverted_us:
-                return
+                break
+            await asyncio.sleep(WATCH_INTERVAL_S)
+
+    async def read_again(self, *, order: RolloutOrder) -> None:
+        """Read several times, at any core, after a final condition was read."""
+        for _ in range(READS_AFTER_THE_END):
+            await self.read(order=order)
             await asyncio.sleep(WATCH_INTERVAL_S)
 
     async def read_back(self) -> None:
--- a/kelpstage/testbed/platform_model/rules/rollouts.py
+++ b/kelpstage/testbed/platform_model/rules/rollouts.py
@@ -7,6 +7,7 @@
 from kelpstage.testbed.platform_model.history import Arrival, History, RolloutOrder
 from kelpstage.testbed.platform_model.rules.recovery import first_undisturbed_span
 
+FINAL_CONDITIONS = frozenset(("complete", "reverted"))
 BAD_ANSWERS = 50  # after this many, the time to the last request runs
 
 
@@ -65,10 +66,19 @@
 
 
 def lost(history: History) -> list[Violation]:
-    """The last read does not name the newest acknowledged rollout of a service, or an
-    acknowledged order was refused when it was sent again."""
+    """The last read does not name the newest acknowledged rollout of a service, or a final
+    condition was read and another one after it."""
     newest = {order.service: order for order in history.rollouts if order.acked_us}
-    return [
+    returned = [
+        Violation(
+            rule="LOST rollout",
+            why=f"{order.key} of {order.service} was read as {', '.join(order.conditions)}",
+            at_us=order.complete_us or order.reverted_us,
+        )
+        for order in history.rollouts
+        if set(order.conditions[:-1]) & FINAL_CONDITIONS
+    ]
+    return returned + [
         Violation(
             rule="LOST rollout",
             why=f"{order.service} was ordered to {order.target}, the last read: {order.read_back}",
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -824,6 +824,11 @@
     history.rollouts = [rollout(read_back="v1")]
 
 
+@violates("LOST rollout")
+def a_complete_rollout_is_read_as_rolling_later(history):
+    history.rollouts = [rollout(conditions=["rolling", "complete", "rolling"])]
+
+
 @violates("LOST version")
 def a_request_is_at_an_old_backend_when_the_rollout_is_complete(history):
     history.stopped_requests = [(60 * S, "q9")]
