The controller of rollouts is idle without one; test doubles of a core have its new members

Six in test_bad_orders: their stand-in of a core had neither operator_calls nor rollout_service. The stand-in has both members; no assertion changed. A version that is never assessed is planted with edges that do not stop by themselves either, since these kept the exposure in bounds alone.

--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -208,6 +208,8 @@
     def _on_applied(self, outcome: object, index: int) -> None:
         if self.lease_service is not None:
             self.lease_service.announce_latest_epoch()
+        if self.rollout_service is not None:
+            self.rollout_service.on_applied()
 
     def _on_role(self, role: str) -> None:
         if role != raft.LEADER or self.lease_service is None or self.rollout_service is None:
--- a/kelpstage/core/rollouts/controller.py
+++ b/kelpstage/core/rollouts/controller.py
@@ -35,7 +35,7 @@
 
 
 class RolloutController:
-    """Decides on every rolling rollout while this core leads.
+    """Decides on every rolling rollout while this core leads; idle while there is none.
 
     `reports` holds what edges reported to this leader.
     """
@@ -55,32 +55,44 @@
         self._epoch_changes = epoch_changes
         self._bounds = bounds
         self._steps: dict[int, StepStart] = {}
+        self._is_running = False
         self.reports = RolloutReports()
 
     def begin_leadership(self) -> None:
-        """Start with no reports, and decide until this leadership ends."""
+        """Start without reports, and decide until this leadership ends."""
         self.reports = RolloutReports()
         self._steps = {}
+        self.start_if_needed()
+
+    def start_if_needed(self) -> None:
+        """Begin to decide if this core leads and a rollout is rolling; called on each command."""
+        if self._is_running or not self._task.is_leader or not self._rolling():
+            return
+        self._is_running = True
         self._ports.spawn(self._run())
 
     async def _run(self) -> None:
-        reports = self.reports
-        while reports is self.reports and self._task.is_leader:
-            await self._ports.clock.sleep(us=CHECK_INTERVAL_US)
-            for rollout in self._rolling():
-                if self._decide(service=rollout.service) is not None:
-                    await self._change(service=rollout.service)
+        try:
+            while self._task.is_leader and self._rolling():
+                await self._ports.clock.sleep(us=CHECK_INTERVAL_US)
+                for rollout in self._rolling():
+                    if self._decide(service=rollout.service) is not None:
+                        await self._change(service=rollout.service)
+        finally:
+            self._is_running = False
+            self._forget_ended()
 
     def _rolling(self) -> list[RolloutState]:
-        rolling = [
+        return [
             rollout
             for rollout in self._task.machine.state.rollouts
             if rollout.condition == RolloutCondition.ROLLING
         ]
-        numbers = {rollout.number for rollout in rolling}
+
+    def _forget_ended(self) -> None:
+        numbers = {rollout.number for rollout in self._rolling()}
         self.reports.forget(keep=numbers)
         self._steps = {n: step for n, step in self._steps.items() if n in numbers}
-        return rolling
 
     def evidence(self, *, rollout: RolloutState) -> RolloutEvidence:
         """What the edges have reported about a rollout."""
--- a/kelpstage/core/rollouts/service.py
+++ b/kelpstage/core/rollouts/service.py
@@ -49,6 +49,10 @@
         """Carry out rollouts until this leadership ends."""
         self._controller.begin_leadership()
 
+    def on_applied(self) -> None:
+        """Carry out a rollout that a command has begun; called after each applied command."""
+        self._controller.start_if_needed()
+
     def evidence(self, *, rollout: RolloutState) -> RolloutEvidence:
         """What the edges have reported about a rollout to this leader."""
         return self._controller.evidence(rollout=rollout)
--- a/tests/test_bad_orders.py
+++ b/tests/test_bad_orders.py
@@ -12,6 +12,7 @@
 import json
 import random
 import unittest
+from collections import Counter
 from typing import Any, Callable
 
 from kelpstage.common.errors.base import KelpstageError
@@ -544,8 +545,12 @@
 
     task = None
     lease_service = None
+    rollout_service = None
     waits_for = "the disk"
 
+    def __init__(self) -> None:
+        self.operator_calls: Counter[str] = Counter()
+
     class ports:
         class clock:
             @staticmethod
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -140,8 +140,9 @@
         with (
             mock.patch.object(schedule, "revert_reason", lambda **_: ""),
             mock.patch.object(schedule, "suspicion_of", lambda **_: ""),
+            mock.patch.object(VersionRouting, "block", lambda self, *, number: None),
         ):
-            rules = self.violated_rules(faults=("rollout_errors",), rate=1.0)
+            rules = self.violated_rules(faults=("rollout_slow",), rate=1.0)
         self.assertTrue({"EXPOSURE", "DUTY rollout"} <= rules, rules)
 
     def test_requests_to_the_old_version_of_a_complete_rollout_are_detected(self):
