--- a/kelpstage/testbed/stand_ins/callers.py
+++ b/kelpstage/testbed/stand_ins/callers.py
@@ -101,11 +101,19 @@
             "time_left_us": kind.time_left_us,
         }
 
-    def prepare(self, *, kind: Kind, node: str) -> PreparedCall:
-        """Returns a call of a kind to a node, with the data to check its reply."""
+    def prepare(self, *, kind: Kind, node: str, address: str = "") -> PreparedCall:
+        """Returns a call of a kind to a node, with the data to check its reply.
+
+        `address` is that of an open connection: its node may have left the platform's list.
+        """
         row = self._row(kind=kind, node=node)
         query = self.ports.rand.choice(QUERIES)
-        call, expected = self._build_call(kind=kind, name=row["call"], node=node, query=query)
+        call, expected = self._build_call(
+            kind=kind,
+            name=row["call"],
+            address=address or self.platform.nodes[node][1],
+            query=query,
+        )
         if expected is not None:
             row |= {"shard": expected[0], "asked_cut": self.current_cut()}
         row["ask"] = {
@@ -130,9 +138,9 @@
         self.note(prepared.row | done | {"status": 0})
 
     def _build_call(
-        self, *, kind: Kind, name: str, node: str, query: str
+        self, *, kind: Kind, name: str, address: str, query: str
     ) -> tuple[HttpCall, tuple[str, int] | None]:
-        base = f"http://{self.platform.nodes[node][1]}/v1/collections/{self.collection}"
+        base = f"http://{address}/v1/collections/{self.collection}"
         headers = {
             "Kelp-Time-Left-Us": str(kind.time_left_us),
             "Content-Type": "application/json",
--- a/kelpstage/testbed/stand_ins/kept_callers.py
+++ b/kelpstage/testbed/stand_ins/kept_callers.py
@@ -92,7 +92,8 @@
             await asyncio.sleep(RECONNECT_PAUSE_S * rand.random())
 
     async def _use_connection(self, *, kind: Kind, node: str) -> None:
-        host, _, port = self.callers.platform.nodes[node][1].rpartition(":")
+        address = self.callers.platform.nodes[node][1]
+        host, _, port = address.rpartition(":")
         try:
             opening = asyncio.open_connection(host, int(port))
             reader, writer = await asyncio.wait_for(opening, CONNECT_TIMEOUT_S)
@@ -100,24 +101,26 @@
             self.callers.platform.mark_not_ready(name=node)
             return
         try:
-            await self._send_calls(kind=kind, node=node, reader=reader, writer=writer)
+            while await self._call(
+                kind=kind, node=node, address=address, reader=reader, writer=writer
+            ):
+                await asyncio.sleep(MAX_PAUSE_S * self.callers.ports.rand.random())
+                if not self.is_open:
+                    return
         finally:
             writer.close()
 
-    async def _send_calls(
-        self, *, kind: Kind, node: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        rand = self.callers.ports.rand
-        while await self._call(kind=kind, node=node, reader=reader, writer=writer):
-            await asyncio.sleep(MAX_PAUSE_S * rand.random())
-            if not self.is_open:
-                return
-
     async def _call(
-        self, *, kind: Kind, node: str, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self,
+        *,
+        kind: Kind,
+        node: str,
+        address: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
     ) -> bool:
         """Send one call; true if the connection can be used again."""
-        prepared = self.callers.prepare(kind=kind, node=node)
+        prepared = self.callers.prepare(kind=kind, node=node, address=address)
         reply_reader = ReplyReader()
         end = await _exchange(
             call=prepared.call, reply_reader=reply_reader, reader=reader, writer=writer
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 
 from kelpstage.testbed.fleet.soak_rules import lost_on_kept_connections
 from kelpstage.testbed.fleet.soak_runs import SoakPlan, run_soak
+from kelpstage.testbed.stand_ins.callers import Callers, Kind
 
 SECONDS = 60.0
 MIN_CALLS = 500
@@ -50,6 +51,20 @@
                 self.assertEqual((0, "alive\n"), (found.returncode, found.stdout))
 
 
+class MachineRemovedFromTheList(unittest.TestCase):
+    def test_a_caller_uses_its_connection_after_the_machine_left_the_list(self) -> None:
+        """A caller that waited between two calls failed, since the list had no address."""
+        callers = Callers.__new__(Callers)
+        callers.collection = "c"
+        call, _ = callers._build_call(
+            kind=Kind(name="k", per_second=1.0, time_left_us=1_000_000),
+            name="k-1",
+            address="h:1",
+            query="q",
+        )
+        self.assertTrue(call.url.startswith("http://h:1/v1/collections/c/search"))
+
+
 class KeepAliveConnections(unittest.TestCase):
     """Which calls on persistent connections count as lost."""
 
