--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,8 +1,9 @@
-"""After the platform's list was down, requests go on to a backend that is listed as draining."""
+"""An order that brings a version in again is acknowledged and never carried out."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import pathlib
 import random
 import sys
@@ -12,87 +13,105 @@
 
 import fleet as kit
 
-SERVICE = "orders"
-DOWN_S = (11.0, 4.0, 4.0, 4.0, 4.0, 4.0, 4.0, 4.0)
-DRAIN_S, LONGER_S = 3.0, 0.6
-SLACK_S = 0.1  # for the stand-ins' own timers
+SERVICE, OVER_S, ACK_WITHIN_S = "proofs", 4, 8.0
 
 
-async def client(
-    *, fleet: kit.Fleet, number: int, stop: asyncio.Event, answers: dict[str, kit.Answer]
-) -> None:
-    """Send requests that may run once, one after the other, each on a new connection."""
-    count = 0
-    while not stop.is_set():
-        count += 1
-        request_id = f"{number:04x}{count:012x}"
-        machine = random.choice(fleet.machines)
-        answers[request_id] = await kit.call(
-            ip=machine.ip,
-            port=fleet.front,
-            method="POST",
-            path="/order/a",
-            headers={"X-Attempt-Id": request_id, "X-Deadline-Ms": "2500"},
-            body=b"one book",
-            wait_s=2.8,
+async def clients(*, fleet: kit.Fleet, stop: asyncio.Event, answers: list[kit.Answer]) -> None:
+    """Send 40 requests a second, each to a node in turn."""
+    number = 0
+    tasks: list[asyncio.Task] = []
+
+    async def one(request_id: str, machine: kit.Machine) -> None:
+        answers.append(
+            await kit.call(
+                ip=machine.ip,
+                port=fleet.front,
+                method="GET",
+                path="/proof/a",
+                headers={"X-Attempt-Id": request_id, "X-Deadline-Ms": "2500"},
+                wait_s=2.5,
+            )
         )
-        await asyncio.sleep(0.05)
+
+    while not stop.is_set():
+        number += 1
+        machine = fleet.machines[number % len(fleet.machines)]
+        tasks.append(asyncio.create_task(one(f"{number:016x}", machine)))
+        await asyncio.sleep(0.025)
+    await asyncio.gather(*tasks)
 
 
-async def drain_one(
-    *, platform: kit.Platform, record: kit.Record, answers: dict[str, kit.Answer]
-) -> int:
-    """Drain a backend and end it; the number of requests that reached it too late."""
-    backend = platform.backends[0]
-    backend.condition = "draining"
-    listed = time.monotonic()
-    record.note(f"{backend.instance} is listed as draining")
-    await asyncio.sleep(DRAIN_S + LONGER_S)
-    await platform.remove(backend=backend)
-    await asyncio.sleep(1.5)
-    late = [run for run in backend.runs if run.at > listed + DRAIN_S + SLACK_S]
-    lost = [run.request_id for run in late if answers[run.request_id].status != 200]
-    last = max((run.at - listed for run in backend.runs), default=0.0)
-    record.note(
-        f"{backend.instance}: last run {last:.2f} s after it was listed as draining, {len(late)} "
-        f"runs later than {DRAIN_S} s, {len(lost)} of them without a 200 to the client"
-    )
-    return len(late)
+async def roll(
+    *, fleet: kit.Fleet, platform: kit.Platform, target: str, zones: list[str]
+) -> tuple[int, dict]:
+    """Order a version, start its backends, wait until the rollout has ended as PROTOCOL says."""
+    body = {"Service": SERVICE, "TargetVersion": target, "OverS": OVER_S}
+    old = [b for b in platform.backends if b.revision != target]
+    answer = await fleet.order(path="/api/Rollouts.Begin", body=body, for_s=ACK_WITHIN_S)
+    if answer.status != 200:
+        return answer.status, {}
+    for zone in zones:
+        await platform.add(service=SERVICE, zone=zone, revision=target)
+    until, view = time.monotonic() + 20, {}
+    while time.monotonic() < until:
+        view = json.loads((await fleet.read(path=f"/api/Rollouts.Read/{SERVICE}")).body or b"{}")
+        if view.get("TargetVersion") == target and view.get("Condition") == "complete":
+            for backend in old:
+                await platform.remove(backend=backend)
+            break
+        await asyncio.sleep(0.5)
+    return 200, view
 
 
 async def main(record: kit.Record, has_trouble: bool) -> int:
-    """Eight times: the list is down for some seconds (the trouble), then a backend drains."""
+    """Order v2, then v1 again (the trouble), then v2; then kill all cores, and read."""
     net = random.randrange(20, 250)
     machines = [kit.Machine(f"edge-{z}", z, f"127.{net}.{n}.1") for n, z in enumerate("abc")]
-    fleet = kit.Fleet(record=record, machines=machines)
+    fleet = kit.Fleet(record=record, machines=machines, bounds={"BadTrafficShare": 0.1})
     platform = kit.Platform(fleet=fleet)
-    stop, answers, late = asyncio.Event(), {}, 0
+    zones = [m.zone for m in machines] * 2
+    stop, answers = asyncio.Event(), []
     try:
         await platform.open()
-        for zone in "abcabc":
-            await platform.add(service=SERVICE, zone=zone, work_s=0.3)
+        for zone in zones:
+            await platform.add(service=SERVICE, zone=zone, revision="v1")
         await fleet.start_all()
-        routes = [kit.route(name="order", service=SERVICE, variant="effectful", Tries=1)]
+        routes = [kit.route(name="proof", service=SERVICE)]
         first = kit.configuration(revision=1, routes=routes, services=[SERVICE])
-        answer = await fleet.order(path="/api/Config.Replace", body=first, base=0, for_s=20)
-        if answer.status != 200 or not await fleet.wait_ready(count=3, for_s=15):
+        answer = await fleet.order(path="/api/Config.Replace", body=first, base=0, for_s=30)
+        if answer.status != 200:
             return 2
-        clients = [
-            asyncio.create_task(client(fleet=fleet, number=n, stop=stop, answers=answers))
-            for n in range(8)
-        ]
-        for down_s in DOWN_S:
-            await asyncio.sleep(1.5)
-            if has_trouble:
-                await platform.go_down()
-                await asyncio.sleep(down_s)
-                await platform.come_back()
-            await asyncio.sleep(0.1)
-            late += await drain_one(platform=platform, record=record, answers=answers)
-            await platform.add(service=SERVICE, zone="a", work_s=0.3)
+        if not await fleet.wait_ready(count=3, for_s=20):
+            return 2
+        sending = asyncio.create_task(clients(fleet=fleet, stop=stop, answers=answers))
+        await asyncio.sleep(2)
+        for target in ["v2", "v1"] if has_trouble else ["v2"]:
+            status, view = await roll(fleet=fleet, platform=platform, target=target, zones=zones)
+            record.note(f"rollout to {target}: {status} {view}")
+            if status != 200 or view.get("Condition") != "complete":
+                return 2
+        await asyncio.sleep(ACK_WITHIN_S + 1)
+        status, view = await roll(fleet=fleet, platform=platform, target="v2", zones=zones)
+        record.note(f"last order, to v2: {status}; 20 s later at the latest: {view}")
+        if status != 200:
+            return 2
+        for machine in machines:
+            fleet.send_signal(machine=machine, role="core", number=9)
+        await asyncio.sleep(0.5)
+        for machine in machines:
+            fleet.start(machine=machine, role="core")
+        after = await fleet.read(path=f"/api/Rollouts.Read/{SERVICE}", for_s=15)
+        last = json.loads(after.body or b"{}")
+        since = time.monotonic()
         stop.set()
-        await asyncio.gather(*clients)
-        return 1 if late else 0
+        await sending
+        runs = [r for b in platform.backends for r in b.runs if r.at > since - 5]
+        versions = {b.instance: b.revision for b in platform.backends}
+        counts = {v: sum(versions[r.backend] == v for r in runs) for v in ("v1", "v2")}
+        record.note(f"after the closing fault: {last}; runs of the last 5 s by version: {counts}")
+        if after.status != 200:
+            return 2
+        return 0 if last.get("TargetVersion") == "v2" else 1
     finally:
         stop.set()
         fleet.close()
