--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,8 +1,9 @@
-"""After the platform's list was down, requests go on to a backend that is listed as draining."""
+"""A rollout whose target loses one backend for good never ends, and no later order is taken."""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import pathlib
 import random
 import sys
@@ -12,87 +13,90 @@
 
 import fleet as kit
 
-SERVICE = "orders"
-DOWN_S = (11.0, 4.0, 4.0, 4.0, 4.0, 4.0, 4.0, 4.0)
-DRAIN_S, LONGER_S = 3.0, 0.6
-SLACK_S = 0.1  # for the stand-ins' own timers
+SERVICE, OVER_S, ACK_WITHIN_S = "proofs", 12, 8.0
+LISTED_S = 3.0  # a backend that has crashed stays on the list for so long
+ENDS_WITHIN_S = 45.0  # how long the first rollout is looked at, from its order on
+BOUNDS = {"BadTrafficShare": 0.1, "BadTrafficSlack": 50, "RollbackMs": 5000}
 
 
 async def client(
-    *, fleet: kit.Fleet, number: int, stop: asyncio.Event, answers: dict[str, kit.Answer]
+    *, fleet: kit.Fleet, number: int, stop: asyncio.Event, statuses: list[int]
 ) -> None:
-    """Send requests that may run once, one after the other, each on a new connection."""
+    """Send a request each 0.1 s to some machine."""
     count = 0
     while not stop.is_set():
         count += 1
-        request_id = f"{number:04x}{count:012x}"
-        machine = random.choice(fleet.machines)
-        answers[request_id] = await kit.call(
-            ip=machine.ip,
+        answer = await kit.call(
+            ip=random.choice(fleet.machines).ip,
             port=fleet.front,
-            method="POST",
-            path="/order/a",
-            headers={"X-Attempt-Id": request_id, "X-Deadline-Ms": "2500"},
-            body=b"one book",
+            method="GET",
+            path="/proof/a",
+            headers={"X-Attempt-Id": f"{number:04x}{count:012x}", "X-Deadline-Ms": "2500"},
             wait_s=2.8,
         )
-        await asyncio.sleep(0.05)
+        statuses.append(answer.status)
+        await asyncio.sleep(0.1)
 
 
-async def drain_one(
-    *, platform: kit.Platform, record: kit.Record, answers: dict[str, kit.Answer]
-) -> int:
-    """Drain a backend and end it; the number of requests that reached it too late."""
-    backend = platform.backends[0]
-    backend.condition = "draining"
-    listed = time.monotonic()
-    record.note(f"{backend.instance} is listed as draining")
-    await asyncio.sleep(DRAIN_S + LONGER_S)
+async def condition(*, fleet: kit.Fleet) -> str:
+    """The condition of the service's newest rollout."""
+    answer = await fleet.read(path=f"/api/Rollouts.Read/{SERVICE}")
+    return str(json.loads(answer.body or b"{}").get("Condition"))
+
+
+async def crash_for_good(*, platform: kit.Platform, backend: kit.Backend) -> None:
+    """End a backend without a word; the list shows it for some seconds more."""
+    await backend.close()
+    await asyncio.sleep(LISTED_S)
     await platform.remove(backend=backend)
-    await asyncio.sleep(1.5)
-    late = [run for run in backend.runs if run.at > listed + DRAIN_S + SLACK_S]
-    lost = [run.request_id for run in late if answers[run.request_id].status != 200]
-    last = max((run.at - listed for run in backend.runs), default=0.0)
-    record.note(
-        f"{backend.instance}: last run {last:.2f} s after it was listed as draining, {len(late)} "
-        f"runs later than {DRAIN_S} s, {len(lost)} of them without a 200 to the client"
-    )
-    return len(late)
 
 
 async def main(record: kit.Record, has_trouble: bool) -> int:
-    """Eight times: the list is down for some seconds (the trouble), then a backend drains."""
+    """Order v2, whose backends lose one (the trouble); long after its term, order v3."""
     net = random.randrange(20, 250)
     machines = [kit.Machine(f"edge-{z}", z, f"127.{net}.{n}.1") for n, z in enumerate("abc")]
-    fleet = kit.Fleet(record=record, machines=machines)
+    fleet = kit.Fleet(record=record, machines=machines, bounds=BOUNDS)
     platform = kit.Platform(fleet=fleet)
-    stop, answers, late = asyncio.Event(), {}, 0
+    stop: asyncio.Event = asyncio.Event()
+    statuses: list[int] = []
     try:
         await platform.open()
-        for zone in "abcabc":
-            await platform.add(service=SERVICE, zone=zone, work_s=0.3)
+        old = [await platform.add(service=SERVICE, zone=zone) for zone in "abc"]
         await fleet.start_all()
-        routes = [kit.route(name="order", service=SERVICE, variant="effectful", Tries=1)]
+        routes = [kit.route(name="proof", service=SERVICE)]
         first = kit.configuration(revision=1, routes=routes, services=[SERVICE])
         answer = await fleet.order(path="/api/Config.Replace", body=first, base=0, for_s=20)
         if answer.status != 200 or not await fleet.wait_ready(count=3, for_s=15):
             return 2
         clients = [
-            asyncio.create_task(client(fleet=fleet, number=n, stop=stop, answers=answers))
-            for n in range(8)
+            asyncio.create_task(client(fleet=fleet, number=n, stop=stop, statuses=statuses))
+            for n in range(6)
         ]
-        for down_s in DOWN_S:
-            await asyncio.sleep(1.5)
-            if has_trouble:
-                await platform.go_down()
-                await asyncio.sleep(down_s)
-                await platform.come_back()
-            await asyncio.sleep(0.1)
-            late += await drain_one(platform=platform, record=record, answers=answers)
-            await platform.add(service=SERVICE, zone="a", work_s=0.3)
+        await asyncio.sleep(3.0)
+        ordered = time.monotonic()
+        order = {"Service": SERVICE, "TargetVersion": "v2", "OverS": OVER_S}
+        answer = await fleet.order(path="/api/Rollouts.Begin", body=order, for_s=ACK_WITHIN_S)
+        if answer.status != 200:
+            return 2
+        new = [await platform.add(service=SERVICE, zone=zone, revision="v2") for zone in "abc"]
+        await asyncio.sleep(1.0)
+        if has_trouble:
+            await crash_for_good(platform=platform, backend=new[0])
+        seen = ""
+        while time.monotonic() < ordered + ENDS_WITHIN_S and seen != "complete":
+            await asyncio.sleep(1.0)
+            seen = await condition(fleet=fleet)
+        if seen == "complete":
+            for backend in old:
+                await platform.remove(backend=backend)
+        record.note(f"v2, {time.monotonic() - ordered:.0f} s after its order: {seen}")
+        order = {"Service": SERVICE, "TargetVersion": "v3", "OverS": OVER_S}
+        answer = await fleet.order(path="/api/Rollouts.Begin", body=order, for_s=ACK_WITHIN_S)
+        record.note(f"order of v3: {answer.status} {answer.body!r}")
         stop.set()
         await asyncio.gather(*clients)
-        return 1 if late else 0
+        record.note(f"{statuses.count(200)} of {len(statuses)} requests were served")
+        return 0 if answer.status == 200 else 1
     finally:
         stop.set()
         fleet.close()
