Review: the cases record each request and answer of their clients

record.txt has what clients sent and got, beside the orders and runs. What the scripts judge is as before.

--- a/review/6/case.py
+++ b/review/6/case.py
@@ -33,13 +33,11 @@
         began = time.monotonic()
         for _ in range(2):
             count += 1
-            answer = await kit.call(
-                ip=random.choice(fleet.machines).ip,
-                port=fleet.front,
-                method="GET",
+            answer = await fleet.ask(
+                machine=random.choice(fleet.machines),
+                request_id=f"{number:04x}{count:012x}",
                 path="/proof/a",
-                headers={"X-Attempt-Id": f"{number:04x}{count:012x}", "X-Deadline-Ms": "2500"},
-                wait_s=2.8,
+                deadline_ms=2500,
             )
             if answer.status == 200:
                 break
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -23,13 +23,8 @@
 
     async def one(request_id: str, machine: kit.Machine) -> None:
         answers.append(
-            await kit.call(
-                ip=machine.ip,
-                port=fleet.front,
-                method="GET",
-                path="/proof/a",
-                headers={"X-Attempt-Id": request_id, "X-Deadline-Ms": "2500"},
-                wait_s=2.5,
+            await fleet.ask(
+                machine=machine, request_id=request_id, path="/proof/a", deadline_ms=2500
             )
         )
 
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -26,13 +26,11 @@
     count = 0
     while not stop.is_set():
         count += 1
-        answer = await kit.call(
-            ip=random.choice(fleet.machines).ip,
-            port=fleet.front,
-            method="GET",
+        answer = await fleet.ask(
+            machine=random.choice(fleet.machines),
+            request_id=f"{number:04x}{count:012x}",
             path="/proof/a",
-            headers={"X-Attempt-Id": f"{number:04x}{count:012x}", "X-Deadline-Ms": "2500"},
-            wait_s=2.8,
+            deadline_ms=2500,
         )
         statuses.append(answer.status)
         await asyncio.sleep(0.1)
--- a/review/kit-2/fleet.py
+++ b/review/kit-2/fleet.py
@@ -256,6 +256,30 @@
             wait_s=1.0,
         )
 
+    async def ask(
+        self,
+        *,
+        machine: Machine,
+        request_id: str,
+        path: str,
+        deadline_ms: int,
+        method: str = "GET",
+        body: bytes = b"",
+    ) -> Answer:
+        """One request of a client, on a new connection; what is sent and answered is recorded."""
+        self.record.note(f"client sends {request_id} to {machine.name}")
+        answer = await call(
+            ip=machine.ip,
+            port=self.front,
+            method=method,
+            path=path,
+            headers={"X-Attempt-Id": request_id, "X-Deadline-Ms": str(deadline_ms)},
+            body=body,
+            wait_s=deadline_ms / 1000 + 0.3,
+        )
+        self.record.note(f"client gets {answer.status} {answer.why} for {request_id}")
+        return answer
+
     async def order(
         self, *, path: str, body: Any, base: int | None = None, for_s: float = 5.0
     ) -> Answer:
