Testbed draws several orders of rollouts for one service, and checks that each one ends

No drawn scenario ordered a version in place, an earlier or a reverted one: each version had a new name, and nothing checked that a rollout ends.

New rules, each with a planted violation: ENDS rollout, SERVED rollout, and LOST rollout for an acknowledged order that reads as another one. EXPOSURE counts a bad version that is ordered again from each of its orders on.

--- a/kelpstage/testbed/platform_model/faults/__init__.py
+++ b/kelpstage/testbed/platform_model/faults/__init__.py
@@ -15,6 +15,7 @@
     machines,
     membership,
     network,
+    rollout_histories,
     rollouts,
     write_races,
 )
@@ -78,6 +79,8 @@
     rollouts.rollout_one_kind,
     rollouts.rollout_late,
     rollouts.rollout_answers_lost,
+    rollout_histories.rollout_history,
+    machines.clock_steps,
 )
 _REGISTERED_CLOSING: tuple[Fault, ...] = (
     closing.closing_power,
--- a/kelpstage/testbed/platform_model/faults/machines.py
+++ b/kelpstage/testbed/platform_model/faults/machines.py
@@ -9,6 +9,8 @@
 from kelpstage.testbed.platform_model.faults.configuration import config_change
 from kelpstage.testbed.platform_model.faults.timing import sleep
 
+WALL_STEPS_US = (-3_600_000_000, -10_000_000, 0, 10_000_000, 3_600_000_000)
+
 
 def _machines_without_disk(play: Any) -> list:
     return [node for node in play.fleet.provisioned() if not node.has_disk]
@@ -68,6 +70,14 @@
         play.later(play.fleet.kill(node=node, roles=("core",), for_us=0))
 
 
+async def clock_steps(play: Any, rand: random.Random) -> None:
+    """The wall clocks of the core machines are stepped, each by another amount, repeatedly."""
+    for _ in range(5):
+        for node in play.fleet.core():
+            node.machine.wall_offset_us = rand.choice(WALL_STEPS_US)
+        await sleep(s=1 + rand.random() * 4)
+
+
 async def losses_overlap(play: Any, rand: random.Random) -> None:
     """All core machines lose power at staggered times, so that more of them are down at once
     than the tolerance allows; the number of lost disks stays within the tolerance."""
--- a/kelpstage/testbed/platform_model/faults/rollouts.py
+++ b/kelpstage/testbed/platform_model/faults/rollouts.py
@@ -54,6 +54,27 @@
     await _rollout(play, rand, fault=None)
 
 
+def target_instances(
+    play: Any, *, old: list[Backend], order: RolloutOrder, fault: VersionFault | None
+) -> list[Backend]:
+    """Start an instance of the target version beside each old one."""
+    return [
+        play.backend_pool.start(
+            service=backend.service,
+            zone=backend.zone,
+            revision=order.target,
+            version_fault=fault,
+        )
+        for backend in old
+    ]
+
+
+def drain_all(play: Any, *, backends: list[Backend]) -> None:
+    """Drain these instances."""
+    for backend in backends:
+        play.backend_pool.drain(backend=backend)
+
+
 async def _rollout(play: Any, rand: random.Random, *, fault: VersionFault | None) -> None:
     """Order a rollout of one shard, and start and stop backends as the platform does."""
     service = rand.choice(next(d for d in play.drafts.routes.values() if d.fan_out).fan_out)
@@ -67,12 +88,12 @@
     )
     old = play.backend_pool.active_instances(service=service)
     starts_early = rand.random() < 0.5
-    new = _start_target(play, old=old, order=order, fault=fault) if starts_early else []
+    new = target_instances(play, old=old, order=order, fault=fault) if starts_early else []
     await play.rollout_operator.begin(order=order)
     if not order.acked_us:
-        _drain(play, backends=new)
+        drain_all(play, backends=new)
         return
-    new = new or _start_target(play, old=old, order=order, fault=fault)
+    new = new or target_instances(play, old=old, order=order, fault=fault)
     await play.rollout_operator.watch(order=order, until_us=order.term_us + WATCH_AFTER_TERM_US)
     play.later(play.rollout_operator.read_again(order=order))
     if order.complete_us:
@@ -81,24 +102,4 @@
                 play.backend_pool.stop(backend=backend)
     if order.reverted_us:
         await sleep(s=DRAIN_DELAY_S)
-        _drain(play, backends=new)
-
-
-def _start_target(
-    play: Any, *, old: list[Backend], order: RolloutOrder, fault: VersionFault | None
-) -> list[Backend]:
-    """Start an instance of the target version beside each old one."""
-    return [
-        play.backend_pool.start(
-            service=backend.service,
-            zone=backend.zone,
-            revision=order.target,
-            version_fault=fault,
-        )
-        for backend in old
-    ]
-
-
-def _drain(play: Any, *, backends: list[Backend]) -> None:
-    for backend in backends:
-        play.backend_pool.drain(backend=backend)
+        drain_all(play, backends=new)
--- a/kelpstage/testbed/platform_model/history.py
+++ b/kelpstage/testbed/platform_model/history.py
@@ -124,7 +124,12 @@
 
     `condition` is the last one that was read, and the two times are those of the first read of
     each final condition. `read_back` is the target that the last read of the scenario named,
-    `None` if no read was answered with 200.
+    `None` if no read was answered with 200. `other_targets` are those that reads named which were
+    sent after the acknowledgement and before another order of the service.
+
+    With `has_fewer_instances` fewer instances of the target were started than there are old ones,
+    or some were lost for good, so either final condition is right. `is_alone`: the scenario has
+    no other fault.
     """
 
     key: str
@@ -143,6 +148,14 @@
     complete_us: int = 0
     reverted_us: int = 0
     read_back: str | None = None
+    other_targets: list[str] = field(default_factory=list)
+    has_fewer_instances: bool = False
+    is_alone: bool = False
+
+    @property
+    def final_us(self) -> int:
+        """When a final condition was first read; 0 if none was."""
+        return self.complete_us or self.reverted_us
 
     @property
     def term_us(self) -> int:
--- a/kelpstage/testbed/platform_model/rollout_operator.py
+++ b/kelpstage/testbed/platform_model/rollout_operator.py
@@ -74,14 +74,22 @@
 
         Returns the target that the reply names, or `None` without a reply of status 200.
         """
+        sent_us = self._world.now_us()
         reply = await self._operator.call_any(method="GET", path=f"{READ_PATH}/{order.service}")
         if not isinstance(reply, HttpReply) or reply.status != 200:
             return None
         found = json.loads(reply.body)
         if found["TargetVersion"] == order.target:
             self._record(order=order, condition=found["Condition"])
+        elif 0 < order.acked_us <= sent_us and self._is_newest(order=order):
+            order.other_targets.append(str(found["TargetVersion"]))
         return str(found["TargetVersion"])
 
+    def _is_newest(self, *, order: RolloutOrder) -> bool:
+        """True if no other order of the service was sent after this one."""
+        same = [known for known in self._history.rollouts if known.service == order.service]
+        return same[-1] is order
+
     def _record(self, *, order: RolloutOrder, condition: str) -> None:
         order.condition = condition
         if not order.conditions or order.conditions[-1] != condition:
--- a/kelpstage/testbed/platform_model/rules/register.py
+++ b/kelpstage/testbed/platform_model/rules/register.py
@@ -51,6 +51,8 @@
     "LOST version": rollouts.cut_by_completion,
     "ACKS rollout": rollouts.acks,
     "DUTY rollout": rollouts.duty,
+    "ENDS rollout": rollouts.ends,
+    "SERVED rollout": rollouts.served,
 }
 
 
--- a/kelpstage/testbed/platform_model/rules/rollouts.py
+++ b/kelpstage/testbed/platform_model/rules/rollouts.py
@@ -9,6 +9,10 @@
 
 FINAL_CONDITIONS = frozenset(("complete", "reverted"))
 BAD_ANSWERS = 50  # after this many, the time to the last request runs
+END_SLACK_US = 20_000_000  # after the term: four steps, each held for five seconds at most
+REFERENCE_S = 4  # before an order, to count the requests that its service gets
+MIN_REQUESTS = 20
+OUTAGE_US = 2_000_000
 
 
 def exposure(history: History) -> list[Violation]:
@@ -24,10 +28,20 @@
 
 
 def _arrivals_at_target(*, history: History, order: RolloutOrder) -> list[Arrival]:
+    """The arrivals at the target from this order on, until the target is ordered again."""
+    again = [
+        other.sent_us
+        for other in history.rollouts
+        if (other.service, other.target) == (order.service, order.target)
+        and other.sent_us > order.sent_us
+    ]
+    until_us = min(again, default=history.end_us + 1)
     return [
         arrival
         for arrival in history.arrivals
-        if arrival.service == order.service and arrival.revision == order.target
+        if arrival.service == order.service
+        and arrival.revision == order.target
+        and order.sent_us <= arrival.at_us < until_us
     ]
 
 
@@ -66,8 +80,8 @@
 
 
 def lost(history: History) -> list[Violation]:
-    """The last read does not name the newest acknowledged rollout of a service, or a final
-    condition was read and another one after it."""
+    """The last read does not name the newest acknowledged rollout of a service, an earlier one
+    names another target, or a final condition was read and another one after it."""
     newest = {order.service: order for order in history.rollouts if order.acked_us}
     returned = [
         Violation(
@@ -78,7 +92,16 @@
         for order in history.rollouts
         if set(order.conditions[:-1]) & FINAL_CONDITIONS
     ]
-    return returned + [
+    replaced = [
+        Violation(
+            rule="LOST rollout",
+            why=f"{order.key} of {order.service} to {order.target}: {order.other_targets[0]} read",
+            at_us=order.acked_us,
+        )
+        for order in history.rollouts
+        if order.other_targets
+    ]
+    return [*returned, *replaced] + [
         Violation(
             rule="LOST rollout",
             why=f"{order.service} was ordered to {order.target}, the last read: {order.read_back}",
@@ -122,6 +145,8 @@
     touch = CoreContact(history=history)
     out = []
     for order in history.rollouts:
+        if order.has_fewer_instances:
+            continue
         if order.term_us > history.end_us or not touch.is_calm_day(
             begin_us=order.sent_us, end_us=order.term_us
         ):
@@ -132,3 +157,48 @@
             why = f"{order.key} of {order.service} was not {wanted} by its term"
             out.append(Violation(rule="DUTY rollout", why=why, at_us=order.term_us))
     return out
+
+
+def ends(history: History) -> list[Violation]:
+    """An acknowledged rollout has no final condition after its term and `END_SLACK_US`, within
+    one undisturbed span."""
+    touch, out = CoreContact(history=history), []
+    for order in history.rollouts:
+        if not order.acked_us:
+            continue
+        span_us = order.over_us + END_SLACK_US + history.bounds.drain_us
+        begin_us = first_undisturbed_span(
+            history=history,
+            touch=touch,
+            sent_us=order.acked_us,
+            until_us=order.final_us or history.end_us,
+            lost_us=[],
+            span_us=span_us,
+        )
+        if begin_us is not None:
+            why = f"{order.key} of {order.service} was {order.condition} after {span_us} us"
+            out.append(Violation(rule="ENDS rollout", why=why, at_us=begin_us + span_us))
+    return out
+
+
+def served(history: History) -> list[Violation]:
+    """A service gets less than a quarter of its requests for `OUTAGE_US` while a rollout of it
+    is under way, although no other fault disturbs it."""
+    out = []
+    for order in history.rollouts:
+        if not (order.is_alone and order.acked_us) or order.has_fewer_instances:
+            continue
+        times = sorted(a.at_us for a in history.arrivals if a.service == order.service)
+        earlier_us = order.sent_us - REFERENCE_S * 1_000_000
+        before = sum(earlier_us <= at_us < order.sent_us for at_us in times)
+        if before < MIN_REQUESTS:
+            continue
+        wanted = before * OUTAGE_US / (REFERENCE_S * 1_000_000) / 4
+        end_us = order.final_us or order.term_us
+        for begin_us in range(order.acked_us, end_us - OUTAGE_US, OUTAGE_US // 2):
+            found = sum(begin_us <= at_us < begin_us + OUTAGE_US for at_us in times)
+            if found < wanted:
+                why = f"{order.key} of {order.service}: {found} requests in {OUTAGE_US} us"
+                out.append(Violation(rule="SERVED rollout", why=why, at_us=begin_us))
+                break
+    return out
--- a/kelpstage/testbed/simulation/world.py
+++ b/kelpstage/testbed/simulation/world.py
@@ -28,12 +28,16 @@
 
 @dataclass(kw_only=True)
 class Machine:
-    """A host in a zone, with a disk; `is_on` is false while it has no power."""
+    """A host in a zone, with a disk; `is_on` is false while it has no power.
+
+    `wall_offset_us` is how far its wall clock was stepped.
+    """
 
     name: str
     zone: str
     disk_image: DiskImage
     is_on: bool = True
+    wall_offset_us: int = 0
 
 
 class SimClock:
@@ -47,8 +51,9 @@
         return self._process.world.now_us()
 
     def wall_us(self) -> int:
-        """Return a wall-clock time in microseconds: a fixed start plus the virtual time."""
-        return 1_700_000_000_000_000 + self.now_us()
+        """Return a wall-clock time in microseconds: a fixed start plus the virtual time, and how
+        far the machine's clock was stepped."""
+        return 1_700_000_000_000_000 + self.now_us() + self._process.machine.wall_offset_us
 
     async def sleep(self, *, us: int) -> None:
         """Wait for a duration, and until the process is not frozen."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -790,7 +790,7 @@
 
 
 def bad_rollout(**more) -> RolloutOrder:
-    return rollout(is_bad=True, complete_us=0, reverted_us=60 * S, **more)
+    return rollout(**{"is_bad": True, "complete_us": 0, "reverted_us": 60 * S, **more})
 
 
 def add_arrivals_at_target(history: History, *, count: int, since_us: int, until_us: int) -> None:
@@ -849,6 +849,24 @@
     history.rollouts = [rollout(is_bad=True)]
 
 
+@violates("LOST rollout")
+def an_acknowledged_order_is_read_as_an_earlier_one(history):
+    history.rollouts = [rollout(other_targets=["v1"])]
+
+
+@violates("ENDS rollout")
+def a_rollout_is_still_rolling_long_after_its_term(history):
+    history.end_us = 120 * S
+    history.rollouts = [rollout(complete_us=0, condition="rolling", has_fewer_instances=True)]
+
+
+@violates("SERVED rollout")
+def a_service_gets_no_requests_while_its_rollout_is_under_way(history):
+    history.rollouts = [rollout(is_alone=True)]
+    for number in range(40):
+        add(history, attempt=f"q{number}", target="/one/x", sent_us=46 * S + number * S // 10)
+
+
 class Planted(unittest.TestCase):
     def test_a_clean_history_breaks_no_rule(self):
         self.assertEqual(find_violations(history=clean_history()), [])
@@ -881,6 +899,22 @@
         history.rollouts = [rollout(), bad_rollout(key="rollout-3", service="p")]
         self.assertEqual([], find_violations(history=history))
 
+    def test_the_same_bad_version_ordered_again_is_counted_from_its_own_order(self):
+        history = clean_history()
+        history.rollouts = [
+            bad_rollout(sent_us=20 * S, acked_us=20 * S, reverted_us=25 * S),
+            bad_rollout(key="rollout-3"),
+        ]
+        add_arrivals_at_target(history, count=45, since_us=21 * S, until_us=25 * S)
+        add_arrivals_at_target(history, count=45, since_us=51 * S, until_us=55 * S)
+        self.assertNotIn("EXPOSURE", self.violated_rules(history))
+
+    def test_a_rollout_that_ends_late_for_lost_instances_is_allowed(self):
+        history = clean_history()
+        lost = {"complete_us": 0, "reverted_us": 80 * S, "has_fewer_instances": True}
+        history.rollouts = [rollout(**lost)]
+        self.assertEqual([], find_violations(history=history))
+
     def test_a_bad_version_may_receive_a_tenth_of_the_requests_and_fifty(self):
         history = clean_history()
         history.rollouts = [bad_rollout()]
