--- a/kelpstage/common/settings/bounds.py
+++ b/kelpstage/common/settings/bounds.py
@@ -23,6 +23,7 @@
     revert_us: int = 250_000  # from a request under a new version to the last under the old one
     touch_us: int = 4_000_000  # time that a machine is up and reachable before it is relied on
     grace_us: int = 6_000_000  # from the stop request to the exit of the process
+    ack_within_us: int = 8_000_000  # an order of a rollout may be sent again for so long
     recovery_us: int = 12_000_000  # from the return of the machines until they serve again
     retry_ratio: float | None = None  # retries per first attempt; None: the budget's own ratio
     retry_window_us: int = 10_000_000
--- a/kelpstage/common/settings/loading.py
+++ b/kelpstage/common/settings/loading.py
@@ -42,6 +42,7 @@
             "revert_us",
             "touch_us",
             "grace_us",
+            "ack_within_us",
             "recovery_us",
             "retry_window_us",
         )
--- a/kelpstage/common/transport/messages/rollouts.py
+++ b/kelpstage/common/transport/messages/rollouts.py
@@ -15,8 +15,9 @@
     """The newest rollout of one service, as replicated and as installed by edges.
 
     `condition` is a `RolloutCondition`. `share` is the part of the service's requests that may go
-    to version `target`, in thousandths. `number` is the epoch of the order. Times are the leader's
-    time of day in microseconds.
+    to version `target`, in thousandths. `number` is the epoch of the order. `elapsed_us` is the
+    least time that had passed since the order at the last change, by clocks that are never stepped.
+    The other times are the leader's time of day in microseconds, for display only.
     """
 
     service: str = bp.string_field(1)
@@ -29,6 +30,7 @@
     begun_us: int = bp.uint64_field(8)
     changed_us: int = bp.uint64_field(9)
     reverted: List[str] = bp.string_field(10)  # earlier targets that may not be used, oldest first
+    elapsed_us: int = bp.uint64_field(11)
 
 
 @dataclass
@@ -50,7 +52,8 @@
     """From an edge to the leader, in `Renew`: its counts for one rollout since the edge started.
 
     `targets` and `others` are the numbers of listed instances of either kind, `others_in_flight`
-    the requests in flight to the others, and `failing` the target instances that failed.
+    the requests in flight to the others, and `failing` the target instances that failed. `age_us`
+    is the time since this edge installed the order.
     """
 
     number: int = bp.uint64_field(1)
@@ -59,3 +62,4 @@
     others: int = bp.uint32_field(4)
     others_in_flight: int = bp.uint32_field(5)
     failing: List[str] = bp.string_field(6)
+    age_us: int = bp.uint64_field(7)
--- a/kelpstage/core/rollouts/controller.py
+++ b/kelpstage/core/rollouts/controller.py
@@ -14,6 +14,7 @@
 from kelpstage.core.events import RolloutMoved
 from kelpstage.core.leases.epoch_changes import EpochChanges
 from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.rollouts.order_ages import OrderAges
 from kelpstage.core.rollouts.reports import RolloutEvidence, RolloutReports
 from kelpstage.core.rollouts.schedule import RolloutChange, StepProgress, next_change
 from kelpstage.core.state.commands import ChangeRollout, Command
@@ -47,12 +48,14 @@
         journal: Journal,
         task: ReplicaTask,
         epoch_changes: EpochChanges,
+        ages: OrderAges,
         bounds: Bounds,
     ) -> None:
         self._ports = ports
         self._journal = journal
         self._task = task
         self._epoch_changes = epoch_changes
+        self._ages = ages
         self._bounds = bounds
         self._steps: dict[int, StepStart] = {}
         self._is_running = False
@@ -126,7 +129,7 @@
             rollout=rollout,
             evidence=evidence,
             progress=StepProgress(
-                elapsed_us=max(0, self._ports.clock.wall_us() - rollout.begun_us),
+                elapsed_us=self._elapsed_us(rollout=rollout, evidence=evidence),
                 held_us=self._ports.clock.now_us() - step.at_us,
                 target_answers=evidence.target_answers - step.target_answers,
                 other_answers=evidence.other_answers - step.other_answers,
@@ -134,9 +137,17 @@
             drain_us=self._bounds.drain_us,
             bad_traffic_share=self._bounds.bad_traffic_share,
         )
-        return None if change is None else self._command(rollout=rollout, change=change)
+        if change is None:
+            return None
+        elapsed_us = self._elapsed_us(rollout=rollout, evidence=evidence)
+        return self._command(rollout=rollout, change=change, elapsed_us=elapsed_us)
+
+    def _elapsed_us(self, *, rollout: RolloutState, evidence: RolloutEvidence) -> int:
+        """The least time since the order: the edges go on counting while cores restart."""
+        elapsed_us = self._ages.elapsed_us(rollout=rollout, now_us=self._ports.clock.now_us())
+        return max(elapsed_us, evidence.age_us)
 
-    def _command(self, *, rollout: RolloutState, change: RolloutChange) -> Command:
+    def _command(self, *, rollout: RolloutState, change: RolloutChange, elapsed_us: int) -> Command:
         return Command(
             change_rollout=ChangeRollout(
                 service=rollout.service,
@@ -145,6 +156,7 @@
                 share=change.share,
                 why=change.why,
                 at_us=self._ports.clock.wall_us(),
+                elapsed_us=elapsed_us,
             )
         )
 
--- a/kelpstage/core/rollouts/orders.py
+++ b/kelpstage/core/rollouts/orders.py
@@ -8,14 +8,22 @@
 from kelpstage.common.errors.control import RolloutUnderWayError, WriteUnresolvedError
 from kelpstage.common.event_journal import Journal
 from kelpstage.common.ports.interfaces import Ports
+from kelpstage.common.transport.messages import RolloutState
 from kelpstage.core.events import RolloutOrdered
 from kelpstage.core.leases.epoch_settlement import EpochSettlement
 from kelpstage.core.leases.leader_confirmation import CONFIRM_TIMEOUT_US
 from kelpstage.core.leases.write_readiness import WriteReadiness
 from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.rollouts.order_ages import OrderAge, OrderAges
+from kelpstage.core.rollouts.repetitions import (
+    NewOrder,
+    OrderDecision,
+    OtherRollout,
+    RepeatedOrder,
+    decide_order,
+)
 from kelpstage.core.state.commands import BeginRollout, Command
-from kelpstage.core.state.outcomes import RolloutBegun, RolloutUnderWay
-from kelpstage.core.state.rollouts import begun_before
+from kelpstage.core.state.outcomes import RolloutBegun, RolloutSuperseded, RolloutUnderWay
 
 MIN_ORDER_TIMEOUT_US = 10_000_000  # of one order, even if its caller waits for less
 OrderContent = tuple[str, str, int]  # service, target, duration
@@ -36,12 +44,17 @@
         task: ReplicaTask,
         settlement: EpochSettlement,
         readiness: WriteReadiness,
+        ages: OrderAges,
+        repeat_within_us: int,
     ) -> None:
+        """`repeat_within_us` is how long an operator may send an order again."""
         self._ports = ports
         self._journal = journal
         self._task = task
         self._settlement = settlement
         self._readiness = readiness
+        self._ages = ages
+        self._repeat_within_us = repeat_within_us
         self._running: dict[OrderContent, asyncio.Future[RolloutBegun | KelpstageError]] = {}
 
     async def begin(
@@ -95,29 +108,58 @@
             error: KelpstageError | None = await self._task.confirm(wait_us=CONFIRM_TIMEOUT_US)
             if error is not None:
                 return error
-            repeated = begun_before(state=self._task.machine.state, order=order)
-            if repeated is not None:
-                return repeated
+            decision = self._decision(order=order)
+            if isinstance(decision, RepeatedOrder):
+                return RolloutBegun(number=decision.number)
+            if not isinstance(decision, NewOrder):
+                return _error_of(decision=decision, service=order.service)
             error = await self._readiness.check(deadline_us=deadline_us)
             if error is not None:
                 return error
-            self._ports.failpoint("core.before_propose")
-            outcome = await self._task.propose(
-                data=bytes(Command(begin_rollout=order)),
-                put_id="",
-                wait_us=max(0, deadline_us - self._ports.clock.now_us()),
+            order.is_new, order.follows = True, decision.follows
+            return await self._propose(order=order, deadline_us=deadline_us)
+
+    def _decision(self, *, order: BeginRollout) -> OrderDecision:
+        state, now_us = self._task.machine.state, self._ports.clock.now_us()
+
+        def age_of(rollout: RolloutState) -> OrderAge:
+            return self._ages.age(
+                state=state, service=rollout.service, number=rollout.number, now_us=now_us
             )
-            if isinstance(outcome, RolloutUnderWay):
-                return RolloutUnderWayError(service=order.service, target=outcome.target)
-            if isinstance(outcome, RolloutBegun):
-                self._journal.add(
-                    RolloutOrdered(
-                        service=order.service, target=order.target, over_us=order.over_us
-                    )
-                )
-                # The next change waits until this one is settled.
-                await self._settlement.wait_settled(
-                    epoch=outcome.number,
-                    wait_us=max(0, deadline_us - self._ports.clock.now_us()),
-                )
+
+        return decide_order(
+            state=state, order=order, age_of=age_of, repeat_within_us=self._repeat_within_us
+        )
+
+    async def _propose(
+        self, *, order: BeginRollout, deadline_us: int
+    ) -> RolloutBegun | KelpstageError:
+        """Replicate a new order, and wait until its epoch is settled, for the next change."""
+        self._ports.failpoint("core.before_propose")
+        outcome = await self._task.propose(
+            data=bytes(Command(begin_rollout=order)),
+            put_id="",
+            wait_us=max(0, deadline_us - self._ports.clock.now_us()),
+        )
+        if isinstance(outcome, RolloutUnderWay):
+            return RolloutUnderWayError(service=order.service, target=outcome.target)
+        if isinstance(outcome, RolloutSuperseded):
+            return WriteUnresolvedError(put_id="", why="another order was taken first")
+        if not isinstance(outcome, RolloutBegun):
             return outcome  # type: ignore[no-any-return]
+        self._ages.note_taken(number=outcome.number, now_us=self._ports.clock.now_us())
+        self._journal.add(
+            RolloutOrdered(service=order.service, target=order.target, over_us=order.over_us)
+        )
+        await self._settlement.wait_settled(
+            epoch=outcome.number, wait_us=max(0, deadline_us - self._ports.clock.now_us())
+        )
+        return outcome
+
+
+def _error_of(*, decision: OrderDecision, service: str) -> KelpstageError:
+    """The error for an order that is not taken now."""
+    if isinstance(decision, OtherRollout):
+        return RolloutUnderWayError(service=service, target=decision.target)
+    why = getattr(decision, "why", "")
+    return WriteUnresolvedError(put_id="", why=f"{why}; retry")
--- a/kelpstage/core/rollouts/reports.py
+++ b/kelpstage/core/rollouts/reports.py
@@ -28,7 +28,8 @@
     """The answers of both sides by route, and what the edges see of the instances.
 
     `targets` and `others` are the most instances that a recent report lists. `is_drained` is
-    true if no recently reporting edge has a request in flight to another version.
+    true if no recently reporting edge has a request in flight to another version. `age_us` is the
+    least time since the order that the reports show.
     """
 
     target: dict[str, VersionTotals] = field(default_factory=dict)
@@ -37,6 +38,7 @@
     targets: int = 0
     others: int = 0
     is_drained: bool = False
+    age_us: int = 0
 
     @property
     def target_answers(self) -> int:
@@ -98,6 +100,7 @@
             if report is None:
                 continue
             _add_counts(evidence=out, report=report)
+            out.age_us = max(out.age_us, report.age_us + now_us - edge.at_us)
             if now_us - edge.at_us > RECENT_US:
                 continue
             recent += 1
--- a/kelpstage/core/state/commands.py
+++ b/kelpstage/core/state/commands.py
@@ -93,20 +93,25 @@
 class BeginRollout(bp.Message):
     """An order to move the traffic of a service to version `target`, within `over_us`.
 
-    `at_us` is the leader's time of day, in microseconds.
+    `at_us` is the leader's time of day, in microseconds. With `is_new` the leader has established
+    that this is no repetition of an order that was taken; `follows` is the number of the service's
+    newest rollout then, 0 if it had none. Orders in logs of version 0.1.0 lack both.
     """
 
     service: str = bp.string_field(1)
     target: str = bp.string_field(2)
     over_us: int = bp.uint64_field(3)
     at_us: int = bp.uint64_field(4)
+    is_new: bool = bp.bool_field(5)
+    follows: int = bp.uint64_field(6)
 
 
 @dataclass
 class ChangeRollout(bp.Message):
     """Raises the share of a rolling rollout, or ends it; `number` identifies the rollout.
 
-    `condition` is a `RolloutCondition`, `share` in thousandths, `at_us` the leader's time of day.
+    `condition` is a `RolloutCondition`, `share` in thousandths, `at_us` the leader's time of day,
+    and `elapsed_us` the least time that has passed since the order.
     """
 
     service: str = bp.string_field(1)
@@ -115,6 +120,7 @@
     share: int = bp.uint32_field(4)
     why: str = bp.string_field(5)
     at_us: int = bp.uint64_field(6)
+    elapsed_us: int = bp.uint64_field(7)
 
 
 @dataclass
--- a/kelpstage/core/state/outcomes.py
+++ b/kelpstage/core/state/outcomes.py
@@ -75,6 +75,13 @@
     target: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class RolloutSuperseded:
+    """The service has a newer rollout than the leader saw: the order did nothing."""
+
+    service: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class RolloutChanged:
     """The rollout was changed, under this epoch."""
@@ -90,7 +97,9 @@
 PutOutcome = (
     PutApplied | PutSuperseded | PutNotAbove | PutIdTaken | PutOutcomeUnknown | PutDeltaMismatch
 )
-RolloutOutcome = RolloutBegun | RolloutUnderWay | RolloutChanged | RolloutUnchanged
+RolloutOutcome = (
+    RolloutBegun | RolloutUnderWay | RolloutSuperseded | RolloutChanged | RolloutUnchanged
+)
 
 
 def outcome_of(*, record: RequestRecord) -> PutApplied | PutSuperseded | PutNotAbove:
--- a/kelpstage/core/state/rollouts.py
+++ b/kelpstage/core/state/rollouts.py
@@ -14,56 +14,78 @@
 from kelpstage.core.state.outcomes import (
     RolloutBegun,
     RolloutChanged,
+    RolloutSuperseded,
     RolloutUnchanged,
     RolloutUnderWay,
 )
 from kelpstage.core.state.replicated_state import CoreState
 
-REPEAT_WINDOW_US = 60_000_000  # an equal order within this time after the last change is a repeat
+# Of orders in logs of version 0.1.0: an equal order within this time, by the leaders' times of
+# day, after the last change is a repetition.
+LEGACY_REPEAT_WINDOW_US = 60_000_000
 PAST_ROLLOUTS_KEPT = 256
 REVERTED_VERSIONS_KEPT = 16  # of a service
 
+BeginOutcome = RolloutBegun | RolloutUnderWay | RolloutSuperseded
+
 
 def rollout_of(*, state: CoreState, service: str) -> RolloutState | None:
     """The newest rollout of a service; None if there was none."""
     return next((known for known in state.rollouts if known.service == service), None)
 
 
-def begun_before(*, state: CoreState, order: BeginRollout) -> RolloutBegun | None:
-    """The outcome of an order that is a repeat of one that was taken, else None.
+def rollouts_of(*, state: CoreState, service: str) -> list[RolloutState]:
+    """The known rollouts of a service, newest first."""
+    known = [*state.past_rollouts, *state.rollouts]
+    return [rollout for rollout in reversed(known) if rollout.service == service]
 
-    An operator who got no answer sends an order again for a limited time. Later, the same content
-    is a new order.
-    """
-    for known in reversed([*state.past_rollouts, *state.rollouts]):
-        is_equal = (known.service, known.target, known.over_us) == (
-            order.service,
-            order.target,
-            order.over_us,
-        )
-        is_rolling = known.condition == RolloutCondition.ROLLING
-        is_recent = order.at_us < known.changed_us + REPEAT_WINDOW_US
-        if is_equal and (is_rolling or is_recent):
-            return RolloutBegun(number=known.number)
-    return None
 
+def has_content(*, rollout: RolloutState, order: BeginRollout) -> bool:
+    """True if an order has the content of the one that began this rollout."""
+    content = (rollout.service, rollout.target, rollout.over_us)
+    return content == (order.service, order.target, order.over_us)
 
-def begin_rollout(*, state: CoreState, order: BeginRollout) -> RolloutBegun | RolloutUnderWay:
+
+def begin_rollout(*, state: CoreState, order: BeginRollout) -> BeginOutcome:
     """Begin a rollout with no share yet, unless another one of the service is rolling.
 
+    The leader decides whether an order is a repetition (`core/rollouts/repetitions.py`); here an
+    order is only refused if the service has another newest rollout than the leader saw.
+
     >>> state = CoreState(epoch=4, membership=["e"])
-    >>> order = BeginRollout(service="s", target="v2", over_us=9)
+    >>> order = BeginRollout(service="s", target="v2", over_us=9, is_new=True)
     >>> begin_rollout(state=state, order=order), begin_rollout(state=state, order=order)
     (RolloutBegun(number=5), RolloutBegun(number=5))
-    >>> begin_rollout(state=state, order=BeginRollout(service="s", target="v3"))
+    >>> begin_rollout(state=state, order=BeginRollout(service="s", target="v3", is_new=True))
     RolloutUnderWay(target='v2')
     """
-    repeated = begun_before(state=state, order=order)
-    if repeated is not None:
-        return repeated
+    if not order.is_new:
+        return _begin_legacy(state=state, order=order)
     known = rollout_of(state=state, service=order.service)
     if known is not None and known.condition == RolloutCondition.ROLLING:
+        if has_content(rollout=known, order=order):
+            return RolloutBegun(number=known.number)
         return RolloutUnderWay(target=known.target)
+    if order.follows != (known.number if known else 0):
+        return RolloutSuperseded(service=order.service)
+    return _begin(state=state, order=order, known=known)
+
+
+def _begin_legacy(*, state: CoreState, order: BeginRollout) -> BeginOutcome:
+    """Apply an order of version 0.1.0 as that version did, so that its logs are read alike."""
+    for earlier in reversed([*state.past_rollouts, *state.rollouts]):
+        is_rolling = earlier.condition == RolloutCondition.ROLLING
+        is_recent = order.at_us < earlier.changed_us + LEGACY_REPEAT_WINDOW_US
+        if has_content(rollout=earlier, order=order) and (is_rolling or is_recent):
+            return RolloutBegun(number=earlier.number)
+    known = rollout_of(state=state, service=order.service)
+    if known is not None and known.condition == RolloutCondition.ROLLING:
+        return RolloutUnderWay(target=known.target)
+    return _begin(state=state, order=order, known=known)
+
+
+def _begin(*, state: CoreState, order: BeginRollout, known: RolloutState | None) -> RolloutBegun:
+    """Begin a rollout in place of the service's newest one, `known`, which has ended."""
     _begin_epoch(state=state)
     begun = RolloutState(
         service=order.service,
@@ -95,7 +117,8 @@
     """Raise the share of a rolling rollout, or end it.
 
     >>> state = CoreState()
-    >>> _ = begin_rollout(state=state, order=BeginRollout(service="s", target="v2", over_us=9))
+    >>> order = BeginRollout(service="s", target="v2", over_us=9, is_new=True)
+    >>> _ = begin_rollout(state=state, order=order)
     >>> change = ChangeRollout(service="s", number=1, share=50)
     >>> [change_rollout(state=state, change=change) for _ in range(2)]
     [RolloutChanged(epoch=2), RolloutUnchanged()]
@@ -120,6 +143,7 @@
         share=share,
         why=change.why,
         changed_us=change.at_us,
+        elapsed_us=max(known.elapsed_us, change.elapsed_us),
     )
     _set_rollout(state=state, rollout=changed)
     return RolloutChanged(epoch=state.epoch)
--- a/kelpstage/edge/app.py
+++ b/kelpstage/edge/app.py
@@ -223,6 +223,7 @@
             rollout_reports=self.registry.version_statistics.reports,
         )
         self.registry.version_statistics.on_bad_answer = self.leases.report_soon
+        self.registry.version_statistics.now = self.ports.clock.now_us
 
     def _start_health_checks(self) -> None:
         self.health_checks = HealthCheckTask(
@@ -326,7 +327,9 @@
 
     def _on_installed(self) -> None:
         self._apply_configuration()
-        self.registry.version_routing.apply(rollouts=self.lease_holder.rollouts)
+        self.registry.version_routing.apply(
+            rollouts=self.lease_holder.rollouts, now_us=self.ports.clock.now_us()
+        )
         self.gather.inbox.put_nowait(ConfigurationChanged())
         self._refresh_status()
 
--- a/kelpstage/edge/backend/version_routing.py
+++ b/kelpstage/edge/backend/version_routing.py
@@ -54,12 +54,19 @@
 
     def __init__(self) -> None:
         self._rollouts: dict[str, RolloutState] = {}
+        self._installed_us: dict[int, int] = {}
         self._blocked: set[int] = set()
 
-    def apply(self, *, rollouts: Iterable[RolloutState]) -> None:
+    def apply(self, *, rollouts: Iterable[RolloutState], now_us: int = 0) -> None:
         """Install the rollouts of an epoch in place of those before."""
         self._rollouts = {rollout.service: rollout for rollout in rollouts}
-        self._blocked &= {rollout.number for rollout in self._rollouts.values()}
+        numbers = {rollout.number for rollout in self._rollouts.values()}
+        self._installed_us = {n: self._installed_us.get(n, now_us) for n in numbers}
+        self._blocked &= numbers
+
+    def age_us(self, *, number: int, now_us: int) -> int:
+        """The time since this edge installed the order of a rollout."""
+        return now_us - self._installed_us.get(number, now_us)
 
     def block(self, *, number: int) -> None:
         """Send nothing more to the target of a rollout while its share is partial.
--- a/kelpstage/edge/backend/version_statistics.py
+++ b/kelpstage/edge/backend/version_statistics.py
@@ -30,7 +30,8 @@
     """The counts of this edge since it started, for the rollouts that are rolling.
 
     `entries_of` returns the listed instances of a service, `median_us` its median latency.
-    `on_bad_answer` is called after each bad answer of a target version.
+    `now` is the monotonic time, and `on_bad_answer` is called after each bad answer of a target
+    version.
     """
 
     def __init__(
@@ -38,8 +39,10 @@
         *,
         routing: VersionRouting,
         entries_of: Callable[[str], list[BackendEntry]],
+        now: Callable[[], int] = lambda: 0,
         on_bad_answer: Callable[[], None] = lambda: None,
     ) -> None:
+        self.now = now
         self._routing = routing
         self._entries_of = entries_of
         self._counts: dict[int, RolloutCounts] = {}
@@ -112,6 +115,7 @@
             others=sum(entry.state == BackendState.UP for entry in others),
             others_in_flight=sum(entry.in_flight for entry in others),
             failing=sorted(counts.failing),
+            age_us=self._routing.age_us(number=rollout.number, now_us=self.now()),
         )
 
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -21,6 +21,7 @@
 from kelpstage.core.leases.epoch_settlement import EpochSettlement
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.rollouts import schedule
+from kelpstage.core.rollouts.order_ages import OrderAges
 from kelpstage.core.rollouts.orders import RolloutOrders
 from kelpstage.core.rollouts.reports import RolloutEvidence
 from kelpstage.core.rollouts.schedule import LATER_STEPS, StepProgress, next_change
@@ -33,7 +34,7 @@
     RolloutUnderWay,
 )
 from kelpstage.core.state.replicated_state import CoreState, adopt, previous_edge_membership
-from kelpstage.core.state.rollouts import REPEAT_WINDOW_US, rollout_of
+from kelpstage.core.state.rollouts import LEGACY_REPEAT_WINDOW_US, rollout_of
 from kelpstage.core.web.rollouts import read_order
 from kelpstage.edge.backend.entry import BackendEntry
 from kelpstage.edge.backend.instance import Instance
@@ -194,7 +195,7 @@
     def test_the_same_content_long_after_the_end_is_a_new_order(self):
         self.begin()
         self.change(number=4, condition=RolloutCondition.REVERTED, at_us=2 * S)
-        self.assertEqual(RolloutBegun(number=6), self.begin(at_us=2 * S + REPEAT_WINDOW_US))
+        self.assertEqual(RolloutBegun(number=6), self.begin(at_us=2 * S + LEGACY_REPEAT_WINDOW_US))
 
     def test_another_version_is_refused_while_one_is_rolling(self):
         self.begin()
@@ -458,6 +459,8 @@
             task=task,
             settlement=settlement,
             readiness=readiness,
+            ages=OrderAges(),
+            repeat_within_us=8 * S,
         )
         return await orders.begin(service="s", target="v2", over_us=9 * S, wait_us=S)
 
