--- a/kelpstage/common/transport/messages/__init__.py
+++ b/kelpstage/common/transport/messages/__init__.py
@@ -69,6 +69,8 @@
 )
 from kelpstage.common.transport.messages.registry import NUMBERS, TYPES
 from kelpstage.common.transport.messages.rollouts import (
+    FetchVersions,
+    ListedVersions,
     RolloutReport,
     RolloutState,
     VersionCounts,
@@ -96,6 +98,7 @@
     "FetchSnapshot",
     "FetchState",
     "FetchTrace",
+    "FetchVersions",
     "ForwardOperatorCall",
     "ForwardOperatorCallReply",
     "Gather",
@@ -107,6 +110,7 @@
     "LeaseReply",
     "LeaveCore",
     "LeaveCoreReply",
+    "ListedVersions",
     "LogEntry",
     "MemberMsg",
     "Members",
--- a/kelpstage/common/transport/messages/registry.py
+++ b/kelpstage/common/transport/messages/registry.py
@@ -49,6 +49,10 @@
     RequestVoteReply,
     TimeoutNow,
 )
+from kelpstage.common.transport.messages.rollouts import (
+    FetchVersions,
+    ListedVersions,
+)
 from kelpstage.common.transport.messages.transfers import (
     Chunk,
     FetchSnapshot,
@@ -89,5 +93,7 @@
     53: Trace,
     70: EndpointUpdate,
     71: FetchEndpoints,
+    72: FetchVersions,
+    73: ListedVersions,
 }
 NUMBERS: dict[type[Message], int] = {kind: number for number, kind in TYPES.items()}
--- a/kelpstage/common/transport/messages/rollouts.py
+++ b/kelpstage/common/transport/messages/rollouts.py
@@ -17,7 +17,8 @@
     `condition` is a `RolloutCondition`. `share` is the part of the service's requests that may go
     to version `target`, in thousandths. `number` is the epoch of the order. `elapsed_us` is the
     least time that had passed since the order at the last change, by clocks that are never stepped.
-    The other times are the leader's time of day in microseconds, for display only.
+    The other times are the leader's time of day in microseconds, for display only. `in_place`
+    holds the versions that the service ran when the order was taken; empty if that is not known.
     """
 
     service: str = bp.string_field(1)
@@ -31,6 +32,7 @@
     changed_us: int = bp.uint64_field(9)
     reverted: List[str] = bp.string_field(10)  # earlier targets that may not be used, oldest first
     elapsed_us: int = bp.uint64_field(11)
+    in_place: List[str] = bp.string_field(12)
 
 
 @dataclass
@@ -63,3 +65,24 @@
     others_in_flight: int = bp.uint32_field(5)
     failing: List[str] = bp.string_field(6)
     age_us: int = bp.uint64_field(7)
+
+
+@dataclass
+class FetchVersions(Message):
+    """From the leader to an edge: asks which versions of a service are in use. Answered by
+    `ListedVersions`.
+    """
+
+    service: str = bp.string_field(1)
+
+
+@dataclass
+class ListedVersions(Message):
+    """The versions of a service that an edge has seen on the platform's list within the last
+    minute, without those of draining instances.
+
+    `is_known` is false if the edge has no list yet.
+    """
+
+    is_known: bool = bp.bool_field(1)
+    versions: List[str] = bp.string_field(2)
--- a/kelpstage/core/app.py
+++ b/kelpstage/core/app.py
@@ -195,6 +195,7 @@
         )
         self.rollout_service = RolloutService(
             ports=self.ports,
+            transport=self.transport,
             journal=self.journal,
             task=self.task,
             lease_service=self.lease_service,
--- a/kelpstage/core/rollouts/orders.py
+++ b/kelpstage/core/rollouts/orders.py
@@ -14,6 +14,7 @@
 from kelpstage.core.leases.leader_confirmation import CONFIRM_TIMEOUT_US
 from kelpstage.core.leases.write_readiness import WriteReadiness
 from kelpstage.core.replica_task import ReplicaTask
+from kelpstage.core.rollouts.listed_versions import ListedVersionsQuery
 from kelpstage.core.rollouts.order_ages import OrderAge, OrderAges
 from kelpstage.core.rollouts.repetitions import (
     NewOrder,
@@ -24,6 +25,12 @@
 )
 from kelpstage.core.state.commands import BeginRollout, Command
 from kelpstage.core.state.outcomes import RolloutBegun, RolloutSuperseded, RolloutUnderWay
+from kelpstage.core.state.rollouts import (
+    first_in_place,
+    reverted_versions,
+    rollout_of,
+    versions_in_place,
+)
 
 MIN_ORDER_TIMEOUT_US = 10_000_000  # of one order, even if its caller waits for less
 OrderContent = tuple[str, str, int]  # service, target, duration
@@ -44,6 +51,7 @@
         task: ReplicaTask,
         settlement: EpochSettlement,
         readiness: WriteReadiness,
+        listed_versions: ListedVersionsQuery,
         ages: OrderAges,
         repeat_within_us: int,
     ) -> None:
@@ -53,6 +61,7 @@
         self._task = task
         self._settlement = settlement
         self._readiness = readiness
+        self._listed_versions = listed_versions
         self._ages = ages
         self._repeat_within_us = repeat_within_us
         self._running: dict[OrderContent, asyncio.Future[RolloutBegun | KelpstageError]] = {}
@@ -117,6 +126,7 @@
             if error is not None:
                 return error
             order.is_new, order.follows = True, decision.follows
+            order.in_place = await self._in_place(order=order)
             return await self._propose(order=order, deadline_us=deadline_us)
 
     def _decision(self, *, order: BeginRollout) -> OrderDecision:
@@ -131,6 +141,18 @@
             state=state, order=order, age_of=age_of, repeat_within_us=self._repeat_within_us
         )
 
+    async def _in_place(self, *, order: BeginRollout) -> list[str]:
+        """The versions in place; asks edges if no earlier order shows them."""
+        state = self._task.machine.state
+        in_place = versions_in_place(state=state, service=order.service)
+        if in_place:
+            return in_place
+        return first_in_place(
+            listed=await self._listed_versions.fetch(service=order.service),
+            target=order.target,
+            reverted=reverted_versions(rollout=rollout_of(state=state, service=order.service)),
+        )
+
     async def _propose(
         self, *, order: BeginRollout, deadline_us: int
     ) -> RolloutBegun | KelpstageError:
--- a/kelpstage/core/rollouts/schedule.py
+++ b/kelpstage/core/rollouts/schedule.py
@@ -99,6 +99,8 @@
     ...     progress=progress, drain_us=0, bad_traffic_share=0.1).share
     60
     """
+    if rollout.target in rollout.in_place:
+        return _change_in_place(rollout=rollout, progress=progress)
     why = revert_reason(evidence=evidence, share=rollout.share)
     if why:
         return RolloutChange(condition=RolloutCondition.REVERTED, why=why)
@@ -122,6 +124,16 @@
     return RolloutChange(condition=RolloutCondition.ROLLING, share=step.share)
 
 
+def _change_in_place(*, rollout: RolloutState, progress: StepProgress) -> RolloutChange | None:
+    """Complete an order to the version in place, which needs no comparison.
+
+    It waits as long as other rollouts do, so that instances which start with the order are listed.
+    """
+    if progress.elapsed_us < rollout.over_us * LATER_STEPS[-1].from_part:
+        return None
+    return RolloutChange(condition=RolloutCondition.COMPLETE)
+
+
 def revert_reason(*, evidence: RolloutEvidence, share: int) -> str:
     """Why the target version has to be reverted; empty if it has not.
 
--- a/kelpstage/core/rollouts/service.py
+++ b/kelpstage/core/rollouts/service.py
@@ -5,10 +5,12 @@
 from kelpstage.common.event_journal import Journal
 from kelpstage.common.ports.interfaces import Ports
 from kelpstage.common.settings.bounds import Bounds
+from kelpstage.common.transport.connections import Transport
 from kelpstage.common.transport.messages import Renew, RolloutState
 from kelpstage.core.leases.lease_service import LeaseService
 from kelpstage.core.replica_task import ReplicaTask
 from kelpstage.core.rollouts.controller import RolloutController
+from kelpstage.core.rollouts.listed_versions import ListedVersionsQuery
 from kelpstage.core.rollouts.order_ages import OrderAges
 from kelpstage.core.rollouts.orders import RolloutOrders
 from kelpstage.core.rollouts.reports import RolloutEvidence
@@ -24,6 +26,7 @@
         self,
         *,
         ports: Ports,
+        transport: Transport,
         journal: Journal,
         task: ReplicaTask,
         lease_service: LeaseService,
@@ -39,6 +42,9 @@
             task=task,
             settlement=lease_service.settlement,
             readiness=lease_service.readiness,
+            listed_versions=ListedVersionsQuery(
+                ports=ports, transport=transport, settlement=lease_service.settlement
+            ),
             ages=self._ages,
             repeat_within_us=bounds.ack_within_us,
         )
--- a/kelpstage/core/state/commands.py
+++ b/kelpstage/core/state/commands.py
@@ -95,7 +95,8 @@
 
     `at_us` is the leader's time of day, in microseconds. With `is_new` the leader has established
     that this is no repetition of an order that was taken; `follows` is the number of the service's
-    newest rollout then, 0 if it had none. Orders in logs of version 0.1.0 lack both.
+    newest rollout then, 0 if it had none. `in_place` holds the versions that the service runs,
+    if they are known. Orders in logs of version 0.1.0 lack all three.
     """
 
     service: str = bp.string_field(1)
@@ -104,6 +105,7 @@
     at_us: int = bp.uint64_field(4)
     is_new: bool = bp.bool_field(5)
     follows: int = bp.uint64_field(6)
+    in_place: List[str] = bp.string_field(7)
 
 
 @dataclass
--- a/kelpstage/core/state/rollouts.py
+++ b/kelpstage/core/state/rollouts.py
@@ -46,6 +46,50 @@
     return content == (order.service, order.target, order.over_us)
 
 
+def versions_in_place(*, state: CoreState, service: str) -> list[str]:
+    """The versions that a service runs now, as far as orders show it; empty if not known.
+
+    That is the target of the last complete rollout, through any number of reverts, or what was
+    in place when the first order was taken.
+
+    >>> v2 = RolloutState(service="s", target="v2", condition=RolloutCondition.COMPLETE)
+    >>> v3 = RolloutState(service="s", target="v3", condition=RolloutCondition.REVERTED)
+    >>> versions_in_place(state=CoreState(past_rollouts=[v2], rollouts=[v3]), service="s")
+    ['v2']
+    """
+    for rollout in rollouts_of(state=state, service=service):
+        if rollout.condition == RolloutCondition.COMPLETE:
+            return [rollout.target]
+        if rollout.in_place:
+            return list(rollout.in_place)
+    return []
+
+
+def reverted_versions(*, rollout: RolloutState | None) -> list[str]:
+    """The versions of a service that were reverted up to its newest rollout, oldest first."""
+    if rollout is None:
+        return []
+    reverted = list(rollout.reverted)
+    if rollout.condition == RolloutCondition.REVERTED:
+        reverted.append(rollout.target)
+    return list(dict.fromkeys(reverted))
+
+
+def first_in_place(*, listed: list[str], target: str, reverted: list[str]) -> list[str]:
+    """What a service without a known version in place runs, from the versions that are listed.
+
+    Instances of the target may be listed already when their order is taken, so the target is in
+    place only if no other version is listed.
+
+    >>> [first_in_place(listed=listed, target="v2", reverted=[]) for listed in
+    ...     (["v1"], ["v1", "v2"], ["v2"], [])]
+    [['v1'], ['v1'], ['v2'], []]
+    """
+    usable = sorted(set(listed) - set(reverted))
+    others = [version for version in usable if version != target]
+    return others or usable
+
+
 def begin_rollout(*, state: CoreState, order: BeginRollout) -> BeginOutcome:
     """Begin a rollout with no share yet, unless another one of the service is rolling.
 
@@ -87,6 +131,8 @@
 def _begin(*, state: CoreState, order: BeginRollout, known: RolloutState | None) -> RolloutBegun:
     """Begin a rollout in place of the service's newest one, `known`, which has ended."""
     _begin_epoch(state=state)
+    allowed = {order.target, *order.in_place}
+    reverted = [name for name in reverted_versions(rollout=known) if name not in allowed]
     begun = RolloutState(
         service=order.service,
         target=order.target,
@@ -94,7 +140,8 @@
         number=state.epoch,
         begun_us=order.at_us,
         changed_us=order.at_us,
-        reverted=_reverted_before(known=known, target=order.target),
+        reverted=reverted[-REVERTED_VERSIONS_KEPT:],
+        in_place=list(order.in_place),
     )
     if known is not None:
         state.past_rollouts = [*state.past_rollouts, known][-PAST_ROLLOUTS_KEPT:]
@@ -102,17 +149,6 @@
     return RolloutBegun(number=begun.number)
 
 
-def _reverted_before(*, known: RolloutState | None, target: str) -> list[str]:
-    """The versions of a service that were reverted; their instances may still be listed."""
-    if known is None:
-        return []
-    reverted = list(known.reverted)
-    if known.condition == RolloutCondition.REVERTED:
-        reverted.append(known.target)
-    kept = [version for version in dict.fromkeys(reverted) if version != target]
-    return kept[-REVERTED_VERSIONS_KEPT:]
-
-
 def change_rollout(*, state: CoreState, change: ChangeRollout) -> RolloutChanged | RolloutUnchanged:
     """Raise the share of a rolling rollout, or end it.
 
--- a/kelpstage/edge/backend/instance_registry.py
+++ b/kelpstage/edge/backend/instance_registry.py
@@ -123,6 +123,19 @@
         """Return the sorted ids of the listed instances of a service."""
         return self._instances.get(service, ())
 
+    def versions_of(self, *, service: str) -> list[str]:
+        """Return the versions of a service's listed instances, and of those that were removed
+        within `REMOVED_INSTANCE_TTL_US`, sorted; without those that drain or drained."""
+        return sorted(
+            {
+                entry.revision
+                for entry in self.entries.values()
+                if entry.is_discovered
+                and entry.service == service
+                and entry.state != BackendState.DRAINING
+            }
+        )
+
     def zones_of(self, *, service: str, now_us: int) -> frozenset[str]:
         """Return the zones with an available instance of a service; cached for `ZONES_CACHE_US`."""
         known = self._zones.get(service)
--- a/kelpstage/edge/backend/registry.py
+++ b/kelpstage/edge/backend/registry.py
@@ -104,6 +104,10 @@
         """Return the sorted ids of the listed instances of a service."""
         return self._instances.instances_of(service)
 
+    def versions_of(self, *, service: str) -> list[str]:
+        """Return the versions of a service that were listed within the last minute, sorted."""
+        return self._instances.versions_of(service=service)
+
     def _entries_of(self, service: str) -> list[BackendEntry]:
         return [self.entries[name] for name in self._instances.instances_of(service)]
 
--- a/kelpstage/edge/backend/version_routing.py
+++ b/kelpstage/edge/backend/version_routing.py
@@ -110,6 +110,8 @@
         )
         if rollout.condition == RolloutCondition.REVERTED:
             return others_only
+        if rollout.condition == RolloutCondition.ROLLING and target in rollout.in_place:
+            return _any_but_reverted(target=target, entries=entries, reverted=reverted)
         listed = sorted(entry.name for entry in entries if _is_up(entry=entry, version=target))
         if rollout.condition == RolloutCondition.COMPLETE and not listed:
             return others_only  # the version was replaced without an order
@@ -133,6 +135,19 @@
         return rand.random() * COMPLETE_SHARE < rollout.share
 
 
+def _any_but_reverted(
+    *, target: str, entries: list[BackendEntry], reverted: frozenset[str]
+) -> VersionChoice:
+    """The choice while the order names the version in place: as before the order."""
+    return VersionChoice(
+        target=target,
+        allows_target=True,
+        allows_others=True,
+        in_use=frozenset(entry.name for entry in entries),
+        reverted=reverted,
+    )
+
+
 def _is_up(*, entry: BackendEntry, version: str) -> bool:
     return entry.revision == version and entry.state == BackendState.UP and not entry.removed_us
 
--- a/kelpstage/edge/handlers.py
+++ b/kelpstage/edge/handlers.py
@@ -20,15 +20,18 @@
     FetchMembers,
     FetchState,
     FetchTrace,
+    FetchVersions,
     Gather,
     Gathered,
     LeaseReply,
+    ListedVersions,
     Members,
     MissingMsg,
     RelayRenew,
     Trace,
 )
 from kelpstage.edge.backend.discovery import DiscoveryTask
+from kelpstage.edge.backend.registry import BackendRegistry
 from kelpstage.edge.gather.conversion import child_state, gathered_reply
 from kelpstage.edge.gather.task import GatherTask
 from kelpstage.edge.gossip.swim import Swim
@@ -53,6 +56,7 @@
     gather: GatherTask
     leases: LeaseTask
     timelines: Timelines
+    registry: BackendRegistry
     discovery: DiscoveryTask | None
 
 
@@ -173,3 +177,14 @@
         return LeaseReply(why=f"relay: {reply.kind}")
     lease_reply: LeaseReply = reply
     return lease_reply
+
+
+@handle.register
+async def handle_fetch_versions(
+    message: FetchVersions, edge: MessageContext, source: str
+) -> ListedVersions:
+    """Return the versions of a service that this edge has listed lately."""
+    return ListedVersions(
+        is_known=edge.registry.are_instances_known,
+        versions=edge.registry.versions_of(service=message.service),
+    )
--- a/tests/test_rollout_histories.py
+++ b/tests/test_rollout_histories.py
@@ -63,6 +63,15 @@
         conditions = self.play_clean(*orders, faults=("clock_steps", "core_kill"))
         self.assertEqual(["reverted", "complete"], conditions)
 
+    # --- the version in place -------------------------------------------------------------
+
+    def test_an_order_to_the_version_in_place_refuses_no_requests(self):
+        """Nearly all requests were refused, since all instances were those of the target."""
+        conditions = self.play_clean(
+            order(OrderKind.IN_PLACE), order(OrderKind.NEW, is_bad=True), order(OrderKind.IN_PLACE)
+        )
+        self.assertEqual(["complete", "reverted", "complete"], conditions)
+
 
 if __name__ == "__main__":
     unittest.main()
