--- a/kelpstage/core/rollouts/reports.py
+++ b/kelpstage/core/rollouts/reports.py
@@ -29,7 +29,7 @@
 
     `targets` and `others` are the most instances that a recent report lists. `is_drained` is
     true if no recently reporting edge has a request in flight to another version. `age_us` is the
-    least time since the order that the reports show.
+    least time since the order that the reports show, and `edges` the number of recent reports.
     """
 
     target: dict[str, VersionTotals] = field(default_factory=dict)
@@ -39,6 +39,7 @@
     others: int = 0
     is_drained: bool = False
     age_us: int = 0
+    edges: int = 0
 
     @property
     def target_answers(self) -> int:
@@ -94,7 +95,6 @@
     def evidence(self, *, number: int, epoch: int, now_us: int) -> RolloutEvidence:
         """The sums for one rollout; `epoch` is the one that an edge needs to count as drained."""
         out = RolloutEvidence(is_drained=True)
-        recent = 0
         for edge in self._edges.values():
             report = edge.rollouts.get(number)
             if report is None:
@@ -103,11 +103,11 @@
             out.age_us = max(out.age_us, report.age_us + now_us - edge.at_us)
             if now_us - edge.at_us > RECENT_US:
                 continue
-            recent += 1
+            out.edges += 1
             out.targets = max(out.targets, report.targets)
             out.others = max(out.others, report.others)
             out.is_drained &= edge.epoch >= epoch and not report.others_in_flight
-        out.is_drained &= recent > 0
+        out.is_drained &= out.edges > 0
         return out
 
 
--- a/kelpstage/core/rollouts/schedule.py
+++ b/kelpstage/core/rollouts/schedule.py
@@ -24,6 +24,10 @@
 FIRST_STEP_PART = 0.6  # of the share that a bad version may receive
 SUSPECT_PART = 0.8  # of its time, after which a rollout in doubt is reverted
 MIN_TARGET_PART = 0.7  # of the instances that a share needs, which have to be listed
+FEWER_TARGETS_FROM = 0.75  # of its time, after which a rollout goes on with fewer instances:
+FEWER_TARGETS_PART = 0.5  # of those that a share needs; below, the rest would be overloaded
+OVERDUE_ANSWERS_PART = 0.25  # of the target's share of the answers, once a step is overdue
+MAX_HOLD_US = 5_000_000  # of a step once its time is over; longer than any step needs
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -103,27 +107,69 @@
         return _change_in_place(rollout=rollout, progress=progress)
     why = revert_reason(evidence=evidence, share=rollout.share)
     if why:
-        return RolloutChange(condition=RolloutCondition.REVERTED, why=why)
+        return _revert(why)
     suspicion = suspicion_of(target=evidence.target, others=evidence.other_versions)
     if suspicion and progress.elapsed_us >= rollout.over_us * SUSPECT_PART:
-        why = f"still in doubt near the end of its time: {suspicion}"
-        return RolloutChange(condition=RolloutCondition.REVERTED, why=why)
+        return _revert(f"still in doubt near the end of its time: {suspicion}")
     if rollout.share >= COMPLETE_SHARE:
-        is_drained = evidence.is_drained and progress.held_us >= MIN_HOLD_US // 2
-        if is_drained or progress.held_us >= drain_us:
-            return RolloutChange(condition=RolloutCondition.COMPLETE)
+        change = _last_change(evidence=evidence, progress=progress, drain_us=drain_us)
+    elif suspicion:
+        change = None
+    else:
+        planned = steps(bad_traffic_share=bad_traffic_share)
+        step = next(step for step in planned if step.share > rollout.share)
+        change = _next_step(rollout=rollout, step=step, evidence=evidence, progress=progress)
+    if change is None and _is_overdue(rollout=rollout, progress=progress):
+        return _revert(_overdue_reason(evidence=evidence))
+    return change
+
+
+def _revert(why: str) -> RolloutChange:
+    return RolloutChange(condition=RolloutCondition.REVERTED, why=why)
+
+
+def _last_change(
+    *, evidence: RolloutEvidence, progress: StepProgress, drain_us: int
+) -> RolloutChange | None:
+    """The end of a rollout at the full share, after which the old instances may stop at once."""
+    if not evidence.targets and evidence.others:
+        return _revert("no instance of the target is left")
+    if not _has_instances(evidence=evidence, share=COMPLETE_SHARE, part=FEWER_TARGETS_PART):
         return None
-    planned = steps(bad_traffic_share=bad_traffic_share)
-    step = next(step for step in planned if step.share > rollout.share)
-    if suspicion or progress.elapsed_us < rollout.over_us * step.from_part:
+    is_drained = evidence.is_drained and progress.held_us >= MIN_HOLD_US // 2
+    if is_drained or progress.held_us >= drain_us:
+        return RolloutChange(condition=RolloutCondition.COMPLETE)
+    return None
+
+
+def _next_step(
+    *, rollout: RolloutState, step: Step, evidence: RolloutEvidence, progress: StepProgress
+) -> RolloutChange | None:
+    """The next share, once its time has come and enough instances and answers allow it."""
+    if progress.elapsed_us < rollout.over_us * step.from_part:
         return None
-    if not _has_instances(evidence=evidence, share=step.share):
+    is_late = progress.elapsed_us >= rollout.over_us * FEWER_TARGETS_FROM
+    part = FEWER_TARGETS_PART if is_late else MIN_TARGET_PART
+    if not _has_instances(evidence=evidence, share=step.share, part=part):
         return None
     if rollout.share and not _is_assessed(rollout=rollout, progress=progress):
         return None
     return RolloutChange(condition=RolloutCondition.ROLLING, share=step.share)
 
 
+def _is_overdue(*, rollout: RolloutState, progress: StepProgress) -> bool:
+    """True if a rollout is past its time and its present step does not end."""
+    return progress.elapsed_us >= rollout.over_us and progress.held_us >= MAX_HOLD_US
+
+
+def _overdue_reason(*, evidence: RolloutEvidence) -> str:
+    """What a rollout that is past its time still waits for, as operators see it."""
+    if not evidence.targets:
+        return "its time is over: no instance of the target is listed"
+    instances = f"{evidence.targets} instances beside {evidence.others} of the other versions"
+    return f"its time is over: {evidence.target_answers} answers from {instances}"
+
+
 def _change_in_place(*, rollout: RolloutState, progress: StepProgress) -> RolloutChange | None:
     """Complete an order to the version in place, which needs no comparison.
 
@@ -145,18 +191,20 @@
     return bad_version_reason(target=evidence.target, others=evidence.other_versions)
 
 
-def _has_instances(*, evidence: RolloutEvidence, share: int) -> bool:
-    """True if enough instances of the target are listed for a share, or the service has none."""
+def _has_instances(*, evidence: RolloutEvidence, share: int, part: float) -> bool:
+    """True if this part of the target's instances that a share needs is listed, or if edges
+    report that the service has no instances at all."""
     if not evidence.targets and not evidence.others:
-        return True
-    needed = evidence.others * share / COMPLETE_SHARE * MIN_TARGET_PART
+        return evidence.edges > 0
+    needed = evidence.others * share / COMPLETE_SHARE * part
     return evidence.targets > 0 and evidence.targets >= needed
 
 
 def _is_assessed(*, rollout: RolloutState, progress: StepProgress) -> bool:
     """True if the present step showed enough, or gets too few requests to ever do.
 
-    With few requests, the target has to have answered half of its share of them.
+    With few requests, the target has to have answered half of its share of them, a quarter if
+    the rollout is past its time.
     """
     if progress.held_us < MIN_HOLD_US:
         return False
@@ -166,4 +214,6 @@
     if not answers:
         return True  # no route uses the service
     expected = answers * rollout.share / COMPLETE_SHARE
+    if _is_overdue(rollout=rollout, progress=progress):
+        return progress.target_answers >= expected * OVERDUE_ANSWERS_PART
     return progress.held_us >= QUIET_HOLD_US and 2 * progress.target_answers >= expected
--- a/tests/test_rollout_histories.py
+++ b/tests/test_rollout_histories.py
@@ -72,6 +72,20 @@
         )
         self.assertEqual(["complete", "reverted", "complete"], conditions)
 
+    # --- the end of each rollout ----------------------------------------------------------
+
+    def test_a_rollout_whose_target_loses_instances_ends_and_the_next_order_is_taken(self):
+        """It stayed rolling for good, and each later order of the service was refused."""
+        for instances, condition in (
+            (Instances.HALF, "complete"),
+            (Instances.NONE, "reverted"),
+        ):
+            with self.subTest(instances):
+                conditions = self.play_clean(
+                    order(OrderKind.NEW, instances=instances), order(OrderKind.NEW)
+                )
+                self.assertEqual([condition, "complete"], conditions)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -286,6 +286,40 @@
         self.assertIsNotNone(self.change(target_answers=6, other_answers=172))
         self.assertIsNone(self.change(target_answers=2, other_answers=172))
 
+    def test_late_in_its_time_a_rollout_goes_on_with_half_of_the_instances(self):
+        self.rollout.share = 500
+        self.evidence.targets = 2
+        self.assertIsNone(self.change(elapsed_us=7 * S))
+        self.assertEqual(COMPLETE_SHARE, self.change(elapsed_us=8 * S).share)
+
+    def test_a_rollout_past_its_time_with_too_few_instances_is_reverted(self):
+        """It stayed rolling for good, and each later order of the service was refused."""
+        for share in (0, 60, 500, COMPLETE_SHARE):
+            for targets in (0, 1):
+                with self.subTest(share=share, targets=targets):
+                    self.rollout.share, self.evidence.targets = share, targets
+                    self.evidence.others = 4 if share > 60 else 40
+                    change = self.change(elapsed_us=10 * S, held_us=5 * S)
+                    self.assertEqual(RolloutCondition.REVERTED, change.condition)
+
+    def test_a_rollout_past_its_time_without_answers_of_the_target_is_reverted(self):
+        self.assertIsNone(self.change(elapsed_us=10 * S, held_us=4 * S, target_answers=0))
+        change = self.change(elapsed_us=10 * S, target_answers=0)
+        self.assertEqual(RolloutCondition.REVERTED, change.condition)
+
+    def test_a_rollout_past_its_time_goes_on_while_its_steps_end(self):
+        self.assertEqual(LATER_STEPS[0].share, self.change(elapsed_us=30 * S).share)
+
+    def test_nothing_is_complete_once_the_target_has_no_instance_left(self):
+        """The platform stops the old instances at once when a rollout is complete."""
+        self.rollout.share = COMPLETE_SHARE
+        self.evidence.targets, self.evidence.is_drained = 0, True
+        self.assertEqual(RolloutCondition.REVERTED, self.change(held_us=S).condition)
+
+    def test_a_new_leader_without_reports_changes_nothing(self):
+        self.evidence = RolloutEvidence()
+        self.assertIsNone(self.change(target_answers=0, other_answers=0))
+
     def test_an_order_to_the_version_in_place_is_complete_without_a_comparison(self):
         self.rollout.in_place = ["v2"]
         self.evidence = RolloutEvidence()
