--- a/kelpstage/testbed/model/actions.py
+++ b/kelpstage/testbed/model/actions.py
@@ -8,14 +8,28 @@
 
 from typing import Callable
 
+from kelpstage.common.rollouts.condition import RolloutCondition
 from kelpstage.testbed.model import adapter as core
 from kelpstage.testbed.model.calls import OrderCall, ReadCall
 from kelpstage.testbed.model.cluster import Cluster
+from kelpstage.testbed.model.rollouts import SERVICES, VERSIONS, RolloutChangeCall
 
 LOST_CONTACT_US = 1_500_000  # a time step this long counts every machine as faulty
 TICK_STEPS_US = (1_000, 20_000, 100_000, 400_000, 1_700_000, 3_000_000)
 FAULT_FREE_ACTIONS = frozenset(
-    {"rounds", "busy", "order", "repeat", "read", "renew", "snapshot", "fill"}
+    {
+        "rounds",
+        "busy",
+        "order",
+        "repeat",
+        "rollout",
+        "repeat_rollout",
+        "change_rollout",
+        "read",
+        "renew",
+        "snapshot",
+        "fill",
+    }
 )
 
 ActionFunction = Callable[[Cluster, int, int], None]
@@ -240,6 +254,36 @@
         )
 
 
+@action
+def rollout(cluster: Cluster, a: int, b: int) -> None:
+    """Send the open or a new order of a rollout to machine `b`; `a` selects service and version."""
+    service = SERVICES[a % len(SERVICES)]
+    target = VERSIONS[a // len(SERVICES) % len(VERSIONS)]
+    call = cluster.sessions.rollouts.next_call(service=service, target=target)
+    if call is not None:
+        cluster.send(source="op0", to=cluster.node_at(b).address, body=call)
+
+
+@action
+def repeat_rollout(cluster: Cluster, a: int, b: int) -> None:
+    """Send an acknowledged order of a rollout again to machine `b`."""
+    call = cluster.sessions.rollouts.repeated_call(position=a)
+    if call is not None:
+        cluster.send(source="op0", to=cluster.node_at(b).address, body=call)
+
+
+@action
+def change_rollout(cluster: Cluster, a: int, b: int) -> None:
+    """Let the leader raise the share of service `a`'s rollout, or end it; `b` selects which."""
+    leader = cluster.leader()
+    if leader is not None:
+        change = RolloutChangeCall(
+            service=SERVICES[a % len(SERVICES)],
+            condition=RolloutCondition(b % len(RolloutCondition)),
+        )
+        cluster.sessions.change_rollout(node=leader, change=change)
+
+
 @action
 def read(cluster: Cluster, a: int, b: int) -> None:
     """Send a configuration read of the first operator to machine `a`."""
--- a/kelpstage/testbed/model/interfaces.py
+++ b/kelpstage/testbed/model/interfaces.py
@@ -4,6 +4,7 @@
 
 from typing import Any, Protocol
 
+from kelpstage.core.rollouts.order_ages import OrderAges
 from kelpstage.testbed.model import adapter as core
 from kelpstage.testbed.model import edge_adapter as leases
 from kelpstage.testbed.model.disk import Disk
@@ -24,6 +25,7 @@
     replica: core.Replica | None
     machine: core.Machine | None
     lease_table: leases.LeaseTable | None
+    order_ages: OrderAges
 
     def step(self, event: Any) -> None:
         """Pass an event to the replica and perform the effects that it returns."""
--- a/kelpstage/testbed/model/node.py
+++ b/kelpstage/testbed/model/node.py
@@ -11,6 +11,7 @@
 from functools import singledispatchmethod
 from typing import Any, Protocol
 
+from kelpstage.core.rollouts.order_ages import OrderAges
 from kelpstage.testbed.model import adapter as core
 from kelpstage.testbed.model import edge_adapter as leases
 from kelpstage.testbed.model.checks import REPLICA_ASSERTIONS, Checks
@@ -92,6 +93,7 @@
     replica: core.Replica | None = None
     machine: core.Machine | None = None
     lease_table: leases.LeaseTable | None = None
+    order_ages: OrderAges = field(default_factory=OrderAges)
     applied: int = 0
     last_synced: int = 0
     deferred_sends: list[core.Send] = field(default_factory=list)
@@ -121,6 +123,8 @@
         self.served_snapshot = disk.snapshot
         self.machine = core.Machine(cluster=core.CLUSTER, state=state)
         self.applied = log.base_index
+        self.order_ages = OrderAges()
+        self._observe_rollouts()
         self.lease_table = leases.LeaseTable(since_us=self.world.now_us)
         self.last_synced = 0
         self.deferred_sends, self.proposals, self.fetches = [], {}, []
@@ -141,6 +145,9 @@
         self.world.hooks.on_start(self)
         self.world.checks.started(node=self)
 
+    def _observe_rollouts(self) -> None:
+        self.order_ages.observe(rollouts=self.machine.state.rollouts, now_us=self.world.now_us)
+
     def crash(self, *, kept: int, is_torn: bool) -> None:
         """Kill the process; the first `kept` unsynced writes reach the disk anyway."""
         self.is_up, self.is_frozen = False, False
@@ -252,6 +259,10 @@
                 outcome = self.machine.apply(data=entry.data)
             self.applied = entry.index
             self.world.checks.applied_by(node=self, entry=entry, outcome=outcome)
+            self._observe_rollouts()
+            self.world.sessions.rollouts.applied(
+                index=entry.index, data=entry.data, outcome=outcome, state=self.machine.state
+            )
             token, term = self.proposals.pop(entry.index, (0, 0))
             if not token:
                 continue
@@ -350,6 +361,7 @@
             cluster=core.CLUSTER, state=core.CoreState().parse(snapshot.state)
         )
         self.applied = snapshot.index
+        self._observe_rollouts()
         self.served_snapshot = snapshot
         self.world.checks.installed_snapshot(node=self, snapshot=snapshot)
         self.disk.queue.append(
--- a/kelpstage/testbed/model/sessions.py
+++ b/kelpstage/testbed/model/sessions.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from kelpstage.core.state.outcomes import RolloutBegun
 from kelpstage.testbed.model import adapter as core
 from kelpstage.testbed.model import edge_adapter as leases
 from kelpstage.testbed.model.calls import (
@@ -26,6 +27,12 @@
 )
 from kelpstage.testbed.model.edges import EdgeHost, ModelEdges
 from kelpstage.testbed.model.interfaces import NodeView
+from kelpstage.testbed.model.rollouts import (
+    ModelRollouts,
+    RepeatedOrder,
+    RolloutCall,
+    RolloutChangeCall,
+)
 from kelpstage.testbed.model.scope import Scope
 
 ORDER_WAIT_US = 10_000_000
@@ -60,6 +67,7 @@
         self._scope = scope
         self.operators = {f"op{i}": Operator(name=f"op{i}") for i in range(scope.operators)}
         self.edges = ModelEdges(world=world, scope=scope)
+        self.rollouts = ModelRollouts(world=world)
         self._joining: dict[str, bool] = {}  # is it an observer?
         self._pending_calls: dict[int, PendingCall] = {}
         self._token = 0
@@ -77,8 +85,14 @@
             self._record_heartbeat(node=node, call=call)
         if isinstance(call, OrderCall) and self._is_pending(node=node, order=call.order):
             return  # the pending call for the same order answers this one as well
+        if isinstance(call, RolloutCall) and self.rollouts.is_late(call=call):
+            return
         self._begin_call(node=node, source=source, call=call)
 
+    def change_rollout(self, *, node: NodeView, change: RolloutChangeCall) -> None:
+        """Begin a change of a rollout on the leader."""
+        self._begin_call(node=node, source=node.address, call=change)
+
     def _begin_call(self, *, node: NodeView, source: str, call: Any) -> None:
         """Add a call to the pending ones and request its read index."""
         self._token += 1
@@ -139,6 +153,10 @@
             pending.stage = AWAITING_TURN
             self._propose_membership(node=node, token=token, pending=pending)
             return
+        if isinstance(pending.call, RolloutCall | RolloutChangeCall):
+            pending.stage = AWAITING_TURN
+            self._propose_rollout(node=node, token=token, pending=pending)
+            return
         del self._pending_calls[token]
         if isinstance(pending.call, ReadCall):
             self.world.checks.read_done(
@@ -225,6 +243,35 @@
         pending.stage = PROPOSED
         node.step(core.Propose(kind=core.COMMAND, data=data, token=token))
 
+    # --- rollouts -----------------------------------------------------------------------------
+
+    def _propose_rollout(self, *, node: NodeView, token: int, pending: PendingCall) -> None:
+        """Decide on an order of a rollout, or on a change of one, once it is its turn."""
+        if not self._may_propose(node=node, pending=pending):
+            return
+        state, call = node.machine.state, pending.call
+        if isinstance(call, RolloutCall):
+            decision = self.rollouts.decide(state=state, ages=node.order_ages, call=call)
+            if isinstance(decision, RepeatedOrder):
+                self.rollouts.repeated(state=state, order=call.order, decision=decision)
+                self.rollouts.acknowledged(order=call.order)  # its epoch is settled
+        data = self.rollouts.command(state=state, ages=node.order_ages, call=call)
+        if not data:
+            del self._pending_calls[token]
+            return
+        pending.stage = PROPOSED
+        node.step(core.Propose(kind=core.COMMAND, data=data, token=token))
+
+    def _rollout_applied(
+        self, *, node: NodeView, token: int, pending: PendingCall, outcome: Any
+    ) -> None:
+        if isinstance(pending.call, RolloutCall) and isinstance(outcome, RolloutBegun):
+            node.order_ages.note_taken(number=outcome.number, now_us=self.world.now_us)
+            pending.stage, pending.epoch = SETTLING, outcome.number
+            self._acknowledge_if_settled(node=node, token=token, pending=pending)
+            return
+        del self._pending_calls[token]
+
     # --- orders -------------------------------------------------------------------------------
 
     def _look_up(self, *, node: NodeView, token: int, pending: PendingCall) -> None:
@@ -284,6 +331,9 @@
         if isinstance(pending.call, MembershipCall):
             del self._pending_calls[token]
             return
+        if isinstance(pending.call, RolloutCall | RolloutChangeCall):
+            self._rollout_applied(node=node, token=token, pending=pending, outcome=outcome)
+            return
         self._handle_outcome(node=node, token=token, pending=pending, outcome=outcome)
 
     def _handle_outcome(
@@ -313,6 +363,9 @@
             return
         del self._pending_calls[token]
         order = pending.call.order
+        if isinstance(pending.call, RolloutCall):
+            self.rollouts.acknowledged(order=order)
+            return
         self.world.checks.acknowledged_order(
             order=order, version=pending.version, epoch=pending.epoch
         )
@@ -345,6 +398,8 @@
                 del self._pending_calls[token]
             elif isinstance(pending.call, MembershipCall):
                 self._propose_membership(node=node, token=token, pending=pending)
+            elif isinstance(pending.call, RolloutCall | RolloutChangeCall):
+                self._propose_rollout(node=node, token=token, pending=pending)
             else:
                 self._propose(node=node, token=token, pending=pending)
 
--- a/kelpstage/testbed/model/walk.py
+++ b/kelpstage/testbed/model/walk.py
@@ -5,9 +5,11 @@
 import random
 from dataclasses import dataclass, field
 
+from kelpstage.common.rollouts.condition import RolloutCondition
 from kelpstage.testbed.model import adapter as core
 from kelpstage.testbed.model.checks import LIVENESS, InvariantViolated
 from kelpstage.testbed.model.node import Hooks
+from kelpstage.testbed.model.rollouts import SERVICES, VERSIONS
 from kelpstage.testbed.model.system import Action, Scope, World
 
 CONVERGENCE_ROUNDS = 1_000  # 20 s of virtual time
@@ -77,6 +79,14 @@
     "transfer": 4,
 }
 HALVES = CUTS | {"halves": 15, "heal": 20, "wipe": 5, "isolate": 1}
+ROLLOUTS = CUTS | {
+    "rollout": 60,
+    "repeat_rollout": 15,
+    "change_rollout": 60,
+    "rounds": 60,
+    "order": 10,
+    "read": 5,
+}
 PROFILES = {
     "chaos": CHAOS,
     "long": LONG,
@@ -84,6 +94,7 @@
     "cuts": CUTS,
     "halves": HALVES,
     "edges": EDGES,
+    "rollouts": ROLLOUTS,
 }
 
 
@@ -110,6 +121,7 @@
     acknowledged: int = 0
     membership_changes: int = 0
     snapshots_fetched: int = 0
+    rollouts_acknowledged: int = 0
     seconds: float = 0.0
 
     @property
@@ -139,6 +151,8 @@
         return rand.choice([2, 10, 45])
     if name in ("order", "repeat"):
         return rand.randrange(max(1, world.scope.operators))
+    if name in ("rollout", "repeat_rollout", "change_rollout"):
+        return rand.randrange(len(SERVICES) * len(VERSIONS))
     if name in ("renew", "mute", "restart_edge", "leave_edge", "replace_edge", "mute_most"):
         return rand.randrange(max(1, world.scope.edges))
     return rand.randrange(world.scope.machines)
@@ -157,7 +171,9 @@
     if name == "isolate":
         return rand.randrange(3)
     position = rand.randrange(machines)
-    if name in ("order", "repeat", "renew", "leave_edge"):
+    if name == "change_rollout":
+        return rand.randrange(len(RolloutCondition))
+    if name in ("order", "repeat", "renew", "leave_edge", "rollout", "repeat_rollout"):
         leader = world.leader()
         if leader is not None and rand.random() < 0.8:
             position = list(world.nodes).index(leader.address)
@@ -277,6 +293,7 @@
         acknowledged=len(checks.acknowledged),
         membership_changes=checks.membership_changes,
         snapshots_fetched=checks.snapshots_installed,
+        rollouts_acknowledged=world.sessions.rollouts.acknowledged_count,
         seconds=world.now_us / 1_000_000,
     )
 
--- a/tests/model_mutants.py
+++ b/tests/model_mutants.py
@@ -11,8 +11,14 @@
 from typing import Any, Iterator
 from unittest import mock
 
+from kelpstage.common.rollouts.condition import RolloutCondition
+from kelpstage.core.rollouts.order_ages import OrderAge, OrderAges
+from kelpstage.core.rollouts.repetitions import RepeatedOrder, decide_order
+from kelpstage.core.state import machine
+from kelpstage.core.state.rollouts import has_content, rollouts_of
 from kelpstage.testbed.model import adapter as core
 from kelpstage.testbed.model import edge_adapter as leases
+from kelpstage.testbed.model import rollouts
 from kelpstage.testbed.model.node import Hooks, Node
 from kelpstage.testbed.model.sessions import PendingCall, RenewCall, Sessions
 from kelpstage.testbed.model.system import World
@@ -317,3 +323,75 @@
 def snapshot_never_found() -> contextlib.AbstractContextManager:
     """A leader offers a snapshot and does not serve it."""
     return patched(World, "snapshot_at", lambda *_, **__: None)
+
+
+# --- orders of rollouts ---------------------------------------------------------------------
+
+
+@contextlib.contextmanager
+def equal_rollout_is_a_repetition() -> Iterator[None]:
+    """An order counts as a repetition of any earlier one with its content."""
+
+    def decide(*, state: Any, order: Any, age_of: Any, repeat_within_us: int) -> Any:
+        for known in rollouts_of(state=state, service=order.service):
+            if has_content(rollout=known, order=order):
+                return RepeatedOrder(number=known.number)
+        return decide_order(
+            state=state, order=order, age_of=age_of, repeat_within_us=repeat_within_us
+        )
+
+    with mock.patch.object(rollouts, "decide_order", decide):
+        yield
+
+
+@contextlib.contextmanager
+def restarted_replica_counts_from_its_start() -> Iterator[None]:
+    """A replica takes the time that it knows of for the whole age of an order."""
+    age = OrderAges.age
+
+    def shortened(self: OrderAges, **fields: Any) -> OrderAge:
+        found = age(self, **fields)
+        return OrderAge(at_least_us=found.at_least_us, at_most_us=found.at_least_us)
+
+    with mock.patch.object(OrderAges, "age", shortened):
+        yield
+
+
+@contextlib.contextmanager
+def reverted_rollout_is_never_a_repetition() -> Iterator[None]:
+    """An order that was sent again after its rollout was reverted begins another one."""
+
+    def old(self: OrderAges, **fields: Any) -> OrderAge:
+        return OrderAge(at_least_us=10**12)
+
+    with mock.patch.object(OrderAges, "age", old):
+        yield
+
+
+@contextlib.contextmanager
+def newest_target_is_in_place() -> Iterator[None]:
+    """The target of the newest rollout counts as the version in place, even if reverted."""
+
+    def newest(*, state: Any, service: str) -> list[str]:
+        return [rollout.target for rollout in rollouts_of(state=state, service=service)[:1]]
+
+    with mock.patch.object(rollouts, "versions_in_place", newest):
+        yield
+
+
+@contextlib.contextmanager
+def ended_rollout_changes_again() -> Iterator[None]:
+    """A rollout that has ended is rolling again after a late change."""
+    change_rollout = machine.change_rollout
+
+    def change(*, state: Any, change: Any) -> Any:
+        for known in state.rollouts:
+            if known.number == change.number:
+                known.condition = RolloutCondition.ROLLING
+        return change_rollout(state=state, change=change)
+
+    rolling = mock.patch.object(
+        rollouts.ModelRollouts, "_is_rolling", lambda self, *, rollout: rollout is not None
+    )
+    with mock.patch.object(machine, "change_rollout", change), rolling:
+        yield
--- a/tests/test_model.py
+++ b/tests/test_model.py
@@ -9,7 +9,7 @@
 from typing import Any, Callable
 
 from kelpstage.testbed.model import adapter as core
-from kelpstage.testbed.model import checks
+from kelpstage.testbed.model import checks, rollouts
 from kelpstage.testbed.model.node import Hooks, Node
 from kelpstage.testbed.model.search import Limits, replay_search, search
 from kelpstage.testbed.model.system import Action, Packet, Scope, World
@@ -89,6 +89,12 @@
             outcomes = self.walk(scope=scope, seeds=range(6), steps=2_000, profile="edges")
             self.assertGreater(sum(o.acknowledged for o in outcomes), 60)
 
+    def test_orders_of_rollouts_beside_crashes_and_snapshots(self) -> None:
+        """Orders again, back, over another and in place; none is lost, none begins twice."""
+        for scope in (THREE_EDGES, FIVE):
+            outcomes = self.walk(scope=scope, seeds=range(8), steps=2_000, profile="rollouts")
+            self.assertGreater(sum(o.rollouts_acknowledged for o in outcomes), 40)
+
     def test_three_voters(self) -> None:
         outcomes = self.walk(scope=THREE, seeds=range(30), steps=2_000, profile="chaos")
         self.assertGreater(sum(o.acknowledged for o in outcomes), 90)
@@ -364,6 +370,11 @@
     (mutants.previous_membership_ignored, OBSERVERS, "edges", 27, checks.CONFIRMATION_FENCING),
     (mutants.DedupLostInSnapshot, THREE, "chaos", 4, checks.NO_LATE_REFUSAL),
     (mutants.RepeatRefused, THREE, "chaos", 15, checks.NO_LATE_REFUSAL),
+    (mutants.equal_rollout_is_a_repetition, THREE_EDGES, "rollouts", 0, rollouts.ROLLOUT_TAKEN),
+    (mutants.restarted_replica_counts_from_its_start, THREE, "rollouts", 3, rollouts.ROLLOUT_TAKEN),
+    (mutants.reverted_rollout_is_never_a_repetition, THREE, "rollouts", 8, rollouts.ROLLOUT_TWICE),
+    (mutants.newest_target_is_in_place, THREE, "rollouts", 1, rollouts.ROLLOUT_IN_PLACE),
+    (mutants.ended_rollout_changes_again, THREE, "rollouts", 1, rollouts.ROLLOUT_FINAL),
     (mutants.snapshot_never_found, THREE, "chaos", 0, checks.LIVENESS),
     (mutants.learner_never_promoted, WITH_SPARE, "chaos", 9, checks.LIVENESS),
     (mutants.LearnerKeepsLeader, WITH_SPARE, "long", 11, checks.LIVENESS),
