The soak orders rollouts in series, beside kills, freezes and replaced cores

Each order is sent again until it is acknowledged, read until its rollout has ended, and read again after all processes were killed; then one more has to end in calm within 30 s. A read that names another version, an order without an acknowledgement and a rollout without an end are violations.

--- a/kelpstage/testbed/fleet/soak.py
+++ b/kelpstage/testbed/fleet/soak.py
@@ -1,4 +1,5 @@
-"""A soak test of real processes: overlapping series of signals, restarts and configuration writes.
+"""A soak test of real processes: overlapping series of signals, restarts, configuration writes and
+orders of rollouts.
 
 Callers use persistent connections until the process ends. Any number of edges on machines
 without a disk is disturbed, sometimes most of them at the same time; of the machines with a
@@ -18,6 +19,7 @@
 from kelpstage.testbed.fleet.fleet import Fleet
 from kelpstage.testbed.fleet.process_faults import ProcessFaults
 from kelpstage.testbed.fleet.replacement import add_node, forget_node, has_voters
+from kelpstage.testbed.fleet.soak_rollouts import SoakRollouts
 
 SECOND_US = 1_000_000
 CLOSING_WRITE_LIMIT_S = 5.0  # for the configuration write after the closing fault
@@ -26,6 +28,7 @@
 WRITE_ATTEMPT_TIMEOUT_US = 1_500_000
 EXCUSED_AFTER_US = 3 * SECOND_US  # time after the end of a fault that the fault still excuses
 CLOSING_DOWNTIME_S = 0.5
+CLOSING_ROLLOUT_LIMIT_S = 30.0  # of an order after the closing fault, in calm
 
 
 class Soak:
@@ -42,13 +45,19 @@
         self._writes_sent = 0
         self._added_count = 0  # machines that were added under a new name
         self._faults = ProcessFaults(fleet=fleet)
+        self._rollouts = SoakRollouts(fleet=fleet)
         self._violations: list[str] = []
         self.acknowledged_writes = 0
 
     @property
     def violations(self) -> list[str]:
         """Violations that the soak itself has seen, without those of the checkers."""
-        return self._violations + self._faults.violations
+        return self._violations + self._faults.violations + self._rollouts.violations
+
+    @property
+    def ended_rollouts(self) -> int:
+        """Number of rollouts that were ordered and have ended."""
+        return self._rollouts.ended
 
     @property
     def disturbances(self) -> dict[str, int]:
@@ -65,6 +74,7 @@
             series.create_task(self._series("replaced", self._replace_edge, max_pause_s=6.0))
             series.create_task(self._series("counted", self._disturb_core_machine, max_pause_s=2.0))
             series.create_task(self._series("orders", self._write_configuration, max_pause_s=0.6))
+            series.create_task(self._series("rollouts", self._rollouts.order, max_pause_s=2.0))
         await self._run_closing_fault()
 
     async def _series(
@@ -281,6 +291,10 @@
         await self._write_within(
             rand=rand, seconds=CLOSING_WRITE_LIMIT_S, why="after the closing fault"
         )
+        await self._rollouts.check_last(rand, limit_s=CLOSING_WRITE_LIMIT_S)
+        await self._rollouts.order(
+            rand, ack_s=CLOSING_ROLLOUT_LIMIT_S, end_s=CLOSING_ROLLOUT_LIMIT_S
+        )
 
 
 def _processes_of(*, node: Node) -> list[str]:
--- a/kelpstage/testbed/fleet/soak_runs.py
+++ b/kelpstage/testbed/fleet/soak_runs.py
@@ -74,6 +74,7 @@
     calls: int
     answered: int
     acknowledged_writes: int
+    ended_rollouts: int
     disturbances: dict[str, int]
     violations: list[str]
     logs: dict[str, str] = field(repr=False)
@@ -84,13 +85,14 @@
     """Returns a line of text about a soak, and a line for each of its first violations.
 
     >>> soak_text(result=SoakResult(seed=1, processes=2, calls=3, answered=3, acknowledged_writes=4,
-    ...     disturbances={"kill": 1}, violations=[], logs={}))
-    'seed 1: 2 processes, 3 of 3 calls answered, 4 orders, kill 1: kept'
+    ...     ended_rollouts=5, disturbances={"kill": 1}, violations=[], logs={}))
+    'seed 1: 2 processes, 3 of 3 calls answered, 4 orders, 5 rollouts, kill 1: kept'
     """
     what = ", ".join(f"{name} {count}" for name, count in result.disturbances.items())
     head = (
         f"seed {result.seed}: {result.processes} processes, {result.answered} of {result.calls} "
-        f"calls answered, {result.acknowledged_writes} orders, {what}: "
+        f"calls answered, {result.acknowledged_writes} orders, "
+        f"{result.ended_rollouts} rollouts, {what}: "
     )
     if not result.violations:
         return head + "kept"
@@ -164,6 +166,7 @@
         calls=len(rows),
         answered=sum(row["event"] == "call" and row["end"] == "ok" for row in rows),
         acknowledged_writes=soak.acknowledged_writes,
+        ended_rollouts=soak.ended_rollouts,
         disturbances=soak.disturbances,
         violations=timed_out + soak.violations + find_violations(history=fleet.history, logs=logs),
         logs=logs,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -29,6 +29,7 @@
         self.assertGreater(result.calls, MIN_CALLS)
         self.assertGreater(result.answered, result.calls * 8 // 10)
         self.assertGreater(result.acknowledged_writes, 5)
+        self.assertGreater(result.ended_rollouts, 2)
         self.assertGreater(len(result.disturbances), 5)
 
 
