A repeated order of a rollout counts from its arrival, not from its turn

A repetition that arrived in time waited until the change before it had settled; its age was read only then, and it began a second rollout of a version that had been reverted.

The ages of earlier orders count as of the arrival of the calls that wait: the first of them for "certainly older", the last for "certainly younger". A call that comes after the decision does not join it.

--- a/kelpstage/core/rollouts/order_ages.py
+++ b/kelpstage/core/rollouts/order_ages.py
@@ -22,6 +22,17 @@
     at_least_us: int
     at_most_us: int | None = None
 
+    def at_arrivals(self, *, first_us: int, last_us: int) -> OrderAge:
+        """The age when calls arrived, the first and the last of them so long ago.
+
+        >>> OrderAge(at_least_us=12, at_most_us=12).at_arrivals(first_us=5, last_us=3)
+        OrderAge(at_least_us=7, at_most_us=9)
+        """
+        return OrderAge(
+            at_least_us=self.at_least_us - first_us,
+            at_most_us=None if self.at_most_us is None else self.at_most_us - last_us,
+        )
+
 
 @dataclass(frozen=True, kw_only=True)
 class _Observed:
--- a/kelpstage/core/rollouts/orders.py
+++ b/kelpstage/core/rollouts/orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import dataclass, field
 
 from kelpstage.common.errors.base import KelpstageError
 from kelpstage.common.errors.control import RolloutUnderWayError, WriteUnresolvedError
@@ -36,6 +37,17 @@
 OrderContent = tuple[str, str, int]  # service, target, duration
 
 
+@dataclass(kw_only=True)
+class PendingOrder:
+    """An order in progress, and when the first and the last of the calls that wait for it came."""
+
+    order: BeginRollout
+    first_call_us: int
+    deadline_us: int
+    last_call_us: int = 0
+    task: asyncio.Future[RolloutBegun | KelpstageError] = field(init=False)
+
+
 class RolloutOrders:
     """Takes orders, each in a task that continues after its caller's timeout.
 
@@ -64,7 +76,7 @@
         self._listed_versions = listed_versions
         self._ages = ages
         self._repeat_within_us = repeat_within_us
-        self._running: dict[OrderContent, asyncio.Future[RolloutBegun | KelpstageError]] = {}
+        self._pending: dict[OrderContent, PendingOrder] = {}
 
     async def begin(
         self, *, service: str, target: str, over_us: int, wait_us: int
@@ -75,32 +87,34 @@
         same order sent again waits for it or gets its outcome; it is never refused.
         """
         content = (service, target, over_us)
-        running = self._running.get(content)
-        if running is None:
-            order = BeginRollout(
-                service=service,
-                target=target,
-                over_us=over_us,
-                at_us=self._ports.clock.wall_us(),
-            )
-            running = self._ports.spawn(
-                self._run(order=order, wait_us=max(wait_us, MIN_ORDER_TIMEOUT_US))
-            )
-            self._running[content] = running
+        pending = self._pending.get(content)
+        if pending is None:
+            pending = self._start(content=content, wait_us=max(wait_us, MIN_ORDER_TIMEOUT_US))
+        pending.last_call_us = self._ports.clock.now_us()
         outcome: RolloutBegun | KelpstageError | None = await self._ports.clock.within(
-            running, us=wait_us
+            pending.task, us=wait_us
         )
         if outcome is None:
             return WriteUnresolvedError(put_id="", why="the order is still in progress; retry")
         return outcome
 
-    async def _run(self, *, order: BeginRollout, wait_us: int) -> RolloutBegun | KelpstageError:
-        deadline_us = self._ports.clock.now_us() + wait_us
+    def _start(self, *, content: OrderContent, wait_us: int) -> PendingOrder:
+        service, target, over_us = content
+        order = BeginRollout(
+            service=service, target=target, over_us=over_us, at_us=self._ports.clock.wall_us()
+        )
+        now_us = self._ports.clock.now_us()
+        pending = PendingOrder(order=order, first_call_us=now_us, deadline_us=now_us + wait_us)
+        self._pending[content] = pending
+        pending.task = self._ports.spawn(self._run(pending=pending))
+        return pending
+
+    async def _run(self, *, pending: PendingOrder) -> RolloutBegun | KelpstageError:
         try:
-            begun = await self._decide(order=order, deadline_us=deadline_us)
+            begun = await self._decide(pending=pending)
             if isinstance(begun, KelpstageError):
                 return begun
-            wait_us = max(0, deadline_us - self._ports.clock.now_us())
+            wait_us = max(0, pending.deadline_us - self._ports.clock.now_us())
             if await self._settlement.wait_settled(epoch=begun.number, wait_us=wait_us):
                 self._ports.failpoint("core.before_put_result")
                 return begun
@@ -108,37 +122,52 @@
                 put_id="", why="committed, but not yet confirmed by the edges"
             )
         finally:
-            self._running.pop((order.service, order.target, order.over_us), None)
+            self._close(pending=pending)
 
-    async def _decide(
-        self, *, order: BeginRollout, deadline_us: int
-    ) -> RolloutBegun | KelpstageError:
+    def _close(self, *, pending: PendingOrder) -> None:
+        """Let no further call wait for this task."""
+        order = pending.order
+        content = (order.service, order.target, order.over_us)
+        if self._pending.get(content) is pending:
+            del self._pending[content]
+
+    async def _decide(self, *, pending: PendingOrder) -> RolloutBegun | KelpstageError:
+        order = pending.order
         async with self._settlement.change_lock:
             error: KelpstageError | None = await self._task.confirm(wait_us=CONFIRM_TIMEOUT_US)
             if error is not None:
                 return error
-            decision = self._decision(order=order)
+            decision = self._decision(pending=pending)
+            if not isinstance(decision, NewOrder):
+                self._close(pending=pending)  # the next call is decided by its own time
             if isinstance(decision, RepeatedOrder):
                 return RolloutBegun(number=decision.number)
             if not isinstance(decision, NewOrder):
                 return _error_of(decision=decision, service=order.service)
-            error = await self._readiness.check(deadline_us=deadline_us)
+            error = await self._readiness.check(deadline_us=pending.deadline_us)
             if error is not None:
                 return error
             order.is_new, order.follows = True, decision.follows
             order.in_place = await self._in_place(order=order)
-            return await self._propose(order=order, deadline_us=deadline_us)
+            return await self._propose(order=order, deadline_us=pending.deadline_us)
 
-    def _decision(self, *, order: BeginRollout) -> OrderDecision:
+    def _decision(self, *, pending: PendingOrder) -> OrderDecision:
+        """The decision on the calls that wait, by the ages of earlier orders when they came."""
         state, now_us = self._task.machine.state, self._ports.clock.now_us()
 
         def age_of(rollout: RolloutState) -> OrderAge:
-            return self._ages.age(
+            age = self._ages.age(
                 state=state, service=rollout.service, number=rollout.number, now_us=now_us
             )
+            return age.at_arrivals(
+                first_us=now_us - pending.first_call_us, last_us=now_us - pending.last_call_us
+            )
 
         return decide_order(
-            state=state, order=order, age_of=age_of, repeat_within_us=self._repeat_within_us
+            state=state,
+            order=pending.order,
+            age_of=age_of,
+            repeat_within_us=self._repeat_within_us,
         )
 
     async def _in_place(self, *, order: BeginRollout) -> list[str]:
--- a/kelpstage/testbed/model/rollouts.py
+++ b/kelpstage/testbed/model/rollouts.py
@@ -123,28 +123,32 @@
 
     # --- the leader -----------------------------------------------------------------------
 
-    def command(self, *, state: CoreState, ages: OrderAges, call: Any) -> bytes:
+    def command(self, *, state: CoreState, ages: OrderAges, call: Any, arrived_us: int) -> bytes:
         """The command that a leader proposes for a call; empty if it proposes none."""
         if isinstance(call, RolloutChangeCall):
             return self._change(state=state, ages=ages, call=call)
         order = _begin_of(order=call.order)
-        decision = self.decide(state=state, ages=ages, call=call)
+        decision = self.decide(state=state, ages=ages, call=call, arrived_us=arrived_us)
         if not isinstance(decision, NewOrder):
             return b""
         order.is_new, order.follows = True, decision.follows
         order.in_place = versions_in_place(state=state, service=order.service) or [FIRST_VERSION]
         return bytes(Command(begin_rollout=order))
 
-    def decide(self, *, state: CoreState, ages: OrderAges, call: RolloutCall) -> OrderDecision:
-        """The product's decision on an order."""
+    def decide(
+        self, *, state: CoreState, ages: OrderAges, call: RolloutCall, arrived_us: int
+    ) -> OrderDecision:
+        """The product's decision on an order that reached the leader at `arrived_us`."""
+        waited_us = self.world.now_us - arrived_us
 
         def age_of(rollout: RolloutState) -> OrderAge:
-            return ages.age(
+            age = ages.age(
                 state=state,
                 service=rollout.service,
                 number=rollout.number,
                 now_us=self.world.now_us,
             )
+            return age.at_arrivals(first_us=waited_us, last_us=waited_us)
 
         return decide_order(
             state=state,
--- a/kelpstage/testbed/model/sessions.py
+++ b/kelpstage/testbed/model/sessions.py
@@ -58,6 +58,11 @@
     epoch: int = 0
     version: int = 0
 
+    @property
+    def arrived_us(self) -> int:
+        """When the call reached the node."""
+        return self.deadline_us - ORDER_WAIT_US
+
 
 class Sessions:
     """All operators and edges, and their pending calls."""
@@ -251,11 +256,15 @@
             return
         state, call = node.machine.state, pending.call
         if isinstance(call, RolloutCall):
-            decision = self.rollouts.decide(state=state, ages=node.order_ages, call=call)
+            decision = self.rollouts.decide(
+                state=state, ages=node.order_ages, call=call, arrived_us=pending.arrived_us
+            )
             if isinstance(decision, RepeatedOrder):
                 self.rollouts.repeated(state=state, order=call.order, decision=decision)
                 self.rollouts.acknowledged(order=call.order)  # its epoch is settled
-        data = self.rollouts.command(state=state, ages=node.order_ages, call=call)
+        data = self.rollouts.command(
+            state=state, ages=node.order_ages, call=call, arrived_us=pending.arrived_us
+        )
         if not data:
             del self._pending_calls[token]
             return
--- a/tests/test_rollout_orders.py
+++ b/tests/test_rollout_orders.py
@@ -55,7 +55,7 @@
         task.confirm.return_value = None
         task.propose.side_effect = lambda data, put_id, wait_us: self.apply(data)
         settlement = mock.create_autospec(EpochSettlement, instance=True)
-        settlement.change_lock = Lock()
+        settlement.change_lock = self.change_lock = Lock()
         settlement.wait_settled.return_value = True
         ports = mock.Mock()
         ports.spawn = lambda work: asyncio.get_running_loop().create_task(work)
@@ -158,6 +158,39 @@
         self.assertIsInstance(await core.begin("v2"), RolloutBegun)
         self.assertEqual("v2", core.newest.target)
 
+    async def test_a_repetition_that_waited_for_its_turn_counts_from_its_arrival(self):
+        """It was decided only when the change before it had settled, and began once more."""
+        core = Core()
+        first = await core.begin("v2")
+        core.advance(seconds=4)
+        core.end(REVERTED)
+        core.advance(seconds=3)
+        await core.change_lock.acquire()
+        repeated = asyncio.ensure_future(core.begin("v2"))
+        await asyncio.sleep(0)
+        core.advance(seconds=4)
+        core.change_lock.release()
+        self.assertEqual(first, await repeated)
+        self.assertEqual(REVERTED, core.newest.condition)
+
+    async def test_a_new_order_does_not_get_the_answer_of_a_repetition_that_waits(self):
+        core = Core()
+        await core.begin("v2")
+        core.advance(seconds=4)
+        core.end(REVERTED)
+        core.advance(seconds=3)
+        await core.change_lock.acquire()
+        calls = [asyncio.ensure_future(core.begin("v2"))]
+        await asyncio.sleep(0)
+        core.advance(seconds=4)
+        calls.append(asyncio.ensure_future(core.begin("v2")))
+        await asyncio.sleep(0)
+        core.change_lock.release()
+        for outcome in await asyncio.gather(*calls):
+            self.assertIsInstance(outcome, WriteUnresolvedError)
+        await core.begin("v2")
+        self.assertEqual(RolloutCondition.ROLLING, core.newest.condition)
+
     async def test_an_order_to_the_complete_version_begins_no_second_rollout(self):
         core = Core()
         await core.carry_out("v2")
