--- a/tests/test_rollout_orders.py
+++ b/tests/test_rollout_orders.py
@@ -146,7 +146,7 @@
     async def test_an_order_that_may_be_a_late_copy_gets_a_retryable_error_and_changes_nothing(
         self,
     ):
-        """The leader was elected since, or another order was taken: it can't be told apart."""
+        """It can't be distinguished after an election, or once another order was taken."""
         core = Core()
         await core.carry_out("v2", REVERTED)
         core.start()
