--- a/kelpstage/testbed/platform_model/faults/rollout_histories.py
+++ b/kelpstage/testbed/platform_model/faults/rollout_histories.py
@@ -26,7 +26,7 @@
 OVER_US = (14_000_000, 16_000_000)
 LOSS_DELAY_S = 1.0  # from the start of instances to the loss of some
 OVER_ROLLING_DELAY_S = 2.0
-MARGIN_S = 2.0  # beyond the time in which an order may be sent again
+MARGIN_S = 1.5  # beyond the time in which an order may be sent again
 
 
 class OrderKind(Enum):
@@ -83,9 +83,11 @@
 
 
 def draw_service(play: Any, rand: random.Random) -> str:
-    """Draw the service of a history: a shard, or the service of a single backend's requests."""
-    fan_out = next(d for d in play.drafts.routes.values() if d.fan_out).fan_out
-    return str(rand.choice((play.shape.single, rand.choice(fan_out))))
+    """Draw the service of a history: a shard, or one that gets requests for a single backend."""
+    drafts = play.drafts.routes.values()
+    fan_out = next(draft for draft in drafts if draft.fan_out).fan_out
+    single = sorted({name for draft in drafts for name, share in draft.services if share})
+    return str(rand.choice((rand.choice(single), rand.choice(fan_out))))
 
 
 @dataclass(kw_only=True)
@@ -140,6 +142,7 @@
             if self._is_repetition(target=target):
                 await self._play.rollout_operator.begin_once(order=self._last)
                 continue
+            await self._wait_for_new_order(target=target)
             if not await self._carry_out(drawn=drawn, target=target):
                 return
 
@@ -155,7 +158,19 @@
         last, bounds = self._last, self._play.history.bounds
         if last is None or last.target != target or not last.reverted_us:
             return False
-        return self._play.world.now_us() < last.acked_us + bounds.ack_within_us + MARGIN_S * 1e6
+        return bool(self._play.world.now_us() < last.sent_us + bounds.ack_within_us)
+
+    async def _wait_for_new_order(self, *, target: str) -> None:
+        """Wait until an order with the content of an earlier one is certainly a new one."""
+        earlier = [
+            order.acked_us
+            for order in self._play.history.rollouts
+            if (order.service, order.target) == (self._service, target)
+        ]
+        if not earlier:
+            return
+        since_us = max(earlier) + self._play.history.bounds.ack_within_us + int(MARGIN_S * 1e6)
+        await sleep(s=max(0.0, (since_us - self._play.world.now_us()) / 1_000_000))
 
     async def _carry_out(self, *, drawn: DrawnOrder, target: str) -> bool:
         """Give an order and follow it to its end; false if it was not taken or did not end."""
